--- /dev/null
+++ b/control/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package main is the command of its module.
+package main
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,116 @@
+package lab
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Outcome says what is known about a request that did not end normally.
+type Outcome uint8
+
+// The outcomes of a request.
+const (
+	OutcomeUnknown Outcome = iota // it may or may not have run
+	OutcomeNotRun                 // it was not run
+	OutcomeDone                   // it had run before under the same name
+)
+
+// SQLSTATEs of the outcomes.
+const (
+	CodeDone    = "LL000"
+	CodeNotRun  = "LL001"
+	CodeUnknown = "LL002"
+)
+
+// Code returns the SQLSTATE of the outcome.
+func (o Outcome) Code() string {
+	switch o {
+	case OutcomeNotRun:
+		return CodeNotRun
+	case OutcomeDone:
+		return CodeDone
+	case OutcomeUnknown:
+		return CodeUnknown
+	}
+
+	return CodeUnknown
+}
+
+// OutcomeError is an error with what is known about the request's execution.
+type OutcomeError struct {
+	Outcome Outcome
+	Reason  string // one of the Reason constants
+	Err     error
+}
+
+// The reasons of an OutcomeError.
+const (
+	ReasonOverload   = "overload"    // the queue is full or the deadline can't be met
+	ReasonDeadline   = "deadline"    // the deadline passed
+	ReasonNoLease    = "no_lease"    // the proxy has no lease for the duty
+	ReasonNoPrimary  = "no_primary"  // no primary is known or reachable
+	ReasonSuperseded = "superseded"  // the primary's term ended
+	ReasonLost       = "lost"        // the connection or peer was lost
+	ReasonDraining   = "draining"    // the proxy or upstream is leaving
+	ReasonRejected   = "rejected"    // the request itself is not acceptable
+	ReasonRepeated   = "repeated"    // the request name was used before
+	ReasonMisrouted  = "misrouted"   // the instance is not the gateway of the duty
+	ReasonReadOnly   = "read_only"   // the member refused because it is a replica
+	ReasonCancelled  = "cancelled"   // the caller cancelled the request
+	ReasonTooLarge   = "too_large"   // a message or answer is over the limit
+	ReasonStale      = "stale"       // no member satisfies the floor within the deadline
+	ReasonNoRegistry = "no_registry" // too few registry holders answered
+)
+
+// Error describes the outcome and its cause.
+func (e *OutcomeError) Error() string {
+	return fmt.Sprintf("%s (%s): %v", e.Outcome, e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *OutcomeError) Unwrap() error {
+	return e.Err
+}
+
+// String names the outcome.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNotRun:
+		return "not run"
+	case OutcomeDone:
+		return "done"
+	case OutcomeUnknown:
+		return "outcome unknown"
+	}
+
+	return "outcome unknown"
+}
+
+// NotRun returns an error for a request that was not run.
+func NotRun(reason string, err error) error {
+	return &OutcomeError{Outcome: OutcomeNotRun, Reason: reason, Err: err}
+}
+
+// Unknown returns an error for a request that may have run.
+func Unknown(reason string, err error) error {
+	return &OutcomeError{Outcome: OutcomeUnknown, Reason: reason, Err: err}
+}
+
+// OutcomeOf returns the outcome and reason that an error carries; an error without one is of unknown outcome.
+func OutcomeOf(err error) (Outcome, string) {
+	var o *OutcomeError
+	if errors.As(err, &o) {
+		return o.Outcome, o.Reason
+	}
+
+	return OutcomeUnknown, ReasonLost
+}
+
+// Errors of the control plane.
+var (
+	// ErrNotLeader is returned by an instance that does not lead the consensus group.
+	ErrNotLeader = errors.New("not the leader")
+	// ErrOutcomeUnknown is returned when a proposal may or may not be committed later.
+	ErrOutcomeUnknown = errors.New("outcome of the proposal unknown")
+)
--- /dev/null
+++ b/position_test.go
@@ -0,0 +1,33 @@
+package lab_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+// Guards against comparing offsets of different terms without their switch points, which would let a divergent old
+// primary serve a session's reads.
+func TestHistory(t *testing.T) {
+	h := lab.History{{Term: 1, Offset: 0}, {Term: 2, Offset: 100}, {Term: 3, Offset: 250}}
+
+	covers := func(have, floor lab.Position, want bool) func(*testing.T) {
+		return func(t *testing.T) {
+			assert.Equal(t, h.Covers(have, floor), want)
+		}
+	}
+
+	t.Run("same term", covers(lab.Position{Term: 3, Offset: 300}, lab.Position{Term: 3, Offset: 300}, true))
+	t.Run("behind", covers(lab.Position{Term: 3, Offset: 299}, lab.Position{Term: 3, Offset: 300}, false))
+	t.Run("older floor", covers(lab.Position{Term: 2, Offset: 120}, lab.Position{Term: 1, Offset: 90}, true))
+	t.Run("abandoned floor", covers(lab.Position{Term: 2, Offset: 100}, lab.Position{Term: 1, Offset: 140}, true))
+	t.Run("member in older term below switch", covers(lab.Position{Term: 1, Offset: 80}, lab.Position{Term: 1, Offset: 80}, true))
+	t.Run("member in older term, newer floor", covers(lab.Position{Term: 1, Offset: 100}, lab.Position{Term: 2, Offset: 101}, false))
+	t.Run("divergent member", covers(lab.Position{Term: 1, Offset: 500}, lab.Position{Term: 2, Offset: 120}, false))
+	t.Run("divergent tail does not fit", func(t *testing.T) {
+		assert.Equal(t, h.Fits(lab.Position{Term: 1, Offset: 101}), false)
+		assert.Equal(t, h.Fits(lab.Position{Term: 2, Offset: 250}), true)
+	})
+}
