Add transport between processes, certificates, clock, log and metrics

Cause: proxies and control instances must reach each other, and only each other. Change: labtransport (QUIC, mutual TLS, calls and streams), labkeys (authority, issue, rotation with two accepted authorities), labclock, labrandom, lablog, labmetrics. Guards shown failing: without replacement of a suspect connection TestSilentConnectionIsReplaced fails; without VerifyConnection TestForeignCertificateRefused fails. Conclusion: rotation and silent connections need no restart.

--- /dev/null
+++ b/process/labclock/doc.go
@@ -0,0 +1,2 @@
+// Package labclock provides the operating system's clock.
+package labclock
--- /dev/null
+++ b/process/lablog/logger.go
@@ -0,0 +1,57 @@
+package lablog
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes key=value lines to out at the named level; it fails on an unknown level.
+func New(out io.Writer, level, instance string) (zerolog.Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), errors.Newf("parse log level: %w", err)
+	}
+
+	w := zerolog.ConsoleWriter{
+		Out:              out,
+		NoColor:          true,
+		TimeFormat:       time.RFC3339Nano,
+		PartsOrder:       []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
+		FormatTimestamp:  pair("time"),
+		FormatLevel:      pair("level"),
+		FormatMessage:    pair("event"),
+		FormatFieldName:  func(i any) string { return fmt.Sprintf("%s=", i) },
+		FormatFieldValue: value,
+	}
+
+	return zerolog.New(w).Level(l).With().Timestamp().Str("instance", instance).Logger(), nil
+}
+
+func pair(key string) zerolog.Formatter {
+	return func(i any) string {
+		if i == nil {
+			return ""
+		}
+
+		return key + "=" + value(i)
+	}
+}
+
+// value quotes what would break the key=value form of the line.
+func value(i any) string {
+	s := fmt.Sprint(i)
+	if b, ok := i.([]byte); ok {
+		s = string(b)
+	}
+
+	if s == "" || (strings.ContainsAny(s, " =\"\n\t") && !strings.HasPrefix(s, "\"")) {
+		return fmt.Sprintf("%q", s)
+	}
+
+	return s
+}
--- /dev/null
+++ b/process/labmetrics/doc.go
@@ -0,0 +1,2 @@
+// Package labmetrics publishes counters and latency histograms through expvar.
+package labmetrics
--- /dev/null
+++ b/process/labrandom/random.go
@@ -0,0 +1,30 @@
+package labrandom
+
+import (
+	"math/rand/v2"
+	"sync"
+)
+
+// Random implements lab.Random; it is safe for concurrent use.
+type Random struct {
+	mutex  sync.Mutex
+	source *rand.Rand
+}
+
+// New returns a generator seeded by the operating system.
+func New() *Random {
+	return Seeded(rand.Uint64())
+}
+
+// Seeded returns a generator that yields the same numbers for the same seed.
+func Seeded(seed uint64) *Random {
+	return &Random{source: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Uint64 returns a uniformly distributed number.
+func (r *Random) Uint64() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return r.source.Uint64()
+}
--- /dev/null
+++ b/process/labtransport/frame.go
@@ -0,0 +1,89 @@
+package labtransport
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"laburnumlock.dev/lab"
+)
+
+const (
+	frameHeaderBytes = 4
+	maxFrameBytes    = 64 << 20 // a snapshot of the catalog must fit
+)
+
+// preamble starts every QUIC stream.
+type preamble struct {
+	Method    lab.Method `msgpack:"m"`
+	RequestID uint64     `msgpack:"q"`
+}
+
+// status starts the answer to a call.
+type status struct {
+	RequestID uint64      `msgpack:"q"`
+	Failed    bool        `msgpack:"f"`
+	Typed     bool        `msgpack:"y"` // the error carried an outcome
+	Outcome   lab.Outcome `msgpack:"o"`
+	Reason    string      `msgpack:"r"`
+	Message   string      `msgpack:"e"`
+	NotLeader bool        `msgpack:"n"`
+}
+
+func appendFrame(buffer []byte, value any) ([]byte, error) {
+	b, err := msgpack.Marshal(value)
+	if err != nil {
+		return nil, errors.Newf("encode frame: %w", err)
+	}
+
+	buffer = binary.BigEndian.AppendUint32(buffer, uint32(len(b)))
+
+	return append(buffer, b...), nil
+}
+
+func readFrame(r io.Reader) ([]byte, error) {
+	var h [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return nil, errors.Newf("read frame length: %w", err)
+	}
+
+	size := binary.BigEndian.Uint32(h[:])
+	if size > maxFrameBytes {
+		return nil, errors.Newf("frame of %d bytes exceeds the limit of %d", size, maxFrameBytes)
+	}
+
+	return readBody(r, int(size))
+}
+
+// readBody grows its buffer with what arrives, so that a false length does not reserve memory.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	const step = 64 << 10
+
+	b := make([]byte, 0, min(size, step))
+	for len(b) < size {
+		n := min(size-len(b), max(step, len(b)))
+		start := len(b)
+		b = append(b, make([]byte, n)...)
+
+		if _, err := io.ReadFull(r, b[start:]); err != nil {
+			return nil, errors.Newf("read frame body: %w", err)
+		}
+	}
+
+	return b, nil
+}
+
+func decodeFrame(r io.Reader, value any) error {
+	b, err := readFrame(r)
+	if err != nil {
+		return err
+	}
+
+	if err := msgpack.Unmarshal(b, value); err != nil {
+		return errors.Newf("decode frame: %w", err)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/process/labtransport/traffic.go
@@ -0,0 +1,30 @@
+package labtransport
+
+import (
+	"expvar"
+
+	"laburnumlock.dev/lab"
+)
+
+// traffic counts payload bytes by method and direction.
+type traffic struct {
+	out expvar.Map
+	in  expvar.Map
+}
+
+func (t *traffic) sent(method lab.Method, size int) {
+	t.out.Add(string(method), int64(size))
+}
+
+func (t *traffic) received(method lab.Method, size int) {
+	t.in.Add(string(method), int64(size))
+}
+
+// Variables returns the byte counters of calls and stream headers for publishing.
+func (t *Transport) Variables() *expvar.Map {
+	m := new(expvar.Map)
+	m.Set("sent_bytes", &t.traffic.out)
+	m.Set("received_bytes", &t.traffic.in)
+
+	return m
+}
--- /dev/null
+++ b/process/labtransport/transport_test.go
@@ -0,0 +1,243 @@
+package labtransport_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/process/labtransport"
+)
+
+type echo struct {
+	Text string `msgpack:"t"`
+}
+
+func authority(t *testing.T, names ...string) string {
+	t.Helper()
+
+	a := labkeys.Authority{Folder: t.TempDir()}
+	assert.NilError(t, a.Init())
+
+	for _, n := range names {
+		assert.NilError(t, a.Issue(n))
+	}
+
+	return a.Folder
+}
+
+func start(t *testing.T, folder, name string) *labtransport.Transport {
+	t.Helper()
+
+	tr := &labtransport.Transport{
+		Address:  "127.0.0.1:0",
+		Identity: &labkeys.Identity{Folder: folder, Name: name},
+		Log:      zerolog.Nop(),
+	}
+	tr.HandleCall(lab.MethodPing, func(_ context.Context, from lab.InstanceID, decode func(any) error) (any, error) {
+		var e echo
+		if err := decode(&e); err != nil {
+			return nil, err
+		}
+
+		if e.Text == "fail" {
+			return nil, lab.NotRun(lab.ReasonOverload, io.ErrShortBuffer)
+		}
+
+		return echo{Text: string(from) + ":" + e.Text}, nil
+	})
+	tr.HandleStream(lab.MethodTransaction, func(_ context.Context, _ lab.InstanceID, decode func(any) error, s lab.Stream) error {
+		var e echo
+		if err := decode(&e); err != nil {
+			return err
+		}
+
+		_, err := io.Copy(s, s)
+		_ = s.CloseWrite()
+
+		return err
+	})
+	assert.NilError(t, tr.Listen())
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+
+	go func() { _ = tr.Run(ctx); close(done) }()
+
+	t.Cleanup(func() { cancel(); <-done })
+
+	return tr
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+
+	return ctx
+}
+
+func TestTransport(t *testing.T) {
+	folder := authority(t, "a", "b")
+	a, b := start(t, folder, "a"), start(t, folder, "b")
+
+	t.Run("call", func(t *testing.T) {
+		var got echo
+		assert.NilError(t, a.Call(within(t, 5*time.Second), b.Bound(), lab.MethodPing, echo{Text: "x"}, &got))
+		assert.Equal(t, got.Text, "a:x")
+	})
+
+	t.Run("outcome crosses", func(t *testing.T) {
+		var got echo
+		err := a.Call(within(t, 5*time.Second), b.Bound(), lab.MethodPing, echo{Text: "fail"}, &got)
+		o, r := lab.OutcomeOf(err)
+		assert.Equal(t, o, lab.OutcomeNotRun)
+		assert.Equal(t, r, lab.ReasonOverload)
+	})
+
+	t.Run("stream", func(t *testing.T) {
+		s, err := a.Open(within(t, 5*time.Second), b.Bound(), lab.MethodTransaction, echo{})
+		assert.NilError(t, err)
+		_, err = s.Write([]byte("hello"))
+		assert.NilError(t, err)
+		assert.NilError(t, s.CloseWrite())
+		got, err := io.ReadAll(s)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), "hello")
+	})
+}
+
+// Guards against an instance of another deployment getting in.
+func TestForeignCertificateRefused(t *testing.T) {
+	a := start(t, authority(t, "a"), "a")
+	b := start(t, authority(t, "b"), "b")
+
+	var got echo
+	err := a.Call(within(t, 3*time.Second), b.Bound(), lab.MethodPing, echo{Text: "x"}, &got)
+	assert.ErrorContains(t, err, "connect to")
+}
+
+// Guards against a restart being needed when keys are rotated.
+func TestRotation(t *testing.T) {
+	folder := authority(t, "a", "b")
+	b := start(t, folder, "b")
+	k := labkeys.Authority{Folder: folder}
+	assert.NilError(t, k.Rotate())
+	assert.NilError(t, k.Issue("a"))
+
+	a := start(t, folder, "a") // new authority; b still runs with its old certificate
+	time.Sleep(2100 * time.Millisecond)
+
+	var got echo
+	assert.NilError(t, a.Call(within(t, 5*time.Second), b.Bound(), lab.MethodPing, echo{Text: "x"}, &got))
+
+	keys, err := labkeys.TokenKeys(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(keys), 2)
+}
+
+// relay forwards datagrams between one client and a server until cut; packets of clients seen before the cut are then
+// dropped while new clients pass, as when a middlebox loses its entry of a connection.
+type relay struct {
+	front   *net.UDPConn
+	server  *net.UDPAddr
+	clients chan func()
+}
+
+func newRelay(t *testing.T, server string) (string, func()) {
+	t.Helper()
+
+	to, err := net.ResolveUDPAddr("udp", server)
+	assert.NilError(t, err)
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = front.Close() })
+
+	r := &relay{front: front, server: to, clients: make(chan func(), 1)}
+	cut := make(chan struct{}, 1)
+
+	go r.run(cut)
+
+	return front.LocalAddr().String(), func() { cut <- struct{}{} }
+}
+
+func (r *relay) run(cut <-chan struct{}) {
+	back := map[string]*net.UDPConn{}
+	dropped := map[byte]bool{}
+	seen := map[byte]bool{}
+	b := make([]byte, 4096)
+
+	for {
+		n, from, err := r.front.ReadFromUDP(b)
+		if err != nil {
+			return
+		}
+
+		select {
+		case <-cut:
+			for k := range seen {
+				dropped[k] = true
+			}
+		default:
+		}
+
+		// Connections of one client share a socket; long header packets (a new handshake) pass, short ones are told
+		// apart by the first byte of the connection id.
+		long := b[0]&0x80 != 0
+		if !long {
+			if dropped[b[1]] {
+				continue
+			}
+
+			seen[b[1]] = true
+		}
+
+		r.pass(back, from, b[:n])
+	}
+}
+
+func (r *relay) pass(back map[string]*net.UDPConn, from *net.UDPAddr, p []byte) {
+	c, ok := back[from.String()]
+	if !ok {
+		var err error
+		if c, err = net.DialUDP("udp", nil, r.server); err != nil {
+			return
+		}
+
+		back[from.String()] = c
+
+		go func() {
+			q := make([]byte, 4096)
+			for {
+				n, err := c.Read(q)
+				if err != nil {
+					return
+				}
+
+				_, _ = r.front.WriteToUDP(q[:n], from)
+			}
+		}()
+	}
+
+	_, _ = c.Write(p)
+}
+
+// Guards against a silent open connection being used on and on while new ones work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	folder := authority(t, "a", "b")
+	a, b := start(t, folder, "a"), start(t, folder, "b")
+	address, cut := newRelay(t, b.Bound())
+
+	var got echo
+	assert.NilError(t, a.Call(within(t, 5*time.Second), address, lab.MethodPing, echo{Text: "x"}, &got))
+	cut()
+	assert.Assert(t, a.Call(within(t, 500*time.Millisecond), address, lab.MethodPing, echo{Text: "x"}, &got) != nil)
+	assert.NilError(t, a.Call(within(t, 1500*time.Millisecond), address, lab.MethodPing, echo{Text: "x"}, &got))
+}
