--- /dev/null
+++ b/version/labsettings/document.go
@@ -0,0 +1,179 @@
+package labsettings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// document is a JSON text with the place of each value in it.
+type document struct {
+	name    string
+	text    []byte
+	offsets map[string]int64 // by path, such as /peers/0/address
+}
+
+// parse reads the text into target; unknown fields, duplicate fields and trailing text are errors.
+func parse(name string, text []byte, target any) (*document, error) {
+	d := &document{name: name, text: text, offsets: map[string]int64{}}
+	if err := d.index(); err != nil {
+		return nil, err
+	}
+
+	j := json.NewDecoder(bytes.NewReader(text))
+	j.DisallowUnknownFields()
+
+	if err := j.Decode(target); err != nil {
+		return nil, d.decodeError(err)
+	}
+
+	return d, nil
+}
+
+// index walks the tokens and notes the offset of each value, so that checks after decoding can name positions.
+func (d *document) index() error {
+	j := json.NewDecoder(bytes.NewReader(d.text))
+	if err := d.walk(j, ""); err != nil {
+		return err
+	}
+
+	if _, err := j.Token(); !errors.Is(err, io.EOF) {
+		return d.at(j.InputOffset(), "unexpected text after the settings")
+	}
+
+	return nil
+}
+
+func (d *document) walk(j *json.Decoder, path string) error {
+	if _, twice := d.offsets[path]; twice {
+		return d.at(j.InputOffset(), "%s is given twice", path)
+	}
+
+	d.offsets[path] = d.next(j.InputOffset())
+
+	t, err := j.Token()
+	if err != nil {
+		return d.decodeError(err)
+	}
+
+	switch t {
+	case json.Delim('{'):
+		return d.walkObject(j, path)
+	case json.Delim('['):
+		return d.walkArray(j, path)
+	default:
+		return nil
+	}
+}
+
+func (d *document) walkObject(j *json.Decoder, path string) error {
+	for j.More() {
+		key, err := j.Token()
+		if err != nil {
+			return d.decodeError(err)
+		}
+
+		if err := d.walk(j, fmt.Sprintf("%s/%v", path, key)); err != nil {
+			return err
+		}
+	}
+
+	return d.end(j)
+}
+
+func (d *document) walkArray(j *json.Decoder, path string) error {
+	for n := 0; j.More(); n++ {
+		if err := d.walk(j, fmt.Sprintf("%s/%d", path, n)); err != nil {
+			return err
+		}
+	}
+
+	return d.end(j)
+}
+
+func (d *document) end(j *json.Decoder) error {
+	if _, err := j.Token(); err != nil {
+		return d.decodeError(err)
+	}
+
+	return nil
+}
+
+// next skips the separators before a value.
+func (d *document) next(offset int64) int64 {
+	for offset < int64(len(d.text)) && strings.ContainsRune(" \t\r\n:,", rune(d.text[offset])) {
+		offset++
+	}
+
+	return offset
+}
+
+func (d *document) decodeError(err error) error {
+	var (
+		syntax *json.SyntaxError
+		kind   *json.UnmarshalTypeError
+	)
+
+	switch {
+	case errors.As(err, &syntax):
+		return d.at(syntax.Offset-1, "%v", syntax)
+	case errors.As(err, &kind):
+		field := strings.TrimPrefix(kind.Field, "Common.") // the embedded struct is not part of the JSON path
+
+		return d.at(kind.Offset-1, "%s must be a %s, not a %s", field, kind.Type, kind.Value)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return d.at(int64(len(d.text)), "unexpected end of the settings")
+	}
+
+	if _, field, ok := strings.Cut(err.Error(), "unknown field "); ok {
+		return d.at(d.find(strings.Trim(field, `"`)), "unknown field %s", field)
+	}
+
+	return d.at(0, "%v", err)
+}
+
+// find returns the offset of the first value whose path ends in the field.
+func (d *document) find(field string) int64 {
+	var paths []string
+
+	for p := range d.offsets {
+		if strings.HasSuffix(p, "/"+field) {
+			paths = append(paths, p)
+		}
+	}
+
+	if len(paths) == 0 {
+		return 0
+	}
+
+	sort.Slice(paths, func(a, b int) bool { return d.offsets[paths[a]] < d.offsets[paths[b]] })
+
+	return d.offsets[paths[0]]
+}
+
+// wrong returns an error at a path; a missing value is reported at the nearest enclosing one.
+func (d *document) wrong(path, format string, a ...any) error {
+	p := path
+
+	for {
+		if o, ok := d.offsets[p]; ok {
+			return d.at(o, "%s: %s", strings.TrimPrefix(strings.ReplaceAll(path, "/", "."), "."), fmt.Sprintf(format, a...))
+		}
+
+		p = p[:strings.LastIndexByte(p, '/')]
+	}
+}
+
+func (d *document) at(offset int64, format string, a ...any) error {
+	offset = max(0, min(offset, int64(len(d.text))))
+	before := d.text[:offset]
+	line := bytes.Count(before, []byte{'\n'}) + 1
+	column := int(offset) - bytes.LastIndexByte(before, '\n')
+
+	return errors.Newf("%s:%d:%d: %s", d.name, line, column, fmt.Sprintf(format, a...))
+}
--- /dev/null
+++ b/version/labsettings/proxy.go
@@ -0,0 +1,84 @@
+package labsettings
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Proxy holds the settings of laburnumlock-proxy.
+type Proxy struct {
+	Common
+
+	CallerAddress     string   `json:"caller_address"`                // PostgreSQL protocol
+	Control           []string `json:"control"`                       // process addresses of the control instances
+	DataFolder        string   `json:"data_folder,omitempty"`         // for registry snapshots, where there is a disk
+	MaxCallers        int64    `json:"max_callers,omitempty"`         // caller connections, 20000 when left out
+	MaxMessageBytes   int64    `json:"max_message_bytes,omitempty"`   // one caller message, 16 MiB when left out
+	RegionLinkBits    int64    `json:"region_link_bits,omitempty"`    // bit/s of the link to other regions, 30000000 when left out
+	DrainSeconds      int64    `json:"drain_seconds,omitempty"`       // longest graceful stop, 60 when left out
+	EventLoops        int64    `json:"event_loops,omitempty"`         // caller event loops, 0 for one per processor
+	StartupDeadlineMS int64    `json:"startup_deadline_ms,omitempty"` // milliseconds until a caller must have logged in
+}
+
+// The values of settings that are left out.
+const (
+	defaultMaxCallers        = 20_000
+	defaultMaxMessageBytes   = 16 << 20
+	defaultRegionLinkBits    = 30_000_000
+	defaultDrainSeconds      = 60
+	defaultStartupDeadlineMS = 10_000
+)
+
+// LoadProxy reads and checks a proxy's settings file.
+func LoadProxy(file string) (*Proxy, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Newf("read settings: %w", err)
+	}
+
+	return ParseProxy(file, text)
+}
+
+// ParseProxy reads and checks a proxy's settings; name is used in errors.
+func ParseProxy(name string, text []byte) (*Proxy, error) {
+	s := &Proxy{
+		MaxCallers:        defaultMaxCallers,
+		MaxMessageBytes:   defaultMaxMessageBytes,
+		RegionLinkBits:    defaultRegionLinkBits,
+		DrainSeconds:      defaultDrainSeconds,
+		StartupDeadlineMS: defaultStartupDeadlineMS,
+	}
+
+	d, err := parse(name, text, s)
+	if err != nil {
+		return nil, err
+	}
+
+	s.defaults()
+
+	c := &checks{document: d}
+	s.check(c)
+	s.checkOwn(c)
+
+	return s, c.err()
+}
+
+func (s *Proxy) checkOwn(c *checks) {
+	c.address("/caller_address", s.CallerAddress)
+	c.between("/max_callers", s.MaxCallers, 1, 1_000_000)
+	c.between("/max_message_bytes", s.MaxMessageBytes, 64<<10, 1<<30)
+	c.between("/region_link_bits", s.RegionLinkBits, 100_000, 1_000_000_000_000)
+	c.between("/drain_seconds", s.DrainSeconds, 1, 3600)
+	c.between("/event_loops", s.EventLoops, 0, 256)
+	c.between("/startup_deadline_ms", s.StartupDeadlineMS, 100, 600_000)
+
+	if len(s.Control) == 0 {
+		c.fail("/control", "must name at least one control instance")
+	}
+
+	for n, a := range s.Control {
+		c.address(fmt.Sprintf("/control/%d", n), a)
+	}
+}
