--- /dev/null
+++ b/proxy/process/labagent/agent_test.go
@@ -0,0 +1,164 @@
+package labagent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labrandom"
+	"laburnumlock.dev/lab/proxy/version/labroute"
+)
+
+type fakeClock struct {
+	lab.Clock
+	now time.Duration
+}
+
+func (c *fakeClock) Now() time.Duration { return c.now }
+
+// fakePeers answers heartbeats with a function.
+type fakePeers struct {
+	lab.Peers
+	asked  []string
+	answer func(address string, h lab.Heartbeat) (lab.HeartbeatAnswer, error)
+}
+
+func (p *fakePeers) Call(_ context.Context, address string, _ lab.Method, request, answer any) error {
+	p.asked = append(p.asked, address)
+	got, err := p.answer(address, request.(lab.Heartbeat))
+	*answer.(*lab.HeartbeatAnswer) = got
+
+	return err
+}
+
+func newAgent(answer func(address string, h lab.Heartbeat) (lab.HeartbeatAnswer, error)) (*Agent, *fakeClock, *fakePeers) {
+	c := &fakeClock{now: time.Hour}
+	p := &fakePeers{answer: answer}
+	a := &Agent{
+		Self: lab.Instance{ID: "proxy-1"}, Peers: p, Clock: c, Random: labrandom.Seeded(1), Routes: labroute.New(),
+		Control: []string{"c1", "c2", "c3"}, Held: func() []lab.Grant { return nil }, Log: zerolog.Nop(),
+	}
+	a.start()
+
+	return a, c, p
+}
+
+var duty = lab.Duty{Database: "d", Region: "r"}
+
+func granting(h lab.Heartbeat, term, index uint64) lab.HeartbeatAnswer {
+	return lab.HeartbeatAnswer{
+		RequestID: h.RequestID, LeaderTerm: term, TTL: 3 * time.Second,
+		Grants: []lab.Grant{{Duty: duty, Epoch: 1, Term: 1, Writable: true}},
+		Delta:  lab.Delta{Index: index, Version: index},
+	}
+}
+
+func granted(t *testing.T, a *Agent, want bool) {
+	t.Helper()
+
+	_, ok := a.Grant(duty)
+	assert.Equal(t, ok, want)
+	assert.Equal(t, a.Alive(), want)
+}
+
+// Guards against a lease that is counted from the answer's arrival, which a slow answer would stretch past its end.
+func TestLeaseCountsFromSending(t *testing.T) {
+	var c *fakeClock
+
+	a, c, _ := newAgent(func(_ string, h lab.Heartbeat) (lab.HeartbeatAnswer, error) {
+		c.now += 2 * time.Second
+
+		return granting(h, 1, 1), nil
+	})
+	assert.NilError(t, a.beat(context.Background()))
+	granted(t, a, true)
+
+	c.now += time.Second
+	granted(t, a, false)
+}
+
+// Guards against an isolated former leader renewing leases or bringing back an old catalog.
+func TestOlderLeaderRefused(t *testing.T) {
+	term, index := uint64(5), uint64(9)
+	a, c, _ := newAgent(func(_ string, h lab.Heartbeat) (lab.HeartbeatAnswer, error) {
+		return granting(h, term, index), nil
+	})
+	assert.NilError(t, a.beat(context.Background()))
+
+	term, index = 4, 12
+	c.now += 2500 * time.Millisecond
+	assert.ErrorContains(t, a.beat(context.Background()), "stale")
+	_, at := a.Routes.Version()
+	assert.Equal(t, at, uint64(9))
+
+	c.now += time.Second
+	granted(t, a, false)
+}
+
+// Guards against an answer to an earlier heartbeat renewing the lease from a later sending time.
+func TestAnswerToOtherRequestRefused(t *testing.T) {
+	a, _, _ := newAgent(func(_ string, h lab.Heartbeat) (lab.HeartbeatAnswer, error) {
+		h.RequestID--
+
+		return granting(h, 1, 1), nil
+	})
+	assert.ErrorContains(t, a.beat(context.Background()), "stale")
+	granted(t, a, false)
+}
+
+// Guards against a reported loss of a primary being dropped with a lost heartbeat.
+func TestStatusSurvivesLostHeartbeat(t *testing.T) {
+	lost := true
+
+	var got []lab.MemberStatus
+
+	a, _, p := newAgent(func(_ string, h lab.Heartbeat) (lab.HeartbeatAnswer, error) {
+		if lost {
+			return lab.HeartbeatAnswer{}, errors.New("lost")
+		}
+
+		got = h.Statuses
+
+		return granting(h, 1, 1), nil
+	})
+	a.Observe(lab.MemberStatus{Database: "d", Member: "m"})
+	assert.ErrorContains(t, a.beat(context.Background()), "lost")
+
+	lost = false
+
+	assert.NilError(t, a.beat(context.Background()))
+	assert.Equal(t, len(got), 1)
+	assert.Assert(t, p.asked[0] != p.asked[1])
+}
+
+func TestRedirectToLeader(t *testing.T) {
+	a, _, p := newAgent(func(address string, h lab.Heartbeat) (lab.HeartbeatAnswer, error) {
+		if address != "c3" {
+			return lab.HeartbeatAnswer{Leader: "c3"}, nil
+		}
+
+		return granting(h, 1, 1), nil
+	})
+	for a.beat(context.Background()) != nil {
+		assert.Assert(t, len(p.asked) < 3)
+	}
+
+	assert.Equal(t, p.asked[len(p.asked)-1], "c3")
+}
+
+// Guards against all proxies of a lost control instance turning to the same other one.
+func TestRotateSpreads(t *testing.T) {
+	count := map[string]int{}
+	for i := range 830 {
+		count[Rotate([]string{"a", "b", "c", "d", "e"}, lab.InstanceID("proxy-"+string(rune('a'+i%26))+string(rune('a'+i/26))))[1]]++
+	}
+
+	for _, n := range count {
+		assert.Assert(t, n > 830/5*7/10 && n < 830/5*13/10, "%v", count)
+	}
+}
--- /dev/null
+++ b/proxy/process/labagent/lease.go
@@ -0,0 +1,41 @@
+package labagent
+
+import (
+	"time"
+
+	"laburnumlock.dev/lab"
+)
+
+// lease is what the last accepted answer allows, until the deadline on this instance's monotonic clock.
+type lease struct {
+	deadline time.Duration
+	grants   map[lab.Duty]lab.Grant
+}
+
+func newLease(sent time.Duration, answer lab.HeartbeatAnswer) *lease {
+	l := &lease{deadline: sent + answer.TTL, grants: make(map[lab.Duty]lab.Grant, len(answer.Grants))}
+	for _, g := range answer.Grants {
+		l.grants[g.Duty] = g
+	}
+
+	return l
+}
+
+func (l *lease) alive(now time.Duration) bool {
+	return l != nil && now < l.deadline
+}
+
+// sameGrants reports whether both leases allow the same.
+func (l *lease) sameGrants(other *lease) bool {
+	if l == nil || other == nil || len(l.grants) != len(other.grants) {
+		return false
+	}
+
+	for d, g := range l.grants {
+		if other.grants[d] != g {
+			return false
+		}
+	}
+
+	return true
+}
