Add a thin stand-in for a PostgreSQL database group

Cause: the proxy's parts need an upstream to run against, and no database server may be installed.

A replica whose WAL receiver is stopped reports timeline 0, and NULL as received position before it has streamed, as PostgreSQL does; Group.StickyReceiver keeps the last values.

--- /dev/null
+++ b/standin/process/labstandin/announce.go
@@ -0,0 +1,92 @@
+package labstandin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	announcePath    = "/v1/announcements"
+	announceTimeout = time.Second
+)
+
+// startAnnouncing posts each member's announcement in its own goroutine.
+func (g *Group) startAnnouncing(ctx context.Context) {
+	if len(g.Announce) == 0 {
+		return
+	}
+
+	for _, m := range g.members {
+		g.tasks.Go(func() {
+			for first := 0; ; {
+				first = m.announce(ctx, first)
+
+				if sleep(ctx, g.AnnounceInterval) != nil {
+					return
+				}
+			}
+		})
+	}
+}
+
+// announce tries the URLs from the given one on and returns the index of the one that accepted.
+func (m *Member) announce(ctx context.Context, first int) int {
+	if !m.answers() {
+		return first
+	}
+
+	body, err := json.Marshal(m.Announcement())
+	if err != nil {
+		return first
+	}
+
+	urls := m.group.Announce
+	for i := range urls {
+		n := (first + i) % len(urls)
+		if post(ctx, urls[n], body) == nil {
+			return n
+		}
+	}
+
+	return first
+}
+
+func (m *Member) answers() bool {
+	m.group.lock.Lock()
+	defer m.group.lock.Unlock()
+
+	return m.running && m.thaw == nil
+}
+
+func post(ctx context.Context, url string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+
+	url = strings.TrimSuffix(url, "/") + announcePath
+
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Newf("prepare announcement: %w", err)
+	}
+
+	r.Header.Set("Content-Type", "application/json")
+
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.Newf("post announcement: %w", err)
+	}
+
+	defer func() { _ = answer.Body.Close() }()
+
+	if answer.StatusCode/100 != 2 {
+		return errors.Newf("announcement refused with status %d", answer.StatusCode)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/standin/process/labstandin/group.go
@@ -0,0 +1,170 @@
+package labstandin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/xdg-go/scram"
+
+	"laburnumlock.dev/lab"
+)
+
+// MemberSetting describes one member before the group starts.
+type MemberSetting struct {
+	Name             string
+	Region           string
+	AvailabilityZone string
+	Slots            int           // announced; running more at once is counted, not prevented
+	Connections      int           // accepted at once, 0 for no limit
+	Lag              time.Duration // from commit until a replica has received the change
+	ReplayLag        time.Duration // from receiving a change until reads see it
+	Listen           string        // host:port, 127.0.0.1:0 when empty
+}
+
+// Group is a database of one primary, the first member, and its replicas. Exported fields are set before Start or Run.
+type Group struct {
+	Database         string
+	Members          []MemberSetting
+	User             string
+	Password         string        // no authentication when empty
+	ConnectionCost   time.Duration // before a new connection is accepted
+	StatementCost    time.Duration // of each statement on rows or expressions
+	PromotionCost    time.Duration // before a promotion takes effect
+	Announce         []string      // base URLs, tried in turn
+	AnnounceInterval time.Duration // 1 s when zero
+	StatementsKept   int           // statements kept for inspection per member, 200,000 when zero
+	StickyReceiver   bool          // reports the last timeline and position of a WAL receiver that is not running
+
+	credentials scram.StoredCredentials
+	cancel      context.CancelFunc
+	tasks       sync.WaitGroup
+
+	lock        sync.Mutex // guards everything below and the state of the members
+	members     []*Member
+	newest      *Member // the member that was promoted last
+	transaction uint64
+	connection  uint64
+}
+
+const (
+	defaultAnnounceInterval = time.Second
+	defaultStatementsKept   = 200_000
+)
+
+// Run starts the group and stops it when the context ends.
+func (g *Group) Run(ctx context.Context) error {
+	if err := g.Start(ctx); err != nil {
+		return err
+	}
+
+	<-ctx.Done()
+	g.Stop()
+
+	return nil
+}
+
+// Start opens the listeners of all members and returns.
+func (g *Group) Start(ctx context.Context) error {
+	if err := g.prepare(); err != nil {
+		return err
+	}
+
+	ctx, g.cancel = context.WithCancel(ctx)
+
+	for _, s := range g.Members {
+		m := &Member{group: g, setting: s, context: ctx, lag: s.Lag, replayLag: s.ReplayLag}
+		m.rows = map[string]map[string]Row{}
+		m.recovery = len(g.members) > 0
+		g.members = append(g.members, m)
+	}
+
+	if len(g.members) == 0 {
+		return errors.New("a group needs members")
+	}
+
+	g.newest = g.members[0]
+
+	for _, m := range g.members {
+		if err := m.open(); err != nil {
+			g.Stop()
+			return errors.Newf("open member %s: %w", m.setting.Name, err)
+		}
+	}
+
+	g.startAnnouncing(ctx)
+
+	return nil
+}
+
+func (g *Group) prepare() error {
+	if g.AnnounceInterval == 0 {
+		g.AnnounceInterval = defaultAnnounceInterval
+	}
+
+	if g.StatementsKept == 0 {
+		g.StatementsKept = defaultStatementsKept
+	}
+
+	if g.Password == "" {
+		return nil
+	}
+
+	c, err := scram.SHA256.NewClient(g.User, g.Password, "")
+	if err != nil {
+		return errors.Newf("prepare password: %w", err)
+	}
+
+	g.credentials, err = c.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "standin-salt-16b", Iters: 4096})
+	if err != nil {
+		return errors.Newf("prepare credentials: %w", err)
+	}
+
+	return nil
+}
+
+// Stop closes all members and waits for their goroutines.
+func (g *Group) Stop() {
+	g.cancel()
+
+	for _, m := range g.members {
+		m.Kill()
+	}
+
+	g.tasks.Wait()
+}
+
+// Member returns the named member, nil when there is none.
+func (g *Group) Member(name string) *Member {
+	for _, m := range g.members {
+		if m.setting.Name == name {
+			return m
+		}
+	}
+
+	return nil
+}
+
+// All returns the members in the order of Members.
+func (g *Group) All() []*Member {
+	return append([]*Member(nil), g.members...)
+}
+
+// Primary returns the member that was promoted last, at first the first member; it may be killed.
+func (g *Group) Primary() *Member {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+
+	return g.newest
+}
+
+// Announcements returns what the members announce now.
+func (g *Group) Announcements() []lab.Announcement {
+	all := make([]lab.Announcement, 0, len(g.members))
+	for _, m := range g.members {
+		all = append(all, m.Announcement())
+	}
+
+	return all
+}
--- /dev/null
+++ b/standin/process/labstandin/internal/labsql/doc.go
@@ -0,0 +1,2 @@
+// Package labsql parses the small part of SQL that the stand-in upstream understands.
+package labsql
--- /dev/null
+++ b/standin/process/labstandin/replication.go
@@ -0,0 +1,123 @@
+package labstandin
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+)
+
+var errNotInRecovery = errors.New("recovery is not in progress")
+
+// advance brings a replica to the state that its lag allows now. Members only change under the group's lock, and every
+// use of a member and every fault switch advances first, so no goroutine is needed to replicate.
+func (m *Member) advance() {
+	if !m.recovery || !m.running || m.thaw != nil {
+		return
+	}
+
+	now := time.Now()
+
+	if s := m.source(); s != nil {
+		m.streamed = true
+
+		for n := len(m.wal); n < len(s.wal) && !s.wal[n].at.Add(m.lag).After(now); n++ {
+			m.wal = append(m.wal, s.wal[n])
+		}
+	}
+
+	for m.replayed < len(m.wal) && !m.wal[m.replayed].at.Add(m.lag+m.replayLag).After(now) {
+		apply(m.rows, m.wal[m.replayed])
+		m.replayed++
+	}
+}
+
+func (g *Group) advance() {
+	for _, m := range g.members {
+		m.advance()
+	}
+}
+
+// source returns the primary that a replica streams from, nil when its log diverged or one of them is cut off.
+func (m *Member) source() *Member {
+	s := m.group.newest
+	if s == m || s.recovery || !s.running || s.thaw != nil || s.isolated || m.isolated {
+		return nil
+	}
+
+	n := len(m.wal)
+	if n > len(s.wal) || n > 0 && m.wal[n-1] != s.wal[n-1] {
+		return nil
+	}
+
+	return s
+}
+
+// promote ends recovery at the end of what was received and starts the next timeline. The group's lock is held.
+func (m *Member) promote() error {
+	if !m.recovery {
+		return errNotInRecovery
+	}
+
+	m.group.advance()
+
+	for ; m.replayed < len(m.wal); m.replayed++ {
+		apply(m.rows, m.wal[m.replayed])
+	}
+
+	p := m.positionAt(len(m.wal))
+	term := m.group.highestTerm() + 1
+	m.recovery, m.switched, m.switchAt = false, true, p.Offset
+	m.group.newest = m
+	m.extend(&record{term: term, end: p.Offset + recordBytes, at: time.Now()})
+
+	return nil
+}
+
+// highestTerm is the last timeline of the group; like PostgreSQL with a shared archive, a promotion takes a number that
+// no other promotion took.
+func (g *Group) highestTerm() lab.Term {
+	highest := lab.Term(1)
+	for _, m := range g.members {
+		highest = max(highest, m.positionAt(len(m.wal)).Term)
+	}
+
+	return highest
+}
+
+// rewind drops everything that the newest primary's log does not contain. The group's lock is held.
+func (m *Member) rewind() {
+	s := m.group.newest
+
+	n := min(len(m.wal), len(s.wal))
+	for n > 0 && m.wal[n-1] != s.wal[n-1] {
+		n--
+	}
+
+	m.wal = append([]*record(nil), m.wal[:n]...)
+	m.replayed = n
+	m.rows = map[string]map[string]Row{}
+
+	for _, r := range m.wal {
+		apply(m.rows, r)
+	}
+}
+
+// reported returns what the position query shows; received is false for NULL. The group's lock is held.
+func (m *Member) reported() (timeline lab.Term, replayed, received uint64, known bool) {
+	last := m.positionAt(len(m.wal))
+	if !m.recovery {
+		return last.Term, last.Offset, last.Offset, true
+	}
+
+	m.advance()
+	last = m.positionAt(len(m.wal))
+	timeline = last.Term
+
+	if m.source() == nil && !m.group.StickyReceiver {
+		timeline = 0
+	}
+
+	return timeline, m.positionAt(m.replayed).Offset, last.Offset, m.streamed || m.group.StickyReceiver
+}
--- /dev/null
+++ b/standin/process/labstandin/result.go
@@ -0,0 +1,164 @@
+package labstandin
+
+import (
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"laburnumlock.dev/lab/standin/process/labstandin/internal/labsql"
+)
+
+type column struct {
+	name string
+	oid  uint32
+}
+
+// result is the outcome of one statement; rows are produced while they are sent.
+type result struct {
+	columns []column
+	next    func() []value // nil after the last row
+	tag     string         // command tag, without a count for statements that return rows
+	sent    int
+}
+
+// flushBytes bounds the answers that are buffered for a client.
+const flushBytes = 64 << 10
+
+// describe returns the columns of a statement's result, nil when it returns no rows.
+func describe(st *labsql.Statement) []column {
+	var columns []column
+
+	switch st.Kind {
+	case labsql.Rows:
+		for _, c := range st.Columns {
+			columns = append(columns, column{c, labsql.TypeText})
+		}
+	case labsql.Count:
+		columns = []column{{"count", labsql.TypeInt8}}
+	case labsql.Series:
+		columns = []column{{"generate_series", labsql.TypeInt4}}
+	case labsql.Values:
+		for _, e := range st.Items {
+			columns = append(columns, column{e.Name, e.Type})
+		}
+	case labsql.Position:
+		columns = []column{
+			{"in_recovery", labsql.TypeBool},
+			{"timeline", labsql.TypeInt4},
+			{"replayed", labsql.TypeLSN},
+			{"received", labsql.TypeLSN},
+		}
+	case labsql.Promote:
+		columns = []column{{"pg_promote", labsql.TypeBool}}
+	case labsql.SwitchPoint:
+		columns = []column{{"switch_point", labsql.TypeLSN}}
+	case labsql.Show:
+		columns = []column{{st.Setting, labsql.TypeText}}
+	}
+
+	return columns
+}
+
+func rowDescription(columns []column, formats []int16) *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+
+	for i, c := range columns {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{
+			Name: []byte(c.name), DataTypeOID: c.oid, DataTypeSize: typeSize(c.oid), TypeModifier: -1,
+			Format: formatAt(formats, i),
+		})
+	}
+
+	return d
+}
+
+func typeSize(oid uint32) int16 {
+	switch oid {
+	case labsql.TypeBool:
+		return 1
+	case labsql.TypeInt2:
+		return 2
+	case labsql.TypeInt4, labsql.TypeVoid:
+		return 4
+	case labsql.TypeInt8, labsql.TypeFloat, labsql.TypeLSN:
+		return 8
+	}
+
+	return -1
+}
+
+// formatAt returns the format code of one column: none given means text, one given applies to all.
+func formatAt(formats []int16, i int) int16 {
+	switch {
+	case len(formats) == 1:
+		return formats[0]
+	case i < len(formats):
+		return formats[i]
+	}
+
+	return 0
+}
+
+// rows makes a producer of rows that are known already.
+func rows(all ...[]value) func() []value {
+	return func() []value {
+		if len(all) == 0 {
+			return nil
+		}
+
+		r := all[0]
+		all = all[1:]
+
+		return r
+	}
+}
+
+// sendRows sends up to limit rows, all when it is 0, and reports whether the limit was reached.
+func (s *session) sendRows(r *result, formats []int16, limit uint32) (bool, error) {
+	var sent uint32
+
+	buffered := 0
+
+	for r.next != nil {
+		if limit > 0 && sent == limit {
+			return true, nil
+		}
+
+		v := r.next()
+		if v == nil {
+			break
+		}
+
+		d := &pgproto3.DataRow{Values: make([][]byte, len(v))}
+		for i := range v {
+			d.Values[i] = v[i].encode(r.columns[i].oid, formatAt(formats, i))
+			buffered += len(d.Values[i])
+		}
+
+		s.backend.Send(d)
+
+		sent++
+		r.sent++
+
+		if buffered > flushBytes {
+			buffered = 0
+
+			if err := s.flush(); err != nil {
+				return false, err
+			}
+		}
+	}
+
+	return false, nil
+}
+
+func (r *result) complete() *pgproto3.CommandComplete {
+	tag := r.tag
+	if r.columns != nil && tag == tagSelect {
+		tag += " " + strconv.Itoa(r.sent)
+	}
+
+	return &pgproto3.CommandComplete{CommandTag: []byte(tag)}
+}
+
+const tagSelect = "SELECT"
--- /dev/null
+++ b/standin/process/labstandin/session.go
@@ -0,0 +1,167 @@
+package labstandin
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// session serves one client connection.
+type session struct {
+	member  *Member
+	conn    net.Conn
+	id      uint64
+	context context.Context
+	cancel  context.CancelFunc
+	silent  atomic.Bool // answers nothing and executes nothing further
+	counted bool        // holds one of the member's connections; guarded by the group's lock
+
+	backend    *pgproto3.Backend
+	saslBegun  bool
+	secret     []byte // guarded by cancelling
+	statements map[string]*prepared
+	portals    map[string]*portal
+	settings   map[string]string
+	local      map[string]string // settings to restore at the end of the transaction, empty for unset ones
+	dropping   bool              // closes instead of sending the next answer
+	block      *transaction
+	skip       bool // after an error in the extended protocol until Sync
+
+	cancelling sync.Mutex
+	interrupt  context.CancelFunc // of the statement that runs
+}
+
+// Write sends bytes to the client unless the connection was made silent.
+func (s *session) Write(b []byte) (int, error) {
+	if s.silent.Load() {
+		return len(b), nil
+	}
+
+	n, err := s.conn.Write(b)
+	if err != nil {
+		return n, errors.Newf("write to client: %w", err)
+	}
+
+	return n, nil
+}
+
+func (s *session) run() {
+	defer s.close()
+
+	stop := context.AfterFunc(s.context, func() { _ = s.conn.Close() })
+	defer stop()
+
+	s.backend = pgproto3.NewBackend(s.conn, s)
+
+	if err := s.start(); err != nil {
+		return
+	}
+
+	for {
+		if err := s.serveOne(); err != nil {
+			return
+		}
+	}
+}
+
+func (s *session) serveOne() error {
+	message, err := s.backend.Receive()
+	if err != nil {
+		return errors.Newf("read message: %w", err)
+	}
+
+	err = s.member.awaitThaw(s.context)
+	s.member.group.lock.Unlock()
+
+	if err != nil {
+		return err
+	}
+
+	if s.silent.Load() {
+		return s.swallow()
+	}
+
+	return s.handle(message)
+}
+
+// swallow reads and ignores everything until the client closes the connection.
+func (s *session) swallow() error {
+	_, _ = io.Copy(io.Discard, s.conn)
+	return errClosed
+}
+
+func (s *session) close() {
+	s.cancel()
+	_ = s.conn.Close()
+
+	g := s.member.group
+	g.lock.Lock()
+	defer g.lock.Unlock()
+
+	delete(s.member.sessions, s.id)
+	s.member.release(s)
+}
+
+// flush sends the buffered answers after the member's answer delay.
+func (s *session) flush() error {
+	err := s.member.awaitThaw(s.context)
+	delay := s.member.delay
+	s.member.group.lock.Unlock()
+
+	if s.dropping {
+		return errClosed
+	}
+
+	if err == nil {
+		err = sleep(s.context, delay)
+	}
+
+	if err != nil {
+		return err
+	}
+
+	if err := s.backend.Flush(); err != nil {
+		return errors.Newf("send answer: %w", err)
+	}
+
+	return nil
+}
+
+func (s *session) ready() error {
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.status()})
+	return s.flush()
+}
+
+func (s *session) status() byte {
+	switch {
+	case s.block == nil || s.block.implicit:
+		return 'I'
+	case s.block.failed:
+		return 'E'
+	}
+
+	return 'T'
+}
+
+// sleep waits for a duration and returns errClosed when the context ends first.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return errClosed
+	}
+}
--- /dev/null
+++ b/standin/process/labstandin/startup.go
@@ -0,0 +1,227 @@
+package labstandin
+
+import (
+	"bytes"
+	"crypto/rand"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+)
+
+const mechanism = "SCRAM-SHA-256"
+
+// start handles everything up to the first ReadyForQuery.
+func (s *session) start() error {
+	startup, err := s.receiveStartup()
+	if err != nil {
+		return err
+	}
+
+	g := s.member.group
+
+	if err := s.reserve(); err != nil {
+		return s.refuse(err)
+	}
+
+	if err := sleep(s.context, g.ConnectionCost); err != nil {
+		return err
+	}
+
+	if d := startup.Parameters["database"]; g.Database != "" && d != "" && d != g.Database {
+		return s.refuse(errNoDatabase)
+	}
+
+	if err := s.authenticate(startup.Parameters["user"]); err != nil {
+		return err
+	}
+
+	return s.greet(startup)
+}
+
+func (s *session) receiveStartup() (*pgproto3.StartupMessage, error) {
+	for {
+		message, err := s.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, errors.Newf("read startup message: %w", err)
+		}
+
+		err = s.member.awaitThaw(s.context)
+		s.member.group.lock.Unlock()
+
+		if err != nil {
+			return nil, err
+		}
+
+		switch m := message.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.CancelRequest:
+			s.member.cancelStatement(m)
+			return nil, errClosed
+		default:
+			if _, err := s.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// reserve counts the connection against the member's limit.
+func (s *session) reserve() error {
+	m := s.member
+	m.group.lock.Lock()
+	defer m.group.lock.Unlock()
+
+	c := &m.counters
+	if m.setting.Connections > 0 && c.Open >= m.setting.Connections {
+		c.Refused++
+		return errTooMany
+	}
+
+	s.counted = true
+	c.Accepted++
+	c.Open++
+	c.MaxOpen = max(c.MaxOpen, c.Open)
+
+	return nil
+}
+
+// refuse reports an error and ends the session.
+func (s *session) refuse(cause error) error {
+	var e *sqlError
+	if errors.As(cause, &e) {
+		s.backend.Send(e.response("FATAL"))
+		_ = s.flush()
+	}
+
+	return cause
+}
+
+func (s *session) authenticate(user string) error {
+	g := s.member.group
+	if g.Password == "" {
+		return nil
+	}
+
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return g.credentials, nil })
+	if err != nil {
+		return errors.Newf("prepare authentication: %w", err)
+	}
+
+	s.backend.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+
+	conversation := server.NewConversation()
+
+	for !conversation.Done() {
+		if err := s.authenticateStep(conversation); err != nil {
+			return err
+		}
+	}
+
+	if !conversation.Valid() || user != g.User {
+		return s.refuse(errPassword)
+	}
+
+	return nil
+}
+
+func (s *session) authenticateStep(conversation *scram.ServerConversation) error {
+	if err := s.flush(); err != nil {
+		return err
+	}
+
+	data, err := s.receiveSASL()
+	if err != nil {
+		return err
+	}
+
+	answer, err := conversation.Step(data)
+
+	switch {
+	case err != nil:
+		return s.refuse(errPassword)
+	case conversation.Done():
+		s.backend.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
+	default:
+		s.backend.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(answer)})
+	}
+
+	return nil
+}
+
+func (s *session) receiveSASL() (string, error) {
+	if err := s.backend.SetAuthType(s.authType()); err != nil {
+		return "", errors.Newf("set authentication type: %w", err)
+	}
+
+	message, err := s.backend.Receive()
+	if err != nil {
+		return "", errors.Newf("read password message: %w", err)
+	}
+
+	switch m := message.(type) {
+	case *pgproto3.SASLInitialResponse:
+		s.saslBegun = true
+
+		if m.AuthMechanism != mechanism {
+			return "", s.refuse(errPassword)
+		}
+
+		return string(m.Data), nil
+	case *pgproto3.SASLResponse:
+		return string(m.Data), nil
+	}
+
+	return "", s.refuse(errProtocol)
+}
+
+func (s *session) authType() uint32 {
+	if s.saslBegun {
+		return pgproto3.AuthTypeSASLContinue
+	}
+
+	return pgproto3.AuthTypeSASL
+}
+
+func (s *session) greet(startup *pgproto3.StartupMessage) error {
+	s.secret = make([]byte, 4)
+	_, _ = rand.Read(s.secret)
+
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+
+	for _, p := range [][2]string{
+		{"server_version", "17.0 (standin)"},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"},
+		{"TimeZone", "UTC"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+		{"application_name", startup.Parameters["application_name"]},
+	} {
+		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: uint32(s.id), SecretKey: s.secret})
+
+	return s.ready()
+}
+
+// cancelStatement interrupts what the named session runs; a wrong key is ignored, as in PostgreSQL.
+func (m *Member) cancelStatement(request *pgproto3.CancelRequest) {
+	m.group.lock.Lock()
+	s := m.sessions[uint64(request.ProcessID)]
+	m.group.lock.Unlock()
+
+	if s == nil || !bytes.Equal(s.secret, request.SecretKey) {
+		return
+	}
+
+	s.cancelling.Lock()
+	defer s.cancelling.Unlock()
+
+	if s.interrupt != nil {
+		s.interrupt()
+	}
+}
