--- a/position_test.go
+++ b/position_test.go
@@ -31,3 +31,17 @@
 		assert.Equal(t, h.Fits(lab.Position{Term: 2, Offset: 250}), true)
 	})
 }
+
+// Guards against a position text that is read as a different offset.
+func TestOffsetText(t *testing.T) {
+	for _, o := range []uint64{0, 1, 1 << 32, 0x16_B374D848, 1<<64 - 1} {
+		got, err := lab.ParseOffset(lab.FormatOffset(o))
+		assert.NilError(t, err)
+		assert.Equal(t, got, o)
+	}
+
+	for _, s := range []string{"1", "x/1", "1/x", "1/100000000"} {
+		_, err := lab.ParseOffset(s)
+		assert.ErrorContains(t, err, "log position")
+	}
+}
--- a/standin/process/labstandin/doc.go
+++ b/standin/process/labstandin/doc.go
@@ -2,7 +2,5 @@
 // replicate asynchronously from one primary, have timelines and log positions and can be made to fail.
 //
 // All tables have the text columns key (unique) and value and exist without being created. A statement of several
-// tables, joins or other columns is a syntax error. Like PostgreSQL, a replica whose WAL receiver is not running
-// reports timeline 0, and a received position of NULL until it has streamed since its start; Group.StickyReceiver
-// reports the last values instead.
+// tables, joins or other columns is a syntax error.
 package labstandin
