Add HTTP serving, announcements, certificate roles and the first operator commands

Cause: upstreams announce themselves over HTTP, and an operator's certificate must not let its holder act as an instance. Before: any certificate of the deployment was accepted between processes. After: TestOperatorCertificateRefused passes.

--- /dev/null
+++ b/ctl/process/labcommand/command.go
@@ -0,0 +1,42 @@
+package labcommand
+
+import (
+	"context"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// Command runs one command line; Out and Err are set before Run.
+type Command struct {
+	Out io.Writer
+	Err io.Writer
+
+	actions map[string]func(ctx context.Context) error
+}
+
+// Run parses the arguments and executes the command they name.
+func (c *Command) Run(ctx context.Context, arguments []string) error {
+	c.actions = map[string]func(ctx context.Context) error{}
+
+	a := kingpin.New("laburnumctl", "Operates a laburnumlock deployment.")
+	a.UsageWriter(c.Out)
+	a.ErrorWriter(c.Err)
+	a.HelpFlag.Short('h')
+
+	c.addKeys(a)
+	c.addSettings(a)
+	c.addCredential(a)
+
+	name, err := a.Parse(arguments)
+	if err != nil {
+		return errors.Newf("parse command line: %w", err)
+	}
+
+	return c.actions[name](ctx)
+}
+
+func (c *Command) add(clause *kingpin.CmdClause, action func(ctx context.Context) error) {
+	c.actions[clause.FullCommand()] = action
+}
--- /dev/null
+++ b/ctl/process/labcommand/credential.go
@@ -0,0 +1,44 @@
+package labcommand
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab/process/labkeys"
+)
+
+func (c *Command) addCredential(a *kingpin.Application) {
+	k := a.Command("credential", "Reads a password from standard input and prints its SCRAM-SHA-256 verifier as JSON.")
+
+	c.add(k, func(context.Context) error {
+		line, err := bufio.NewReader(os.Stdin).ReadString('\n')
+		if err != nil && line == "" {
+			return errors.Newf("read password: %w", err)
+		}
+
+		v, err := labkeys.NewCredential(strings.TrimRight(line, "\r\n"))
+		if err != nil {
+			return err
+		}
+
+		return c.print(v)
+	})
+}
+
+// print writes a value as indented JSON.
+func (c *Command) print(value any) error {
+	e := json.NewEncoder(c.Out)
+	e.SetIndent("", "  ")
+
+	if err := e.Encode(value); err != nil {
+		return errors.Newf("write output: %w", err)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/ctl/process/labcommand/doc.go
@@ -0,0 +1,2 @@
+// Package labcommand is the operators' command line, laburnumctl.
+package labcommand
--- /dev/null
+++ b/process/labannounce/doc.go
@@ -0,0 +1,2 @@
+// Package labannounce receives the announcements that upstreams post about themselves.
+package labannounce
--- /dev/null
+++ b/process/labannounce/handler.go
@@ -0,0 +1,68 @@
+package labannounce
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+)
+
+// maxBody bounds one announcement in bytes.
+const maxBody = 16 << 10
+
+// Handler returns the HTTP handler of POST /v1/announcements; accept is called with each valid announcement.
+func Handler(accept func(ctx context.Context, announcement lab.Announcement) error) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/announcements", func(w http.ResponseWriter, r *http.Request) {
+		a, err := read(w, r)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+
+			return
+		}
+
+		if err := accept(r.Context(), a); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+
+			return
+		}
+
+		w.WriteHeader(http.StatusNoContent)
+	})
+
+	return mux
+}
+
+func read(w http.ResponseWriter, r *http.Request) (lab.Announcement, error) {
+	var a lab.Announcement
+
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	d.DisallowUnknownFields()
+
+	if err := d.Decode(&a); err != nil {
+		return a, errors.Newf("decode announcement: %w", err)
+	}
+
+	return a, Check(a)
+}
+
+// Check returns an error that names the first wrong field of an announcement.
+func Check(a lab.Announcement) error {
+	if a.Database == "" || a.Member == "" || a.Region == "" || a.AvailabilityZone == "" {
+		return errors.New("database, member, region and availability_zone must not be empty")
+	}
+
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return errors.Newf("address %q must be an IP address and port", a.Address)
+	}
+
+	if a.Slots < 1 || a.Connections <= lab.ReservedConnections {
+		return errors.Newf("slots must be at least 1 and connections more than %d", lab.ReservedConnections)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/process/labhttp/doc.go
@@ -0,0 +1,2 @@
+// Package labhttp serves HTTP handlers with bounded timeouts and a graceful end.
+package labhttp
--- a/process/labkeys/authority.go
+++ b/process/labkeys/authority.go
@@ -54,8 +54,8 @@
 	return a.newTokenKey(nil)
 }
 
-// Issue writes NAME.crt and NAME.key for an instance or operator, replacing earlier ones.
-func (a *Authority) Issue(name string) error {
+// Issue writes NAME.crt and NAME.key with a role, replacing earlier ones.
+func (a *Authority) Issue(name string, role Role) error {
 	ca, caKey, err := a.load()
 	if err != nil {
 		return err
@@ -71,6 +71,7 @@
 		return err
 	}
 
+	template.Subject.OrganizationalUnit = []string{string(role)}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 
--- a/process/labkeys/identity.go
+++ b/process/labkeys/identity.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// PeerName returns the instance name in a verified connection's certificate.
+// PeerName returns the name in a verified connection's certificate.
 func PeerName(state tls.ConnectionState) lab.InstanceID {
 	if len(state.PeerCertificates) == 0 {
 		return ""
@@ -67,6 +67,15 @@
 	return lab.InstanceID(state.PeerCertificates[0].Subject.CommonName)
 }
 
+// PeerRole returns the role in a verified connection's certificate.
+func PeerRole(state tls.ConnectionState) Role {
+	if len(state.PeerCertificates) == 0 || len(state.PeerCertificates[0].Subject.OrganizationalUnit) == 0 {
+		return ""
+	}
+
+	return Role(state.PeerCertificates[0].Subject.OrganizationalUnit[0])
+}
+
 func (i *Identity) verify(state tls.ConnectionState) error {
 	if len(state.PeerCertificates) == 0 {
 		return errors.New("peer has no certificate")
--- a/process/labtransport/transport.go
+++ b/process/labtransport/transport.go
@@ -243,6 +243,11 @@
 
 func (t *Transport) serve(ctx context.Context, c *quic.Conn) {
 	from := labkeys.PeerName(c.ConnectionState().TLS)
+	if labkeys.PeerRole(c.ConnectionState().TLS) != labkeys.RoleInstance {
+		_ = c.CloseWithError(0, "certificate is not an instance's")
+
+		return
+	}
 
 	for {
 		s, err := c.AcceptStream(ctx)
--- a/process/labtransport/transport_test.go
+++ b/process/labtransport/transport_test.go
@@ -26,7 +26,7 @@
 	assert.NilError(t, a.Init())
 
 	for _, n := range names {
-		assert.NilError(t, a.Issue(n))
+		assert.NilError(t, a.Issue(n, labkeys.RoleInstance))
 	}
 
 	return a.Folder
@@ -130,7 +130,7 @@
 	b := start(t, folder, "b")
 	k := labkeys.Authority{Folder: folder}
 	assert.NilError(t, k.Rotate())
-	assert.NilError(t, k.Issue("a"))
+	assert.NilError(t, k.Issue("a", labkeys.RoleInstance))
 
 	a := start(t, folder, "a") // new authority; b still runs with its old certificate
 	time.Sleep(2100 * time.Millisecond)
@@ -241,3 +241,16 @@
 	assert.Assert(t, a.Call(within(t, 500*time.Millisecond), address, lab.MethodPing, echo{Text: "x"}, &got) != nil)
 	assert.NilError(t, a.Call(within(t, 1500*time.Millisecond), address, lab.MethodPing, echo{Text: "x"}, &got))
 }
+
+// Guards against an operator's certificate being used to act as an instance.
+func TestOperatorCertificateRefused(t *testing.T) {
+	folder := authority(t, "a", "b")
+	k := labkeys.Authority{Folder: folder}
+	assert.NilError(t, k.Issue("a", labkeys.RoleOperator))
+
+	a, b := start(t, folder, "a"), start(t, folder, "b")
+
+	var got echo
+	err := a.Call(within(t, 3*time.Second), b.Bound(), lab.MethodPing, echo{Text: "x"}, &got)
+	assert.ErrorContains(t, err, "not an instance's")
+}
