--- a/consensus.go
+++ b/consensus.go
@@ -53,7 +53,9 @@
 	Index uint64       `msgpack:"i"`
 	Term  uint64       `msgpack:"t"`
 	Peers []InstanceID `msgpack:"p"` // voters as of the index
-	Data  []byte       `msgpack:"d"`
+	// Learners receive the log but don't vote.
+	Learners []InstanceID `msgpack:"l"`
+	Data     []byte       `msgpack:"d"`
 }
 
 // Journal stores consensus state; each method returns after its effect is synced.
--- /dev/null
+++ b/control/process/labreplica/entry.go
@@ -0,0 +1,48 @@
+package labreplica
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"laburnumlock.dev/lab"
+)
+
+// The first byte of an entry's data tells its kind; the empty entry of a new leader has none.
+const (
+	tagCommand byte = 1
+	tagMembers byte = 2
+)
+
+// Command returns the proposed command in an entry; ok is false for entries that consensus itself wrote.
+func Command(entry lab.LogEntry) (command []byte, ok bool) {
+	if len(entry.Data) == 0 || entry.Data[0] != tagCommand {
+		return nil, false
+	}
+
+	return entry.Data[1:], true
+}
+
+func commandData(command []byte) []byte {
+	return append([]byte{tagCommand}, command...)
+}
+
+func membersData(members Members) ([]byte, error) {
+	b, err := msgpack.Marshal(members)
+	if err != nil {
+		return nil, errors.Newf("encode members: %w", err)
+	}
+
+	return append([]byte{tagMembers}, b...), nil
+}
+
+func entryMembers(entry lab.LogEntry) (members Members, ok bool, err error) {
+	if len(entry.Data) == 0 || entry.Data[0] != tagMembers {
+		return members, false, nil
+	}
+
+	if err := msgpack.Unmarshal(entry.Data[1:], &members); err != nil {
+		return members, false, errors.Newf("decode members of entry %d: %w", entry.Index, err)
+	}
+
+	return members, true, nil
+}
--- /dev/null
+++ b/control/process/labreplica/members.go
@@ -0,0 +1,58 @@
+package labreplica
+
+import (
+	"slices"
+
+	"laburnumlock.dev/lab"
+)
+
+// Members lists who takes part in the group, in ascending order.
+type Members struct {
+	Voters   []lab.InstanceID `msgpack:"v"`
+	Learners []lab.InstanceID `msgpack:"l"` // receive the log but don't vote
+}
+
+// Voter reports whether the instance votes.
+func (m Members) Voter(id lab.InstanceID) bool {
+	return slices.Contains(m.Voters, id)
+}
+
+// Learner reports whether the instance is a learner.
+func (m Members) Learner(id lab.InstanceID) bool {
+	return slices.Contains(m.Learners, id)
+}
+
+// All returns voters and learners in ascending order.
+func (m Members) All() []lab.InstanceID {
+	return sorted(slices.Concat(m.Voters, m.Learners))
+}
+
+func (m Members) quorum() int {
+	return len(m.Voters)/2 + 1
+}
+
+func (m Members) apply(change Change) Members {
+	voters := without(m.Voters, change.Instance)
+	learners := without(m.Learners, change.Instance)
+
+	switch change.Kind {
+	case ChangeAddLearner:
+		learners = append(learners, change.Instance)
+	case ChangePromote:
+		voters = append(voters, change.Instance)
+	case ChangeRemove:
+	}
+
+	return Members{Voters: sorted(voters), Learners: sorted(learners)}
+}
+
+func without(ids []lab.InstanceID, id lab.InstanceID) []lab.InstanceID {
+	return slices.DeleteFunc(slices.Clone(ids), func(i lab.InstanceID) bool { return i == id })
+}
+
+func sorted(ids []lab.InstanceID) []lab.InstanceID {
+	s := slices.Clone(ids)
+	slices.Sort(s)
+
+	return s
+}
--- /dev/null
+++ b/control/process/labreplica/progress.go
@@ -0,0 +1,87 @@
+package labreplica
+
+import (
+	"time"
+
+	"laburnumlock.dev/lab"
+)
+
+// progress is what the leader knows of one other member.
+type progress struct {
+	id       lab.InstanceID
+	match    uint64 // highest index known to be persisted there
+	next     uint64 // index sent next
+	probing  bool   // the common prefix is not known yet; one append at a time
+	paused   bool   // a probe is outstanding
+	inflight []uint64
+	contact  time.Duration // leader's clock when it sent the latest message that was answered; never when none was
+	round    uint64        // latest round that was answered
+	transfer *transfer     // snapshot being sent
+}
+
+// transfer is a snapshot on its way to a member.
+type transfer struct {
+	snapshot lab.LogSnapshot
+	offset   uint64
+	due      bool
+	sent     time.Duration
+}
+
+const never time.Duration = -1
+
+func newProgress(id lab.InstanceID, next uint64) *progress {
+	return &progress{id: id, next: next, probing: true, contact: never}
+}
+
+func (p *progress) touch(round uint64, sent time.Duration) {
+	p.round = max(p.round, round)
+	p.contact = max(p.contact, sent)
+}
+
+func (p *progress) blocked(window int) bool {
+	if p.probing {
+		return p.paused
+	}
+
+	return len(p.inflight) >= window
+}
+
+func (p *progress) sent(entries []lab.LogEntry) {
+	if p.probing {
+		p.paused = true
+
+		return
+	}
+
+	p.next += uint64(len(entries))
+	p.inflight = append(p.inflight, p.next-1)
+}
+
+func (p *progress) acknowledge(index uint64) {
+	p.match = max(p.match, index)
+
+	if p.probing {
+		p.next = p.match + 1
+		p.probing, p.paused, p.inflight = false, false, nil
+	}
+
+	p.next = max(p.next, p.match+1)
+	for len(p.inflight) > 0 && p.inflight[0] <= index {
+		p.inflight = p.inflight[1:]
+	}
+
+	if p.transfer != nil && p.match >= p.transfer.snapshot.Index {
+		p.transfer = nil
+	}
+}
+
+// reject moves back after a failed append; answers that later ones have overtaken are ignored.
+func (p *progress) reject(index, hint uint64) {
+	stale := index <= p.match || (p.probing && index != p.next-1)
+	if stale || p.transfer != nil {
+		return
+	}
+
+	p.next = max(min(index, hint+1), p.match+1)
+	p.probing, p.paused, p.inflight = true, false, nil
+}
