--- /dev/null
+++ b/control/process/labcontrol/fakes_test.go
@@ -0,0 +1,147 @@
+package labcontrol_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+)
+
+// clock is a clock that only the test advances; sleeping returns at once.
+type clock struct {
+	lock sync.Mutex
+	now  time.Duration
+}
+
+func (c *clock) Now() time.Duration {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+
+	return c.now
+}
+
+func (c *clock) advance(d time.Duration) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	c.now += d
+}
+
+func (c *clock) Wall() time.Time { return time.UnixMilli(0).Add(c.Now()) }
+
+func (c *clock) Sleep(ctx context.Context, _ time.Duration) error { return ctx.Err() }
+
+// log applies every proposal at once to the catalog of all instances; one of them leads.
+type log struct {
+	lock     sync.Mutex
+	index    uint64
+	entries  [][]byte
+	replicas []*labcatalog.Catalog
+	leader   lab.InstanceID
+	term     uint64
+	since    time.Duration
+	isolated bool
+	lose     bool // the next proposal is committed, but its answer is lost
+}
+
+// member is one instance's view of the log.
+type member struct {
+	*log
+	id      lab.InstanceID
+	catalog *labcatalog.Catalog
+}
+
+func (m *member) Propose(_ context.Context, command []byte) (any, error) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if m.isolated || m.leader != m.id {
+		return nil, lab.ErrNotLeader
+	}
+	m.index++
+	m.entries = append(m.entries, command)
+	var result any
+	for _, c := range m.replicas {
+		r := c.Apply(m.index, command)
+		if c == m.catalog {
+			result = r
+		}
+	}
+	if m.lose {
+		m.lose = false
+
+		return nil, lab.ErrOutcomeUnknown
+	}
+
+	return result, nil
+}
+
+func (m *member) Barrier(context.Context) error {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if m.isolated || m.leader != m.id {
+		return lab.ErrNotLeader
+	}
+
+	return nil
+}
+
+func (m *member) Leadership() lab.Leadership {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+
+	return lab.Leadership{Leader: m.leader, Self: m.leader == m.id, Term: m.term, Since: m.since}
+}
+
+// elect makes an instance the leader.
+func (l *log) elect(id lab.InstanceID, now time.Duration) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.leader, l.term, l.since = id, l.term+1, now
+}
+
+// random is a fixed sequence.
+type random struct{ n uint64 }
+
+func (r *random) Uint64() uint64 {
+	r.n = r.n*6364136223846793005 + 1442695040888963407
+
+	return r.n >> 11
+}
+
+// prober answers for members from a table.
+type prober struct {
+	lock    sync.Mutex
+	members map[string]lab.MemberStatus
+}
+
+func (p *prober) Status(_ context.Context, m lab.Announcement) (lab.MemberStatus, error) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	s, ok := p.members[m.Database+"/"+m.Member]
+	if !ok {
+		return lab.MemberStatus{}, context.DeadlineExceeded
+	}
+	s.Database, s.Member, s.Reachable = m.Database, m.Member, true
+
+	return s, nil
+}
+
+func (p *prober) Promote(ctx context.Context, m lab.Announcement) (lab.MemberStatus, error) {
+	s, err := p.Status(ctx, m)
+	if err != nil || !s.InRecovery {
+		return s, err
+	}
+	s.InRecovery = false
+	s.Replayed = lab.Position{Term: s.Received.Term + 1, Offset: s.Received.Offset}
+	s.Received = s.Replayed
+	p.set(m.Database+"/"+m.Member, s)
+
+	return s, nil
+}
+
+func (p *prober) set(key string, s lab.MemberStatus) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.members[key] = s
+}
--- /dev/null
+++ b/control/process/labcontrol/heartbeat.go
@@ -0,0 +1,136 @@
+package labcontrol
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/lablease"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+)
+
+// MethodHeartbeatBatch names the batches of heartbeats that a relay sends to the leader.
+const MethodHeartbeatBatch lab.Method = "heartbeat_batch"
+
+// HeartbeatBatch is a relay's message to the leader.
+type HeartbeatBatch struct {
+	Heartbeats []lab.Heartbeat `msgpack:"h"`
+}
+
+// HeartbeatBatchAnswer answers a batch in its order; the answers' deltas are empty and refer to Deltas by Since.
+type HeartbeatBatchAnswer struct {
+	Answers []lab.HeartbeatAnswer `msgpack:"a"`
+	Deltas  []lab.Delta           `msgpack:"d"` // one for each distinct confirmed index in the batch
+	Choice  []int                 `msgpack:"c"` // index into Deltas by answer
+}
+
+// HandleHeartbeat answers one proxy, through the leader when this instance doesn't lead.
+func (s *Server) HandleHeartbeat(ctx context.Context, from lab.InstanceID, h lab.Heartbeat) (lab.HeartbeatAnswer, error) {
+	if from != h.Instance.ID {
+		return lab.HeartbeatAnswer{}, errors.Newf("heartbeat of %s sent by %s", h.Instance.ID, from)
+	}
+	if s.leading() == nil {
+		return s.relay.forward(ctx, s, h)
+	}
+	answer, err := s.HandleHeartbeatBatch(ctx, s.Self.ID, HeartbeatBatch{Heartbeats: []lab.Heartbeat{h}})
+	if err != nil {
+		return lab.HeartbeatAnswer{}, err
+	}
+
+	return answer.single(0), nil
+}
+
+func (a *HeartbeatBatchAnswer) single(i int) lab.HeartbeatAnswer {
+	answer := a.Answers[i]
+	answer.Delta = a.Deltas[a.Choice[i]]
+
+	return answer
+}
+
+// HandleHeartbeatBatch answers a relay; it fails with lab.ErrNotLeader when this instance doesn't lead.
+func (s *Server) HandleHeartbeatBatch(
+	ctx context.Context, _ lab.InstanceID, batch HeartbeatBatch,
+) (HeartbeatBatchAnswer, error) {
+	if s.leading() == nil {
+		return HeartbeatBatchAnswer{}, errors.Newf("answer heartbeats: %w", lab.ErrNotLeader)
+	}
+	if err := s.Log.Barrier(ctx); err != nil {
+		return HeartbeatBatchAnswer{}, errors.Newf("answer heartbeats: %w", err)
+	}
+	l := s.leading()
+	if l == nil {
+		return HeartbeatBatchAnswer{}, errors.Newf("answer heartbeats: %w", lab.ErrNotLeader)
+	}
+	if err := s.learn(ctx, batch.Heartbeats); err != nil {
+		return HeartbeatBatchAnswer{}, errors.Newf("answer heartbeats: %w", err)
+	}
+	var answer HeartbeatBatchAnswer
+	deltas := map[uint64]int{}
+	for i := range batch.Heartbeats {
+		h := &batch.Heartbeats[i]
+		n, known := deltas[h.Confirmed]
+		if !known {
+			n = len(answer.Deltas)
+			deltas[h.Confirmed] = n
+			answer.Deltas = append(answer.Deltas, s.Catalog.Delta(h.Confirmed))
+		}
+		answer.Choice = append(answer.Choice, n)
+		answer.Answers = append(answer.Answers, s.answer(l, h))
+	}
+
+	return answer, nil
+}
+
+// learn commits the facts of heartbeats that the catalog doesn't have yet.
+func (s *Server) learn(ctx context.Context, list []lab.Heartbeat) error {
+	var command labcatalog.Command
+	for i := range list {
+		h := &list[i]
+		known, live := s.Catalog.Instance(h.Instance.ID)
+		if h.Instance.Incarnation > known.Incarnation || (!live && h.Instance.Incarnation == known.Incarnation) {
+			command.Joined = append(command.Joined, h.Instance)
+		}
+		if h.Draining && h.Instance.Incarnation >= known.Incarnation && !s.Catalog.Draining(h.Instance.ID) {
+			command.Draining = append(command.Draining, h.Instance.ID)
+		}
+		for _, a := range h.Announcements {
+			if s.Catalog.News(a) {
+				command.Members = append(command.Members, a)
+			}
+		}
+	}
+	if command.Joined == nil && command.Members == nil && command.Draining == nil {
+		return nil
+	}
+	if _, err := s.propose(ctx, &command); err != nil {
+		return errors.Newf("commit facts of heartbeats: %w", err)
+	}
+
+	return nil
+}
+
+// answer renews the lease of one proxy; an outdated heartbeat renews nothing.
+func (s *Server) answer(l *leadership, h *lab.Heartbeat) lab.HeartbeatAnswer {
+	a := lab.HeartbeatAnswer{RequestID: h.RequestID, LeaderTerm: l.term}
+	known, live := s.Catalog.Instance(h.Instance.ID)
+	if !live || known != h.Instance {
+		return a
+	}
+	now := s.Clock.Now()
+	l.contacts.heard(now, h)
+	grants, fresh := l.table.Heartbeat(now, h, s.Catalog.Duties(h.Instance.ID), func(d lab.Duty) (lablease.Wanted, bool) {
+		g, first, ok := s.Catalog.Wanted(h.Instance, d)
+
+		return lablease.Wanted{Grant: g, First: first}, ok
+	})
+	if !fresh {
+		return a
+	}
+	for _, m := range h.Statuses {
+		l.promoter.Observe(now, h.Instance.ID, m)
+	}
+	a.TTL, a.Grants = lablease.TTL, grants
+
+	return a
+}
--- /dev/null
+++ b/control/process/labcontrol/server.go
@@ -0,0 +1,124 @@
+package labcontrol
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/lablease"
+	"laburnumlock.dev/lab/control/process/labpromoter"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+)
+
+// The times of the control process.
+const (
+	// SilentAfter is how long a proxy may send no heartbeat before it leaves.
+	SilentAfter = 5 * time.Second
+	// SettleTime is how long a new leader collects heartbeats before it places duties, so that they spread evenly.
+	SettleTime = time.Second
+	// TickInterval is the time between two looks at membership, placements and promotions.
+	TickInterval = 100 * time.Millisecond
+	// proposeTimeout bounds the commit of one command.
+	proposeTimeout = 3 * time.Second
+)
+
+// Server is a control instance. Its exported fields are set before Run or any handler is called.
+type Server struct {
+	Log       lab.Log
+	Catalog   *labcatalog.Catalog
+	Clock     lab.Clock
+	Random    lab.Random
+	Prober    lab.Prober
+	Peers     lab.Peers
+	Self      lab.Instance
+	Addresses map[lab.InstanceID]string // transport addresses of the control instances
+	Operators map[lab.InstanceID]string // base URLs of the control instances' operator API
+	Logger    zerolog.Logger
+
+	lead     atomic.Pointer[leadership]
+	leadLock sync.Mutex
+	relay    relay
+}
+
+// leadership is what the leader keeps in memory; every leadership starts with an empty one.
+type leadership struct {
+	term     uint64
+	since    time.Duration
+	table    *lablease.Table
+	promoter *labpromoter.Promoter
+	contacts contacts
+}
+
+// Run works until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	for {
+		s.Tick(ctx)
+		if err := s.Clock.Sleep(ctx, TickInterval); err != nil {
+			return errors.Newf("wait for next tick: %w", err)
+		}
+	}
+}
+
+// Tick does what is due when this instance leads.
+func (s *Server) Tick(ctx context.Context) {
+	l := s.leading()
+	if l == nil {
+		return
+	}
+	s.tickMembership(ctx, l)
+	s.tickPlacements(ctx, l)
+	l.promoter.Tick(ctx, s.Clock.Now())
+}
+
+// leading returns the leader's memory, nil when this instance doesn't lead.
+func (s *Server) leading() *leadership {
+	v := s.Log.Leadership()
+	if !v.Self {
+		s.lead.Store(nil)
+
+		return nil
+	}
+	if l := s.lead.Load(); l != nil && l.term == v.Term {
+		return l
+	}
+	s.leadLock.Lock()
+	defer s.leadLock.Unlock()
+	if l := s.lead.Load(); l != nil && l.term >= v.Term {
+		return l
+	}
+	l := &leadership{term: v.Term, since: v.Since, table: lablease.New(v.Since)}
+	l.promoter = &labpromoter.Promoter{
+		Catalog: s.Catalog, Prober: s.Prober, Random: s.Random, Logger: s.Logger, Propose: s.propose,
+		WritesEnded: func(database string) bool { return l.table.WritesEnded(s.Clock.Now(), database) },
+	}
+	s.lead.Store(l)
+	s.Logger.Info().Str("event", "leadership_began").Uint64("term", v.Term).Send()
+
+	return l
+}
+
+// propose commits a command and returns its result.
+func (s *Server) propose(ctx context.Context, command *labcatalog.Command) (labcatalog.Result, error) {
+	command.At = s.Clock.Wall().UnixMilli()
+	data, err := command.Encode()
+	if err != nil {
+		return labcatalog.Result{}, errors.Newf("propose: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	answer, err := s.Log.Propose(ctx, data)
+	if err != nil {
+		return labcatalog.Result{}, errors.Newf("propose: %w", err)
+	}
+	result, ok := answer.(labcatalog.Result)
+	if !ok {
+		return labcatalog.Result{}, errors.Newf("propose: unexpected result %T", answer)
+	}
+
+	return result, nil
+}
--- /dev/null
+++ b/control/process/lablease/right.go
@@ -0,0 +1,49 @@
+package lablease
+
+import (
+	"time"
+
+	"laburnumlock.dev/lab"
+)
+
+// Right is a grant that its holder may still be using.
+type Right struct {
+	Holder      lab.InstanceID `json:"holder"`
+	Incarnation uint64         `json:"incarnation"`
+	Grant       lab.Grant      `json:"grant"`
+	Until       time.Duration  `json:"until_ns"` // leader's clock; includes the drift margin
+	address     string
+	request     uint64 // newest heartbeat whose answer carried the grant
+}
+
+// gone reports whether a heartbeat of the holder proves that the right is no longer used.
+func (r *Right) gone(h *lab.Heartbeat) bool {
+	if h.Instance.ID != r.Holder {
+		return false
+	}
+	if h.Instance.Incarnation > r.Incarnation {
+		return h.Instance.Address == r.address // the earlier process must have freed the address
+	}
+
+	return h.Instance.Incarnation == r.Incarnation && h.RequestID > r.request && !holds(h, r.Grant)
+}
+
+func holds(h *lab.Heartbeat, g lab.Grant) bool {
+	for _, x := range h.Held {
+		if x == g {
+			return true
+		}
+	}
+
+	return false
+}
+
+// blocks reports whether the right must end before the instance may get the grant.
+func (r *Right) blocks(i *lab.Instance, g lab.Grant) bool {
+	if r.Holder == i.ID && r.Incarnation == i.Incarnation {
+		// Rights of one process exclude each other only when a write term changes.
+		return g.Writable && r.Grant.Writable && r.Grant != g
+	}
+
+	return r.Grant.Duty == g.Duty || (r.Grant.Writable && g.Writable)
+}
--- /dev/null
+++ b/control/process/lablease/table.go
@@ -0,0 +1,232 @@
+package lablease
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumlock.dev/lab"
+)
+
+// The lease times that proxies and control agree on.
+const (
+	TTL    = 3 * time.Second
+	Margin = TTL / 10 // clocks of two instances may drift apart by 10%
+)
+
+const shards = 16
+
+// Table is the lease bookkeeping of one leadership.
+type Table struct {
+	start     time.Duration
+	databases [shards]databaseShard
+	instances [shards]instanceShard
+}
+
+type databaseShard struct {
+	lock   sync.Mutex
+	rights map[string][]Right
+}
+
+type instanceShard struct {
+	lock sync.Mutex
+	last map[lab.InstanceID]*sequence
+}
+
+// sequence is how far the heartbeats of an instance were processed.
+type sequence struct {
+	incarnation uint64
+	request     uint64
+	databases   map[string]bool // databases on which the instance may have rights
+}
+
+// Wanted is a grant that the catalog allows.
+type Wanted struct {
+	Grant lab.Grant
+	First bool // nobody else can ever have held a grant that excludes this one
+}
+
+// New returns the table of a leadership that began at a time; grants of earlier leaders may be in use until Quiet.
+func New(start time.Duration) *Table {
+	t := &Table{start: start}
+	for i := range t.databases {
+		t.databases[i].rights = map[string][]Right{}
+		t.instances[i].last = map[lab.InstanceID]*sequence{}
+	}
+
+	return t
+}
+
+// Quiet returns the time until which grants of earlier leaders may be in use.
+func (t *Table) Quiet() time.Duration {
+	return t.start + TTL + Margin
+}
+
+// Look returns what the catalog allows the sender for a duty now.
+type Look func(duty lab.Duty) (Wanted, bool)
+
+// Heartbeat processes releases and returns the grants that the answer may carry for the duties placed on the sender. It
+// returns false for a heartbeat that is older than one processed before; its answer must renew nothing. It calls look
+// under the lock of the duty's database: otherwise a grant looked up before a promotion started could be recorded after
+// WritesEnded reported true.
+func (t *Table) Heartbeat(now time.Duration, h *lab.Heartbeat, duties []lab.Duty, look Look) ([]lab.Grant, bool) {
+	s := &t.instances[xxhash.Sum64String(string(h.Instance.ID))%shards]
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	q := s.last[h.Instance.ID]
+	if q == nil {
+		q = &sequence{databases: map[string]bool{}}
+		s.last[h.Instance.ID] = q
+	}
+	if h.Instance.Incarnation < q.incarnation || (h.Instance.Incarnation == q.incarnation && h.RequestID <= q.request) {
+		return nil, false
+	}
+	q.incarnation, q.request = h.Instance.Incarnation, h.RequestID
+	for d := range q.databases {
+		if !t.release(now, h, d) {
+			delete(q.databases, d)
+		}
+	}
+	var grants []lab.Grant
+	for _, d := range duties {
+		if g, ok := t.grant(now, h, d, look); ok {
+			grants = append(grants, g)
+			q.databases[g.Duty.Database] = true
+		}
+	}
+
+	return grants, true
+}
+
+// release drops rights that have ended and reports whether the sender still has any on the database.
+func (t *Table) release(now time.Duration, h *lab.Heartbeat, database string) bool {
+	s := t.shard(database)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	var kept []Right
+	mine := false
+	for _, r := range s.rights[database] {
+		if r.Until > now && !r.gone(h) {
+			kept = append(kept, r)
+			mine = mine || r.Holder == h.Instance.ID
+		}
+	}
+	s.put(database, kept)
+
+	return mine
+}
+
+func (s *databaseShard) put(database string, rights []Right) {
+	if len(rights) == 0 {
+		delete(s.rights, database)
+
+		return
+	}
+	s.rights[database] = rights
+}
+
+// grant records and returns the wanted grant, or its part without writes while another write right is in use.
+func (t *Table) grant(now time.Duration, h *lab.Heartbeat, d lab.Duty, look Look) (lab.Grant, bool) {
+	s := t.shard(d.Database)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	w, ok := look(d)
+	if !ok {
+		return lab.Grant{}, false
+	}
+	if t.allowed(now, s, h, w) {
+		s.record(now, h, w.Grant)
+
+		return w.Grant, true
+	}
+	w.Grant.Term, w.Grant.Writable = 0, false
+	if t.allowed(now, s, h, w) {
+		s.record(now, h, w.Grant)
+
+		return w.Grant, true
+	}
+
+	return lab.Grant{}, false
+}
+
+func (t *Table) allowed(now time.Duration, s *databaseShard, h *lab.Heartbeat, w Wanted) bool {
+	if now < t.Quiet() && !w.First && !continues(h, w.Grant) {
+		return false
+	}
+	for _, r := range s.rights[w.Grant.Duty.Database] {
+		if r.Until > now && r.blocks(&h.Instance, w.Grant) {
+			return false
+		}
+	}
+
+	return true
+}
+
+// continues reports whether a grant is held already, with at least the same rights at the same epoch.
+func continues(h *lab.Heartbeat, g lab.Grant) bool {
+	for _, x := range h.Held {
+		if x == g || (!g.Writable && x.Duty == g.Duty && x.Epoch == g.Epoch) {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (s *databaseShard) record(now time.Duration, h *lab.Heartbeat, g lab.Grant) {
+	right := Right{
+		Holder: h.Instance.ID, Incarnation: h.Instance.Incarnation, Grant: g, Until: now + TTL + Margin,
+		address: h.Instance.Address, request: h.RequestID,
+	}
+	list := s.rights[g.Duty.Database]
+	for i := range list {
+		r := &list[i]
+		if r.Holder == right.Holder && r.Incarnation == right.Incarnation && r.Grant == g {
+			*r = right
+
+			return
+		}
+	}
+	s.rights[g.Duty.Database] = append(list, right)
+}
+
+// WritesEnded reports whether nobody can still hold a right to write to a database.
+func (t *Table) WritesEnded(now time.Duration, database string) bool {
+	if now < t.Quiet() {
+		return false
+	}
+	s := t.shard(database)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for _, r := range s.rights[database] {
+		if r.Until > now && r.Grant.Writable {
+			return false
+		}
+	}
+
+	return true
+}
+
+// Rights returns the rights that may be in use, in any order.
+func (t *Table) Rights(now time.Duration) []Right {
+	var list []Right
+	for i := range t.databases {
+		s := &t.databases[i]
+		s.lock.Lock()
+		for _, rights := range s.rights {
+			for _, r := range rights {
+				if r.Until > now {
+					list = append(list, r)
+				}
+			}
+		}
+		s.lock.Unlock()
+	}
+
+	return list
+}
+
+func (t *Table) shard(database string) *databaseShard {
+	return &t.databases[xxhash.Sum64String(database)%shards]
+}
--- /dev/null
+++ b/control/process/labpromoter/choice.go
@@ -0,0 +1,94 @@
+package labpromoter
+
+import (
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+)
+
+type verdict uint8
+
+const (
+	verdictWait      verdict = iota // too few members answered, or a planned successor must catch up first
+	verdictPromote                  // promote the member
+	verdictReinstate                // the old primary continues its term
+)
+
+// needed returns how many members must be readable: an acknowledged write is on the primary and one replica, so all
+// but one of the members, and at least two, always include it.
+func needed(d *lab.Database, oldPrimary string) int {
+	n := len(d.Members)
+	if _, known := d.Member(oldPrimary); !known {
+		n++
+	}
+
+	return max(2, n-1)
+}
+
+// candidates returns the readings of members that follow the history; a member outside recovery follows it only as
+// the old primary in its own term, or as the chosen member after its promotion.
+func candidates(d *lab.Database, p labcatalog.Promotion, readings []reading) []reading {
+	var list []reading
+	for _, r := range readings {
+		received := r.status.Received
+		promoted := r.member.Member == p.Chosen && received.Term >= p.Term
+		primary := r.member.Member == p.OldPrimary && received.Term == d.Term()
+		switch {
+		case !r.status.InRecovery && !promoted && !primary:
+		case received.Term == 0, received.Term > d.Term() && !promoted:
+		case !d.History.Fits(received):
+		default:
+			list = append(list, r)
+		}
+	}
+
+	return list
+}
+
+// choose picks the most advanced member by term and received position. patient makes it wait for a member that stays
+// when the most advanced one is leaving.
+func choose(d *lab.Database, p labcatalog.Promotion, readings []reading, patient bool) (reading, verdict) {
+	list := candidates(d, p, readings)
+	if len(list) < needed(d, p.OldPrimary) {
+		return reading{}, verdictWait
+	}
+	best := list[0]
+	for _, r := range list[1:] {
+		if better(d, p, r, best) {
+			best = r
+		}
+	}
+	if best.member.Leaving && patient {
+		return reading{}, verdictWait
+	}
+	if best.member.Member == p.OldPrimary && !best.status.InRecovery {
+		return best, verdictReinstate
+	}
+
+	return best, verdictPromote
+}
+
+// better orders candidates by position; of equally advanced ones a staying member, then a replica, then one in the old
+// primary's region wins.
+func better(d *lab.Database, p labcatalog.Promotion, a, b reading) bool {
+	x, y := a.status.Received, b.status.Received
+	if x != y {
+		return x.Later(y)
+	}
+
+	return rank(d, p, a) > rank(d, p, b)
+}
+
+func rank(d *lab.Database, p labcatalog.Promotion, r reading) int {
+	n := 0
+	if !r.member.Leaving {
+		n += 4
+	}
+	if r.status.InRecovery {
+		n += 2
+	}
+	if old, known := d.Member(p.OldPrimary); known && old.Region == r.member.Region {
+		n++
+	}
+
+	return n
+}
--- /dev/null
+++ b/control/process/labpromoter/promoter.go
@@ -0,0 +1,193 @@
+package labpromoter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+)
+
+// The times of a promotion.
+const (
+	// ReachableWait is how long loss reports must last when control still reaches the primary over a new connection.
+	ReachableWait = 3 * time.Second
+	// RechooseAfter is how long the chosen member may be unreachable before another one is chosen.
+	RechooseAfter = 3 * time.Second
+	// CatchUpWait is how long a successor of a leaving primary may take to catch up.
+	CatchUpWait = 5 * time.Second
+	// PromoteTimeout bounds one attempt to promote a member.
+	PromoteTimeout = 10 * time.Second
+
+	backoffMin = 100 * time.Millisecond
+	backoffMax = 2 * time.Second
+	shards     = 16
+	// concurrent bounds the steps run at once; each reads all members of a database.
+	concurrent = 64
+)
+
+// Promoter runs the promotions of all databases while this instance leads.
+type Promoter struct {
+	Catalog     *labcatalog.Catalog
+	Prober      lab.Prober
+	Random      lab.Random
+	Logger      zerolog.Logger
+	Propose     func(ctx context.Context, command *labcatalog.Command) (labcatalog.Result, error)
+	WritesEnded func(database string) bool // nobody can still hold a right to write
+
+	once  sync.Once
+	slots chan struct{}
+	parts [shards]part
+}
+
+type part struct {
+	lock    sync.Mutex
+	watches map[string]*watch
+}
+
+func (p *Promoter) watch(database string) *watch {
+	s := &p.parts[xxhash.Sum64String(database)%shards]
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.watches == nil {
+		s.watches = map[string]*watch{}
+	}
+	w := s.watches[database]
+	if w == nil {
+		w = &watch{losses: map[string]loss{}, stream: map[string]lab.Position{}}
+		s.watches[database] = w
+	}
+
+	return w
+}
+
+// Observe takes in a member status reported by a gateway.
+func (p *Promoter) Observe(now time.Duration, from lab.InstanceID, status lab.MemberStatus) {
+	p.watch(status.Database).observe(now, from, status)
+}
+
+// Tick starts the steps that are due and returns without waiting for them.
+func (p *Promoter) Tick(ctx context.Context, now time.Duration) {
+	p.once.Do(func() { p.slots = make(chan struct{}, concurrent) })
+	for _, n := range p.Catalog.Databases() {
+		if !p.due(now, n) {
+			continue
+		}
+		w := p.watch(n)
+		if !w.begin(now) {
+			continue
+		}
+		select {
+		case p.slots <- struct{}{}:
+		default:
+			w.lock.Lock()
+			w.running = false
+			w.lock.Unlock()
+
+			return
+		}
+		go func() {
+			defer func() { <-p.slots }()
+			p.run(ctx, now, n)
+		}()
+	}
+}
+
+// due reports whether a database may need a step, without any I/O.
+func (p *Promoter) due(now time.Duration, database string) bool {
+	d, known := p.Catalog.Database(database)
+	if !known {
+		return false
+	}
+	if _, running := p.Catalog.Promotion(database); running || len(d.History) == 0 {
+		return true
+	}
+
+	return p.reason(now, d) != ""
+}
+
+// run takes steps until one doesn't make progress, and schedules the next try.
+func (p *Promoter) run(ctx context.Context, now time.Duration, database string) {
+	w := p.watch(database)
+	for {
+		progress, err := p.Step(ctx, now, database)
+		if err != nil {
+			p.Logger.Warn().Str("event", "promotion_step").Str("database", database).Err(err).Send()
+		}
+		if progress && err == nil && ctx.Err() == nil {
+			w.settle(now, 0, false)
+
+			continue
+		}
+		w.settle(now, p.jitter(w.failures()), err != nil)
+		w.lock.Lock()
+		w.running = false
+		w.lock.Unlock()
+
+		return
+	}
+}
+
+func (w *watch) failures() int {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+
+	return w.failed
+}
+
+// settle records the result of a step; only failures are backed off.
+func (w *watch) settle(now, delay time.Duration, failed bool) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if !failed {
+		w.failed, w.next = 0, now
+
+		return
+	}
+	w.failed++
+	w.next = now + delay
+}
+
+// jitter returns the backoff after a number of failures, spread over its upper half.
+func (p *Promoter) jitter(failed int) time.Duration {
+	d := min(backoffMin<<min(failed, 8), backoffMax)
+
+	return d/2 + time.Duration(p.Random.Uint64()%uint64(d/2))
+}
+
+// Step takes at most one committed step of a database and reports whether it committed one.
+func (p *Promoter) Step(ctx context.Context, now time.Duration, database string) (bool, error) {
+	d, known := p.Catalog.Database(database)
+	if !known {
+		return false, nil
+	}
+	promotion, running := p.Catalog.Promotion(database)
+	switch {
+	case len(d.History) == 0:
+		return p.bootstrap(ctx, d)
+	case !running:
+		return p.start(ctx, now, d)
+	case promotion.Chosen == "":
+		return p.choose(ctx, now, d, promotion)
+	}
+
+	return p.promote(ctx, now, d, promotion)
+}
+
+// propose commits a step.
+func (p *Promoter) propose(ctx context.Context, command *labcatalog.Command) (bool, error) {
+	result, err := p.Propose(ctx, command)
+	if err != nil {
+		return false, errors.Newf("propose promotion step: %w", err)
+	}
+	if result.Err != nil {
+		return false, errors.Newf("apply promotion step: %w", result.Err)
+	}
+
+	return true, nil
+}
--- /dev/null
+++ b/control/process/labpromoter/reading.go
@@ -0,0 +1,55 @@
+package labpromoter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"laburnumlock.dev/lab"
+)
+
+// probeTimeout bounds one position reading, so that a silent member doesn't delay the choice.
+const probeTimeout = time.Second
+
+// reading is what a member answered over a new connection.
+type reading struct {
+	member lab.Announcement
+	status lab.MemberStatus
+}
+
+// read asks all members of a database at once and returns those that answered.
+func (p *Promoter) read(ctx context.Context, d *lab.Database) []reading {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answers := make([]*reading, len(d.Members))
+	var group sync.WaitGroup
+	for i, m := range d.Members {
+		group.Go(func() {
+			if s, err := p.Prober.Status(ctx, m); err == nil {
+				answers[i] = &reading{member: m, status: p.withTerm(m, s)}
+			}
+		})
+	}
+	group.Wait()
+	var list []reading
+	for _, r := range answers {
+		if r != nil {
+			list = append(list, *r)
+		}
+	}
+
+	return list
+}
+
+// withTerm completes the position of a replica that isn't streaming and therefore reports no timeline: it is the one
+// that a gateway last saw the replica stream.
+func (p *Promoter) withTerm(m lab.Announcement, s lab.MemberStatus) lab.MemberStatus {
+	if s.InRecovery && s.Received.Term == 0 {
+		last := p.watch(m.Database).streamed(m.Member)
+		if last.Offset <= s.Received.Offset {
+			s.Received.Term = last.Term
+		}
+	}
+
+	return s
+}
--- /dev/null
+++ b/control/process/labpromoter/steps.go
@@ -0,0 +1,210 @@
+package labpromoter
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+)
+
+// The reasons for a promotion.
+const (
+	reasonLost    = "lost"    // the gateway can't open connections to the primary
+	reasonLeaving = "leaving" // the primary announced that it leaves
+	reasonRetired = "retired" // another process took over the primary's address
+)
+
+// reason tells why the primary should be replaced, empty when it should not.
+func (p *Promoter) reason(now time.Duration, d *lab.Database) string {
+	if d.Primary == "" {
+		return ""
+	}
+	m, known := d.Member(d.Primary)
+	if !known {
+		return reasonRetired
+	}
+	w := p.watch(d.Name)
+	if l, lost := w.loss(d.Primary); lost {
+		// Other gateways than the one that writes may be cut off from the primary without any effect on writes.
+		if g, placed := d.Placement(m.Region); !placed || g.Instance == "" || g.Instance == l.reporter {
+			return reasonLost
+		}
+		w.forget(d.Primary)
+	}
+	if m.Leaving && hasSuccessor(d) {
+		return reasonLeaving
+	}
+
+	return ""
+}
+
+func hasSuccessor(d *lab.Database) bool {
+	for _, m := range d.Members {
+		if m.Member != d.Primary && !m.Leaving {
+			return true
+		}
+	}
+
+	return false
+}
+
+// start ends the writes of the term in force once the primary's loss is confirmed.
+func (p *Promoter) start(ctx context.Context, now time.Duration, d *lab.Database) (bool, error) {
+	reason := p.reason(now, d)
+	switch reason {
+	case "":
+		return false, nil
+	case reasonLost:
+		if !p.confirmed(ctx, now, d) {
+			return false, nil
+		}
+	case reasonLeaving:
+		if len(p.read(ctx, d)) < needed(d, d.Primary) {
+			return false, errors.Newf("replace leaving primary of %s: %w", d.Name, errTooFew)
+		}
+	}
+	p.Logger.Info().Str("event", "promotion_started").Str("database", d.Name).Str("old_primary", d.Primary).
+		Uint32("term", uint32(d.Term()+1)).Str("reason", reason).Send()
+	p.watch(d.Name).work(now)
+
+	return p.propose(ctx, &labcatalog.Command{Started: &labcatalog.PromotionStarted{
+		Database: d.Name, Term: d.Term() + 1, Primary: d.Primary, Reason: reason,
+	}})
+}
+
+// confirmed reports whether the loss was reported for long enough, or control can't reach the primary either.
+func (p *Promoter) confirmed(ctx context.Context, now time.Duration, d *lab.Database) bool {
+	l, lost := p.watch(d.Name).loss(d.Primary)
+	if !lost {
+		return false
+	}
+	if now-l.since >= ReachableWait {
+		return true
+	}
+	m, _ := d.Member(d.Primary)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	s, err := p.Prober.Status(ctx, m)
+
+	return err != nil || s.InRecovery || s.Received.Term != d.Term()
+}
+
+// choose commits the most advanced member, or reinstates the old primary, once nobody can write in the old term.
+func (p *Promoter) choose(ctx context.Context, now time.Duration, d *lab.Database, r labcatalog.Promotion) (bool, error) {
+	begun := p.watch(d.Name).work(now)
+	if !p.WritesEnded(d.Name) {
+		return false, nil
+	}
+	readings := p.read(ctx, d)
+	best, v := choose(d, r, readings, now-begun < CatchUpWait)
+	switch v {
+	case verdictWait:
+		return false, errors.Newf("choose primary of %s, %d of %d members readable: %w",
+			d.Name, len(readings), len(d.Members), errTooFew)
+	case verdictReinstate:
+		p.Logger.Info().Str("event", "promotion_cancelled").Str("database", d.Name).Str("primary", best.member.Member).Send()
+		p.watch(d.Name).forget(best.member.Member)
+
+		return p.propose(ctx, &labcatalog.Command{Cancelled: &labcatalog.PromotionCancel{
+			Database: d.Name, Term: r.Term, Primary: best.member.Member,
+		}})
+	case verdictPromote:
+	}
+	p.Logger.Info().Str("event", "promotion_chosen").Str("database", d.Name).Str("member", best.member.Member).
+		Stringer("position", best.status.Received).Send()
+	p.watch(d.Name).unreachable(0, false)
+
+	return p.propose(ctx, &labcatalog.Command{Chosen: &labcatalog.PromotionChosen{
+		Database: d.Name, Term: r.Term, Member: best.member.Member, Incarnation: best.member.Incarnation,
+		Position: best.status.Received, BaseChoice: r.Choice,
+	}})
+}
+
+// promote makes the chosen member leave recovery and commits the term that it reports.
+func (p *Promoter) promote(ctx context.Context, now time.Duration, d *lab.Database, r labcatalog.Promotion) (bool, error) {
+	m, known := d.Member(r.Chosen)
+	if !known {
+		return p.choose(ctx, now, d, r)
+	}
+	again, err := p.check(ctx, d, m, r)
+	if again {
+		return p.choose(ctx, now, d, r)
+	}
+	if err != nil {
+		if p.watch(d.Name).unreachable(now, true) >= RechooseAfter {
+			return p.choose(ctx, now, d, r)
+		}
+
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, PromoteTimeout)
+	defer cancel()
+	s, err := p.Prober.Promote(ctx, m)
+	if err != nil {
+		return false, errors.Newf("promote %s of %s: %w", m.Member, d.Name, err)
+	}
+	if s.InRecovery || s.Received.Term < r.Term {
+		return false, errors.Newf("promote %s of %s: still at %s", m.Member, d.Name, s.Received)
+	}
+	p.Logger.Info().Str("event", "term_started").Str("database", d.Name).Str("primary", m.Member).
+		Uint32("term", uint32(s.Received.Term)).Stringer("switch_point", s.Replayed).Send()
+	p.watch(d.Name).done(m.Member)
+
+	return p.propose(ctx, &labcatalog.Command{Term: &labcatalog.TermStarted{
+		Database: d.Name, Term: s.Received.Term, Offset: s.Replayed.Offset, Primary: m.Member, Choice: r.Choice,
+	}})
+}
+
+// check reads the chosen member and reports whether another choice is needed because its data was replaced.
+func (p *Promoter) check(ctx context.Context, d *lab.Database, m lab.Announcement, r labcatalog.Promotion) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	s, err := p.Prober.Status(ctx, m)
+	if err != nil {
+		return false, errors.Newf("read chosen member %s of %s: %w", m.Member, d.Name, err)
+	}
+	s = p.withTerm(m, s)
+	if !s.InRecovery {
+		return s.Received.Term < r.Term, nil
+	}
+
+	return s.Received.Offset < r.Position.Offset, nil
+}
+
+// work returns when this leader first worked on the running promotion.
+func (w *watch) work(now time.Duration) time.Duration {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if w.started == 0 {
+		w.started = now
+	}
+
+	return w.started
+}
+
+// done forgets the finished promotion and any loss of the new primary.
+func (w *watch) done(primary string) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.started, w.since = 0, 0
+	delete(w.losses, primary)
+}
+
+// unreachable returns how long the chosen member has been unreachable.
+func (w *watch) unreachable(now time.Duration, failed bool) time.Duration {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if !failed {
+		w.since = 0
+
+		return 0
+	}
+	if w.since == 0 {
+		w.since = now
+	}
+
+	return now - w.since
+}
--- /dev/null
+++ b/control/version/labcatalog/catalog.go
@@ -0,0 +1,141 @@
+package labcatalog
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"laburnumlock.dev/lab"
+)
+
+// Catalog is the replicated state of the control plane. One goroutine applies commands while others read; each part of
+// the state has its own lock.
+type Catalog struct {
+	index         atomic.Uint64
+	configuration configuration
+	shards        [databaseShards]databaseShard
+	fleet         fleet
+	journal       journal
+	trail         trail
+	addresses     map[string]memberKey // member that announced an address last; used by the applying goroutine only
+}
+
+var _ lab.StateMachine = (*Catalog)(nil)
+
+// New returns an empty catalog.
+func New() *Catalog {
+	c := &Catalog{addresses: map[string]memberKey{}}
+	c.configuration.templates = map[string]Template{}
+	c.configuration.organisations = map[string]Organisation{}
+	c.configuration.merged = map[string]*lab.Organisation{}
+	c.fleet.proxies = map[lab.InstanceID]proxy{}
+	c.fleet.duties = map[lab.InstanceID]map[lab.Duty]bool{}
+	for i := range c.shards {
+		c.shards[i].groups = map[string]*group{}
+	}
+
+	return c
+}
+
+// Index returns the log index up to which commands are applied.
+func (c *Catalog) Index() uint64 {
+	return c.index.Load()
+}
+
+// Organisations returns the names of all organisations, also deleted ones, in ascending order.
+func (c *Catalog) Organisations() []string {
+	c.configuration.lock.RLock()
+	defer c.configuration.lock.RUnlock()
+	names := make([]string, 0, len(c.configuration.merged))
+	for n := range c.configuration.merged {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+
+	return names
+}
+
+// Apply executes one committed command and returns a Result.
+func (c *Catalog) Apply(index uint64, command []byte) any {
+	if index <= c.Index() {
+		return Result{Index: index, Err: errors.Newf("apply command %d: already at %d", index, c.Index())}
+	}
+	defer c.index.Store(index)
+	result := Result{Index: index}
+	if len(command) == 0 {
+		return result
+	}
+	var m Command
+	if err := msgpack.Unmarshal(command, &m); err != nil {
+		result.Err = errors.Newf("decode command %d: %w", index, err)
+
+		return result
+	}
+	c.applyFleet(index, &m)
+	if m.Change != nil {
+		answer := c.change(index, m.Change, m.At)
+		result.Answer = &answer
+	}
+	result.Err = c.applyPromotion(index, &m)
+	c.applyNote(index, &m)
+
+	return result
+}
+
+func (c *Catalog) applyFleet(index uint64, m *Command) {
+	for _, i := range m.Joined {
+		c.joined(i)
+	}
+	for _, i := range m.Draining {
+		c.draining(i)
+	}
+	for _, d := range m.Left {
+		c.left(d)
+	}
+	for _, a := range m.Members {
+		c.announce(index, a)
+	}
+	for _, p := range m.Placements {
+		c.place(index, p)
+	}
+	for _, r := range m.Registries {
+		c.setRegistry(index, r)
+	}
+}
+
+func (c *Catalog) applyPromotion(index uint64, m *Command) error {
+	record := Record{Index: index, At: m.At, Operator: "control", Outcome: OutcomeAccepted}
+	var err error
+	switch {
+	case m.Started != nil:
+		record.Action, record.Object = "promotion_started", m.Started.Database
+		err = c.promotionStarted(index, m.Started)
+	case m.Chosen != nil:
+		record.Action, record.Object = "promotion_chosen", m.Chosen.Database
+		err = c.promotionChosen(index, m.Chosen)
+	case m.Cancelled != nil:
+		record.Action, record.Object = "promotion_cancelled", m.Cancelled.Database
+		err = c.promotionCancelled(index, m.Cancelled)
+	case m.Term != nil:
+		record.Action, record.Object = "term_started", m.Term.Database
+		err = c.termStarted(index, m.Term)
+	default:
+		return nil
+	}
+	if err == nil {
+		c.trail.append(record)
+	}
+
+	return err
+}
+
+func (c *Catalog) applyNote(index uint64, m *Command) {
+	if m.Note != nil {
+		c.trail.append(Record{
+			Index: index, At: m.At, Operator: m.Note.Operator, Action: m.Note.Action, Object: m.Note.Object,
+			Outcome: OutcomeAccepted,
+		})
+	}
+}
--- /dev/null
+++ b/control/version/labcatalog/change.go
@@ -0,0 +1,71 @@
+package labcatalog
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// The kinds of configuration objects.
+const (
+	KindTemplate     = "template"
+	KindOrganisation = "organisation"
+)
+
+// Change is an operator's change of one template or organisation; it deletes the object when both documents are nil.
+type Change struct {
+	ID           string                `msgpack:"i"`
+	Operator     string                `msgpack:"o"`
+	Kind         string                `msgpack:"k"`
+	Name         string                `msgpack:"n"`
+	Base         uint64                `msgpack:"b"` // version of the object that the operator saw, 0 for none
+	Template     *TemplateDocument     `msgpack:"t,omitempty"`
+	Organisation *OrganisationDocument `msgpack:"g,omitempty"`
+}
+
+// The outcomes of a change.
+const (
+	OutcomeAccepted = "accepted"
+	OutcomeConflict = "conflict"
+	OutcomeRejected = "rejected"
+)
+
+// Answer is the first and only answer to a change id.
+type Answer struct {
+	ChangeID string `json:"change_id"        msgpack:"i"`
+	Outcome  string `json:"outcome"          msgpack:"o"`
+	Version  uint64 `json:"version"          msgpack:"v"` // configuration version that the change made, 0 for none
+	Index    uint64 `json:"index"            msgpack:"x"` // log index of the change
+	Winner   *Stamp `json:"winner,omitempty" msgpack:"w"` // the change in the way of a conflicting one
+	Reason   string `json:"reason,omitempty" msgpack:"r"`
+}
+
+// Stamp says who changed an object last.
+type Stamp struct {
+	Operator string `json:"operator"  msgpack:"o"`
+	ChangeID string `json:"change_id" msgpack:"i"`
+	Version  uint64 `json:"version"   msgpack:"v"`
+}
+
+// digest tells changes apart that carry the same id.
+func (c *Change) digest() uint64 {
+	data, err := msgpack.Marshal(c)
+	if err != nil {
+		return 0 // a document that was decoded from msgpack can be encoded again
+	}
+
+	return xxhash.Sum64(data)
+}
+
+func (c *Change) conflict(winner Stamp) Answer {
+	return Answer{
+		ChangeID: c.ID, Outcome: OutcomeConflict, Winner: &winner,
+		Reason: fmt.Sprintf("%s %s was changed by %s (change %s, version %d) after base version %d",
+			c.Kind, c.Name, winner.Operator, winner.ChangeID, winner.Version, c.Base),
+	}
+}
+
+func (c *Change) rejected(reason string) Answer {
+	return Answer{ChangeID: c.ID, Outcome: OutcomeRejected, Reason: reason}
+}
--- /dev/null
+++ b/control/version/labcatalog/configuration.go
@@ -0,0 +1,232 @@
+package labcatalog
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"laburnumlock.dev/lab"
+)
+
+// Template is a stored template.
+type Template struct {
+	Name     string           `json:"name"     msgpack:"n"`
+	Document TemplateDocument `json:"document" msgpack:"d"`
+	Changed  Stamp            `json:"changed"  msgpack:"c"`
+	Deleted  bool             `json:"deleted"  msgpack:"z"`
+}
+
+// Organisation is a stored organisation before its template's parameters are merged in.
+type Organisation struct {
+	Name     string               `json:"name"     msgpack:"n"`
+	Document OrganisationDocument `json:"document" msgpack:"d"`
+	Changed  Stamp                `json:"changed"  msgpack:"c"`
+	Deleted  bool                 `json:"deleted"  msgpack:"z"`
+}
+
+// configuration holds templates and organisations; deleted ones stay, so that versions only grow.
+type configuration struct {
+	lock          sync.RWMutex
+	version       uint64
+	templates     map[string]Template
+	organisations map[string]Organisation
+	merged        map[string]*lab.Organisation
+	answers       memory
+}
+
+// Version returns the version of the newest accepted configuration change.
+func (c *Catalog) Version() uint64 {
+	c.configuration.lock.RLock()
+	defer c.configuration.lock.RUnlock()
+
+	return c.configuration.version
+}
+
+// Template returns a template, also a deleted one.
+func (c *Catalog) Template(name string) (Template, bool) {
+	c.configuration.lock.RLock()
+	defer c.configuration.lock.RUnlock()
+	t, ok := c.configuration.templates[name]
+
+	return t, ok
+}
+
+// Source returns an organisation as its operators wrote it, also a deleted one.
+func (c *Catalog) Source(name string) (Organisation, bool) {
+	c.configuration.lock.RLock()
+	defer c.configuration.lock.RUnlock()
+	o, ok := c.configuration.organisations[name]
+
+	return o, ok
+}
+
+// Organisation returns an organisation as proxies see it; the caller must not change it.
+func (c *Catalog) Organisation(name string) (*lab.Organisation, bool) {
+	c.configuration.lock.RLock()
+	defer c.configuration.lock.RUnlock()
+	o, ok := c.configuration.merged[name]
+
+	return o, ok
+}
+
+// Answered returns the answer that a change id got.
+func (c *Catalog) Answered(changeID string) (Answer, bool) {
+	c.configuration.lock.RLock()
+	defer c.configuration.lock.RUnlock()
+	r, ok := c.configuration.answers.find(changeID)
+
+	return r.Answer, ok
+}
+
+func (c *Catalog) change(index uint64, change *Change, at int64) Answer {
+	c.configuration.lock.Lock()
+	defer c.configuration.lock.Unlock()
+	f := &c.configuration
+	digest := change.digest()
+	if first, repeated := f.answers.find(change.ID); repeated {
+		if first.Digest != digest {
+			return change.rejected("the change id was used before for a different change")
+		}
+
+		return first.Answer
+	}
+	answer := f.decide(change)
+	if answer.Outcome == OutcomeAccepted {
+		f.version++
+		answer.Version = f.version
+		c.store(index, change)
+	}
+	answer.Index = index
+	f.answers.add(remembered{Answer: answer, Digest: digest})
+	c.trail.append(Record{
+		Index: index, At: at, Operator: change.Operator, Action: change.action(), Object: change.Kind + "/" + change.Name,
+		ChangeID: change.ID, Base: change.Base, Version: answer.Version, Outcome: answer.Outcome, Digest: digest,
+	})
+
+	return answer
+}
+
+// decide checks a change against the state in force.
+func (f *configuration) decide(c *Change) Answer {
+	stamp, reason := f.current(c)
+	switch {
+	case reason != "":
+		return c.rejected(reason)
+	case stamp.Version != c.Base:
+		return c.conflict(stamp)
+	}
+	if reason := f.references(c); reason != "" {
+		return c.rejected(reason)
+	}
+
+	return Answer{ChangeID: c.ID, Outcome: OutcomeAccepted}
+}
+
+func (f *configuration) current(c *Change) (Stamp, string) {
+	switch {
+	case c.ID == "" || c.Operator == "" || c.Name == "":
+		return Stamp{}, "a change needs an id, an operator and an object name"
+	case c.Kind == KindTemplate && c.Organisation == nil:
+		return f.templates[c.Name].Changed, ""
+	case c.Kind == KindOrganisation && c.Template == nil:
+		return f.organisations[c.Name].Changed, ""
+	}
+
+	return Stamp{}, fmt.Sprintf("kind %q does not match the document; accepted: %s, %s", c.Kind, KindTemplate, KindOrganisation)
+}
+
+// references checks what a change presumes of other objects.
+func (f *configuration) references(c *Change) string {
+	switch {
+	case c.Organisation != nil && c.Organisation.Template != "":
+		if t, ok := f.templates[c.Organisation.Template]; !ok || t.Deleted {
+			return fmt.Sprintf("$.template: no template %q; accepted: %s", c.Organisation.Template, f.templateNames())
+		}
+	case c.Kind == KindTemplate && c.Template == nil:
+		if t, ok := f.templates[c.Name]; !ok || t.Deleted {
+			return "no such template"
+		}
+		if users := f.users(c.Name); len(users) > 0 {
+			return fmt.Sprintf("template is used by %d organisations, first %s", len(users), users[0])
+		}
+	case c.Kind == KindOrganisation && c.Organisation == nil:
+		if o, ok := f.organisations[c.Name]; !ok || o.Deleted {
+			return "no such organisation"
+		}
+	}
+
+	return ""
+}
+
+// users returns the organisations of a template in ascending order.
+func (f *configuration) users(template string) []string {
+	var names []string
+	for n, o := range f.organisations {
+		if !o.Deleted && o.Document.Template == template {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+
+	return names
+}
+
+func (f *configuration) templateNames() string {
+	names := []string{}
+	for n, t := range f.templates {
+		if !t.Deleted {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+
+	return fmt.Sprintf("%q", names)
+}
+
+func (c *Catalog) store(index uint64, change *Change) {
+	f := &c.configuration
+	stamp := Stamp{Operator: change.Operator, ChangeID: change.ID, Version: f.version}
+	if change.Kind == KindTemplate {
+		t := Template{Name: change.Name, Changed: stamp, Deleted: change.Template == nil}
+		if change.Template != nil {
+			t.Document = *change.Template
+		}
+		f.templates[change.Name] = t
+		for _, n := range f.users(change.Name) {
+			c.publish(index, n)
+		}
+
+		return
+	}
+	o := Organisation{Name: change.Name, Changed: stamp, Deleted: change.Organisation == nil}
+	if change.Organisation != nil {
+		o.Document = *change.Organisation
+	}
+	f.organisations[change.Name] = o
+	c.publish(index, change.Name)
+}
+
+// publish replaces what proxies see of an organisation.
+func (c *Catalog) publish(index uint64, name string) {
+	f := &c.configuration
+	f.merged[name] = f.merge(name, index)
+	c.journal.add(index, objectOrganisation, name)
+}
+
+func (f *configuration) merge(name string, index uint64) *lab.Organisation {
+	o := f.organisations[name]
+
+	return &lab.Organisation{
+		Name: name, Template: o.Document.Template, Databases: o.Document.Databases, Credential: o.Document.Credential,
+		Parameters: merge(f.templates[o.Document.Template].Document.Parameters, o.Document.Parameters),
+		Index:      index, Deleted: o.Deleted,
+	}
+}
+
+func (c *Change) action() string {
+	if c.Template == nil && c.Organisation == nil {
+		return "delete"
+	}
+
+	return "put"
+}
--- /dev/null
+++ b/control/version/labcatalog/delta.go
@@ -0,0 +1,50 @@
+package labcatalog
+
+import "laburnumlock.dev/lab"
+
+// Delta returns the objects that changed after a log index, or the full catalog when the index is 0 or too old.
+// An object that changes meanwhile may be newer than the delta's index; the next delta then carries it again.
+func (c *Catalog) Delta(since uint64) lab.Delta {
+	delta := lab.Delta{Since: since, Index: c.Index(), Version: c.Version()}
+	changes, kept := c.journal.since(since)
+	if !kept {
+		delta.Since = 0
+		c.full(&delta)
+
+		return delta
+	}
+	seen := make(map[changedObject]bool, len(changes))
+	for _, o := range changes {
+		o.index = 0
+		if !seen[o] {
+			seen[o] = true
+			c.include(&delta, o)
+		}
+	}
+
+	return delta
+}
+
+func (c *Catalog) include(delta *lab.Delta, o changedObject) {
+	if o.kind == objectDatabase {
+		if d, ok := c.Database(o.name); ok {
+			delta.Databases = append(delta.Databases, *d)
+		}
+
+		return
+	}
+	if g, ok := c.Organisation(o.name); ok {
+		delta.Organisations = append(delta.Organisations, *g)
+	}
+}
+
+func (c *Catalog) full(delta *lab.Delta) {
+	for _, n := range c.Databases() {
+		c.include(delta, changedObject{kind: objectDatabase, name: n})
+	}
+	for _, n := range c.Organisations() {
+		if o, ok := c.Organisation(n); ok && !o.Deleted {
+			delta.Organisations = append(delta.Organisations, *o)
+		}
+	}
+}
--- /dev/null
+++ b/control/version/labcatalog/fleet.go
@@ -0,0 +1,131 @@
+package labcatalog
+
+import (
+	"slices"
+	"sync"
+
+	"laburnumlock.dev/lab"
+)
+
+// proxy is what is known of one proxy, also after it left.
+type proxy struct {
+	Instance lab.Instance `msgpack:"i"`
+	Draining bool         `msgpack:"d"`
+	Live     bool         `msgpack:"l"`
+}
+
+// fleet holds the proxies and the duties placed on each.
+type fleet struct {
+	lock    sync.RWMutex
+	proxies map[lab.InstanceID]proxy
+	duties  map[lab.InstanceID]map[lab.Duty]bool
+}
+
+// Proxy describes a proxy of the fleet.
+type Proxy struct {
+	Instance lab.Instance
+	Draining bool
+}
+
+// Instance returns the newest known life of a proxy, and whether it is in the fleet now.
+func (c *Catalog) Instance(id lab.InstanceID) (instance lab.Instance, live bool) {
+	c.fleet.lock.RLock()
+	defer c.fleet.lock.RUnlock()
+	p := c.fleet.proxies[id]
+
+	return p.Instance, p.Live
+}
+
+// Proxies returns the proxies of the fleet in order of their ids.
+func (c *Catalog) Proxies() []Proxy {
+	c.fleet.lock.RLock()
+	defer c.fleet.lock.RUnlock()
+	list := make([]Proxy, 0, len(c.fleet.proxies))
+	for _, p := range c.fleet.proxies {
+		if p.Live {
+			list = append(list, Proxy{Instance: p.Instance, Draining: p.Draining})
+		}
+	}
+	slices.SortFunc(list, func(a, b Proxy) int {
+		if a.Instance.ID < b.Instance.ID {
+			return -1
+		}
+
+		return 1
+	})
+
+	return list
+}
+
+// Duties returns the duties placed on an instance in any order.
+func (c *Catalog) Duties(id lab.InstanceID) []lab.Duty {
+	c.fleet.lock.RLock()
+	defer c.fleet.lock.RUnlock()
+	list := make([]lab.Duty, 0, len(c.fleet.duties[id]))
+	for d := range c.fleet.duties[id] {
+		list = append(list, d)
+	}
+
+	return list
+}
+
+func (c *Catalog) joined(i lab.Instance) {
+	c.fleet.lock.Lock()
+	defer c.fleet.lock.Unlock()
+	old, known := c.fleet.proxies[i.ID]
+	if known && (i.Incarnation < old.Instance.Incarnation || (i.Incarnation == old.Instance.Incarnation && i != old.Instance)) {
+		return
+	}
+	for id, p := range c.fleet.proxies {
+		if id == i.ID || !p.Live || p.Instance.Address != i.Address {
+			continue
+		}
+		if known && i.Incarnation == old.Instance.Incarnation {
+			return // a late heartbeat of a process whose address another one uses now
+		}
+		p.Live = false // another process listens at its address, so this one has ended
+		c.fleet.proxies[id] = p
+	}
+	draining := known && old.Draining && old.Instance.Incarnation == i.Incarnation
+	c.fleet.proxies[i.ID] = proxy{Instance: i, Live: true, Draining: draining}
+}
+
+func (c *Catalog) draining(id lab.InstanceID) {
+	c.fleet.lock.Lock()
+	defer c.fleet.lock.Unlock()
+	if p, known := c.fleet.proxies[id]; known {
+		p.Draining = true
+		c.fleet.proxies[id] = p
+	}
+}
+
+func (c *Catalog) left(d Departure) {
+	c.fleet.lock.Lock()
+	defer c.fleet.lock.Unlock()
+	if p, known := c.fleet.proxies[d.Instance]; known && p.Instance.Incarnation == d.Incarnation {
+		p.Live = false
+		c.fleet.proxies[d.Instance] = p
+	}
+}
+
+func (f *fleet) move(duty lab.Duty, from, to lab.InstanceID) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if from != "" {
+		delete(f.duties[from], duty)
+	}
+	if to != "" {
+		if f.duties[to] == nil {
+			f.duties[to] = map[lab.Duty]bool{}
+		}
+		f.duties[to][duty] = true
+	}
+}
+
+// Draining reports whether a proxy takes no new duties because it is about to stop.
+func (c *Catalog) Draining(id lab.InstanceID) bool {
+	c.fleet.lock.RLock()
+	defer c.fleet.lock.RUnlock()
+
+	return c.fleet.proxies[id].Draining
+}
--- /dev/null
+++ b/control/version/labcatalog/memory.go
@@ -0,0 +1,34 @@
+package labcatalog
+
+// memoryLimit is how many change ids are remembered; at 690 changes a day this covers three weeks.
+const memoryLimit = 16384
+
+type remembered struct {
+	Answer Answer `msgpack:"a"`
+	Digest uint64 `msgpack:"d"`
+}
+
+// memory keeps the answers to the newest change ids in order of arrival.
+type memory struct {
+	order []remembered
+	found map[string]remembered
+}
+
+func (m *memory) add(r remembered) {
+	if m.found == nil {
+		m.found = map[string]remembered{}
+	}
+	if len(m.order) >= memoryLimit {
+		delete(m.found, m.order[0].Answer.ChangeID)
+		m.order[0] = remembered{}
+		m.order = m.order[1:]
+	}
+	m.order = append(m.order, r)
+	m.found[r.Answer.ChangeID] = r
+}
+
+func (m *memory) find(id string) (remembered, bool) {
+	r, ok := m.found[id]
+
+	return r, ok
+}
--- /dev/null
+++ b/control/version/labcatalog/placement.go
@@ -0,0 +1,67 @@
+package labcatalog
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+)
+
+var errStale = errors.New("base epoch is not in force")
+
+func (c *Catalog) place(index uint64, s PlacementSet) {
+	var from lab.InstanceID
+	target, _ := c.Instance(s.Instance)
+	err := c.editDatabase(index, s.Duty.Database, func(g *group) error {
+		old, _ := g.database.Placement(s.Duty.Region)
+		if old.Epoch != s.BaseEpoch {
+			return errStale
+		}
+		from = old.Instance
+		p := lab.Placement{Region: s.Duty.Region, Instance: s.Instance, Address: target.Address, Epoch: old.Epoch + 1}
+		list := slices.DeleteFunc(slices.Clone(g.database.Placements), func(p lab.Placement) bool {
+			return p.Region == s.Duty.Region
+		})
+		g.database.Placements = append(list, p)
+
+		return nil
+	})
+	if err == nil {
+		c.fleet.move(s.Duty, from, s.Instance)
+	}
+}
+
+func (c *Catalog) setRegistry(index uint64, s RegistrySet) {
+	_ = c.editDatabase(index, s.Database, func(g *group) error {
+		if g.database.Registry.Epoch != s.BaseEpoch {
+			return errStale
+		}
+		r := lab.RegistryPlacement{Epoch: s.BaseEpoch + 1}
+		for _, id := range s.Holders {
+			i, _ := c.Instance(id)
+			r.Holders = append(r.Holders, i)
+		}
+		g.database.Registry = r
+
+		return nil
+	})
+}
+
+// Wanted returns the grant that the catalog allows an instance for a duty, before any lease of others is considered.
+func (c *Catalog) Wanted(instance lab.Instance, duty lab.Duty) (grant lab.Grant, first, ok bool) {
+	g := c.group(duty.Database)
+	if g == nil {
+		return lab.Grant{}, false, false
+	}
+	p, placed := g.database.Placement(duty.Region)
+	if !placed || p.Instance != instance.ID || p.Address != instance.Address {
+		return lab.Grant{}, false, false
+	}
+	grant = lab.Grant{Duty: duty, Epoch: p.Epoch}
+	if m, known := g.database.Member(g.database.Primary); known && m.Region == duty.Region {
+		grant.Term, grant.Writable = g.database.Term(), true
+	}
+
+	return grant, p.Epoch == 1 && len(g.database.History) <= 1, true
+}
--- /dev/null
+++ b/control/version/labcatalog/trail.go
@@ -0,0 +1,113 @@
+package labcatalog
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// trailLimit bounds the audit records kept in memory and snapshots; at 690 changes a day this covers four weeks.
+const trailLimit = 20000
+
+// Record is one entry of the audit trail.
+type Record struct {
+	Sequence uint64 `json:"sequence"            msgpack:"q"`
+	Index    uint64 `json:"index"               msgpack:"x"` // log index
+	At       int64  `json:"at_ms"               msgpack:"a"` // proposer's calendar time in ms
+	Operator string `json:"operator"            msgpack:"o"`
+	Action   string `json:"action"              msgpack:"c"`
+	Object   string `json:"object"              msgpack:"n"`
+	ChangeID string `json:"change_id,omitempty" msgpack:"i"`
+	Base     uint64 `json:"base"                msgpack:"b"`
+	Version  uint64 `json:"version"             msgpack:"v"`
+	Outcome  string `json:"outcome"             msgpack:"u"`
+	Digest   uint64 `json:"digest"              msgpack:"d"` // xxhash of the change's document
+	Hash     []byte `json:"hash"                msgpack:"h"` // SHA-256 over the previous hash and the record without Hash
+}
+
+// ErrTampered is returned when the audit trail's hashes do not fit its records.
+var ErrTampered = errors.New("audit trail was tampered with")
+
+// trail is the hash-chained audit trail; records before the kept ones are represented by their last hash.
+type trail struct {
+	lock    sync.RWMutex
+	base    []byte // hash of the newest record that is no longer kept
+	next    uint64
+	records []Record
+}
+
+func (r Record) hash(previous []byte) ([]byte, error) {
+	r.Hash = nil
+	data, err := msgpack.Marshal(&r)
+	if err != nil {
+		return nil, errors.Newf("encode audit record: %w", err)
+	}
+	sum := sha256.Sum256(append(bytes.Clone(previous), data...))
+
+	return sum[:], nil
+}
+
+func (t *trail) append(r Record) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	previous := t.base
+	if n := len(t.records); n > 0 {
+		previous = t.records[n-1].Hash
+	}
+	t.next++
+	r.Sequence = t.next
+	hash, err := r.hash(previous)
+	if err != nil {
+		return // a record has only plain fields, which always encode
+	}
+	r.Hash = hash
+	if len(t.records) >= trailLimit {
+		t.base = t.records[0].Hash
+		t.records = t.records[1:]
+	}
+	t.records = append(t.records, r)
+}
+
+// Audit returns up to limit audit records with a sequence number above after.
+func (c *Catalog) Audit(after uint64, limit int) []Record {
+	c.trail.lock.RLock()
+	defer c.trail.lock.RUnlock()
+	var list []Record
+	for _, r := range c.trail.records {
+		if r.Sequence > after && len(list) < limit {
+			list = append(list, r)
+		}
+	}
+
+	return list
+}
+
+// Verify recomputes the audit trail's hash chain.
+func (c *Catalog) Verify() error {
+	c.trail.lock.RLock()
+	defer c.trail.lock.RUnlock()
+
+	return VerifyRecords(c.trail.base, c.trail.records, c.trail.next)
+}
+
+// VerifyRecords checks records against the hash before the first one and, unless last is 0, the last sequence number.
+func VerifyRecords(previous []byte, records []Record, last uint64) error {
+	for i, r := range records {
+		hash, err := r.hash(previous)
+		if err != nil {
+			return errors.Newf("verify audit record %d: %w", r.Sequence, err)
+		}
+		if !bytes.Equal(hash, r.Hash) || (i > 0 && r.Sequence != records[i-1].Sequence+1) {
+			return errors.Newf("verify audit record %d: %w", r.Sequence, ErrTampered)
+		}
+		previous = r.Hash
+	}
+	if n := len(records); last != 0 && (n == 0 || records[n-1].Sequence != last) {
+		return errors.Newf("verify audit trail up to record %d: %w", last, ErrTampered)
+	}
+
+	return nil
+}
