--- /dev/null
+++ b/control/process/labjournal/content.go
@@ -0,0 +1,138 @@
+package labjournal
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"laburnumlock.dev/lab"
+)
+
+// version of the file format.
+const version = 1
+
+// The first byte of a payload tells its type; the rest is msgpack.
+const (
+	tagBase byte = iota + 1
+	tagState
+	tagEntries
+)
+
+// base is the first record of a file.
+type base struct {
+	Version    int             `msgpack:"version"`
+	Generation uint64          `msgpack:"generation"`
+	State      lab.HardState   `msgpack:"state"`
+	Snapshot   lab.LogSnapshot `msgpack:"snapshot"`
+	Entries    []lab.LogEntry  `msgpack:"entries"`
+}
+
+// content is what the records of a file add up to.
+type content struct {
+	state    lab.HardState
+	snapshot lab.LogSnapshot
+	entries  []lab.LogEntry
+}
+
+func encodePayload(tag byte, value any) ([]byte, error) {
+	b, err := msgpack.Marshal(value)
+	if err != nil {
+		return nil, errors.Newf("encode record: %w", err)
+	}
+
+	return append([]byte{tag}, b...), nil
+}
+
+func (c *content) apply(sequence uint64, payload []byte) error {
+	if len(payload) == 0 || (sequence == 1) != (payload[0] == tagBase) {
+		return errors.New("unexpected record type")
+	}
+
+	switch payload[0] {
+	case tagBase:
+		return c.applyBase(payload[1:])
+	case tagState:
+		return errors.Wrap(msgpack.Unmarshal(payload[1:], &c.state), "decode state")
+	case tagEntries:
+		var e []lab.LogEntry
+		if err := msgpack.Unmarshal(payload[1:], &e); err != nil {
+			return errors.Newf("decode entries: %w", err)
+		}
+
+		return c.replaceFrom(e)
+	}
+
+	return errors.Newf("unknown record type %d", payload[0])
+}
+
+func (c *content) applyBase(b []byte) error {
+	var d base
+	if err := msgpack.Unmarshal(b, &d); err != nil {
+		return errors.Newf("decode base: %w", err)
+	}
+
+	if d.Version != version {
+		return errors.Newf("format version %d is not supported", d.Version)
+	}
+
+	c.state, c.snapshot = d.State, d.Snapshot
+	if len(d.Entries) == 0 {
+		return nil
+	}
+
+	return c.replaceFrom(d.Entries)
+}
+
+func (c *content) last() uint64 {
+	return c.snapshot.Index + uint64(len(c.entries))
+}
+
+// checkFrom reports an error unless the entries are consecutive and can follow what is stored.
+func (c *content) checkFrom(entries []lab.LogEntry) error {
+	if len(entries) == 0 {
+		return errors.New("no entries")
+	}
+
+	first := entries[0].Index
+	if first <= c.snapshot.Index || first > c.last()+1 {
+		return errors.Newf("entry %d does not follow snapshot %d and entry %d", first, c.snapshot.Index, c.last())
+	}
+
+	for i, e := range entries {
+		if e.Index != first+uint64(i) {
+			return errors.Newf("entry %d at the place of %d", e.Index, first+uint64(i))
+		}
+	}
+
+	return nil
+}
+
+// replaceFrom stores entries after removing those from the first one's index on.
+func (c *content) replaceFrom(entries []lab.LogEntry) error {
+	if err := c.checkFrom(entries); err != nil {
+		return err
+	}
+
+	n := entries[0].Index - c.snapshot.Index - 1
+	c.entries = append(c.entries[:n:n], entries...)
+
+	return nil
+}
+
+// after returns the entries to keep behind a snapshot: none when the stored log does not contain the snapshot's entry,
+// since what follows may then conflict with it.
+func (c *content) after(s lab.LogSnapshot) []lab.LogEntry {
+	if s.Index == c.snapshot.Index && s.Term == c.snapshot.Term {
+		return c.entries
+	}
+
+	if s.Index <= c.snapshot.Index || s.Index > c.last() {
+		return nil
+	}
+
+	n := s.Index - c.snapshot.Index
+	if c.entries[n-1].Term != s.Term {
+		return nil
+	}
+
+	return append([]lab.LogEntry(nil), c.entries[n:]...)
+}
--- /dev/null
+++ b/control/process/labjournal/disk.go
@@ -0,0 +1,77 @@
+package labjournal
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// disk is the operating system's file system.
+type disk struct{}
+
+func (d disk) MakeFolder(path string) error {
+	if _, err := os.Stat(path); err == nil {
+		return nil
+	}
+
+	parent := filepath.Dir(path)
+	if parent != path {
+		if err := d.MakeFolder(parent); err != nil {
+			return err
+		}
+	}
+
+	if err := os.Mkdir(path, 0o700); err != nil && !os.IsExist(err) {
+		return errors.Newf("make folder: %w", err)
+	}
+
+	return d.SyncFolder(parent)
+}
+
+func (disk) List(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, errors.Newf("list folder: %w", err)
+	}
+
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+
+	return names, nil
+}
+
+func (disk) Read(path string) ([]byte, error) {
+	return os.ReadFile(path)
+}
+
+func (disk) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
+func (disk) Open(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_APPEND, 0)
+}
+
+func (disk) Rename(from, to string) error {
+	return os.Rename(from, to)
+}
+
+func (disk) Remove(path string) error {
+	return os.Remove(path)
+}
+
+func (disk) SyncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return errors.Newf("open folder: %w", err)
+	}
+
+	if err := f.Sync(); err != nil {
+		return errors.Join(errors.Newf("sync folder: %w", err), f.Close())
+	}
+
+	return f.Close()
+}
--- /dev/null
+++ b/control/process/labjournal/journal_test.go
@@ -0,0 +1,310 @@
+package labjournal_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labjournal"
+)
+
+// stored is what a journal returns from Load.
+type stored struct {
+	state    lab.HardState
+	snapshot lab.LogSnapshot
+	entries  []lab.LogEntry
+}
+
+func (s stored) String() string { return fmt.Sprintf("%v", [...]any{s.state, s.snapshot, s.entries}) }
+
+func load(t *testing.T, j *labjournal.Journal) stored {
+	t.Helper()
+
+	s, n, e, err := j.Load()
+	assert.NilError(t, err)
+
+	return stored{s, n, e}
+}
+
+func entries(term uint64, indexes ...uint64) []lab.LogEntry {
+	e := make([]lab.LogEntry, 0, len(indexes))
+	for _, i := range indexes {
+		e = append(e, lab.LogEntry{Index: i, Term: term, Data: []byte(fmt.Sprintf("entry %d of %d", i, term))})
+	}
+
+	return e
+}
+
+func snapshot(index, term uint64) lab.LogSnapshot {
+	return lab.LogSnapshot{
+		Index: index, Term: term, Peers: []lab.InstanceID{"a", "b"}, Learners: []lab.InstanceID{"c"}, Data: []byte("data"),
+	}
+}
+
+// workload covers every kind of write; each step is one call.
+func workload(j *labjournal.Journal) []func() error {
+	state := func(term uint64, voted lab.InstanceID) func() error {
+		return func() error { return j.SaveState(lab.HardState{Term: term, Voted: voted}) }
+	}
+	add := func(e []lab.LogEntry) func() error { return func() error { return j.Append(e) } }
+	snap := func(s lab.LogSnapshot) func() error { return func() error { return j.SaveSnapshot(s) } }
+
+	return []func() error{
+		state(1, "a"), add(entries(1, 1, 2, 3)), state(2, ""), add(entries(2, 3, 4, 5, 6)), snap(snapshot(4, 2)),
+		state(3, "b"), add(entries(3, 6, 7)), add(entries(3, 8)), snap(snapshot(20, 5)), add(entries(5, 21)),
+	}
+}
+
+// states returns what is stored before each step of the workload and at its end.
+func states(t *testing.T) []string {
+	t.Helper()
+
+	steps := len(workload(nil))
+	all := make([]string, 0, steps+1)
+
+	for n := range steps + 1 {
+		d := newCrashDisk()
+		j := &labjournal.Journal{Folder: "j", Files: d}
+		load(t, j)
+
+		for _, w := range workload(j)[:n] {
+			assert.NilError(t, w())
+		}
+
+		again := &labjournal.Journal{Folder: "j", Files: d}
+		all = append(all, load(t, again).String())
+	}
+
+	return all
+}
+
+// Guards against forgetting, keeping or mixing up what a call stores.
+func TestStored(t *testing.T) {
+	d := t.TempDir()
+	j := &labjournal.Journal{Folder: filepath.Join(d, "new", "journal")}
+	load(t, j)
+
+	for _, w := range workload(j)[:8] {
+		assert.NilError(t, w())
+	}
+
+	assert.NilError(t, j.Close())
+
+	want := stored{
+		lab.HardState{Term: 3, Voted: "b"},
+		snapshot(4, 2),
+		slices.Concat(entries(2, 5), entries(3, 6, 7, 8)),
+	}
+	got := load(t, &labjournal.Journal{Folder: j.Folder})
+	assert.DeepEqual(t, got.String(), want.String())
+	assert.ErrorContains(t, j.SaveState(lab.HardState{}), "not loaded")
+
+	t.Run("gap", func(t *testing.T) {
+		k := &labjournal.Journal{Folder: j.Folder}
+		load(t, k)
+		assert.ErrorContains(t, k.Append(entries(3, 10)), "does not follow")
+		assert.ErrorContains(t, k.Append(entries(3, 4)), "does not follow")
+		assert.ErrorContains(t, k.SaveSnapshot(snapshot(3, 2)), "older")
+	})
+}
+
+// Guards against entries that conflict with an installed snapshot surviving behind it.
+func TestConflictingSuffix(t *testing.T) {
+	j := &labjournal.Journal{Folder: t.TempDir()}
+	load(t, j)
+	assert.NilError(t, j.Append(entries(1, 1, 2, 3, 4)))
+	assert.NilError(t, j.SaveSnapshot(snapshot(3, 2)))
+	assert.NilError(t, j.Close())
+	assert.Equal(t, len(load(t, &labjournal.Journal{Folder: j.Folder}).entries), 0)
+}
+
+func losses() map[string]loss {
+	synced := func(synced, _ []byte) []byte { return synced }
+	written := func(_, written []byte) []byte { return written }
+	half := func(synced, written []byte) []byte {
+		if len(written) < len(synced) {
+			return written
+		}
+
+		return written[:(len(synced)+len(written))/2]
+	}
+	garbled := func(synced, written []byte) []byte {
+		b := slices.Clone(written)
+		for i := len(synced); i < len(b); i += 7 {
+			b[i] ^= 0xff
+		}
+
+		return b
+	}
+	zeroed := func(synced, written []byte) []byte {
+		b := slices.Clone(written)
+		for i := len(synced); i < len(b); i++ {
+			b[i] = 0
+		}
+
+		return b
+	}
+
+	return map[string]loss{
+		"synced only": {true, synced}, "everything written": {false, written}, "synced content, all names": {false, synced},
+		"half": {false, half}, "garbled": {false, garbled}, "zeroed": {false, zeroed}, "half, old names": {true, half},
+	}
+}
+
+// Guards against losing a synced write, or showing part of one, after a crash at any operation.
+func TestCrashAtEveryOperation(t *testing.T) {
+	want := states(t)
+
+	for name, l := range losses() {
+		t.Run(name, func(t *testing.T) {
+			for at := 1; crashOnce(t, want, l, at, false) && crashOnce(t, want, l, at, true); at++ {
+				assert.Assert(t, at < 1000)
+			}
+		})
+	}
+}
+
+// crashOnce runs the workload up to a crash and checks what is recovered; it returns false when nothing crashed.
+func crashOnce(t *testing.T, want []string, l loss, at int, performs bool) bool {
+	t.Helper()
+
+	d := newCrashDisk()
+	d.crashAt, d.performs = at, performs
+	j := &labjournal.Journal{Folder: "j", Files: d}
+	done := 0
+
+	if _, _, _, err := j.Load(); err == nil {
+		for _, w := range workload(j) {
+			if err := w(); err != nil {
+				assert.Assert(t, errors.Is(err, errCrash))
+
+				break
+			}
+			done++
+		}
+	}
+
+	after := d.restart(l)
+	recovered := &labjournal.Journal{Folder: "j", Files: after}
+	got := load(t, recovered).String()
+	ok := got == want[done] || (done+1 < len(want) && got == want[done+1])
+	assert.Assert(t, ok, "crash at %d (%v) after %d calls: %s", at, performs, done, got)
+
+	// The recovered journal must go on storing, and what it returned must not depend on unsynced data.
+	assert.NilError(t, recovered.SaveState(lab.HardState{Term: 99}))
+
+	again := &labjournal.Journal{Folder: "j", Files: after.restart(losses()["synced only"])}
+	assert.Equal(t, load(t, again).state.Term, uint64(99))
+
+	return d.operations >= at
+}
+
+// Guards against acting on records that a killed process had written but not synced.
+func TestLoadSyncs(t *testing.T) {
+	d := newCrashDisk()
+	j := &labjournal.Journal{Folder: "j", Files: d}
+	load(t, j)
+	d.crashAt = d.operations + 2 // the sync after the write
+	assert.ErrorIs(t, j.SaveState(lab.HardState{Term: 7}), errCrash)
+
+	d.crashAt = 0
+	assert.Equal(t, load(t, &labjournal.Journal{Folder: "j", Files: d}).state.Term, uint64(7))
+
+	after := d.restart(losses()["synced only"])
+	assert.Equal(t, load(t, &labjournal.Journal{Folder: "j", Files: after}).state.Term, uint64(7))
+}
+
+// Guards against accepting damaged records: each single changed byte must be reported with file and offset, except in
+// the last record, which is cut like a torn one.
+func TestEveryChangedByte(t *testing.T) {
+	folder := t.TempDir()
+	j := &labjournal.Journal{Folder: folder}
+	load(t, j)
+
+	path := filepath.Join(folder, "journal-0000000000000001.log")
+	starts := make([]int64, 1, 5) // the base begins at 0
+
+	for _, w := range workload(j)[:4] {
+		s, err := os.Stat(path)
+		assert.NilError(t, err)
+		starts = append(starts, s.Size())
+		assert.NilError(t, w())
+	}
+
+	whole, err := os.ReadFile(path)
+	assert.NilError(t, err)
+
+	for i := range whole {
+		b := slices.Clone(whole)
+		b[i] ^= 0x55
+		assert.NilError(t, os.WriteFile(path, b, 0o600))
+
+		damaged := &labjournal.Journal{Folder: folder}
+		_, _, got, err := damaged.Load()
+		assert.NilError(t, damaged.Close())
+
+		if int64(i) >= starts[len(starts)-1] {
+			assert.NilError(t, err)
+			assert.Equal(t, len(got), 3, "byte %d", i)
+
+			continue
+		}
+
+		n := 0
+		for n+1 < len(starts) && starts[n+1] <= int64(i) {
+			n++
+		}
+
+		var e *labjournal.DamageError
+
+		assert.Assert(t, errors.As(err, &e), "byte %d: %v", i, err)
+		assert.Equal(t, e.File, path)
+		assert.Equal(t, e.Offset, starts[n], "byte %d", i)
+	}
+}
+
+// Guards against a torn record keeping the journal from starting, at every length of the torn part.
+func TestTornTail(t *testing.T) {
+	folder := t.TempDir()
+	j := &labjournal.Journal{Folder: folder}
+	load(t, j)
+	assert.NilError(t, j.SaveState(lab.HardState{Term: 1}))
+
+	path := filepath.Join(folder, "journal-0000000000000001.log")
+	first, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.NilError(t, j.Append(entries(1, 1, 2)))
+
+	whole, err := os.ReadFile(path)
+	assert.NilError(t, err)
+
+	for n := len(first); n < len(whole); n++ {
+		assert.NilError(t, os.WriteFile(path, whole[:n], 0o600))
+
+		torn := &labjournal.Journal{Folder: folder}
+		got := load(t, torn)
+		assert.Equal(t, got.state.Term, uint64(1))
+		assert.Equal(t, len(got.entries), 0)
+
+		assert.NilError(t, torn.Append(entries(2, 1)))
+		assert.NilError(t, torn.Close())
+		assert.Equal(t, len(load(t, &labjournal.Journal{Folder: folder}).entries), 1)
+	}
+}
+
+// Guards against writing behind a record whose sync failed, which would turn a torn record into damage.
+func TestFailedSync(t *testing.T) {
+	d := newCrashDisk()
+	j := &labjournal.Journal{Folder: "j", Files: d}
+	load(t, j)
+	d.crashAt, d.recovers = d.operations+2, true
+	assert.ErrorIs(t, j.SaveState(lab.HardState{Term: 7}), errCrash)
+	assert.ErrorContains(t, j.SaveState(lab.HardState{Term: 8}), "earlier write failed")
+	assert.ErrorContains(t, j.SaveSnapshot(snapshot(1, 1)), "earlier write failed")
+}
--- /dev/null
+++ b/control/process/labjournal/load.go
@@ -0,0 +1,172 @@
+package labjournal
+
+import (
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+)
+
+// Load returns everything stored, after cutting a torn last record; it fails with a DamageError on other damage.
+func (j *Journal) Load() (lab.HardState, lab.LogSnapshot, []lab.LogEntry, error) {
+	if err := j.load(); err != nil {
+		return lab.HardState{}, lab.LogSnapshot{}, nil, errors.Newf("load journal: %w", err)
+	}
+
+	c := &j.content
+
+	return c.state, c.snapshot, slices.Clone(c.entries), nil
+}
+
+func (j *Journal) load() error {
+	if j.file != nil {
+		return errors.New("journal is already loaded")
+	}
+
+	if err := j.files().MakeFolder(j.Folder); err != nil {
+		return err
+	}
+
+	names, err := j.files().List(j.Folder)
+	if err != nil {
+		return err
+	}
+
+	j.generation = 0
+	for _, n := range names {
+		j.generation = max(j.generation, generationOf(n))
+	}
+
+	if j.generation == 0 {
+		err = j.startGeneration(content{})
+	} else {
+		err = j.read()
+	}
+
+	if err != nil {
+		return err
+	}
+
+	return j.removeOthers(names)
+}
+
+// generationOf returns the generation in the name of a journal file, 0 for other names.
+func generationOf(name string) uint64 {
+	s, ok := strings.CutPrefix(name, filePrefix)
+	if !ok {
+		return 0
+	}
+
+	s, ok = strings.CutSuffix(s, fileSuffix)
+	if !ok {
+		return 0
+	}
+
+	g, err := strconv.ParseUint(s, 16, 64)
+	if err != nil {
+		return 0
+	}
+
+	return g
+}
+
+// read loads the current generation. Complete records and names that a killed process left unsynced are synced, so
+// that nothing acted upon can be lost later.
+func (j *Journal) read() error {
+	b, err := j.files().Read(j.path(fileSuffix))
+	if err != nil {
+		return errors.Newf("read journal file: %w", err)
+	}
+
+	size, err := j.scan(b)
+	if err != nil {
+		return err
+	}
+
+	f, err := j.files().Open(j.path(fileSuffix))
+	if err != nil {
+		return errors.Newf("open journal file: %w", err)
+	}
+
+	if err := j.secure(f, int64(size), size < len(b)); err != nil {
+		return errors.Join(err, f.Close())
+	}
+
+	j.file = f
+
+	return nil
+}
+
+func (j *Journal) secure(f File, size int64, torn bool) error {
+	if torn {
+		if err := f.Truncate(size); err != nil {
+			return errors.Newf("cut torn record: %w", err)
+		}
+	}
+
+	if err := f.Sync(); err != nil {
+		return errors.Newf("sync journal file: %w", err)
+	}
+
+	return errors.Wrap(j.files().SyncFolder(j.Folder), "sync folder")
+}
+
+// scan applies the records of a file and returns the size of the valid part.
+func (j *Journal) scan(b []byte) (int, error) {
+	j.content, j.sequence = content{}, 0
+	offset := 0
+
+	for offset < len(b) {
+		s, p, err := decodeRecord(b[offset:])
+		if err != nil && j.sequence > 0 && !follows(b[offset+1:], j.sequence+1) {
+			return offset, nil
+		}
+
+		if err == nil && s != j.sequence+1 {
+			err = errSequence
+		}
+
+		if err == nil {
+			err = j.content.apply(s, p)
+		}
+
+		if err != nil {
+			return 0, j.damage(offset, err)
+		}
+
+		j.sequence = s
+		offset += headerSize + len(p)
+	}
+
+	if j.sequence == 0 {
+		return 0, j.damage(0, errShort)
+	}
+
+	return offset, nil
+}
+
+func (j *Journal) damage(offset int, err error) error {
+	return &DamageError{File: j.path(fileSuffix), Offset: int64(offset), Err: err}
+}
+
+// removeOthers removes older generations and unfinished files.
+func (j *Journal) removeOthers(names []string) error {
+	current := filepath.Base(j.path(fileSuffix))
+
+	for _, n := range names {
+		own := strings.HasPrefix(n, filePrefix) && (strings.HasSuffix(n, tempSuffix) || generationOf(n) > 0)
+		if !own || n == current {
+			continue
+		}
+
+		if err := j.files().Remove(filepath.Join(j.Folder, n)); err != nil {
+			return errors.Newf("remove %s: %w", n, err)
+		}
+	}
+
+	return nil
+}
--- /dev/null
+++ b/control/process/labjournal/record.go
@@ -0,0 +1,69 @@
+package labjournal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A record is a header and a payload. The header holds the payload's length (4 bytes), the record's sequence number in
+// the file (8), the checksum of the payload (4) and the checksum of the header so far (4), all little-endian.
+const (
+	headerSize  = 20
+	headerSaved = 16 // bytes covered by the header's checksum
+)
+
+var (
+	errShort    = errors.New("record is incomplete")
+	errHeader   = errors.New("header checksum does not match")
+	errPayload  = errors.New("payload checksum does not match")
+	errSequence = errors.New("record is out of sequence")
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func encodeRecord(sequence uint64, payload []byte) []byte {
+	b := make([]byte, headerSize, headerSize+len(payload))
+	binary.LittleEndian.PutUint32(b, uint32(len(payload)))
+	binary.LittleEndian.PutUint64(b[4:], sequence)
+	binary.LittleEndian.PutUint32(b[12:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(b[16:], crc32.Checksum(b[:headerSaved], castagnoli))
+
+	return append(b, payload...)
+}
+
+// decodeRecord returns the sequence number and payload of the record at the start of b.
+func decodeRecord(b []byte) (sequence uint64, payload []byte, err error) {
+	if len(b) < headerSize {
+		return 0, nil, errShort
+	}
+
+	if crc32.Checksum(b[:headerSaved], castagnoli) != binary.LittleEndian.Uint32(b[16:]) {
+		return 0, nil, errHeader
+	}
+
+	n := int64(binary.LittleEndian.Uint32(b))
+	if int64(len(b)-headerSize) < n {
+		return 0, nil, errShort
+	}
+
+	payload = b[headerSize : headerSize+n]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(b[12:]) {
+		return 0, nil, errPayload
+	}
+
+	return binary.LittleEndian.Uint64(b[4:]), payload, nil
+}
+
+// follows reports whether a valid record with a higher sequence number begins anywhere in b.
+func follows(b []byte, sequence uint64) bool {
+	for i := 0; i+headerSize <= len(b); i++ {
+		s, _, err := decodeRecord(b[i:])
+		if err == nil && s > sequence {
+			return true
+		}
+	}
+
+	return false
+}
