--- /dev/null
+++ b/control/process/labinstance/instance.go
@@ -0,0 +1,286 @@
+package labinstance
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labconsensus"
+	"laburnumlock.dev/lab/control/process/labcontrol"
+	"laburnumlock.dev/lab/control/process/labjournal"
+	"laburnumlock.dev/lab/control/process/labprober"
+	"laburnumlock.dev/lab/control/process/labreplica"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/process/labhttp"
+	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/process/labmetrics"
+	"laburnumlock.dev/lab/process/labrandom"
+	"laburnumlock.dev/lab/process/labtransport"
+	"laburnumlock.dev/lab/version/labsettings"
+)
+
+const dataMode = 0o750
+
+// Instance is one control process. Settings.Peers may still be changed between Listen and Run, so that a deployment on
+// free ports can be started in one process.
+type Instance struct {
+	Settings *labsettings.Control
+	Logger   zerolog.Logger
+
+	identity  *labkeys.Identity
+	transport *labtransport.Transport
+	operators *labhttp.Server
+	announce  *labhttp.Server
+	metrics   *labhttp.Server
+	journal   lab.Journal
+	group     *labconsensus.Group
+	server    *labcontrol.Server
+	senders   map[lab.InstanceID]*sender
+	variables expvar.Map
+}
+
+// Listen loads keys and journal and opens all sockets.
+func (i *Instance) Listen(ctx context.Context) error {
+	s := i.Settings
+
+	i.identity = &labkeys.Identity{Folder: s.KeysFolder, Name: s.Instance}
+	if err := i.identity.Load(); err != nil {
+		return errors.Newf("load identity: %w", err)
+	}
+
+	if err := os.MkdirAll(s.DataFolder, dataMode); err != nil {
+		return errors.Newf("create data folder: %w", err)
+	}
+
+	i.transport = &labtransport.Transport{Address: s.ProcessAddress, Identity: i.identity, Log: i.Logger}
+	if err := i.transport.Listen(); err != nil {
+		return err
+	}
+
+	i.operators = &labhttp.Server{Address: s.OperatorAddress, TLS: i.identity.TLS("http/1.1")}
+	i.announce = &labhttp.Server{Address: s.AnnounceAddress}
+	i.metrics = &labhttp.Server{Address: s.MetricsAddress, Handler: labmetrics.Handler(&i.variables)}
+
+	for _, h := range []*labhttp.Server{i.operators, i.announce, i.metrics} {
+		if err := h.Listen(ctx); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// ProcessAddress returns the transport's host:port after Listen.
+func (i *Instance) ProcessAddress() string {
+	return i.transport.Bound()
+}
+
+// OperatorAddress returns the host:port of the operators' HTTPS API after Listen.
+func (i *Instance) OperatorAddress() string {
+	return i.operators.Bound()
+}
+
+// AnnounceAddress returns the host:port for upstreams' announcements after Listen.
+func (i *Instance) AnnounceAddress() string {
+	return i.announce.Bound()
+}
+
+// MetricsAddress returns the host:port of the metrics after Listen.
+func (i *Instance) MetricsAddress() string {
+	return i.metrics.Bound()
+}
+
+// Leading reports whether this instance leads the control group.
+func (i *Instance) Leading() bool {
+	return i.group != nil && i.group.Leadership().Self
+}
+
+// Run takes part in the deployment until the context ends.
+func (i *Instance) Run(ctx context.Context) error {
+	if err := i.wire(); err != nil {
+		return err
+	}
+
+	defer func() { _ = i.journal.Close() }()
+
+	g, ctx := errgroup.WithContext(ctx)
+
+	for _, run := range []func(context.Context) error{
+		i.transport.Run, i.group.Run, i.operators.Run, i.announce.Run, i.metrics.Run, i.server.Run,
+	} {
+		g.Go(func() error { return ended(ctx, run(ctx)) })
+	}
+
+	for _, s := range i.senders {
+		g.Go(func() error {
+			s.run(ctx)
+
+			return nil
+		})
+	}
+
+	i.Logger.Info().Str("process_address", i.ProcessAddress()).Str("operator_address", i.OperatorAddress()).
+		Str("announce_address", i.AnnounceAddress()).Msg("control_started")
+
+	if err := g.Wait(); err != nil {
+		return errors.Newf("run control instance: %w", err)
+	}
+
+	i.Logger.Info().Msg("control_stopped")
+
+	return nil
+}
+
+// ended drops the error with which a part ends because it was asked to.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		return nil
+	}
+
+	return err
+}
+
+func (i *Instance) wire() error {
+	s := i.Settings
+	self := lab.Instance{
+		ID: lab.InstanceID(s.Instance), Incarnation: uint64(time.Now().UnixNano()),
+		Region: s.Region, AvailabilityZone: s.AvailabilityZone, Address: i.ProcessAddress(),
+	}
+	clock, random, catalog := labclock.New(), labrandom.New(), labcatalog.New()
+
+	i.journal = &labjournal.Journal{Folder: filepath.Join(s.DataFolder, "journal")}
+
+	i.senders = map[lab.InstanceID]*sender{}
+	i.group = &labconsensus.Group{
+		ID: self.ID, Journal: i.journal, Clock: clock, Random: random, Machine: catalog, Send: i.send,
+		SnapshotEvery: uint64(s.SnapshotEntries),
+	}
+	addresses, operators := map[lab.InstanceID]string{}, map[lab.InstanceID]string{}
+
+	for _, p := range s.Peers {
+		id := lab.InstanceID(p.Instance)
+		addresses[id], operators[id] = p.ProcessAddress, "https://"+p.OperatorAddress
+
+		if !s.Join {
+			i.group.Voters = append(i.group.Voters, id)
+		}
+
+		if id != self.ID {
+			i.senders[id] = newSender(i.transport, p.ProcessAddress)
+		}
+	}
+
+	password, err := Password(s.UpstreamPasswordFile)
+	if err != nil {
+		return err
+	}
+
+	i.server = &labcontrol.Server{
+		Log: i.group, Catalog: catalog, Clock: clock, Random: random, Peers: i.transport, Self: self,
+		Prober: &labprober.Prober{User: s.UpstreamUser, Password: password}, Addresses: addresses, Operators: operators,
+		Logger: i.Logger,
+	}
+	i.handle()
+
+	return nil
+}
+
+func (i *Instance) send(to lab.InstanceID, m labreplica.Message) {
+	if s, ok := i.senders[to]; ok {
+		s.send(m)
+	}
+}
+
+func (i *Instance) handle() {
+	i.transport.HandleCall(lab.MethodConsensus, i.handleConsensus)
+	i.transport.HandleCall(lab.MethodHeartbeat, i.handleHeartbeat)
+	i.transport.HandleCall(labcontrol.MethodHeartbeatBatch, i.handleBatch)
+	i.operators.Handler = onlyOperators(i.server.Handler())
+	i.announce.Handler = onlyAnnouncements(i.server.Handler())
+	i.variables.Set("transport", i.transport.Variables())
+}
+
+func (i *Instance) handleConsensus(_ context.Context, from lab.InstanceID, decode func(any) error) (any, error) {
+	if _, ok := i.senders[from]; !ok {
+		return nil, errors.Newf("%s is not a control instance", from)
+	}
+
+	var b batch
+	if err := decode(&b); err != nil {
+		return nil, err
+	}
+
+	for _, m := range b.Messages {
+		i.group.Deliver(m)
+	}
+
+	return nil, nil
+}
+
+func (i *Instance) handleHeartbeat(ctx context.Context, from lab.InstanceID, decode func(any) error) (any, error) {
+	var h lab.Heartbeat
+	if err := decode(&h); err != nil {
+		return nil, err
+	}
+
+	return i.server.HandleHeartbeat(ctx, from, h)
+}
+
+func (i *Instance) handleBatch(ctx context.Context, from lab.InstanceID, decode func(any) error) (any, error) {
+	if _, ok := i.senders[from]; !ok {
+		return nil, errors.Newf("%s is not a control instance", from)
+	}
+
+	var b labcontrol.HeartbeatBatch
+	if err := decode(&b); err != nil {
+		return nil, err
+	}
+
+	return i.server.HandleHeartbeatBatch(ctx, from, b)
+}
+
+// onlyAnnouncements leaves out the operators' paths, since upstreams have no certificates.
+func onlyAnnouncements(next http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/announcements", next)
+
+	return mux
+}
+
+func onlyOperators(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS == nil || labkeys.PeerRole(*r.TLS) != labkeys.RoleOperator {
+			http.Error(w, "an operator's certificate is needed", http.StatusForbidden)
+
+			return
+		}
+
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Password returns the first line of a file, or nothing when the file name is empty.
+func Password(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return "", errors.Newf("read upstream password: %w", err)
+	}
+
+	line, _, _ := strings.Cut(string(b), "\n")
+
+	return strings.TrimRight(line, "\r"), nil
+}
--- /dev/null
+++ b/ctl/request/laboperator/doc.go
@@ -0,0 +1,2 @@
+// Package laboperator calls the operators' API of the control instances.
+package laboperator
