--- /dev/null
+++ b/proxy/connection/labscram/credential.go
@@ -0,0 +1,71 @@
+package labscram
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+
+	"github.com/cockroachdb/errors"
+	"github.com/xdg-go/scram"
+
+	"laburnumlock.dev/lab"
+)
+
+// Iterations is the PBKDF2 iteration count of new credentials, PostgreSQL's default.
+const Iterations = 4096
+
+const saltSize = 16 // bytes, as in PostgreSQL
+
+// NewCredential derives the stored verifier of a password with a random salt.
+func NewCredential(password string) (lab.Credential, error) {
+	salt := make([]byte, saltSize)
+	if _, err := rand.Read(salt); err != nil {
+		return lab.Credential{}, errors.Newf("read random salt: %w", err)
+	}
+
+	return Derive(password, salt, Iterations)
+}
+
+// Derive computes the stored verifier of a password for a salt and an iteration count.
+func Derive(password string, salt []byte, iterations int) (lab.Credential, error) {
+	c, err := scram.SHA256.NewClient("", password, "")
+	if err != nil {
+		// PostgreSQL and its clients use a password as it is when SASLprep rejects it.
+		c, err = scram.SHA256.NewClientUnprepped("", password, "")
+	}
+
+	if err != nil {
+		return lab.Credential{}, errors.Newf("prepare password: %w", err)
+	}
+
+	stored, err := c.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: iterations})
+	if err != nil {
+		return lab.Credential{}, errors.Newf("derive credential: %w", err)
+	}
+
+	return lab.Credential{
+		Iterations: iterations,
+		Salt:       salt,
+		StoredKey:  stored.StoredKey,
+		ServerKey:  stored.ServerKey,
+	}, nil
+}
+
+// Decoy returns a credential that no password matches, with a salt that is always the same for a user, so that an
+// unknown user sees the same exchange as a wrong password.
+func Decoy(secret []byte, user string) lab.Credential {
+	derive := func(label string) []byte {
+		m := hmac.New(sha256.New, secret)
+		_, _ = m.Write([]byte(label))
+		_, _ = m.Write([]byte(user))
+
+		return m.Sum(nil)
+	}
+
+	return lab.Credential{
+		Iterations: Iterations,
+		Salt:       derive("salt")[:saltSize],
+		StoredKey:  derive("stored"),
+		ServerKey:  derive("server"),
+	}
+}
--- /dev/null
+++ b/proxy/connection/labscram/doc.go
@@ -0,0 +1,2 @@
+// Package labscram authenticates callers by SCRAM-SHA-256.
+package labscram
--- /dev/null
+++ b/proxy/connection/labscram/exchange.go
@@ -0,0 +1,45 @@
+package labscram
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/xdg-go/scram"
+
+	"laburnumlock.dev/lab"
+)
+
+// Mechanism is the SASL mechanism offered to callers.
+const Mechanism = "SCRAM-SHA-256"
+
+// ErrRefused is returned when the caller's proof does not match the credential.
+var ErrRefused = errors.New("password authentication failed")
+
+// Exchange is the server side of one authentication.
+type Exchange struct {
+	conversation *scram.ServerConversation
+}
+
+// NewExchange starts an authentication against a credential.
+func NewExchange(credential lab.Credential) (*Exchange, error) {
+	s, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+		return scram.StoredCredentials{
+			KeyFactors: scram.KeyFactors{Salt: string(credential.Salt), Iters: credential.Iterations},
+			StoredKey:  credential.StoredKey,
+			ServerKey:  credential.ServerKey,
+		}, nil
+	})
+	if err != nil {
+		return nil, errors.Newf("create scram server: %w", err)
+	}
+
+	return &Exchange{conversation: s.NewConversation()}, nil
+}
+
+// Step answers one message of the caller; done is true with the last answer of a successful exchange.
+func (e *Exchange) Step(message string) (answer string, done bool, err error) {
+	answer, err = e.conversation.Step(message)
+	if err != nil {
+		return "", false, errors.Newf("%w: %w", ErrRefused, err)
+	}
+
+	return answer, e.conversation.Done() && e.conversation.Valid(), nil
+}
--- /dev/null
+++ b/proxy/connection/labsession/begin.go
@@ -0,0 +1,257 @@
+package labsession
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"laburnumlock.dev/lab/proxy/connection/labtoken"
+	"laburnumlock.dev/lab/proxy/request/labstatement"
+)
+
+// Sizes of cancel keys' secrets: protocol 3.0 has room for 4 bytes only.
+const (
+	shortSecret = 4
+	longSecret  = 16
+)
+
+const forwardTimeout = 5 * time.Second
+
+// reported are the parameter values that a session starts with.
+var reported = map[string]string{
+	"server_version":              "16.0 (laburnumlock)",
+	"server_encoding":             "UTF8",
+	"client_encoding":             "UTF8",
+	"DateStyle":                   "ISO, MDY",
+	"TimeZone":                    "UTC",
+	"IntervalStyle":               "postgres",
+	"integer_datetimes":           "on",
+	"standard_conforming_strings": "on",
+	"is_superuser":                "off",
+}
+
+// begin makes an authenticated session ready.
+func (s *Session) begin(l *login) *failure {
+	s.organisation = l.parameters["user"]
+
+	s.database = l.parameters["database"]
+	if s.database == "" {
+		s.database = s.organisation
+	}
+
+	o, ok := s.server.Routes.Organisation(s.organisation)
+	if !ok || !slices.Contains(o.Databases, s.database) {
+		return &failure{codeNoDatabase, "database \"" + s.database + "\" does not exist", "name one of the organisation's databases"}
+	}
+
+	if failed := s.startupOptions(l.parameters); failed != nil {
+		return failed
+	}
+
+	secret := s.secret(l.minor)
+
+	id, err := s.server.Keys.add(s, secret)
+	if err != nil {
+		return &failure{codeTooMany, err.Error(), ""}
+	}
+
+	s.processID = id
+	s.phase = nil
+	s.server.Counters.Logins.Add(1)
+	s.conn.Send(s.greeting(l.parameters, secret))
+
+	return nil
+}
+
+func (s *Session) secret(minor uint32) []byte {
+	size := shortSecret
+	if minor >= 2 {
+		size = longSecret
+	}
+
+	secret := make([]byte, 0, longSecret)
+	for len(secret) < size {
+		secret = binary.BigEndian.AppendUint64(secret, s.server.Random.Uint64())
+	}
+
+	return secret[:size]
+}
+
+func (s *Session) greeting(parameters map[string]string, secret []byte) []byte {
+	values := maps.Clone(reported)
+	maps.Copy(values, s.server.Parameters)
+	values["session_authorization"] = s.organisation
+	values["application_name"] = parameters["application_name"]
+
+	for _, c := range s.settings.startup {
+		for n := range values {
+			if strings.EqualFold(n, c.setting.Name) {
+				values[n] = c.setting.Value
+			}
+		}
+	}
+
+	out := encode(&pgproto3.AuthenticationOk{})
+	for _, n := range slices.Sorted(maps.Keys(values)) {
+		out = append(out, encode(&pgproto3.ParameterStatus{Name: n, Value: values[n]})...)
+	}
+
+	out = append(out, s.tokenStatus()...)
+	out = append(out, encode(&pgproto3.BackendKeyData{ProcessID: s.processID, SecretKey: secret})...)
+
+	return append(out, encode(&pgproto3.ReadyForQuery{TxStatus: statusIdle})...)
+}
+
+// startupOptions applies the parameters of the startup packet.
+func (s *Session) startupOptions(parameters map[string]string) *failure {
+	parameters, failed := withCommandLine(parameters)
+	if failed != nil {
+		return failed
+	}
+
+	s.token = labtoken.New(parameters[parameterSession])
+
+	if text := parameters[parameterToken]; text != "" {
+		t, err := s.server.Codec.Decode(text)
+		if err != nil {
+			return &failure{codeInvalidParameter, err.Error(), "present the last token that a proxy reported, or none"}
+		}
+
+		s.token = t
+	}
+
+	if s.token.Session() == "" {
+		s.token = labtoken.New(s.sessionID())
+	}
+
+	if n := s.token.Session(); !labstatement.ValidName(n) {
+		return &failure{codeInvalidParameter, "invalid session id", "use at most 128 letters, digits and _.:-"}
+	}
+
+	for _, n := range slices.Sorted(maps.Keys(parameters)) {
+		if failed := s.startupOption(n, parameters[n]); failed != nil {
+			return failed
+		}
+	}
+
+	s.settings.active = s.settings.startup
+
+	return nil
+}
+
+func (s *Session) sessionID() string {
+	return hex.EncodeToString(binary.BigEndian.AppendUint64(
+		binary.BigEndian.AppendUint64(nil, s.server.Random.Uint64()), s.server.Random.Uint64()))
+}
+
+func (s *Session) startupOption(name, value string) *failure {
+	lower := strings.ToLower(name)
+
+	switch lower {
+	case "user", "database", "options", "application_name", parameterToken, parameterSession:
+		return nil
+	case "replication":
+		if on, err := strconv.ParseBool(value); err == nil && !on {
+			return nil
+		}
+
+		return &failure{codeNotSupported, "replication connections are not supported through the proxy", "connect to the database directly"}
+	}
+
+	if strings.HasPrefix(lower, "_pq_.") || unchanged(lower, value) {
+		return nil
+	}
+
+	if strings.HasPrefix(lower, labstatement.Prefix) {
+		return s.setOwn(labstatement.Setting{Name: lower, Value: value})
+	}
+
+	c := quoteSetting(name, value)
+	if failed := refusedSetting(c.setting); failed != nil {
+		return failed
+	}
+
+	s.settings.startup = append(s.settings.startup, c)
+
+	return nil
+}
+
+// unchanged reports whether a startup parameter has the value that upstream sessions have anyway.
+func unchanged(name, value string) bool {
+	value = strings.ToLower(strings.Trim(value, `'"`))
+
+	switch name {
+	case "client_encoding":
+		return value == "utf8" || value == "utf-8" || value == "unicode"
+	case "datestyle":
+		return value == "iso" || value == "iso, mdy" || value == "iso,mdy"
+	case "timezone":
+		return value == "utc"
+	case "extra_float_digits":
+		n, err := strconv.Atoi(value)
+
+		return err == nil && n >= 1 && n <= 3 // all the same since PostgreSQL 12
+	}
+
+	return false
+}
+
+// withCommandLine adds the -c and -- settings of the startup parameter "options" to the parameters; they give way to
+// parameters of their own.
+func withCommandLine(parameters map[string]string) (map[string]string, *failure) {
+	all := make(map[string]string, len(parameters))
+
+	words := strings.Fields(strings.ReplaceAll(parameters["options"], `\ `, "\x00"))
+	for i := 0; i < len(words); i++ {
+		w := words[i]
+
+		switch {
+		case w == "-c" && i+1 < len(words):
+			i++
+			w = words[i]
+		case strings.HasPrefix(w, "-c"):
+			w = w[2:]
+		case strings.HasPrefix(w, "--"):
+			w = strings.ReplaceAll(w[2:], "-", "_")
+		default:
+			return nil, &failure{codeInvalidParameter, "unsupported command-line option " + w, "use -c name=value"}
+		}
+
+		name, value, ok := strings.Cut(strings.ReplaceAll(w, "\x00", " "), "=")
+		if !ok {
+			return nil, &failure{codeInvalidParameter, "command-line option " + w + " requires a value", ""}
+		}
+
+		all[name] = value
+	}
+
+	maps.Copy(all, parameters)
+
+	return all, nil
+}
+
+// cancel handles a cancel request.
+func (v *Server) cancel(key CancelKey) {
+	switch {
+	case key.Proxy() == v.Keys.Proxy:
+		if v.Keys.Cancel(key) {
+			v.Counters.Cancels.Add(1)
+		} else {
+			v.Counters.CancelsLost.Add(1)
+		}
+	case v.Forward != nil:
+		ctx, done := context.WithTimeout(context.Background(), forwardTimeout)
+		defer done()
+
+		v.Forward(ctx, key.Proxy(), key)
+	default:
+		v.Counters.CancelsLost.Add(1)
+	}
+}
--- /dev/null
+++ b/proxy/connection/labsession/extended.go
@@ -0,0 +1,311 @@
+package labsession
+
+import (
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"laburnumlock.dev/lab/proxy/request/labframe"
+	"laburnumlock.dev/lab/proxy/request/labstatement"
+)
+
+var (
+	messageParseComplete   = encode(&pgproto3.ParseComplete{})
+	messageBindComplete    = encode(&pgproto3.BindComplete{})
+	messageCloseComplete   = encode(&pgproto3.CloseComplete{})
+	messageNoData          = encode(&pgproto3.NoData{})
+	messageNoParameters    = encode(&pgproto3.ParameterDescription{})
+	messageEmptyQuery      = encode(&pgproto3.EmptyQueryResponse{})
+	errorMalformed         = &failure{codeProtocolViolation, "malformed message", ""}
+	errorMultipleStatement = &failure{"42601", "cannot insert multiple commands into a prepared statement", ""}
+)
+
+// collect adds an extended message to the unit that the next Sync runs.
+func (s *Session) collect(f labframe.Frame) {
+	if s.open == nil {
+		s.open = &unit{}
+	}
+
+	u := s.open
+	if len(u.messages)+len(f.Raw) > s.server.messageLimit() {
+		s.fault(errorUnitTooLarge)
+
+		return
+	}
+
+	var failed *failure
+
+	switch f.Type {
+	case typeParse:
+		failed = s.parse(u, f)
+	case typeBind:
+		failed = s.bind(u, f)
+	case typeDescribe:
+		failed = s.describe(u, f)
+	case typeExecute:
+		failed = u.execute(f)
+	case typeClose:
+		failed = s.closeMessage(u, f)
+	}
+
+	if failed != nil {
+		s.fault(failed)
+	}
+}
+
+// fault makes the unit fail. Nothing of it is run: what PostgreSQL ran before the error it would roll back.
+func (s *Session) fault(f *failure) {
+	s.open.fault = f
+	s.skipping = true
+}
+
+func (s *Session) parse(u *unit, f labframe.Frame) *failure {
+	name, rest, ok := cutString(f.Body())
+	if !ok {
+		return errorMalformed
+	}
+
+	query, rest, ok := cutString(rest)
+	if !ok {
+		return errorMalformed
+	}
+
+	types, ok := parseTypes(rest)
+	if !ok {
+		return errorMalformed
+	}
+
+	if _, taken := s.statements[name]; taken && name != "" {
+		return &failure{codeDuplicateStatement, fmt.Sprintf("prepared statement %q already exists", name), ""}
+	}
+
+	t, failed := newStatement(query, types)
+	if failed != nil {
+		return failed
+	}
+
+	if len(t.text.Statements()) > 1 {
+		return errorMultipleStatement
+	}
+
+	s.remember(u, name, t)
+	u.parse(name, t)
+
+	return nil
+}
+
+func (s *Session) remember(u *unit, name string, t *statement) {
+	if s.statements == nil {
+		s.statements = make(map[string]*statement, 1)
+	}
+
+	s.statements[name] = t
+
+	if u.parsed == nil {
+		u.parsed = make(map[string]*statement, 1)
+	}
+
+	u.parsed[name] = t
+}
+
+// parse leaves the Parse out and lists the statement instead, so that the gateway prepares it only on connections that
+// lack it. After an Execute the Parse is sent as it is, since it may depend on what the Execute does.
+func (u *unit) parse(name string, t *statement) {
+	if len(u.executes) == 0 {
+		delete(u.inline, name)
+		u.refer(t)
+		u.steps = append(u.steps, step{kind: stepAdd, message: messageParseComplete, name: name, parses: true})
+
+		return
+	}
+
+	upstream := ""
+	if name != "" {
+		upstream = fmt.Sprintf("%sinline_%d", upstreamPrefix, len(u.inline))
+		u.messages = labframe.Append(u.messages, typeClose, []byte{'S'}, []byte(upstream), []byte{0})
+		u.steps = append(u.steps, step{kind: stepDrop})
+	}
+
+	types := []byte{byte(len(t.types) >> 8), byte(len(t.types))}
+	for _, o := range t.types {
+		types = append(types, byte(o>>24), byte(o>>16), byte(o>>8), byte(o))
+	}
+
+	u.messages = labframe.Append(u.messages, typeParse, []byte(upstream), []byte{0}, []byte(t.query), []byte{0}, types)
+	u.steps = append(u.steps, step{kind: stepPass, message: messageParseComplete, name: name, parses: true})
+
+	if u.inline == nil {
+		u.inline = make(map[string]string, 1)
+	}
+
+	u.inline[name] = upstream
+}
+
+// lookup returns the upstream name of a statement of the caller.
+func (s *Session) lookup(u *unit, name string) (string, *statement, *failure) {
+	t, ok := s.statements[name]
+	if !ok {
+		return "", nil, &failure{codeNoStatement, fmt.Sprintf("prepared statement %q does not exist", name), ""}
+	}
+
+	if upstream, inline := u.inline[name]; inline {
+		return upstream, t, nil
+	}
+
+	u.refer(t)
+
+	return t.name, t, nil
+}
+
+func (s *Session) bind(u *unit, f labframe.Frame) *failure {
+	portal, rest, ok := cutString(f.Body())
+	if !ok {
+		return errorMalformed
+	}
+
+	name, rest, ok := cutString(rest)
+	if !ok {
+		return errorMalformed
+	}
+
+	upstream, t, failed := s.lookup(u, name)
+	if failed != nil {
+		return failed
+	}
+
+	u.messages = labframe.Append(u.messages, typeBind, []byte(portal), []byte{0}, []byte(upstream), []byte{0}, rest)
+	u.steps = append(u.steps, step{kind: stepPass, message: messageBindComplete})
+
+	if u.portals == nil {
+		u.portals = make(map[string]*statement, 1)
+	}
+
+	u.portals[portal] = t
+
+	return nil
+}
+
+func (s *Session) describe(u *unit, f labframe.Frame) *failure {
+	kind, name, ok := target(f)
+	if !ok {
+		return errorMalformed
+	}
+
+	if kind == 'P' {
+		u.messages = append(u.messages, f.Raw...)
+		u.steps = append(u.steps, step{kind: stepPass, message: messageNoData})
+
+		return nil
+	}
+
+	upstream, _, failed := s.lookup(u, name)
+	if failed != nil {
+		return failed
+	}
+
+	u.messages = labframe.Append(u.messages, typeDescribe, []byte{'S'}, []byte(upstream), []byte{0})
+	u.steps = append(u.steps,
+		step{kind: stepPass, message: messageNoParameters}, step{kind: stepPass, message: messageNoData})
+
+	return nil
+}
+
+func (u *unit) execute(f labframe.Frame) *failure {
+	portal, rest, ok := cutString(f.Body())
+	if !ok || len(rest) != 4 {
+		return errorMalformed
+	}
+
+	t := u.portals[portal]
+	e := t.single()
+
+	if t != nil {
+		u.tag(t.text.Tags())
+	}
+
+	u.messages = append(u.messages, f.Raw...)
+	u.executes = append(u.executes, e)
+	u.steps = append(u.steps, step{kind: stepExecute, statement: e})
+
+	return nil
+}
+
+// tag adds the tags of a statement; of several request names the first counts, as the registry has one per transaction.
+func (u *unit) tag(t labstatement.Tags) {
+	if u.tags.Once == "" {
+		u.tags.Once = t.Once
+	}
+
+	if u.tags.Class == "" {
+		u.tags.Class = t.Class
+	}
+}
+
+// closeMessage forgets a statement. It stays prepared upstream, where other sessions may use it.
+func (s *Session) closeMessage(u *unit, f labframe.Frame) *failure {
+	kind, name, ok := target(f)
+	if !ok {
+		return errorMalformed
+	}
+
+	if kind == 'P' {
+		u.messages = append(u.messages, f.Raw...)
+		u.steps = append(u.steps, step{kind: stepPass, message: messageCloseComplete})
+
+		return nil
+	}
+
+	delete(s.statements, name)
+	u.steps = append(u.steps, step{kind: stepAdd, message: messageCloseComplete})
+
+	return nil
+}
+
+// target reads the object of a Describe or Close.
+func target(f labframe.Frame) (kind byte, name string, ok bool) {
+	body := f.Body()
+	if len(body) < 2 || body[0] != 'S' && body[0] != 'P' {
+		return 0, "", false
+	}
+
+	name, rest, ok := cutString(body[1:])
+
+	return body[0], name, ok && len(rest) == 0
+}
+
+// sync runs the collected unit.
+func (s *Session) sync(f labframe.Frame) {
+	u := s.open
+	s.open, s.skipping = nil, false
+
+	if len(f.Raw) != labframe.HeaderSize {
+		u = &unit{fault: errorMalformed}
+	}
+
+	switch {
+	case u == nil:
+		s.ready(nil)
+	case u.fault != nil:
+		s.forget(u, nil)
+		s.refuse(u.fault)
+	default:
+		s.dispatch(u)
+	}
+}
+
+// flush is answered at the next Sync unless the collected unit can be run without it.
+func (s *Session) flush() {
+}
+
+// forget removes the statements whose Parse failed.
+func (s *Session) forget(u *unit, confirmed []string) {
+	for _, n := range confirmed {
+		delete(u.parsed, n)
+	}
+
+	for n, t := range u.parsed {
+		if s.statements[n] == t {
+			delete(s.statements, n)
+		}
+	}
+}
--- /dev/null
+++ b/proxy/connection/labsession/failure.go
@@ -0,0 +1,138 @@
+package labsession
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/request/labframe"
+)
+
+// SQLSTATEs that sessions report themselves.
+const (
+	codeProtocolViolation  = "08P01"
+	codeNotSupported       = "0A000"
+	codeInvalidParameter   = "22023"
+	codeActiveTransaction  = "25001"
+	codeNoTransaction      = "25P01"
+	codeFailedTransaction  = "25P02"
+	codeNoStatement        = "26000"
+	codeInvalidAuth        = "28000"
+	codeInvalidPassword    = "28P01"
+	codeNoDatabase         = "3D000"
+	codeDuplicateStatement = "42P05"
+	codeProgramLimit       = "54000"
+	codeNotInState         = "55000"
+	codeCancelled          = "57014"
+	codeShutdown           = "57P01"
+	codeTooMany            = "53300"
+)
+
+// failure is an error reported to the caller.
+type failure struct {
+	code    string
+	message string
+	hint    string
+}
+
+func (f *failure) encode(severity string) []byte {
+	return encode(&pgproto3.ErrorResponse{
+		Severity: severity, SeverityUnlocalized: severity, Code: f.code, Message: f.message, Hint: f.hint,
+	})
+}
+
+func (f *failure) fatal() []byte {
+	return f.encode("FATAL")
+}
+
+func encode(m pgproto3.BackendMessage) []byte {
+	out, err := m.Encode(nil)
+	if err != nil {
+		// Only a message over 1 GiB does not encode.
+		panic(err)
+	}
+
+	return out
+}
+
+var (
+	errorShutdown = &failure{
+		codeShutdown, "terminating connection due to administrator command",
+		"connect again to reach another proxy; nothing of this session was in progress",
+	}
+	errorTooMuchPending = &failure{
+		codeProgramLimit, "too much data sent ahead of the answers",
+		"read answers before sending more requests",
+	}
+	errorMessageType  = &failure{codeProtocolViolation, "invalid frontend message type", ""}
+	errorFunctionCall = &failure{
+		codeNotSupported, "function call messages are not supported",
+		"call the function with SELECT",
+	}
+	errorCopy = &failure{
+		codeNotSupported, "COPY is not supported through the proxy",
+		"use INSERT with several rows, or connect to the database directly",
+	}
+	errorListen = &failure{
+		codeNotSupported, "LISTEN is not supported through the proxy",
+		"connections are shared between transactions; connect to the database directly",
+	}
+	errorUnitTooLarge = &failure{
+		codeProgramLimit, "messages up to Sync are over the size limit",
+		"send Sync more often",
+	}
+	errorFailedBlock = &failure{
+		codeFailedTransaction,
+		"current transaction is aborted, commands ignored until end of transaction block", "",
+	}
+	errorCancelled = &failure{codeCancelled, "canceling statement due to user request", "the request was not run"}
+	errorMixed     = &failure{
+		codeNotSupported,
+		"laburnumlock parameters can't be set together with other statements",
+		"send the SET as a request of its own, or use a comment tag",
+	}
+)
+
+// frameFailure describes a broken message.
+func frameFailure(err error) *failure {
+	var l *labframe.LengthError
+	if errors.As(err, &l) && l.TooLarge() {
+		return &failure{codeProgramLimit, l.Error(), "split the request"}
+	}
+
+	return &failure{codeProtocolViolation, err.Error(), ""}
+}
+
+// outcomeFailure describes an error of the gateway.
+func outcomeFailure(err error) *failure {
+	outcome, reason := lab.OutcomeOf(err)
+	f := &failure{code: outcome.Code()}
+
+	switch outcome {
+	case lab.OutcomeNotRun:
+		f.message = "request was not run: " + reason
+		f.hint = "it is safe to send the request again"
+
+		if reason == lab.ReasonRejected || reason == lab.ReasonTooLarge {
+			f.hint = "correct the request before sending it again: " + cause(err)
+		}
+	case lab.OutcomeDone:
+		f.message = "request had run before under the same name"
+		f.hint = "do not send the request again"
+	case lab.OutcomeUnknown:
+		f.message = "outcome of the request is unknown: " + reason
+		f.hint = "check whether it took effect before sending it again, or repeat it under the same request name"
+	}
+
+	return f
+}
+
+// cause returns the text of the error within an OutcomeError.
+func cause(err error) string {
+	var o *lab.OutcomeError
+	if errors.As(err, &o) && o.Err != nil {
+		return o.Err.Error()
+	}
+
+	return err.Error()
+}
--- /dev/null
+++ b/proxy/connection/labsession/header.go
@@ -0,0 +1,106 @@
+package labsession
+
+import (
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/request/labstatement"
+)
+
+// Deadlines of requests whose organisation states none.
+const (
+	readDeadline    = 5 * time.Second
+	writeDeadline   = 10 * time.Second
+	mayWaitDeadline = 60 * time.Second
+)
+
+// header describes the transaction that a unit opens.
+func (s *Session) header(u *unit) (lab.Header, *failure) {
+	o, ok := s.server.Routes.Organisation(s.organisation)
+	if !ok || o.Deleted {
+		return lab.Header{}, &failure{codeInvalidAuth, "organisation " + s.organisation + " no longer exists", ""}
+	}
+
+	h := lab.Header{
+		Organisation: s.organisation,
+		Database:     s.database,
+		Class:        lab.ClassWrite,
+		Floor:        s.token.Floor(s.database),
+	}
+
+	once, class, readClass, f := s.choose(u.tags, o)
+	if f != nil {
+		return h, f
+	}
+
+	h.OnceName = once
+	h.ReadOnly = once == "" && u.replica(&s.block)
+
+	if h.ReadOnly {
+		h.Class = lab.ClassPrompt
+		if c, found := o.ReadClass(readClass); found {
+			h.MaxAge = time.Duration(c.MaxAgeMS) * time.Millisecond
+		}
+	}
+
+	if class == classMayWait {
+		h.Class = lab.ClassMayWait
+	}
+
+	h.Deadline = s.deadline(h.Class, o.Parameters)
+
+	return h, nil
+}
+
+// choose merges the options of the text, the transaction and the session; the nearest one counts.
+func (s *Session) choose(t labstatement.Tags, o *lab.Organisation) (once, class, readClass string, f *failure) {
+	first := func(names ...string) string {
+		for _, n := range names {
+			if n != "" {
+				return n
+			}
+		}
+
+		return ""
+	}
+
+	once = first(t.Once, s.block.local.once)
+	class = first(s.block.local.class, s.options.class)
+	readClass = first(s.block.local.readClass, s.options.readClass)
+
+	if t.Class == classMayWait {
+		class = classMayWait
+	} else if t.Class != "" {
+		if _, ok := o.ReadClass(t.Class); !ok {
+			return "", "", "", &failure{codeInvalidParameter, "unknown class " + t.Class, ""}
+		}
+
+		readClass = t.Class
+	}
+
+	return once, class, readClass, nil
+}
+
+func (s *Session) deadline(class lab.Class, p lab.Parameters) time.Duration {
+	first := func(milliseconds int64, rest ...time.Duration) time.Duration {
+		if milliseconds > 0 {
+			return time.Duration(milliseconds) * time.Millisecond
+		}
+
+		if rest[0] > 0 {
+			return rest[0]
+		}
+
+		return rest[1]
+	}
+
+	switch class {
+	case lab.ClassPrompt:
+		return first(p.ReadDeadlineMS, s.server.ReadDeadline, readDeadline)
+	case lab.ClassMayWait:
+		return first(p.MayWaitMS, s.server.MayWaitDeadline, mayWaitDeadline)
+	case lab.ClassWrite:
+	}
+
+	return first(p.WriteDeadlineMS, s.server.WriteDeadline, writeDeadline)
+}
--- /dev/null
+++ b/proxy/connection/labsession/local.go
@@ -0,0 +1,156 @@
+package labsession
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"laburnumlock.dev/lab/proxy/request/labstatement"
+)
+
+// local answers a unit of one statement that concerns only the session, and reports whether it did.
+func (s *Session) local(u *unit, e labstatement.Statement) bool {
+	tag, failed, ok := s.act(e)
+	if !ok {
+		return false
+	}
+
+	s.server.Counters.LocalUnits.Add(1)
+
+	if failed != nil {
+		s.forget(u, nil)
+		s.refuse(failed)
+
+		return true
+	}
+
+	s.ready(u.localAnswer(tag))
+
+	return true
+}
+
+// act performs a statement that concerns only the session and returns its command tag.
+func (s *Session) act(e labstatement.Statement) (tag string, failed *failure, ok bool) {
+	if s.block.bound != nil {
+		if e.Kind() == labstatement.Set && e.Setting().Own() {
+			return "SET", s.setOwn(e.Setting()), true
+		}
+
+		return "", nil, false
+	}
+
+	switch e.Kind() {
+	case labstatement.Begin, labstatement.BeginReadOnly:
+		if s.block.status() != statusIdle {
+			return "", nil, false
+		}
+
+		s.block.start(e.Text(), e.Kind() == labstatement.BeginReadOnly)
+
+		return beginTag(e.Text()), nil, true
+	case labstatement.Commit, labstatement.Rollback:
+		return s.endLocal(e)
+	case labstatement.Set:
+		if !e.Setting().Own() || s.block.failed {
+			return "", nil, false
+		}
+
+		return setTag(e.Setting()), s.setOwn(e.Setting()), true
+	case labstatement.Discard:
+		return s.discard(e)
+	}
+
+	return "", nil, false
+}
+
+func beginTag(text string) string {
+	if len(text) >= 5 && strings.EqualFold(text[:5], "start") {
+		return "START TRANSACTION"
+	}
+
+	return "BEGIN"
+}
+
+func setTag(s labstatement.Setting) string {
+	if s.Reset {
+		return "RESET"
+	}
+
+	return "SET"
+}
+
+// endLocal ends a block of which nothing is open at a gateway.
+func (s *Session) endLocal(e labstatement.Statement) (tag string, failed *failure, ok bool) {
+	status := s.block.status()
+	if status == statusIdle || strings.Contains(strings.ToLower(e.Text()), "chain") {
+		return "", nil, false
+	}
+
+	s.block.end()
+
+	if status == statusFailed || e.Kind() == labstatement.Rollback {
+		return "ROLLBACK", nil, true
+	}
+
+	return "COMMIT", nil, true
+}
+
+// discard answers DISCARD and DEALLOCATE: upstream connections are reset by the gateway, so only the session's own
+// state counts.
+func (s *Session) discard(e labstatement.Statement) (tag string, failed *failure, ok bool) {
+	words := strings.Fields(strings.ToLower(strings.ReplaceAll(e.Text(), `"`, "")))
+	if s.block.failed || len(words) < 2 {
+		return "", nil, false
+	}
+
+	if words[0] == "discard" {
+		if words[1] == "all" {
+			if s.block.status() != statusIdle {
+				return "", &failure{codeActiveTransaction, "DISCARD ALL cannot run inside a transaction block", ""}, true
+			}
+
+			s.statements = nil
+			s.settings.active = s.settings.startup
+			s.options = options{}
+		}
+
+		return "DISCARD " + strings.ToUpper(words[1]), nil, true
+	}
+
+	name := words[len(words)-1]
+	if name == "all" {
+		s.statements = nil
+
+		return "DEALLOCATE ALL", nil, true
+	}
+
+	if _, found := s.statements[name]; !found {
+		return "", &failure{codeNoStatement, "prepared statement \"" + name + "\" does not exist", ""}, true
+	}
+
+	delete(s.statements, name)
+
+	return "DEALLOCATE", nil, true
+}
+
+// localAnswer encodes the answer to a unit that only the session handled.
+func (u *unit) localAnswer(tag string) []byte {
+	complete := encode(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	if u.simple {
+		return complete
+	}
+
+	var out []byte
+	for _, t := range u.steps {
+		switch {
+		case t.kind == stepAdd:
+			out = append(out, t.message...)
+		case t.kind == stepExecute:
+			out = append(out, complete...)
+		case t.message != nil:
+			out = append(out, t.message...)
+		}
+	}
+
+	return out
+}
--- /dev/null
+++ b/proxy/connection/labsession/login.go
@@ -0,0 +1,213 @@
+package labsession
+
+import (
+	"bytes"
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"laburnumlock.dev/lab/proxy/connection/labscram"
+	"laburnumlock.dev/lab/proxy/request/labframe"
+)
+
+// Codes of packets before the session's start.
+const (
+	codeSSLRequest    = 80877103
+	codeGSSRequest    = 80877104
+	codeCancelRequest = 80877102
+	protocolMajor     = 3
+	protocolMinor     = 2 // newest minor version spoken
+)
+
+// login is the state of a session before it is ready.
+type login struct {
+	parameters map[string]string // nil until the startup packet
+	minor      uint32
+	exchange   *labscram.Exchange
+	started    bool // the first SCRAM message was received
+}
+
+// startup handles messages until the session is ready; it returns false when it needs more bytes or has ended the
+// session. The lock is held.
+func (s *Session) startup() bool {
+	for s.phase != nil && !s.ended {
+		l := s.phase
+
+		next := s.splitter.Next
+		if l.parameters == nil {
+			next = s.splitter.NextStartup
+		}
+
+		f, ok, err := next(labframe.StartupLimit)
+		if err != nil {
+			s.server.Counters.LoginsFailed.Add(1)
+			s.violate(frameFailure(err))
+
+			return false
+		}
+
+		if !ok {
+			return false
+		}
+
+		if failed := s.step(l, f); failed != nil {
+			s.server.Counters.LoginsFailed.Add(1)
+			s.finish(failed)
+
+			return false
+		}
+	}
+
+	return !s.ended
+}
+
+func (s *Session) step(l *login, f labframe.Frame) *failure {
+	if l.parameters == nil {
+		return s.packet(l, f.Body())
+	}
+
+	if f.Type != 'p' {
+		return &failure{codeProtocolViolation, "expected a password message", ""}
+	}
+
+	return s.authenticate(l, f.Body())
+}
+
+func (s *Session) packet(l *login, body []byte) *failure {
+	if len(body) < 4 {
+		return &failure{codeProtocolViolation, "invalid length of startup packet", ""}
+	}
+
+	code := binary.BigEndian.Uint32(body)
+
+	switch {
+	case code == codeSSLRequest || code == codeGSSRequest:
+		s.conn.Send([]byte{'N'})
+
+		return nil
+	case code == codeCancelRequest:
+		s.cancelPacket(body[4:])
+
+		return nil
+	case code>>16 != protocolMajor:
+		return &failure{codeNotSupported, "unsupported frontend protocol version", "use protocol version 3"}
+	}
+
+	parameters, ok := startupParameters(body[4:])
+	if !ok {
+		return &failure{codeProtocolViolation, "invalid startup packet layout", ""}
+	}
+
+	l.parameters, l.minor = parameters, code&0xffff
+
+	return s.negotiate(l)
+}
+
+// startupParameters reads name and value pairs, which end with an empty name.
+func startupParameters(body []byte) (map[string]string, bool) {
+	parameters := make(map[string]string)
+
+	for {
+		name, rest, ok := cutString(body)
+		if !ok {
+			return nil, false
+		}
+
+		if name == "" {
+			return parameters, len(rest) == 0
+		}
+
+		value, rest, ok := cutString(rest)
+		if !ok {
+			return nil, false
+		}
+
+		parameters[name], body = value, rest
+	}
+}
+
+// negotiate answers a startup packet: protocol version, then the request for authentication.
+func (s *Session) negotiate(l *login) *failure {
+	var unknown []string
+
+	for n := range l.parameters {
+		if strings.HasPrefix(n, "_pq_.") {
+			unknown = append(unknown, n)
+		}
+	}
+
+	slices.Sort(unknown)
+
+	if l.minor > protocolMinor || len(unknown) > 0 {
+		l.minor = min(l.minor, protocolMinor)
+		s.conn.Send(encode(&pgproto3.NegotiateProtocolVersion{
+			NewestMinorProtocol: l.minor, UnrecognizedOptions: unknown,
+		}))
+	}
+
+	user := l.parameters["user"]
+	if user == "" {
+		return &failure{codeInvalidAuth, "no PostgreSQL user name specified in startup packet", "the user is the organisation"}
+	}
+
+	credential := labscram.Decoy(s.server.Secret, user)
+	if o, ok := s.server.Routes.Organisation(user); ok && !o.Deleted && len(o.Credential.StoredKey) > 0 {
+		credential = o.Credential
+	}
+
+	e, err := labscram.NewExchange(credential)
+	if err != nil {
+		return &failure{"XX000", err.Error(), ""}
+	}
+
+	l.exchange = e
+	s.conn.Send(encode(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{labscram.Mechanism}}))
+
+	return nil
+}
+
+// authenticate handles one SASL message.
+func (s *Session) authenticate(l *login, body []byte) *failure {
+	if !l.started {
+		mechanism, rest, ok := cutString(body)
+		if !ok || mechanism != labscram.Mechanism || len(rest) < 4 {
+			return &failure{codeInvalidAuth, "credentials are missing or not SCRAM-SHA-256", "log in with SCRAM-SHA-256"}
+		}
+
+		if n := int32(binary.BigEndian.Uint32(rest)); int(n) != len(rest)-4 {
+			return &failure{codeProtocolViolation, "malformed SASL message", ""}
+		}
+
+		l.started, body = true, rest[4:]
+	}
+
+	out, done, err := l.exchange.Step(string(bytes.Clone(body)))
+	if err != nil {
+		return &failure{codeInvalidPassword, "password authentication failed for user \"" + l.parameters["user"] + "\"", ""}
+	}
+
+	if !done {
+		s.conn.Send(encode(&pgproto3.AuthenticationSASLContinue{Data: []byte(out)}))
+
+		return nil
+	}
+
+	s.conn.Send(encode(&pgproto3.AuthenticationSASLFinal{Data: []byte(out)}))
+
+	return s.begin(l)
+}
+
+// cancelPacket handles a cancel request, which gets no answer.
+func (s *Session) cancelPacket(body []byte) {
+	s.ended = true
+	defer s.conn.Close()
+
+	if len(body) < 8 || s.server.Keys == nil {
+		return
+	}
+
+	key := CancelKey{ProcessID: binary.BigEndian.Uint32(body), Secret: bytes.Clone(body[4:])}
+	go s.server.cancel(key) // the session with the key has its own lock, and the other proxy is remote
+}
--- /dev/null
+++ b/proxy/connection/labsession/options.go
@@ -0,0 +1,107 @@
+package labsession
+
+import (
+	"laburnumlock.dev/lab/proxy/request/labstatement"
+)
+
+// Names of the system's own parameters.
+const (
+	parameterToken     = labstatement.Prefix + "token"
+	parameterSession   = labstatement.Prefix + "session"
+	parameterOnce      = labstatement.Prefix + "once"
+	parameterClass     = labstatement.Prefix + "class"
+	parameterReadClass = labstatement.Prefix + "read_class"
+)
+
+const classMayWait = "may_wait"
+
+// options are the values of the system's own parameters.
+type options struct {
+	once      string
+	class     string
+	readClass string
+}
+
+// setOwn applies SET or RESET of one of the system's own parameters.
+func (s *Session) setOwn(c labstatement.Setting) *failure {
+	if c.Reset {
+		c.Value = ""
+	}
+
+	target := &s.options
+	if c.Local {
+		if s.block.status() != statusActive {
+			return &failure{codeNoTransaction, "SET LOCAL " + c.Name + " can only be used in transaction blocks", ""}
+		}
+
+		if s.block.bound != nil {
+			return &failure{codeNotInState, "SET LOCAL " + c.Name + " must come before the first statement", ""}
+		}
+
+		target = &s.block.local
+	}
+
+	if c.Value != "" && c.Name != parameterToken && !labstatement.ValidName(c.Value) {
+		return &failure{codeInvalidParameter, "invalid value for parameter " + c.Name, ""}
+	}
+
+	return s.assign(target, c)
+}
+
+func (s *Session) assign(target *options, c labstatement.Setting) *failure {
+	switch c.Name {
+	case parameterToken:
+		return s.mergeToken(c)
+	case parameterOnce:
+		if !c.Local {
+			return &failure{codeInvalidParameter, "a request name applies to one transaction", "use SET LOCAL"}
+		}
+
+		target.once = c.Value
+	case parameterClass:
+		if c.Value != "" && c.Value != classMayWait {
+			return &failure{codeInvalidParameter, "unknown class " + c.Value, "the only class to choose is may_wait"}
+		}
+
+		target.class = c.Value
+	case parameterReadClass:
+		if f := s.checkReadClass(c.Value); f != nil {
+			return f
+		}
+
+		target.readClass = c.Value
+	default:
+		return &failure{codeInvalidParameter, "unknown parameter " + c.Name, ""}
+	}
+
+	return nil
+}
+
+func (s *Session) mergeToken(c labstatement.Setting) *failure {
+	if c.Local || c.Reset {
+		return &failure{codeInvalidParameter, "the session token can only be set for the session", ""}
+	}
+
+	t, err := s.server.Codec.Decode(c.Value)
+	if err != nil {
+		return &failure{codeInvalidParameter, err.Error(), "present the last token that a proxy reported"}
+	}
+
+	s.token = s.token.Merge(t, s.server.history)
+
+	return nil
+}
+
+func (s *Session) checkReadClass(name string) *failure {
+	if name == "" {
+		return nil
+	}
+
+	if o, ok := s.server.Routes.Organisation(s.organisation); ok {
+		if _, ok = o.ReadClass(name); ok {
+			return nil
+		}
+	}
+
+	return &failure{codeInvalidParameter, "unknown read class " + name, ""}
+}
--- /dev/null
+++ b/proxy/connection/labsession/server.go
@@ -0,0 +1,72 @@
+package labsession
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labtoken"
+	"laburnumlock.dev/lab/proxy/request/labframe"
+)
+
+// Server holds what the sessions of a proxy share. Its fields are set before the first Open.
+type Server struct {
+	Gateway lab.Gateway
+	Routes  lab.Routes
+	Clock   lab.Clock
+	Random  lab.Random // must be unpredictable, since cancel keys come from it
+	Codec   *labtoken.Codec
+	Budget  RetryBudget
+	Keys    *CancelKeys
+	Secret  []byte // keys the decoy salts of unknown users; the same on all proxies
+	Log     zerolog.Logger
+
+	// Forward passes on a cancel request whose key belongs to another proxy; nil drops such requests.
+	Forward func(ctx context.Context, proxy uint32, key CancelKey)
+
+	// Parameters are the ParameterStatus values reported at startup in addition to and in place of the defaults.
+	Parameters map[string]string
+
+	// Limits; zero values mean the defaults.
+	MessageLimit int // bytes of one message and of one unit; labframe.MessageLimit
+	PendingLimit int // received bytes that wait for their turn; 2 * MessageLimit
+
+	// Deadlines of requests whose organisation states none; zero values mean the defaults.
+	ReadDeadline    time.Duration // 5 s
+	WriteDeadline   time.Duration // 10 s
+	MayWaitDeadline time.Duration // 60 s
+
+	Counters Counters
+}
+
+// Open returns a session for a new connection.
+func (v *Server) Open(conn Conn) *Session {
+	return &Session{server: v, conn: conn, phase: &login{}}
+}
+
+func (v *Server) messageLimit() int {
+	if v.MessageLimit > 0 {
+		return v.MessageLimit
+	}
+
+	return labframe.MessageLimit
+}
+
+func (v *Server) pendingLimit() int {
+	if v.PendingLimit > 0 {
+		return v.PendingLimit
+	}
+
+	return 2 * v.messageLimit()
+}
+
+// history returns the term history of a database, empty when it is unknown.
+func (v *Server) history(database string) lab.History {
+	if d, ok := v.Routes.Database(database); ok {
+		return d.History
+	}
+
+	return nil
+}
--- /dev/null
+++ b/proxy/connection/labsession/simple.go
@@ -0,0 +1,80 @@
+package labsession
+
+import (
+	"laburnumlock.dev/lab/proxy/request/labframe"
+	"laburnumlock.dev/lab/proxy/request/labstatement"
+)
+
+// query runs a simple query.
+func (s *Session) query(f labframe.Frame) {
+	s.open = nil
+	delete(s.statements, "") // as in PostgreSQL, a simple query ends the unnamed statement
+
+	query, rest, ok := cutString(f.Body())
+	if !ok || len(rest) != 0 {
+		s.refuse(errorMalformed)
+
+		return
+	}
+
+	text, err := labstatement.Parse(query)
+	if err != nil {
+		s.refuse(&failure{codeInvalidParameter, err.Error(), ""})
+
+		return
+	}
+
+	if failed := refused(text); failed != nil {
+		s.refuse(failed)
+
+		return
+	}
+
+	u := &unit{simple: true, text: query, tags: text.Tags(), executes: text.Statements()}
+	for _, e := range u.executes {
+		u.steps = append(u.steps, step{kind: stepExecute, statement: e})
+	}
+
+	if len(u.executes) == 0 {
+		s.server.Counters.LocalUnits.Add(1)
+		s.ready(messageEmptyQuery)
+
+		return
+	}
+
+	s.dispatch(u)
+}
+
+// dispatch answers a unit locally or runs it at a gateway.
+func (s *Session) dispatch(u *unit) {
+	if len(u.executes) == 1 && s.local(u, u.executes[0]) {
+		return
+	}
+
+	for _, e := range u.executes {
+		if e.Kind() == labstatement.Set && e.Setting().Own() {
+			s.forget(u, nil)
+			s.refuse(errorMixed)
+
+			return
+		}
+	}
+
+	switch {
+	case s.block.failed:
+		s.forget(u, nil)
+		s.refuse(errorFailedBlock)
+	case len(u.messages) == 0 && len(u.refers) == 0 && !u.simple:
+		s.server.Counters.LocalUnits.Add(1)
+		s.ready(u.localAnswer(""))
+	case s.block.bound != nil && s.late(u):
+		s.refuse(&failure{codeNotInState, "a request name must be given with the first statement of a transaction", ""})
+	default:
+		s.run(u)
+	}
+}
+
+// late reports whether the unit names a request after its transaction was opened.
+func (s *Session) late(u *unit) bool {
+	return u.tags.Once != "" && u.tags.Once != s.block.local.once
+}
--- /dev/null
+++ b/proxy/connection/labsession/statement.go
@@ -0,0 +1,113 @@
+package labsession
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/request/labstatement"
+)
+
+// upstreamPrefix starts the names of prepared statements on upstream connections.
+const upstreamPrefix = "lab_"
+
+const nameBytes = 16 // of SHA-256; a shorter or weaker hash would let a caller forge another organisation's statement
+
+// statement is a prepared statement of the session.
+type statement struct {
+	name  string // on upstream connections
+	query string
+	types []uint32
+	text  labstatement.Text
+}
+
+func newStatement(query string, types []uint32) (*statement, *failure) {
+	text, err := labstatement.Parse(query)
+	if err != nil {
+		return nil, &failure{codeInvalidParameter, err.Error(), ""}
+	}
+
+	if f := refused(text); f != nil {
+		return nil, f
+	}
+
+	h := sha256.New()
+	_, _ = h.Write([]byte(query))
+	_, _ = h.Write([]byte{0})
+
+	for _, t := range types {
+		_ = binary.Write(h, binary.BigEndian, t)
+	}
+
+	name := upstreamPrefix + hex.EncodeToString(h.Sum(nil)[:nameBytes])
+
+	return &statement{name: name, query: query, types: types, text: text}, nil
+}
+
+// refused returns an error for statements that can't work over shared connections.
+func refused(t labstatement.Text) *failure {
+	for _, s := range t.Statements() {
+		switch s.Kind() {
+		case labstatement.Copy:
+			return errorCopy
+		case labstatement.Listen:
+			return errorListen
+		case labstatement.Set:
+			if f := refusedSetting(s.Setting()); f != nil {
+				return f
+			}
+		}
+	}
+
+	return nil
+}
+
+func (s *statement) wire() lab.Statement {
+	return lab.Statement{Name: s.name, Query: s.query, Types: s.types}
+}
+
+// single returns the statement's only part; an empty statement is of kind Other.
+func (s *statement) single() labstatement.Statement {
+	if s == nil {
+		return labstatement.Statement{}
+	}
+
+	one, _ := s.text.Single()
+
+	return one
+}
+
+// cutString splits a message body after its first zero-terminated string.
+func cutString(body []byte) (text string, rest []byte, ok bool) {
+	i := bytes.IndexByte(body, 0)
+	if i < 0 {
+		return "", nil, false
+	}
+
+	return string(body[:i]), body[i+1:], true
+}
+
+// parseTypes reads the parameter types of a Parse message.
+func parseTypes(body []byte) ([]uint32, bool) {
+	if len(body) < 2 {
+		return nil, false
+	}
+
+	n := int(binary.BigEndian.Uint16(body))
+	if len(body) != 2+4*n {
+		return nil, false
+	}
+
+	if n == 0 {
+		return nil, true
+	}
+
+	types := make([]uint32, n)
+	for i := range types {
+		types[i] = binary.BigEndian.Uint32(body[2+4*i:])
+	}
+
+	return types, true
+}
--- /dev/null
+++ b/proxy/connection/labtoken/codec.go
@@ -0,0 +1,117 @@
+package labtoken
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+)
+
+const (
+	version   = 1
+	macSize   = 16      // bytes of the HMAC-SHA256 that are kept
+	sizeLimit = 4 << 10 // bytes of encoded text; about 100 databases
+)
+
+// Errors of Decode.
+var (
+	ErrMalformed = errors.New("session token is malformed")
+	ErrVersion   = errors.New("session token has an unsupported version")
+	ErrSignature = errors.New("session token is not signed by this deployment")
+)
+
+// Codec signs and verifies tokens.
+type Codec struct {
+	// Keys are the deployment's keys: the first one signs, all are accepted.
+	Keys [][]byte
+}
+
+// Encode returns the signed text of a token.
+func (c *Codec) Encode(t Token) string {
+	names := make([]string, 0, len(t.floors))
+	for n := range t.floors {
+		names = append(names, n)
+	}
+
+	slices.Sort(names)
+
+	out := appendText([]byte{version}, t.session)
+	for _, n := range names {
+		out = appendText(out, n)
+		out = binary.AppendUvarint(out, uint64(t.floors[n].Term))
+		out = binary.AppendUvarint(out, t.floors[n].Offset)
+	}
+
+	out = append(out, sign(c.Keys[0], out)...)
+
+	return base64.RawURLEncoding.EncodeToString(out)
+}
+
+// Decode verifies the text and returns its token.
+func (c *Codec) Decode(text string) (Token, error) {
+	if len(text) > sizeLimit {
+		return Token{}, errors.Newf("%w: %d bytes are over the limit of %d", ErrMalformed, len(text), sizeLimit)
+	}
+
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil {
+		return Token{}, errors.Newf("%w: %w", ErrMalformed, err)
+	}
+
+	if len(raw) < 1+macSize {
+		return Token{}, errors.Newf("%w: %d bytes are too few", ErrMalformed, len(raw))
+	}
+
+	if raw[0] != version {
+		return Token{}, errors.Newf("%w %d", ErrVersion, raw[0])
+	}
+
+	body, mac := raw[:len(raw)-macSize], raw[len(raw)-macSize:]
+	if !slices.ContainsFunc(c.Keys, func(k []byte) bool { return hmac.Equal(sign(k, body), mac) }) {
+		return Token{}, ErrSignature
+	}
+
+	return parse(body[1:])
+}
+
+func parse(body []byte) (Token, error) {
+	r := reader{rest: body}
+	t := Token{session: r.text()}
+
+	for len(r.rest) > 0 && !r.bad {
+		name, term, offset := r.text(), r.number(), r.number()
+		if term > math.MaxUint32 {
+			r.bad = true
+		}
+
+		if t.floors == nil {
+			t.floors = make(map[string]lab.Position, 1)
+		}
+
+		t.floors[name] = lab.Position{Term: lab.Term(term), Offset: offset}
+	}
+
+	if r.bad {
+		return Token{}, errors.Newf("%w: truncated field", ErrMalformed)
+	}
+
+	return t, nil
+}
+
+func sign(key, body []byte) []byte {
+	m := hmac.New(sha256.New, key)
+	_, _ = m.Write([]byte("laburnumlock.token\x00"))
+	_, _ = m.Write(body)
+
+	return m.Sum(nil)[:macSize]
+}
+
+func appendText(out []byte, text string) []byte {
+	return append(binary.AppendUvarint(out, uint64(len(text))), text...)
+}
--- /dev/null
+++ b/proxy/process/labfront/connection.go
@@ -0,0 +1,164 @@
+package labfront
+
+import (
+	"context"
+	"sync"
+	"time"
+	"unsafe"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/gnet/v2"
+
+	"laburnumlock.dev/lab/proxy/connection/labsession"
+)
+
+var (
+	errClosed = errors.New("connection is closed")
+	errSlow   = errors.New("caller does not read its answer")
+)
+
+// Interval at which a blocked writer asks how much of its answer is still buffered.
+const (
+	firstPoll = time.Millisecond
+	pollLimit = 50 * time.Millisecond
+)
+
+// connection is the socket of one caller.
+type connection struct {
+	front   *Front
+	socket  gnet.Conn
+	session *labsession.Session
+	ready   bool // used by the event loop only
+
+	lock     sync.Mutex
+	queued   int // bytes on the way to the event loop
+	buffered int // bytes that the event loop holds because the caller's socket is full
+	closed   bool
+}
+
+func (c *connection) shard() *shard {
+	const skip = 7 // low bits of addresses are alike, as objects are aligned
+
+	return &c.front.shards[uintptr(unsafe.Pointer(c))>>skip%shardCount]
+}
+
+// Send queues a message without waiting.
+func (c *connection) Send(data []byte) {
+	_ = c.queue(data)
+}
+
+// Write queues data and waits while too much is on its way to the caller.
+func (c *connection) Write(data []byte) error {
+	if err := c.queue(data); err != nil {
+		return err
+	}
+
+	if c.outstanding() <= c.front.OutboundLimit {
+		return nil
+	}
+
+	return c.wait()
+}
+
+func (c *connection) queue(data []byte) error {
+	c.lock.Lock()
+	if c.closed {
+		c.lock.Unlock()
+
+		return errClosed
+	}
+
+	c.queued += len(data)
+	c.lock.Unlock()
+
+	c.front.Counters.BytesOut.Add(int64(len(data)))
+
+	err := c.socket.AsyncWrite(data, func(s gnet.Conn, err error) error {
+		buffered := 0
+		if err == nil {
+			buffered = s.OutboundBuffered()
+		}
+
+		c.lock.Lock()
+		defer c.lock.Unlock()
+
+		c.queued -= len(data)
+		c.buffered = buffered
+
+		return nil
+	})
+	if err != nil {
+		return errors.Newf("queue write: %w", err)
+	}
+
+	return nil
+}
+
+func (c *connection) outstanding() int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+
+	return c.queued + c.buffered
+}
+
+// wait blocks until half of the limit is free, or fails when the caller makes no progress.
+func (c *connection) wait() error {
+	least := c.outstanding()
+	progress := time.Now()
+
+	for poll := firstPoll; ; poll = min(2*poll, pollLimit) {
+		time.Sleep(poll)
+		c.refresh()
+
+		c.lock.Lock()
+		now, closed := c.queued+c.buffered, c.closed
+		c.lock.Unlock()
+
+		switch {
+		case closed:
+			return errClosed
+		case now <= c.front.OutboundLimit/2:
+			return nil
+		case now < least:
+			least, progress = now, time.Now()
+		case time.Since(progress) > c.front.ProgressDeadline:
+			c.front.Counters.SlowReaders.Add(1)
+			c.Close()
+
+			return errSlow
+		}
+	}
+}
+
+// refresh asks the event loop how much it still holds.
+func (c *connection) refresh() {
+	_ = c.socket.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		c.lock.Lock()
+		defer c.lock.Unlock()
+
+		if !c.closed {
+			c.buffered = c.socket.OutboundBuffered()
+		}
+
+		return nil
+	}))
+}
+
+// Close closes the connection after what was queued before.
+func (c *connection) Close() {
+	_ = c.socket.AsyncWrite(nil, func(s gnet.Conn, err error) error {
+		if err != nil {
+			return nil //nolint:nilerr // the connection is closed already
+		}
+
+		return s.Close()
+	})
+}
+
+// end notes that the connection is closed.
+func (c *connection) end() {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+
+	c.closed = true
+}
--- /dev/null
+++ b/proxy/process/labfront/fake_test.go
@@ -0,0 +1,340 @@
+package labfront_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"laburnumlock.dev/lab"
+)
+
+type fakeRoutes struct {
+	organisations map[string]*lab.Organisation
+	databases     map[string]*lab.Database
+}
+
+func (r *fakeRoutes) Database(name string) (*lab.Database, bool) {
+	d, ok := r.databases[name]
+
+	return d, ok
+}
+
+func (r *fakeRoutes) Organisation(name string) (*lab.Organisation, bool) {
+	o, ok := r.organisations[name]
+
+	return o, ok
+}
+
+func (r *fakeRoutes) Version() (version, index uint64) {
+	return 1, 1
+}
+
+type fakeClock struct{ start time.Time }
+
+func (c fakeClock) Now() time.Duration { return time.Since(c.start) }
+
+func (c fakeClock) Wall() time.Time { return time.Now() }
+
+func (c fakeClock) Sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+type fakeRandom struct{}
+
+func (fakeRandom) Uint64() uint64 { return rand.Uint64() }
+
+type fakeBudget struct{}
+
+func (fakeBudget) Request() {}
+
+func (fakeBudget) Retry() bool { return true }
+
+// fakeGateway answers units from a small set of statements, each transaction on the next of its connections.
+type fakeGateway struct {
+	lock     sync.Mutex
+	next     int
+	offset   uint64
+	ran      []string // statements run, in order
+	headers  []lab.Header
+	begin    func(lab.Header) error // fails Begin
+	after    func(query string) error
+	conns    [3]map[string]string // prepared statements by connection
+	released chan struct{}        // closed to let "select block" end
+}
+
+func (g *fakeGateway) Begin(_ context.Context, h lab.Header) (lab.Transaction, error) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+
+	g.headers = append(g.headers, h)
+	if g.begin != nil {
+		if err := g.begin(h); err != nil {
+			return nil, err
+		}
+	}
+
+	g.next = (g.next + 1) % len(g.conns)
+	if g.conns[g.next] == nil {
+		g.conns[g.next] = map[string]string{}
+	}
+
+	return &fakeTransaction{gateway: g, prepared: g.conns[g.next], status: 'I', cancel: make(chan struct{}, 1)}, nil
+}
+
+func (g *fakeGateway) record(query string) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+
+	g.ran = append(g.ran, query)
+}
+
+func (g *fakeGateway) queries() []string {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+
+	return append([]string(nil), g.ran...)
+}
+
+func (g *fakeGateway) lastHeader() lab.Header {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+
+	return g.headers[len(g.headers)-1]
+}
+
+type fakeTransaction struct {
+	gateway  *fakeGateway
+	prepared map[string]string
+	status   byte
+	portals  map[string]fakePortal
+	out      io.Writer
+	err      error
+	cancel   chan struct{}
+}
+
+type fakePortal struct {
+	query      string
+	parameters [][]byte
+}
+
+func (t *fakeTransaction) Cancel() { t.cancel <- struct{}{} }
+
+func (t *fakeTransaction) Close() {}
+
+func (t *fakeTransaction) Run(ctx context.Context, u lab.Unit, answer io.Writer) (lab.Result, error) {
+	t.out, t.err, t.portals = answer, nil, map[string]fakePortal{}
+
+	failed := false
+
+	for _, s := range u.Statements {
+		if strings.Contains(s.Query, "syntax") {
+			t.fail("42601", "syntax error")
+
+			failed = true
+
+			break
+		}
+
+		t.prepared[s.Name] = s.Query
+	}
+
+	b := pgproto3.NewBackend(bytes.NewReader(u.Messages), io.Discard)
+
+	for {
+		m, err := b.Receive()
+		if err != nil {
+			break
+		}
+
+		if !failed {
+			failed = !t.message(ctx, m)
+		}
+
+		if t.err != nil {
+			return lab.Result{}, t.err
+		}
+	}
+
+	if failed && t.status == 'T' {
+		t.status = 'E'
+	}
+
+	t.gateway.lock.Lock()
+	defer t.gateway.lock.Unlock()
+
+	t.gateway.offset++
+
+	return lab.Result{Status: t.status, Position: lab.Position{Term: 1, Offset: t.gateway.offset}}, t.err
+}
+
+func (t *fakeTransaction) send(m pgproto3.BackendMessage) {
+	raw, err := m.Encode(nil)
+	if err == nil {
+		_, err = t.out.Write(raw)
+	}
+
+	if err != nil && t.err == nil {
+		t.err = lab.Unknown(lab.ReasonLost, err)
+	}
+}
+
+func (t *fakeTransaction) fail(code, message string) bool {
+	t.send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: code, Message: message, Position: 30})
+
+	return false
+}
+
+// message handles one message and returns false when an error was answered.
+func (t *fakeTransaction) message(ctx context.Context, m pgproto3.FrontendMessage) bool {
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		if strings.Contains(m.String, "syntax") {
+			return t.fail("42601", "syntax error")
+		}
+
+		for q := range strings.SplitSeq(m.String, ";") {
+			if q = strings.TrimSpace(q); q != "" && !t.execute(ctx, fakePortal{query: q}, true) {
+				return false
+			}
+		}
+	case *pgproto3.Parse:
+		t.prepared[m.Name] = m.Query
+		t.send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		q, ok := t.prepared[m.PreparedStatement]
+		if !ok {
+			return t.fail("26000", "prepared statement does not exist: "+m.PreparedStatement)
+		}
+
+		p := fakePortal{query: q}
+		for _, v := range m.Parameters {
+			p.parameters = append(p.parameters, bytes.Clone(v))
+		}
+
+		t.portals[m.DestinationPortal] = p
+		t.send(&pgproto3.BindComplete{})
+	case *pgproto3.Describe:
+		q := t.portals[m.Name].query
+		if m.ObjectType == 'S' {
+			q = t.prepared[m.Name]
+			oids := make([]uint32, strings.Count(q, "$"))
+			for i := range oids {
+				oids[i] = 25
+			}
+
+			t.send(&pgproto3.ParameterDescription{ParameterOIDs: oids})
+		}
+
+		t.describe(q)
+	case *pgproto3.Execute:
+		return t.execute(ctx, t.portals[m.Portal], false)
+	case *pgproto3.Close:
+		t.send(&pgproto3.CloseComplete{})
+	}
+
+	return true
+}
+
+func (t *fakeTransaction) describe(q string) {
+	if !strings.HasPrefix(q, "select") {
+		t.send(&pgproto3.NoData{})
+
+		return
+	}
+
+	t.send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{
+		Name: []byte("v"), DataTypeOID: 25, DataTypeSize: -1, TypeModifier: -1,
+	}}})
+}
+
+func (t *fakeTransaction) execute(ctx context.Context, p fakePortal, describe bool) bool {
+	t.gateway.record(p.query)
+
+	if t.gateway.after != nil {
+		if t.err = t.gateway.after(p.query); t.err != nil {
+			return false
+		}
+	}
+
+	w := strings.Fields(strings.ToLower(p.query))
+
+	switch {
+	case w[0] == "begin":
+		t.status = 'T'
+	case w[0] == "commit" || w[0] == "rollback":
+		tag := strings.ToUpper(w[0])
+		if t.status == 'E' {
+			tag = "ROLLBACK"
+		}
+
+		t.status = 'I'
+		t.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+
+		return true
+	case t.status == 'E':
+		return t.fail("25P02", "aborted")
+	case w[0] == "select":
+		return t.query(ctx, p, w, describe)
+	case w[0] == "insert":
+		t.send(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")})
+
+		return true
+	}
+
+	t.send(&pgproto3.CommandComplete{CommandTag: []byte(strings.ToUpper(w[0]))})
+
+	return true
+}
+
+func (t *fakeTransaction) query(ctx context.Context, p fakePortal, w []string, describe bool) bool {
+	switch w[1] {
+	case "error":
+		return t.fail("22012", "division by zero")
+	case "block":
+		select {
+		case <-t.cancel:
+			return t.fail("57014", "canceling statement due to user request")
+		case <-ctx.Done():
+			t.err = lab.Unknown(lab.ReasonCancelled, ctx.Err())
+
+			return false
+		case <-t.gateway.released:
+		}
+	}
+
+	if describe {
+		t.describe(p.query)
+	}
+
+	rows, value := 1, []byte(strings.Join(w[1:], " "))
+	if w[1] == "rows" { // select rows COUNT BYTES
+		rows, _ = strconv.Atoi(w[2])
+		size, _ := strconv.Atoi(w[3])
+		value = bytes.Repeat([]byte{'x'}, size)
+	} else if len(p.parameters) > 0 {
+		value = p.parameters[0]
+	}
+
+	for range rows {
+		if t.send(&pgproto3.DataRow{Values: [][]byte{value}}); t.err != nil {
+			return false
+		}
+	}
+
+	t.send(&pgproto3.CommandComplete{CommandTag: fmt.Appendf(nil, "SELECT %d", rows)})
+
+	return true
+}
--- /dev/null
+++ b/proxy/process/labfront/front_test.go
@@ -0,0 +1,181 @@
+package labfront_test
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgxpool"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labscram"
+	"laburnumlock.dev/lab/proxy/connection/labsession"
+	"laburnumlock.dev/lab/proxy/connection/labtoken"
+	"laburnumlock.dev/lab/proxy/process/labfront"
+)
+
+const password = "correct horse"
+
+// fixture is a front with a fake gateway behind it.
+type fixture struct {
+	front   *labfront.Front
+	server  *labsession.Server
+	gateway *fakeGateway
+}
+
+func start(t *testing.T, change func(*labfront.Front)) *fixture {
+	t.Helper()
+
+	credential, err := labscram.NewCredential(password)
+	assert.NilError(t, err)
+
+	routes := &fakeRoutes{
+		organisations: map[string]*lab.Organisation{"hanko": {
+			Name: "hanko", Databases: []string{"rota", "extra"}, Credential: credential,
+			Parameters: lab.Parameters{ReadClasses: []lab.ReadClass{{Name: "report", MaxAgeMS: 2000}}},
+		}},
+		databases: map[string]*lab.Database{"rota": {Name: "rota", History: lab.History{{Term: 1}}}},
+	}
+	x := &fixture{gateway: &fakeGateway{released: make(chan struct{})}}
+	x.server = &labsession.Server{
+		Gateway: x.gateway, Routes: routes, Clock: fakeClock{time.Now()}, Random: fakeRandom{}, Budget: fakeBudget{},
+		Codec: &labtoken.Codec{Keys: [][]byte{[]byte("deployment key")}}, Keys: &labsession.CancelKeys{Proxy: 7},
+		Secret: []byte("secret"), Log: zerolog.Nop(),
+	}
+	x.front = &labfront.Front{Listen: "127.0.0.1:0", Server: x.server, Log: zerolog.Nop(), EventLoops: 2}
+
+	if change != nil {
+		change(x.front)
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+
+	go func() { done <- x.front.Run(ctx) }()
+
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+
+	eventually(t, func() bool { return x.front.Address() != "" })
+
+	return x
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+
+	for until := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "condition not met within 10 s")
+	}
+}
+
+func (x *fixture) url(parameters string) string {
+	return fmt.Sprintf("postgres://hanko:%s@%s/rota?sslmode=disable&%s", url.PathEscape(password), x.front.Address(), parameters)
+}
+
+func (x *fixture) connect(t *testing.T) *pgx.Conn {
+	t.Helper()
+
+	c, err := pgx.Connect(context.Background(), x.url(""))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+
+	return c
+}
+
+func answers(c interface {
+	QueryRow(ctx context.Context, sql string, arguments ...any) pgx.Row
+}, want, query string, arguments ...any,
+) func(*testing.T) {
+	return func(t *testing.T) {
+		t.Helper()
+
+		var got string
+		assert.NilError(t, c.QueryRow(context.Background(), query, arguments...).Scan(&got))
+		assert.Equal(t, got, want)
+	}
+}
+
+// Guards against a broken startup, authentication or rewriting of statements as pgx sees it.
+func TestPool(t *testing.T) {
+	x := start(t, nil)
+
+	p, err := pgxpool.New(context.Background(), x.url("pool_max_conns=4"))
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+
+	for i := range 20 {
+		t.Run("extended", answers(p, fmt.Sprint("v", i), "select $1", fmt.Sprint("v", i)))
+	}
+
+	t.Run("simple", answers(p, "one", "select one", pgx.QueryExecModeSimpleProtocol))
+	t.Run("unnamed", answers(p, "x", "select $1", pgx.QueryExecModeExec, "x"))
+}
+
+func runs(x *fixture, want ...string) func(*testing.T) {
+	return func(t *testing.T) {
+		t.Helper()
+
+		got := x.gateway.queries()
+		assert.DeepEqual(t, got[len(got)-len(want):], want)
+	}
+}
+
+// Guards against a BEGIN that is lost, sent twice, or routed without regard to READ ONLY.
+func TestTransactions(t *testing.T) {
+	x := start(t, nil)
+	c := x.connect(t)
+	ctx := context.Background()
+
+	begin := func(t *testing.T, o pgx.TxOptions) pgx.Tx {
+		t.Helper()
+
+		tx, err := c.BeginTx(ctx, o)
+		assert.NilError(t, err)
+
+		return tx
+	}
+
+	t.Run("commit", func(t *testing.T) {
+		tx := begin(t, pgx.TxOptions{})
+		answers(tx, "v", "select $1", "v")(t)
+		assert.Equal(t, x.gateway.lastHeader().ReadOnly, false)
+		assert.NilError(t, tx.Commit(ctx))
+		runs(x, "begin", "select $1", "commit")(t)
+	})
+	t.Run("read only", func(t *testing.T) {
+		tx := begin(t, pgx.TxOptions{AccessMode: pgx.ReadOnly})
+		answers(tx, "one", "select one", pgx.QueryExecModeSimpleProtocol)(t)
+		assert.Equal(t, x.gateway.lastHeader().ReadOnly, true)
+		assert.NilError(t, tx.Rollback(ctx))
+		runs(x, "begin read only", "select one", "rollback")(t)
+	})
+	t.Run("empty", func(t *testing.T) {
+		before := len(x.gateway.queries())
+		assert.NilError(t, begin(t, pgx.TxOptions{}).Commit(ctx))
+		assert.Equal(t, len(x.gateway.queries()), before)
+	})
+	t.Run("error", func(t *testing.T) {
+		tx := begin(t, pgx.TxOptions{})
+		_, err := tx.Exec(ctx, "select error")
+		assert.ErrorContains(t, err, "22012")
+		_, err = tx.Exec(ctx, "select one")
+		assert.ErrorContains(t, err, "25P02")
+		assert.ErrorIs(t, tx.Commit(ctx), pgx.ErrTxCommitRollback)
+	})
+	t.Run("syntax error in the first statement", func(t *testing.T) {
+		tx := begin(t, pgx.TxOptions{})
+		_, err := tx.Exec(ctx, "syntax")
+		assert.ErrorContains(t, err, "42601")
+		_, err = tx.Exec(ctx, "insert 1")
+		assert.ErrorContains(t, err, "25P02")
+		assert.NilError(t, tx.Rollback(ctx))
+	})
+}
--- /dev/null
+++ b/proxy/request/labstatement/statement.go
@@ -0,0 +1,36 @@
+package labstatement
+
+// Statement is one statement of a text.
+type Statement struct {
+	kind    Kind
+	pure    bool
+	keeps   bool
+	text    string
+	setting Setting
+}
+
+// Kind returns what the statement does.
+func (s Statement) Kind() Kind {
+	return s.kind
+}
+
+// Pure reports whether the statement is a read that calls only functions known to change nothing, so that running it
+// twice has the effect of running it once.
+func (s Statement) Pure() bool {
+	return s.pure
+}
+
+// Changes reports whether the statement may leave state behind in the upstream session.
+func (s Statement) Changes() bool {
+	return !s.keeps
+}
+
+// Text returns the statement without its semicolon.
+func (s Statement) Text() string {
+	return s.text
+}
+
+// Setting returns the parameter change of a statement of kind Set.
+func (s Statement) Setting() Setting {
+	return s.setting
+}
--- /dev/null
+++ b/proxy/request/labstatement/text.go
@@ -0,0 +1,70 @@
+package labstatement
+
+// Text is the classification of one SQL text.
+type Text struct {
+	statements []Statement
+	tags       Tags
+}
+
+// Parse classifies a text. It fails only for faulty tags; text that PostgreSQL would reject is of kind Other.
+func Parse(text string) (Text, error) {
+	var t Text
+
+	var fault error
+
+	c := scanner{text: text, comments: func(body string) {
+		if err := t.tags.read(body); err != nil && fault == nil {
+			fault = err
+		}
+	}}
+	for {
+		s, more := parseStatement(&c)
+		if s.text != "" {
+			t.statements = append(t.statements, s)
+		}
+
+		if !more {
+			return t, fault
+		}
+	}
+}
+
+// Tags returns what the text's comments say.
+func (t Text) Tags() Tags {
+	return t.tags
+}
+
+// Statements returns the statements in order, without empty ones.
+func (t Text) Statements() []Statement {
+	return t.statements
+}
+
+// Single returns the only statement of the text, and false when there are none or several.
+func (t Text) Single() (Statement, bool) {
+	if len(t.statements) != 1 {
+		return Statement{}, false
+	}
+
+	return t.statements[0], true
+}
+
+// Reads reports whether every statement is a read. A text of several statements is never a read.
+func (t Text) Reads() bool {
+	return len(t.statements) == 0 || len(t.statements) == 1 && t.statements[0].kind == Read
+}
+
+// Pure reports whether the text is a read that may run twice.
+func (t Text) Pure() bool {
+	return t.Reads() && (len(t.statements) == 0 || t.statements[0].pure)
+}
+
+// Changes reports whether a statement may leave state behind in the upstream session.
+func (t Text) Changes() bool {
+	for _, s := range t.statements {
+		if s.Changes() {
+			return true
+		}
+	}
+
+	return false
+}
