--- /dev/null
+++ b/proxy/connection/labupstream/conn.go
@@ -0,0 +1,172 @@
+package labupstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"laburnumlock.dev/lab"
+)
+
+const (
+	// closeWait bounds how long Close waits for the upstream to close its side.
+	closeWait = time.Second
+	// writeWait bounds one write; an upstream that does not read for this long is taken for lost.
+	writeWait = 5 * time.Second
+	// inlineWrite is the largest unit written without reading at the same time; it fits the socket buffers.
+	inlineWrite = 64 << 10
+)
+
+// Conn is a connection to an upstream. Only Cancel, Break and Broken may be called concurrently with other methods.
+type Conn struct {
+	// Silent is asked when the upstream sent nothing for a multiple of the progress timeout; an error ends the unit.
+	Silent func(ctx context.Context, silent time.Duration) error
+
+	net            *framedConn
+	address        string
+	cancelKey      pgproto3.CancelRequest
+	connectTimeout time.Duration
+	progress       time.Duration
+	limit          int
+	statementLimit int
+	statements     map[string]string
+	status         byte
+	changed        bool
+	broken         atomic.Bool
+	buffer         []byte
+}
+
+// Status returns the transaction status of the last ReadyForQuery.
+func (c *Conn) Status() byte {
+	return c.status
+}
+
+// Break marks the connection as not reusable.
+func (c *Conn) Break() {
+	c.broken.Store(true)
+}
+
+// Broken reports whether the connection must be closed.
+func (c *Conn) Broken() bool {
+	return c.broken.Load()
+}
+
+// Cancel asks the upstream over a new connection to cancel what runs on this one.
+func (c *Conn) Cancel(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, c.connectTimeout)
+	defer stop()
+
+	var dialer net.Dialer
+
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return errors.Newf("dial for cancel: %w", err)
+	}
+	defer func() { _ = conn.Close() }()
+
+	_ = conn.SetDeadline(time.Now().Add(c.connectTimeout))
+
+	request, err := c.cancelKey.Encode(nil)
+	if err != nil {
+		return errors.Newf("encode cancel request: %w", err)
+	}
+
+	if _, err = conn.Write(request); err != nil {
+		return errors.Newf("write cancel request: %w", err)
+	}
+
+	// The upstream closes the connection after it signalled the backend.
+	if _, err = io.Copy(io.Discard, conn); err != nil {
+		return errors.Newf("wait for cancel: %w", err)
+	}
+
+	return nil
+}
+
+// NeedsReset reports whether Reset has something to do.
+func (c *Conn) NeedsReset() bool {
+	return c.changed || len(c.statements) > c.statementLimit
+}
+
+// Reset brings the session back to its initial state when a unit changed it.
+func (c *Conn) Reset(ctx context.Context) error {
+	if !c.NeedsReset() {
+		return nil
+	}
+
+	discard, err := (&pgproto3.Query{String: "DISCARD ALL"}).Encode(nil)
+	if err != nil {
+		return errors.Newf("encode reset: %w", err)
+	}
+
+	ended, err := c.Run(ctx, lab.Unit{Messages: discard, Simple: true}, io.Discard, false)
+	if err != nil {
+		return errors.Newf("reset session: %w", err)
+	}
+
+	if ended.Code != "" || ended.Status != 'I' {
+		c.Break()
+
+		return errors.Newf("reset session: SQLSTATE %s, status %c", ended.Code, ended.Status)
+	}
+
+	c.changed = false
+	c.statements = map[string]string{}
+
+	return nil
+}
+
+// Probe reads the member's position; it proves that the connection still works.
+func (c *Conn) Probe(ctx context.Context) (Position, error) {
+	e := exchange{conn: c, answer: io.Discard}
+	out, err := e.positionQuery(nil)
+	if err != nil {
+		return Position{}, err
+	}
+
+	if err = e.guard(ctx, func() error {
+		if err := e.send(out); err != nil {
+			return err
+		}
+
+		return e.readPosition(ctx)
+	}); err != nil {
+		return Position{}, errors.Newf("probe: %w", err)
+	}
+
+	if !e.ended.Positioned {
+		return Position{}, errors.New("probe: no position")
+	}
+
+	return e.ended.Position, nil
+}
+
+// Abort closes the connection at once, for one that no longer answers.
+func (c *Conn) Abort() {
+	c.Break()
+	_ = c.net.Close()
+}
+
+// Close ends the session and waits a short time for the upstream to close its side, so that the caller may count the
+// upstream's connection as free when Close returns.
+func (c *Conn) Close() {
+	c.Break()
+
+	_ = c.net.SetDeadline(time.Now().Add(closeWait))
+
+	if terminate, err := (&pgproto3.Terminate{}).Encode(nil); err == nil {
+		_, _ = c.net.Write(terminate)
+	}
+
+	if half, ok := c.net.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+		_, _ = io.Copy(io.Discard, c.net.Conn)
+	}
+
+	_ = c.net.Close()
+}
--- /dev/null
+++ b/proxy/connection/labupstream/dialer.go
@@ -0,0 +1,120 @@
+package labupstream
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// Defaults of a Dialer's fields that are zero.
+const (
+	DefaultConnectTimeout  = 2 * time.Second
+	DefaultProgressTimeout = time.Second
+	DefaultMessageLimit    = 16 << 20 // bytes
+	DefaultStatementLimit  = 512
+
+	keepAlive = time.Second
+)
+
+// Dialer opens connections to upstreams.
+type Dialer struct {
+	User            string
+	Password        string
+	ConnectTimeout  time.Duration // for the connection and the login together
+	ProgressTimeout time.Duration // without any byte from the upstream, after which Silent is asked
+	MessageLimit    int           // bytes of one message
+	StatementLimit  int           // prepared statements on a connection, above which it is reset before reuse
+}
+
+// Dial connects and logs in to the database of the upstream at address.
+func (d *Dialer) Dial(ctx context.Context, address, database string) (*Conn, error) {
+	config, err := d.config(address, database)
+	if err != nil {
+		return nil, err
+	}
+
+	var framed *framedConn
+
+	config.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialer := net.Dialer{KeepAlive: keepAlive}
+
+		raw, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, errors.Newf("dial: %w", err)
+		}
+
+		framed = newFramedConn(raw)
+
+		return framed, nil
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, config.ConnectTimeout)
+	defer cancel()
+
+	login, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, errors.Newf("connect to %s: %w", address, err)
+	}
+
+	hijacked, err := login.Hijack()
+	if err != nil {
+		_ = framed.Close()
+
+		return nil, errors.Newf("take over the connection: %w", err)
+	}
+
+	c := &Conn{
+		net: framed, address: address, cancelKey: pgproto3.CancelRequest{ProcessID: hijacked.PID, SecretKey: hijacked.SecretKey},
+		progress: positive(d.ProgressTimeout, DefaultProgressTimeout), limit: d.MessageLimit,
+		statementLimit: d.StatementLimit, statements: map[string]string{}, connectTimeout: config.ConnectTimeout, status: 'I',
+	}
+	if c.limit <= 0 {
+		c.limit = DefaultMessageLimit
+	}
+
+	if c.statementLimit <= 0 {
+		c.statementLimit = DefaultStatementLimit
+	}
+
+	return c, framed.SetDeadline(time.Time{})
+}
+
+func (d *Dialer) config(address, database string) (*pgconn.Config, error) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Newf("parse address: %w", err)
+	}
+
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil {
+		return nil, errors.Newf("parse port: %w", err)
+	}
+
+	// An empty service file and password file keep the environment's settings out of the connection.
+	config, err := pgconn.ParseConfig("host=localhost sslmode=disable passfile=/dev/null servicefile=/dev/null")
+	if err != nil {
+		return nil, errors.Newf("make connection settings: %w", err)
+	}
+
+	config.Host, config.Port, config.Database = host, uint16(number), database
+	config.User, config.Password = d.User, d.Password
+	config.ConnectTimeout = positive(d.ConnectTimeout, DefaultConnectTimeout)
+	config.Fallbacks = nil
+	config.TLSConfig = nil
+	config.RuntimeParams = map[string]string{}
+
+	return config, nil
+}
+
+func positive(value, fallback time.Duration) time.Duration {
+	if value > 0 {
+		return value
+	}
+
+	return fallback
+}
--- /dev/null
+++ b/proxy/connection/labupstream/doc.go
@@ -0,0 +1,2 @@
+// Package labupstream runs units of protocol messages on one connection to an upstream.
+package labupstream
--- /dev/null
+++ b/proxy/connection/labupstream/framed.go
@@ -0,0 +1,52 @@
+package labupstream
+
+import (
+	"bufio"
+	"encoding/binary"
+	"net"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	headerSize = 5 // message type and length
+	bufferSize = 16 << 10
+)
+
+// framedConn returns at most the rest of one message from each Read, so that the login reads nothing beyond the
+// ReadyForQuery that ends it.
+type framedConn struct {
+	net.Conn
+	reader *bufio.Reader
+	rest   int
+}
+
+func newFramedConn(conn net.Conn) *framedConn {
+	return &framedConn{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}
+}
+
+// Read reads from the current message only.
+func (f *framedConn) Read(buffer []byte) (int, error) {
+	if f.rest == 0 {
+		header, err := f.reader.Peek(headerSize)
+		if err != nil {
+			return 0, err
+		}
+
+		length := int(binary.BigEndian.Uint32(header[1:]))
+		if length < headerSize-1 || length > DefaultMessageLimit {
+			return 0, errors.Newf("message length %d out of bounds", length)
+		}
+
+		f.rest = 1 + length
+	}
+
+	if len(buffer) > f.rest {
+		buffer = buffer[:f.rest]
+	}
+
+	n, err := f.reader.Read(buffer)
+	f.rest -= n
+
+	return n, err
+}
--- /dev/null
+++ b/proxy/connection/labupstream/liveness.go
@@ -0,0 +1,37 @@
+package labupstream
+
+import (
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Idle reports whether the connection is open, unbroken and has nothing to read, without a round trip. A pooled
+// connection that was closed by the upstream shows here and not after a unit was sent.
+func (c *Conn) Idle() bool {
+	if c.broken.Load() || c.net.reader.Buffered() > 0 {
+		return false
+	}
+
+	conn, ok := c.net.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+
+	idle := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		idle = errors.Is(err, syscall.EAGAIN)
+
+		return true
+	})
+
+	return err == nil && idle
+}
--- /dev/null
+++ b/proxy/connection/labupstream/position.go
@@ -0,0 +1,111 @@
+package labupstream
+
+import (
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+)
+
+const positionColumns = 4
+
+// Position is a member's answer to lab.PositionQuery.
+type Position struct {
+	InRecovery bool
+	Replayed   lab.Position
+	Received   lab.Position
+}
+
+// parsePosition decodes the DataRow of lab.PositionQuery.
+func parsePosition(body []byte) (Position, error) {
+	columns, err := parseRow(body)
+	if err != nil {
+		return Position{}, err
+	}
+
+	timeline, err := strconv.ParseUint(columns[1], 10, 32)
+	if err != nil {
+		return Position{}, errors.Newf("parse timeline: %w", err)
+	}
+
+	replayed, err := parseOffset(columns[2])
+	if err != nil {
+		return Position{}, err
+	}
+
+	received, err := parseOffset(columns[3])
+	if err != nil {
+		return Position{}, err
+	}
+
+	term := lab.Term(timeline)
+
+	return Position{
+		InRecovery: columns[0] == "t",
+		Replayed:   lab.Position{Term: term, Offset: replayed},
+		Received:   lab.Position{Term: term, Offset: received},
+	}, nil
+}
+
+// parseRow splits a DataRow of the position query into its columns; a null column is empty.
+func parseRow(body []byte) ([positionColumns]string, error) {
+	var columns [positionColumns]string
+
+	if len(body) < 2 || binary.BigEndian.Uint16(body) != positionColumns {
+		return columns, errors.New("position row has a wrong number of columns")
+	}
+
+	body = body[2:]
+
+	for i := range columns {
+		if len(body) < 4 {
+			return columns, errors.New("position row is cut short")
+		}
+
+		length := int32(binary.BigEndian.Uint32(body))
+		body = body[4:]
+
+		if length < 0 {
+			continue
+		}
+
+		if int64(length) > int64(len(body)) {
+			return columns, errors.New("position row is cut short")
+		}
+
+		columns[i], body = string(body[:length]), body[length:]
+	}
+
+	if len(body) > 0 {
+		return columns, errors.New("position row has trailing bytes")
+	}
+
+	return columns, nil
+}
+
+// parseOffset decodes a pg_lsn; an empty one is 0.
+func parseOffset(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+
+	high, low, found := strings.Cut(text, "/")
+	if !found {
+		return 0, errors.Newf("parse log position %q", text)
+	}
+
+	upper, err := strconv.ParseUint(high, 16, 32)
+	if err != nil {
+		return 0, errors.Newf("parse log position %q: %w", text, err)
+	}
+
+	lower, err := strconv.ParseUint(low, 16, 32)
+	if err != nil {
+		return 0, errors.Newf("parse log position %q: %w", text, err)
+	}
+
+	return upper<<32 | lower, nil
+}
--- /dev/null
+++ b/proxy/process/labgateway/begin.go
@@ -0,0 +1,286 @@
+package labgateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/labobserver"
+)
+
+const (
+	// A read waits this share of its deadline for a replica, at most maxReplicaWait, before the primary serves it.
+	replicaWaitShare = 5
+	maxReplicaWait   = 50 * time.Millisecond
+
+	// retryPause is the longest time between two attempts of a write to find a primary.
+	retryPause = 100 * time.Millisecond
+)
+
+// Begin admits a transaction and binds it to an upstream connection.
+func (g *Gateway) Begin(ctx context.Context, header lab.Header) (lab.Transaction, error) {
+	d, err := g.find(header)
+	if err != nil {
+		return nil, err
+	}
+
+	t := &transaction{duty: d, header: header, started: g.Clock.Now(), limit: header.Deadline, first: true}
+	if t.limit <= 0 {
+		t.limit = defaultDeadline
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, t.limit)
+	defer cancel()
+
+	if repeated, err := t.reserve(ctx); repeated != nil || err != nil {
+		return repeated, err
+	}
+
+	if err = t.begin(ctx, ""); err != nil {
+		t.finish(lab.OnceNotRun)
+
+		return nil, err
+	}
+
+	return t, nil
+}
+
+// begin binds the transaction to a member other than the excluded one. Writes wait for a primary that answers.
+func (t *transaction) begin(ctx context.Context, excluded string) error {
+	for {
+		changed := t.duty.wait()
+
+		err := t.bind(ctx, excluded)
+		if err == nil {
+			return nil
+		}
+
+		t.leave()
+
+		if t.header.ReadOnly || !awaitsPrimary(err) {
+			return err
+		}
+
+		if region, elsewhere := t.primaryElsewhere(); elsewhere {
+			return lab.NotRun(lab.ReasonMisrouted, errors.Newf("primary is in region %s", region))
+		}
+
+		if !pause(ctx, changed) {
+			return err
+		}
+	}
+}
+
+func (t *transaction) bind(ctx context.Context, excluded string) error {
+	if err := t.duty.register(t); err != nil {
+		return notRun(err)
+	}
+
+	member, err := t.place(ctx, excluded)
+	if err != nil {
+		return notRun(err)
+	}
+
+	if err = t.acquire(ctx, member); err != nil {
+		return err
+	}
+
+	return t.connect(ctx)
+}
+
+// awaitsPrimary reports whether a write failed for a reason that a promotion ends.
+func awaitsPrimary(err error) bool {
+	switch _, reason := lab.OutcomeOf(err); reason {
+	case lab.ReasonNoPrimary, lab.ReasonSuperseded, lab.ReasonLost:
+		return true
+	}
+
+	return false
+}
+
+// pause waits for a change, at most retryPause, and reports whether there is time left.
+func pause(ctx context.Context, changed <-chan struct{}) bool {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+
+	return ctx.Err() == nil
+}
+
+// primaryElsewhere returns the region of a primary that is not in the duty's region.
+func (t *transaction) primaryElsewhere() (string, bool) {
+	database, found := t.duty.gateway.Routes.Database(t.header.Database)
+	if !found {
+		return "", false
+	}
+
+	primary, found := database.Member(database.Primary)
+
+	return primary.Region, found && primary.Region != t.duty.key.Region
+}
+
+// place chooses the member.
+func (t *transaction) place(ctx context.Context, excluded string) (string, error) {
+	if t.header.ReadOnly {
+		return t.placeRead(ctx, excluded)
+	}
+
+	database, found := t.duty.gateway.Routes.Database(t.header.Database)
+	if !found || database.Primary == "" || database.Term() != t.grant.Term {
+		return "", errNoPrimary
+	}
+
+	p, found := t.duty.pool(database.Primary)
+	if !found {
+		return "", errNoPrimary
+	}
+
+	if _, leaving := p.left(); leaving {
+		return "", errNoPrimary
+	}
+
+	return database.Primary, nil
+}
+
+// placeRead prefers a replica, waits briefly for one, and then takes the primary.
+func (t *transaction) placeRead(ctx context.Context, excluded string) (string, error) {
+	g := t.duty.gateway
+
+	database, found := g.Routes.Database(t.header.Database)
+	if !found {
+		return "", errMoved
+	}
+
+	var best candidate
+
+	search := func(views []labobserver.View) bool {
+		best, found = choose(database, views, g.Self.AvailabilityZone, t.header, excluded, t.load)
+
+		return found
+	}
+
+	if search(g.Observer.Views(t.header.Database, make([]labobserver.View, 0, 4))) {
+		return best.view.Member.Member, nil
+	}
+
+	if excluded == "" && t.replicas(database) {
+		wait, cancel := context.WithTimeout(ctx, min(t.limit/replicaWaitShare, maxReplicaWait))
+		defer cancel()
+
+		if err := g.Observer.Wait(wait, t.header.Database, search); err == nil {
+			return best.view.Member.Member, nil
+		}
+	}
+
+	return t.placePrimaryRead(database)
+}
+
+func (t *transaction) placePrimaryRead(database *lab.Database) (string, error) {
+	if region, elsewhere := t.primaryElsewhere(); elsewhere {
+		return "", lab.NotRun(lab.ReasonMisrouted, errors.Newf("no replica here; primary is in region %s", region))
+	}
+
+	if t.header.Floor.Term > database.Term() {
+		return "", lab.NotRun(lab.ReasonStale, errors.New("the floor's term is not known here yet"))
+	}
+
+	p, found := t.duty.pool(database.Primary)
+	if !found || database.Primary == "" {
+		return "", lab.NotRun(lab.ReasonStale, errNoPrimary)
+	}
+
+	if _, leaving := p.left(); leaving {
+		return "", lab.NotRun(lab.ReasonDraining, errLeaving)
+	}
+
+	return database.Primary, nil
+}
+
+// replicas reports whether the region has a replica that a read could wait for.
+func (t *transaction) replicas(database *lab.Database) bool {
+	for _, m := range database.Members {
+		if m.Region == t.duty.key.Region && m.Member != database.Primary && !m.Leaving {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (t *transaction) load(member string) (float64, bool) {
+	p, found := t.duty.pool(member)
+	if !found {
+		return 0, false
+	}
+
+	return p.load(), true
+}
+
+// acquire takes a slot of the member.
+func (t *transaction) acquire(ctx context.Context, member string) error {
+	g := t.duty.gateway
+
+	p, found := t.duty.pool(member)
+	if !found {
+		return notRun(errMoved)
+	}
+
+	request := lab.AdmissionRequest{
+		Organisation: t.header.Organisation, Class: t.header.Class, Weight: 1, Deadline: g.Clock.Now() + t.limit,
+	}
+
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Deadline = g.Clock.Now() + time.Until(deadline)
+	}
+
+	if o, found := g.Routes.Organisation(t.header.Organisation); found {
+		request.Weight = max(o.Parameters.Weight, 1)
+		request.QueueLimit = o.Parameters.QueueLimit
+	}
+
+	if t.pool.Load() != p {
+		t.pool.Store(p)
+		p.enter(1)
+	}
+
+	release, err := g.Admission.Acquire(ctx, t.duty.slotKey(member), request)
+	if err != nil {
+		return notRun(err)
+	}
+
+	t.release = release
+
+	return nil
+}
+
+// connect takes a connection from the member's pool.
+func (t *transaction) connect(ctx context.Context) error {
+	conn, err := t.pool.Load().get(ctx)
+	if err != nil && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+		return lab.NotRun(lab.ReasonLost, errors.Newf("connect to member: %w", err))
+	}
+
+	if err != nil {
+		return notRun(errors.Newf("connect to member: %w", err))
+	}
+
+	conn.Silent = t.silent
+
+	t.mu.Lock()
+	t.conn = conn
+	forced := t.forced
+	t.mu.Unlock()
+
+	if forced != nil {
+		return notRun(forced)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/proxy/process/labgateway/choice.go
@@ -0,0 +1,77 @@
+package labgateway
+
+import (
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/labobserver"
+)
+
+const (
+	// zonePenalty is the load, in transactions per slot, at which a replica in another zone is preferred.
+	zonePenalty = 0.5
+	// agePenalty is the load that one second of age is worth.
+	agePenalty = 0.25
+)
+
+// candidate is a member that may serve a read.
+type candidate struct {
+	view  labobserver.View
+	score float64
+}
+
+// covers reports whether a member has everything up to the floor. A floor of a term that the catalog does not know
+// yet is covered by positions of the same term only, because the switch points up to it are unknown.
+func covers(database *lab.Database, have, floor lab.Position) bool {
+	if floor.Term > database.Term() {
+		return have.Term == floor.Term && have.Offset >= floor.Offset
+	}
+
+	return database.History.Covers(have, floor)
+}
+
+// fits reports whether a member's position follows the known history.
+func fits(database *lab.Database, position lab.Position) bool {
+	return position.Term > 0 && position.Term <= database.Term() && database.History.Fits(position)
+}
+
+// eligible reports whether a replica may serve a read with a floor and an accepted age, 0 for none stated.
+func eligible(database *lab.Database, v labobserver.View, floor lab.Position, maxAge time.Duration) bool {
+	if !v.Known || v.Lost || v.Member.Leaving || !v.Status.InRecovery || v.Member.Member == database.Primary {
+		return false
+	}
+
+	if !fits(database, v.Status.Replayed) || !covers(database, v.Status.Replayed, floor) {
+		return false
+	}
+
+	return maxAge == 0 || v.AgeKnown && v.Age <= maxAge
+}
+
+// choose returns the best replica of those in the region, not counting the excluded one.
+func choose(
+	database *lab.Database, views []labobserver.View, zone string, header lab.Header, excluded string,
+	load func(member string) (float64, bool),
+) (best candidate, found bool) {
+	for _, v := range views {
+		if v.Member.Member == excluded || !eligible(database, v, header.Floor, header.MaxAge) {
+			continue
+		}
+
+		loaded, usable := load(v.Member.Member)
+		if !usable {
+			continue
+		}
+
+		c := candidate{view: v, score: loaded + agePenalty*v.Age.Seconds()}
+		if v.Member.AvailabilityZone != zone {
+			c.score += zonePenalty
+		}
+
+		if !found || c.score < best.score {
+			best, found = c, true
+		}
+	}
+
+	return best, found
+}
--- /dev/null
+++ b/proxy/process/labgateway/duty.go
@@ -0,0 +1,173 @@
+package labgateway
+
+import (
+	"sync"
+	"time"
+
+	"laburnumlock.dev/lab"
+)
+
+// hold is a grant and the end of the lease that last included it.
+type hold struct {
+	grant lab.Grant
+	until time.Duration // Clock.Now
+}
+
+// duty is the state of one duty held; it is a shard of the gateway under its own lock.
+type duty struct {
+	gateway *Gateway
+	key     lab.Duty
+
+	following sync.Mutex // keeps catalog states in order
+
+	mu           sync.Mutex
+	current      hold
+	previous     *hold // grant of an earlier term that transactions still use
+	withdrawn    bool
+	followed     *lab.Database // catalog state that the pools follow
+	closed       bool          // all connections are closed or being closed
+	pools        map[string]*pool
+	retired      []*pool // of members that left or restarted
+	transactions map[*transaction]struct{}
+	changed      chan struct{} // closed when work that waits may be possible
+}
+
+func newDuty(g *Gateway, h hold) *duty {
+	return &duty{
+		gateway: g, key: h.grant.Duty, current: h, pools: map[string]*pool{},
+		transactions: map[*transaction]struct{}{}, changed: make(chan struct{}),
+	}
+}
+
+// assign takes over a grant of a new lease.
+func (d *duty) assign(h hold) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if h.grant.Term != d.current.grant.Term || h.grant.Writable != d.current.grant.Writable ||
+		h.grant.Epoch != d.current.grant.Epoch {
+		if d.writers(d.current.grant) {
+			old := d.current
+			d.previous = &old
+		}
+	}
+
+	d.current = h
+	d.withdrawn = false
+	d.signal()
+}
+
+// writers reports whether transactions that may write run under a grant; the caller holds the lock.
+func (d *duty) writers(g lab.Grant) bool {
+	for t := range d.transactions {
+		if t.grant == g && !t.header.ReadOnly {
+			return true
+		}
+	}
+
+	return false
+}
+
+// withdraw stops new work.
+func (d *duty) withdraw() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.withdrawn = true
+	d.signal()
+}
+
+// signal wakes work that waits; the caller holds the lock.
+func (d *duty) signal() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// register admits a transaction under the grant in force, or tells why not.
+func (d *duty) register(t *transaction) error {
+	granted, alive := d.gateway.Lease.Grant(d.key)
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	switch {
+	case !alive || d.closed || granted.Epoch != d.current.grant.Epoch:
+		return errNoLease
+	case d.withdrawn:
+		return errMoved
+	}
+
+	if !t.header.ReadOnly {
+		if !granted.Writable || granted.Term == 0 || granted.Term != d.current.grant.Term || !d.current.grant.Writable {
+			return errNoPrimary
+		}
+	}
+
+	t.grant = d.current.grant
+	d.transactions[t] = struct{}{}
+
+	return nil
+}
+
+func (d *duty) unregister(t *transaction) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	delete(d.transactions, t)
+
+	if d.previous != nil && !d.writers(d.previous.grant) {
+		d.previous = nil
+	}
+}
+
+// valid reports whether work begun under a grant may still be sent and acknowledged. A grant that is not renewed stays
+// valid until the lease that last included it ends, because Held reports it until its transactions have ended.
+func (d *duty) valid(g lab.Grant, writes bool) bool {
+	granted, alive := d.gateway.Lease.Grant(d.key)
+	if alive && granted.Epoch == g.Epoch && (!writes || granted == g) {
+		return true
+	}
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	now := d.gateway.Clock.Now()
+	if d.closed {
+		return false
+	}
+
+	if d.previous != nil && d.previous.grant == g {
+		return now < d.previous.until
+	}
+
+	return d.current.grant == g && now < d.current.until
+}
+
+// held returns the grants in use.
+func (d *duty) held() []lab.Grant {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	grants := []lab.Grant{d.current.grant}
+	if d.previous != nil {
+		grants = append(grants, d.previous.grant)
+	}
+
+	return grants
+}
+
+func (d *duty) pool(member string) (*pool, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	p, found := d.pools[member]
+
+	return p, found && !d.closed
+}
+
+func (d *duty) wait() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.changed
+}
--- /dev/null
+++ b/proxy/process/labgateway/failure_test.go
@@ -0,0 +1,121 @@
+package labgateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+// Guards against a wrong word about a request whose connection fails: the outcome given is compared with what the
+// upstream ran.
+func TestLostConnection(t *testing.T) {
+	b := newBench(t)
+	b.primary.set(func() {
+		b.primary.hook = func(sql string) act {
+			switch {
+			case strings.HasPrefix(sql, "INSERT before"):
+				return actDropBefore
+			case strings.HasPrefix(sql, "INSERT after"):
+				return actDropAfter
+			case strings.HasPrefix(sql, "INSERT cross"):
+				return actCross
+			case strings.HasPrefix(sql, "INSERT silence"):
+				return actSilence
+			}
+
+			return actRun
+		}
+	})
+
+	unknown := func(sql, reason string, ran int) func(*testing.T) {
+		return func(t *testing.T) {
+			h := write()
+			h.Deadline = 500 * time.Millisecond
+			_, answer, err := b.do(h, query(sql, false))
+			wantOutcome(t, err, lab.OutcomeUnknown, reason)
+			assert.Equal(t, answer, "")
+			assert.Equal(t, b.primary.has(sql), ran)
+		}
+	}
+
+	t.Run("during the statement", unknown("INSERT before", lab.ReasonLost, 0))
+	t.Run("after the commit", unknown("INSERT after", lab.ReasonLost, 1))
+	t.Run("crossed answer", unknown("INSERT cross", lab.ReasonLost, 1))
+	t.Run("silent connection", unknown("INSERT silence", lab.ReasonDeadline, 0))
+	t.Run("before the commit of a transaction", func(t *testing.T) {
+		_, _, err := b.do(write(), query("BEGIN", true), query("INSERT before", false))
+		wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonLost)
+		assert.Equal(t, b.primary.has("INSERT before"), 0)
+	})
+	t.Run("before sending", func(t *testing.T) {
+		b.primary.set(func() {
+			for c := range b.primary.conns {
+				c.Close()
+			}
+		})
+
+		_, _, err := b.do(write(), query("INSERT fresh", false))
+		assert.NilError(t, err)
+		assert.Equal(t, b.primary.has("INSERT fresh"), 1)
+	})
+	t.Run("no primary", func(t *testing.T) {
+		b.primary.kill()
+		h := write()
+		h.Deadline = 300 * time.Millisecond
+		_, _, err := b.do(h, query("INSERT none", false))
+		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonLost)
+		assert.Equal(t, b.primary.has("INSERT none"), 0)
+	})
+}
+
+// Guards against acknowledging a commit that a failover could lose.
+func TestAcknowledge(t *testing.T) {
+	b := newBench(t)
+	stop := func(follows bool) {
+		b.replica.set(func() { b.replica.follows = follows })
+		b.replica2.set(func() { b.replica2.follows = follows })
+	}
+
+	t.Run("waits for a replica", func(t *testing.T) {
+		b.replica.set(func() { b.replica.lag = 60 * time.Millisecond })
+		b.replica2.set(func() { b.replica2.follows = false })
+
+		started := time.Now()
+		_, _, err := b.do(write(), query("INSERT slow", false))
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(started) > 50*time.Millisecond)
+	})
+	t.Run("no replica receives", func(t *testing.T) {
+		stop(false)
+
+		h := write()
+		h.Deadline = 200 * time.Millisecond
+		_, answer, err := b.do(h, query("INSERT lonely", false))
+		wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonDeadline)
+		assert.Equal(t, answer, "")
+		assert.Equal(t, b.primary.has("INSERT lonely"), 1)
+	})
+	t.Run("leaving replica does not count", func(t *testing.T) {
+		stop(false)
+		b.replica.set(func() { b.replica.received = 1 << 20 })
+		b.control.change(func(d *lab.Database) { d.Members[1].Leaving = true })
+		wait(t, func() bool {
+			for _, v := range b.gateway.Observer.Views("rota", nil) {
+				if v.Member.Leaving {
+					return v.Status.Received.Offset == 1<<20
+				}
+			}
+
+			return false
+		})
+
+		h := write()
+		h.Deadline = 200 * time.Millisecond
+		_, _, err := b.do(h, query("INSERT leaving", false))
+		wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonDeadline)
+	})
+}
--- /dev/null
+++ b/proxy/process/labgateway/fake_test.go
@@ -0,0 +1,445 @@
+package labgateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"laburnumlock.dev/lab"
+)
+
+// act is what a fake member does with a statement instead of running it normally.
+type act int
+
+const (
+	actRun act = iota
+	actDropBefore
+	actDropAfter
+	actSilence
+	actCross // sends an answer of another statement first
+)
+
+// fakeMember is a scripted upstream: it keeps what it committed and what it was asked.
+type fakeMember struct {
+	announcement lab.Announcement
+	group        *fakeGroup
+	listener     net.Listener
+
+	mu        sync.Mutex
+	recovery  bool
+	term      lab.Term
+	replayed  uint64
+	received  uint64
+	follows   bool
+	lag       time.Duration
+	committed []string
+	asked     []string
+	hook      func(sql string) act
+	hold      chan struct{} // a statement that begins with HOLD waits for it
+	open      int
+	peak      int
+	conns     map[net.Conn]struct{}
+}
+
+// fakeGroup is a database whose primary's commits reach the replicas that follow.
+type fakeGroup struct {
+	members []*fakeMember
+}
+
+func (g *fakeGroup) add(t *testing.T, name, region, zone string, recovery bool) *fakeMember {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	m := &fakeMember{
+		announcement: lab.Announcement{
+			Database: "rota", Member: name, Address: listener.Addr().String(), Region: region, AvailabilityZone: zone,
+			Incarnation: 1, Slots: 3, Connections: 8,
+		},
+		group: g, listener: listener, recovery: recovery, term: 1, replayed: 100, received: 100, follows: true,
+		hold: make(chan struct{}), conns: map[net.Conn]struct{}{},
+	}
+	g.members = append(g.members, m)
+
+	go m.serve()
+	t.Cleanup(m.kill)
+
+	return m
+}
+
+func (m *fakeMember) kill() {
+	m.listener.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	for c := range m.conns {
+		c.Close()
+	}
+}
+
+func (m *fakeMember) set(change func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change()
+}
+
+func (m *fakeMember) has(sql string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	count := 0
+
+	for _, c := range m.committed {
+		if c == sql {
+			count++
+		}
+	}
+
+	return count
+}
+
+func (m *fakeMember) wasAsked(sql string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	for _, a := range m.asked {
+		if a == sql {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (m *fakeMember) connections() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.open
+}
+
+func (m *fakeMember) serve() {
+	for {
+		conn, err := m.listener.Accept()
+		if err != nil {
+			return
+		}
+
+		m.mu.Lock()
+		m.open++
+		m.peak = max(m.peak, m.open)
+		m.conns[conn] = struct{}{}
+		m.mu.Unlock()
+
+		go func() {
+			(&fakeSession{member: m, backend: pgproto3.NewBackend(conn, conn), status: 'I'}).run()
+			conn.Close()
+			m.mu.Lock()
+			m.open--
+			delete(m.conns, conn)
+			m.mu.Unlock()
+		}()
+	}
+}
+
+// commit appends writes and replicates them.
+func (m *fakeMember) commit(writes []string) {
+	if len(writes) == 0 {
+		return
+	}
+
+	m.mu.Lock()
+	m.committed = append(m.committed, writes...)
+	m.replayed += 10
+	m.received = m.replayed
+	end := m.replayed
+	m.mu.Unlock()
+
+	for _, r := range m.group.members {
+		if r != m {
+			go r.follow(end)
+		}
+	}
+}
+
+func (m *fakeMember) follow(end uint64) {
+	m.mu.Lock()
+	lag, follows := m.lag, m.follows
+	m.mu.Unlock()
+
+	if !follows {
+		return
+	}
+
+	time.Sleep(lag)
+	m.set(func() { m.replayed, m.received = max(m.replayed, end), max(m.received, end) })
+}
+
+// fakeSession is one connection to a fake member.
+type fakeSession struct {
+	member  *fakeMember
+	backend *pgproto3.Backend
+	status  byte
+	writes  []string
+	parsed  string
+}
+
+var errDrop = errors.New("drop")
+
+func (s *fakeSession) run() {
+	startup, err := s.backend.ReceiveStartupMessage()
+	if err != nil {
+		return
+	}
+
+	if _, cancel := startup.(*pgproto3.CancelRequest); cancel {
+		return
+	}
+
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: 7, SecretKey: []byte{1, 2, 3, 4}})
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+
+	for s.backend.Flush() == nil {
+		message, err := s.backend.Receive()
+		if err != nil || s.handle(message) != nil {
+			return
+		}
+	}
+}
+
+func (s *fakeSession) handle(message pgproto3.FrontendMessage) error {
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		if err := s.statement(m.String); err != nil {
+			return err
+		}
+
+		s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.status})
+	case *pgproto3.Parse:
+		s.parsed = m.Query
+		s.backend.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		s.backend.Send(&pgproto3.BindComplete{})
+	case *pgproto3.Execute:
+		return s.statement(s.parsed)
+	case *pgproto3.Sync:
+		s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.status})
+	case *pgproto3.Terminate:
+		return errDrop
+	}
+
+	return nil
+}
+
+func (s *fakeSession) statement(sql string) error {
+	m := s.member
+	if sql == lab.PositionQuery {
+		s.position()
+
+		return nil
+	}
+
+	m.mu.Lock()
+	m.asked = append(m.asked, sql)
+	hook, recovery := m.hook, m.recovery
+	m.mu.Unlock()
+
+	what := actRun
+	if hook != nil {
+		what = hook(sql)
+	}
+
+	switch what {
+	case actDropBefore:
+		return errDrop
+	case actSilence:
+		time.Sleep(5 * time.Second)
+
+		return errDrop
+	case actCross:
+		s.backend.Send(&pgproto3.CloseComplete{})
+	case actRun, actDropAfter:
+	}
+
+	if strings.HasPrefix(sql, "HOLD") {
+		<-m.hold
+	}
+
+	s.execute(sql, recovery)
+
+	if what == actDropAfter {
+		return errDrop
+	}
+
+	return nil
+}
+
+func (s *fakeSession) execute(sql string, recovery bool) {
+	word, _, _ := strings.Cut(strings.TrimPrefix(sql, "HOLD "), " ")
+
+	switch word {
+	case "BEGIN":
+		s.status = 'T'
+	case "COMMIT":
+		s.member.commit(s.writes)
+		s.status, s.writes = 'I', nil
+	case "ROLLBACK":
+		s.status, s.writes = 'I', nil
+	case "INSERT":
+		if recovery {
+			s.fail("25006")
+
+			return
+		}
+
+		s.writes = append(s.writes, sql)
+		if s.status == 'I' {
+			s.member.commit(s.writes)
+			s.writes = nil
+		}
+
+		word = "INSERT 0 1"
+	case "SELECT":
+		s.backend.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("sql")}}})
+		s.backend.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(sql)}})
+
+		word = "SELECT 1"
+	case "FAIL":
+		s.fail("22012")
+
+		return
+	}
+
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(word)})
+}
+
+func (s *fakeSession) fail(code string) {
+	s.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: code, Message: "failed"})
+	s.writes = nil
+
+	if s.status == 'T' {
+		s.status = 'E'
+	}
+}
+
+func (s *fakeSession) position() {
+	m := s.member
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	recovery := "f"
+	if m.recovery {
+		recovery = "t"
+	}
+
+	lsn := func(n uint64) []byte { return fmt.Appendf(nil, "%X/%X", n>>32, n&0xffffffff) }
+
+	s.backend.Send(&pgproto3.RowDescription{Fields: make([]pgproto3.FieldDescription, 4)})
+	s.backend.Send(&pgproto3.DataRow{Values: [][]byte{
+		[]byte(recovery), fmt.Appendf(nil, "%d", m.term), lsn(m.replayed), lsn(m.received),
+	}})
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+}
+
+// fakeControl is routes, lease and admission in one.
+type fakeControl struct {
+	mu       sync.Mutex
+	database *lab.Database
+	grants   map[lab.Duty]lab.Grant
+	slots    map[string]chan struct{}
+}
+
+func (c *fakeControl) Database(string) (*lab.Database, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.database, true
+}
+
+func (c *fakeControl) Organisation(string) (*lab.Organisation, bool) {
+	return &lab.Organisation{Name: "hanko", Parameters: lab.Parameters{LeaveGraceMS: 200}}, true
+}
+
+func (c *fakeControl) Version() (version, index uint64) { return 1, 1 }
+
+func (c *fakeControl) Alive() bool { return true }
+
+func (c *fakeControl) Grant(duty lab.Duty) (lab.Grant, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g, found := c.grants[duty]
+
+	return g, found
+}
+
+func (c *fakeControl) Acquire(ctx context.Context, member string, _ lab.AdmissionRequest) (func(), error) {
+	c.mu.Lock()
+	s := c.slots[member]
+	c.mu.Unlock()
+
+	select {
+	case s <- struct{}{}:
+		return sync.OnceFunc(func() { <-s }), nil
+	case <-ctx.Done():
+		return nil, lab.NotRun(lab.ReasonOverload, ctx.Err())
+	}
+}
+
+func (c *fakeControl) Resize(member string, slots int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if slots > 0 && c.slots[member] == nil {
+		c.slots[member] = make(chan struct{}, slots)
+	}
+}
+
+// change replaces the catalog's state by a changed copy.
+func (c *fakeControl) change(change func(d *lab.Database)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	next := *c.database
+	next.Members = append([]lab.Announcement{}, next.Members...)
+	next.Index++
+	change(&next)
+	c.database = &next
+}
+
+// fakeOnce is a registry in memory.
+type fakeOnce struct {
+	mu      sync.Mutex
+	records map[string]lab.OnceRecord
+}
+
+func (o *fakeOnce) Reserve(_ context.Context, _, _, name string, _ time.Duration) (lab.OnceRecord, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if r, found := o.records[name]; found && r.State != lab.OnceNotRun {
+		return r, nil
+	}
+
+	o.records[name] = lab.OnceRecord{State: lab.OncePending}
+
+	return lab.OnceRecord{State: lab.OnceNew}, nil
+}
+
+func (o *fakeOnce) Resolve(_ context.Context, _, _, name string, record lab.OnceRecord) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.records[name] = record
+
+	return nil
+}
--- /dev/null
+++ b/proxy/process/labgateway/gateway_test.go
@@ -0,0 +1,199 @@
+package labgateway
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labupstream"
+	"laburnumlock.dev/lab/proxy/process/labobserver"
+)
+
+// wallClock is real time.
+type wallClock struct{ start time.Time }
+
+func (c wallClock) Now() time.Duration { return time.Since(c.start) }
+func (c wallClock) Wall() time.Time    { return time.Now() }
+func (c wallClock) Sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// bench is a gateway in front of a fake primary and two fake replicas.
+type bench struct {
+	gateway  *Gateway
+	control  *fakeControl
+	once     *fakeOnce
+	primary  *fakeMember
+	replica  *fakeMember
+	replica2 *fakeMember
+	duty     lab.Duty
+	grant    lab.Grant
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+
+	group := &fakeGroup{}
+	b := &bench{
+		primary:  group.add(t, "a", "coast", "hanko", false),
+		replica:  group.add(t, "b", "coast", "kotka", true),
+		replica2: group.add(t, "c", "coast", "hanko", true),
+		once:     &fakeOnce{records: map[string]lab.OnceRecord{}},
+		duty:     lab.Duty{Database: "rota", Region: "coast"},
+	}
+	b.grant = lab.Grant{Duty: b.duty, Epoch: 1, Term: 1, Writable: true}
+	b.control = &fakeControl{
+		database: &lab.Database{
+			Name: "rota", Index: 1, Primary: "a", History: lab.History{{Term: 1}},
+			Members: []lab.Announcement{b.primary.announcement, b.replica.announcement, b.replica2.announcement},
+		},
+		grants: map[lab.Duty]lab.Grant{b.duty: b.grant}, slots: map[string]chan struct{}{},
+	}
+
+	clock := wallClock{start: time.Now()}
+	dialer := &labupstream.Dialer{User: "lab", Password: "lab", ProgressTimeout: 200 * time.Millisecond}
+	b.gateway = &Gateway{
+		Self: lab.Instance{ID: "p1", Region: "coast", AvailabilityZone: "hanko"}, Clock: clock, Routes: b.control,
+		Lease: b.control, Admission: b.control, Once: b.once, Dialer: dialer, Tick: 10 * time.Millisecond,
+		Observer: &labobserver.Observer{
+			Clock: clock, Source: labobserver.Upstreams{Dialer: dialer}, Interval: 20 * time.Millisecond,
+			LostAfter: 200 * time.Millisecond,
+		},
+	}
+	b.gateway.Assign([]lab.Grant{b.grant}, b.gateway.Clock.Now()+time.Hour)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+		_ = b.gateway.Run(ctx)
+	}()
+
+	t.Cleanup(func() { cancel(); <-done })
+
+	wait(t, func() bool {
+		known := 0
+		for _, v := range b.gateway.Observer.Views("rota", nil) {
+			if v.Known && (v.AgeKnown || v.Member.Member == "a") {
+				known++
+			}
+		}
+
+		return known == 3
+	})
+
+	return b
+}
+
+func wait(t *testing.T, condition func() bool) {
+	t.Helper()
+
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+
+	t.Fatal("condition not reached")
+}
+
+func query(sql string, reads bool) lab.Unit {
+	messages, _ := (&pgproto3.Query{String: sql}).Encode(nil)
+
+	return lab.Unit{Messages: messages, Simple: true, Reads: reads}
+}
+
+func write() lab.Header {
+	return lab.Header{
+		RequestID: 1, Organisation: "hanko", Database: "rota", Class: lab.ClassWrite, Region: "coast",
+		Deadline: 2 * time.Second,
+	}
+}
+
+func read() lab.Header {
+	h := write()
+	h.Class, h.ReadOnly = lab.ClassPrompt, true
+
+	return h
+}
+
+// do runs units as one transaction and returns the last result, the answers and the first error.
+func (b *bench) do(header lab.Header, units ...lab.Unit) (lab.Result, string, error) {
+	var (
+		answer bytes.Buffer
+		result lab.Result
+	)
+
+	tx, err := b.gateway.Begin(context.Background(), header)
+	if err != nil {
+		return result, "", err
+	}
+	defer tx.Close()
+
+	for _, u := range units {
+		if result, err = tx.Run(context.Background(), u, &answer); err != nil {
+			break
+		}
+	}
+
+	return result, answer.String(), err
+}
+
+func wantOutcome(t *testing.T, err error, outcome lab.Outcome, reason string) {
+	t.Helper()
+	assert.Assert(t, err != nil)
+
+	gotOutcome, gotReason := lab.OutcomeOf(err)
+	assert.Equal(t, gotOutcome, outcome, "%v", err)
+	assert.Equal(t, gotReason, reason, "%v", err)
+}
+
+// Guards against a gateway that does not run units, reads on the primary without need, or answers without a position.
+func TestRun(t *testing.T) {
+	b := newBench(t)
+
+	t.Run("write", func(t *testing.T) {
+		result, answer, err := b.do(write(), query("INSERT w1", false))
+		assert.NilError(t, err)
+		assert.Equal(t, result, lab.Result{Status: 'I', Position: lab.Position{Term: 1, Offset: 110}, Member: "a"})
+		assert.Assert(t, bytes.Contains([]byte(answer), []byte("INSERT 0 1")))
+		assert.Equal(t, b.primary.has("INSERT w1"), 1)
+	})
+	t.Run("read with the write's floor", func(t *testing.T) {
+		h := read()
+		h.Floor = lab.Position{Term: 1, Offset: 110}
+		result, answer, err := b.do(h, query("SELECT r1", true))
+		assert.NilError(t, err)
+		assert.Assert(t, result.Replica)
+		assert.Assert(t, bytes.Contains([]byte(answer), []byte("SELECT r1")))
+		assert.Assert(t, !b.primary.wasAsked("SELECT r1"))
+	})
+	t.Run("stop closes all connections", func(t *testing.T) {
+		b := newBench(t)
+		_, _, err := b.do(write(), query("INSERT w0", false))
+		assert.NilError(t, err)
+		assert.NilError(t, b.gateway.Drain(context.Background()))
+		wait(t, func() bool { return b.primary.connections() == 0 && b.replica.connections() == 0 })
+		assert.Equal(t, len(b.gateway.Held()), 0)
+
+		_, _, err = b.do(write(), query("INSERT late", false))
+		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonDraining)
+	})
+	t.Run("transaction", func(t *testing.T) {
+		result, _, err := b.do(write(), query("BEGIN", true), query("INSERT w2", false), query("COMMIT", false))
+		assert.NilError(t, err)
+		assert.Equal(t, result.Status, byte('I'))
+		assert.Equal(t, b.primary.has("INSERT w2"), 1)
+	})
+}
--- /dev/null
+++ b/proxy/process/labgateway/repeated.go
@@ -0,0 +1,103 @@
+package labgateway
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"laburnumlock.dev/lab"
+)
+
+// repeated answers a named request that ran before with the command tag of its first outcome.
+type repeated struct {
+	tag      string
+	position lab.Position
+	ended    bool
+}
+
+// Run writes the answer that the unit would get, without rows.
+func (r *repeated) Run(_ context.Context, unit lab.Unit, answer io.Writer) (lab.Result, error) {
+	if r.ended {
+		return lab.Result{}, notRun(errEnded)
+	}
+
+	r.ended = true
+
+	// The units of a transaction block can't be answered one by one from the final tag.
+	if r.tag == "COMMIT" {
+		return lab.Result{}, &lab.OutcomeError{
+			Outcome: lab.OutcomeDone, Reason: lab.ReasonRepeated, Err: errors.New("the transaction was committed before"),
+		}
+	}
+
+	out, err := r.answer(unit.Messages)
+	if err != nil {
+		return lab.Result{}, err
+	}
+
+	if _, err = answer.Write(out); err != nil {
+		return lab.Result{}, lab.Unknown(lab.ReasonLost, errors.Newf("pass answer on: %w", err))
+	}
+
+	return lab.Result{Status: 'I', Position: r.position}, nil
+}
+
+func (r *repeated) answer(messages []byte) ([]byte, error) {
+	var out []byte
+
+	for len(messages) >= 5 {
+		length := int(binary.BigEndian.Uint32(messages[1:])) + 1
+		if length < 5 || length > len(messages) {
+			break
+		}
+
+		for _, m := range r.reply(messages[0], messages[5:length]) {
+			var err error
+			if out, err = m.Encode(out); err != nil {
+				return nil, errors.Newf("encode answer: %w", err)
+			}
+		}
+
+		messages = messages[length:]
+	}
+
+	return out, nil
+}
+
+// reply returns the answer to one message.
+func (r *repeated) reply(kind byte, body []byte) []pgproto3.BackendMessage {
+	switch kind {
+	case 'P':
+		return []pgproto3.BackendMessage{&pgproto3.ParseComplete{}}
+	case 'B':
+		return []pgproto3.BackendMessage{&pgproto3.BindComplete{}}
+	case 'C':
+		return []pgproto3.BackendMessage{&pgproto3.CloseComplete{}}
+	case 'D':
+		if strings.HasPrefix(string(body), "S") {
+			return []pgproto3.BackendMessage{&pgproto3.ParameterDescription{}, &pgproto3.NoData{}}
+		}
+
+		return []pgproto3.BackendMessage{&pgproto3.NoData{}}
+	case 'Q', 'E':
+		return []pgproto3.BackendMessage{
+			&pgproto3.NoticeResponse{
+				Severity: "NOTICE", SeverityUnlocalized: "NOTICE", Code: lab.CodeDone,
+				Message: "the request had run before under the same name",
+			},
+			&pgproto3.CommandComplete{CommandTag: []byte(r.tag)},
+		}
+	}
+
+	return nil
+}
+
+// Cancel does nothing because nothing runs.
+func (r *repeated) Cancel() {}
+
+// Close does nothing because nothing is bound.
+func (r *repeated) Close() {}
--- /dev/null
+++ b/proxy/process/labobserver/view.go
@@ -0,0 +1,18 @@
+package labobserver
+
+import (
+	"time"
+
+	"laburnumlock.dev/lab"
+)
+
+// View is what is known of one member.
+type View struct {
+	Member   lab.Announcement
+	Known    bool // the position was read since the member started
+	Lost     bool // new connections to it fail
+	Status   lab.MemberStatus
+	LastTerm lab.Term // last term read; a replica without a running receiver tells none
+	AgeKnown bool
+	Age      time.Duration // of the data a replica has replayed
+}
--- /dev/null
+++ b/proxy/process/labobserver/watch.go
@@ -0,0 +1,237 @@
+package labobserver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labupstream"
+)
+
+// watch polls one database; it is a shard of the observer under its own lock.
+type watch struct {
+	observer *Observer
+	ctx      context.Context //nolint:containedctx // ends the pollers, which outlive the call that starts them
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+
+	mu      sync.Mutex
+	tracker *tracker
+	pollers map[string]*poller
+	waiters int
+	changed chan struct{} // closed at each read of a replica
+}
+
+// poller is one member's polling goroutine.
+type poller struct {
+	member lab.Announcement
+	cancel context.CancelFunc
+	kick   chan struct{}
+	done   chan struct{}
+}
+
+func newWatch(o *Observer) *watch {
+	ctx, cancel := context.WithCancel(context.Background())
+
+	return &watch{
+		observer: o, ctx: ctx, cancel: cancel, tracker: newTracker(o.lostAfter(), o.positionEvery()),
+		pollers: map[string]*poller{}, changed: make(chan struct{}),
+	}
+}
+
+// update starts and stops pollers to follow the catalog.
+func (w *watch) update(database *lab.Database, watched func(lab.Announcement) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.tracker.update(database, watched)
+
+	for name, p := range w.pollers {
+		s, found := w.tracker.members[name]
+		if !found || s.member.Address != p.member.Address || s.member.Incarnation != p.member.Incarnation {
+			p.cancel()
+			delete(w.pollers, name)
+		}
+	}
+
+	for name, s := range w.tracker.members {
+		if _, found := w.pollers[name]; !found {
+			w.start(name, s.member)
+		}
+	}
+}
+
+func (w *watch) start(name string, member lab.Announcement) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	p := &poller{member: member, cancel: cancel, kick: make(chan struct{}, 1), done: make(chan struct{})}
+	w.pollers[name] = p
+
+	w.done.Go(func() {
+		defer close(p.done)
+		w.poll(ctx, p)
+	})
+}
+
+// poll reads one member's position until its context ends.
+func (w *watch) poll(ctx context.Context, p *poller) {
+	var reader Reader
+
+	defer func() {
+		if reader != nil {
+			reader.Close()
+		}
+	}()
+
+	for ctx.Err() == nil {
+		reader = w.readOnce(ctx, p, reader)
+		w.pause(ctx, p)
+	}
+}
+
+// readOnce reads the position, over a new connection when there is none. A failure on an open connection proves
+// nothing about the member, so a new one is tried at once.
+func (w *watch) readOnce(ctx context.Context, p *poller, reader Reader) Reader {
+	if reader != nil {
+		if w.probe(ctx, p, reader) {
+			return reader
+		}
+
+		reader.Abort()
+
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+
+	started := w.observer.Clock.Now()
+
+	open, cancel := context.WithTimeout(ctx, w.observer.connectTimeout())
+	defer cancel()
+
+	reader, err := w.observer.Source.Open(open, p.member)
+	if err == nil {
+		if w.probe(ctx, p, reader) {
+			return reader
+		}
+
+		reader.Abort()
+	}
+
+	if ctx.Err() == nil {
+		w.failed(p.member, started)
+	}
+
+	return nil
+}
+
+func (w *watch) probe(ctx context.Context, p *poller, reader Reader) bool {
+	ctx, cancel := context.WithTimeout(ctx, w.observer.probeTimeout())
+	defer cancel()
+
+	sent := w.observer.Clock.Now()
+
+	position, err := reader.Probe(ctx)
+	if err != nil {
+		return false
+	}
+
+	w.read(p.member, sent, position)
+
+	return true
+}
+
+func (w *watch) read(member lab.Announcement, sent time.Duration, position labupstream.Position) {
+	w.mu.Lock()
+	statuses := w.tracker.read(member, sent, position)
+
+	if w.waiters > 0 && member.Member != w.tracker.primary {
+		close(w.changed)
+		w.changed = make(chan struct{})
+	}
+	w.mu.Unlock()
+
+	w.observer.report(statuses)
+}
+
+func (w *watch) failed(member lab.Announcement, started time.Duration) {
+	w.mu.Lock()
+	statuses := w.tracker.failed(member, started, w.observer.Clock.Now())
+	w.mu.Unlock()
+
+	w.observer.report(statuses)
+}
+
+// pause waits until the next poll is due, which is soon while commits wait.
+func (w *watch) pause(ctx context.Context, p *poller) {
+	w.mu.Lock()
+	interval := w.observer.interval()
+
+	if w.waiters > 0 {
+		interval = waitingInterval
+	}
+	w.mu.Unlock()
+
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+	case <-p.kick:
+	case <-ctx.Done():
+	}
+}
+
+// wait polls until the views satisfy a condition.
+func (w *watch) wait(ctx context.Context, satisfied func([]View) bool) error {
+	w.mu.Lock()
+	w.waiters++
+	w.mu.Unlock()
+
+	defer func() {
+		w.mu.Lock()
+		w.waiters--
+		w.mu.Unlock()
+	}()
+
+	views := make([]View, 0, 4)
+
+	for first := true; ; first = false {
+		w.mu.Lock()
+		views = w.tracker.views(w.observer.Clock.Now(), views[:0])
+		changed := w.changed
+
+		if first {
+			w.kick()
+		}
+		w.mu.Unlock()
+
+		if satisfied(views) {
+			return nil
+		}
+
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-w.ctx.Done():
+			return errUnwatched
+		}
+	}
+}
+
+// kick wakes all pollers; one poll serves everyone who waits.
+func (w *watch) kick() {
+	for _, p := range w.pollers {
+		select {
+		case p.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// stop ends polling and returns when all connections are closed.
+func (w *watch) stop() {
+	w.cancel()
+	w.done.Wait()
+}
