--- a/standin/process/labstandin/errors.go
+++ b/standin/process/labstandin/errors.go
@@ -39,6 +39,6 @@
 	errDuplicate  = &sqlError{"42P05", "prepared statement already exists"}
 	errInBlock    = &sqlError{"25001", "DISCARD ALL cannot run inside a transaction block"}
 	errParameter  = &sqlError{"22P02", "invalid input syntax for parameter"}
-	errNoSetting  = &sqlError{"42704", "unrecognized configuration parameter"}
+	errNoSetting  = &sqlError{"42704", "unknown configuration parameter"}
 	errPromoted   = &sqlError{"55000", "recovery is not in progress"}
 )
--- a/standin/process/labstandin/execute.go
+++ b/standin/process/labstandin/execute.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"sort"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -173,14 +174,7 @@
 		g.lock.Lock()
 		defer g.lock.Unlock()
 
-		var keys []string
-		for k := range s.member.table(st.Table, s.block) {
-			keys = append(keys, k)
-		}
-
-		sort.Strings(keys)
-
-		return keys, nil
+		return slices.Sorted(maps.Keys(s.member.table(st.Table, s.block))), nil
 	}
 
 	key, err := evaluate(st.Key, parameters)
--- /dev/null
+++ b/standin/process/labstandin/fault_test.go
@@ -0,0 +1,224 @@
+package labstandin_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/standin/process/labstandin"
+)
+
+const shortWait = 100 * time.Millisecond
+
+// assertNoAnswer runs a statement that must still wait when the short wait ends.
+func assertNoAnswer(ctx context.Context, t *testing.T, c *pgx.Conn, sql string) {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(ctx, shortWait)
+	defer cancel()
+
+	_, err := c.Exec(ctx, sql)
+	assert.Assert(t, err != nil)
+	assert.ErrorIs(t, ctx.Err(), context.DeadlineExceeded)
+}
+
+// Guards against fault switches that fail in another way than they say, which would make fault tests meaningless.
+func TestFaults(t *testing.T) {
+	insert := "INSERT INTO notes (key, value) VALUES ('k', 'v')"
+
+	t.Run("kill and restart", func(t *testing.T) {
+		g, ctx := start(t, nil)
+		c, m := connect(ctx, t, g, "a"), g.Member("a")
+		execute(ctx, t, c, insert)
+		execute(ctx, t, c, "BEGIN")
+		execute(ctx, t, c, "DELETE FROM notes")
+		m.Kill()
+
+		_, err := c.Exec(ctx, "COMMIT")
+		assert.Assert(t, err != nil)
+
+		_, err = dial(ctx, g, "a", "secret")
+		assert.Assert(t, err != nil)
+		assert.NilError(t, m.Restart())
+		assertValue(t, m, "k", "v", 1)
+		connect(ctx, t, g, "a")
+		assert.Equal(t, m.Announcement().Incarnation, uint64(2))
+		assert.Equal(t, m.Counters().Open, 1)
+	})
+	t.Run("kill during a statement", func(t *testing.T) {
+		g, ctx := start(t, func(g *labstandin.Group) { g.StatementCost = shortWait })
+		c, m := connect(ctx, t, g, "a"), g.Member("a")
+		time.AfterFunc(shortWait/2, m.Kill)
+
+		_, err := c.Exec(ctx, insert, pgx.QueryExecModeSimpleProtocol)
+		assert.Assert(t, err != nil)
+		time.Sleep(shortWait)
+		assert.Equal(t, len(m.Rows("notes")), 0)
+		assert.Equal(t, m.Statements()[0].Code, "closed")
+	})
+	t.Run("kill of a frozen member", func(t *testing.T) {
+		const cost = 20 * time.Millisecond
+
+		g, ctx := start(t, func(g *labstandin.Group) { g.StatementCost = cost })
+		m := g.Member("a")
+
+		// Several rounds, since a commit that wakes up after the kill is a race.
+		for range 8 {
+			c := connect(ctx, t, g, "a")
+			time.AfterFunc(cost/2, m.Freeze)
+			time.AfterFunc(2*cost, m.Kill)
+
+			_, err := c.Exec(ctx, insert, pgx.QueryExecModeSimpleProtocol)
+			assert.Assert(t, err != nil)
+			time.Sleep(cost)
+			assert.Equal(t, len(m.Rows("notes")), 0)
+			assert.NilError(t, m.Restart())
+		}
+	})
+	t.Run("freeze", func(t *testing.T) {
+		g, ctx := start(t, nil)
+		c, m := connect(ctx, t, g, "a"), g.Member("a")
+		m.Freeze()
+		assertNoAnswer(ctx, t, c, insert)
+
+		short, cancel := context.WithTimeout(ctx, shortWait)
+		defer cancel()
+
+		_, err := dial(short, g, "a", "secret")
+		assert.Assert(t, err != nil)
+		assert.Equal(t, len(m.Rows("notes")), 0)
+		m.Thaw()
+		connect(ctx, t, g, "a")
+	})
+	t.Run("silence", func(t *testing.T) {
+		g, ctx := start(t, nil)
+		c, m := connect(ctx, t, g, "a"), g.Member("a")
+		m.Silence()
+		assertNoAnswer(ctx, t, c, insert)
+		assert.Equal(t, len(m.Rows("notes")), 0)
+		execute(ctx, t, connect(ctx, t, g, "a"), insert)
+	})
+	t.Run("drop before", func(t *testing.T) {
+		g, ctx := start(t, nil)
+		c, m := connect(ctx, t, g, "a"), g.Member("a")
+		m.DropBefore("INSERT")
+		execute(ctx, t, c, "SELECT 1")
+
+		_, err := c.Exec(ctx, insert)
+		assert.Assert(t, err != nil)
+		assert.Equal(t, len(m.Rows("notes")), 0)
+	})
+	t.Run("drop after", func(t *testing.T) {
+		g, ctx := start(t, nil)
+		c, m := connect(ctx, t, g, "a"), g.Member("a")
+		m.DropAfter("INSERT")
+
+		_, err := c.Exec(ctx, insert)
+		assert.Assert(t, err != nil)
+		assertValue(t, m, "k", "v", 1)
+	})
+	t.Run("delay", func(t *testing.T) {
+		g, ctx := start(t, nil)
+		c := connect(ctx, t, g, "a")
+		g.Member("a").SetDelay(shortWait)
+
+		began := time.Now()
+		_, err := c.Exec(ctx, "SELECT 1", pgx.QueryExecModeSimpleProtocol)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(began) >= shortWait)
+	})
+	t.Run("cancel", func(t *testing.T) {
+		g, ctx := start(t, nil)
+		c := connect(ctx, t, g, "a")
+		time.AfterFunc(shortWait, func() { _ = c.PgConn().CancelRequest(ctx) })
+
+		_, err := c.Exec(ctx, "SELECT pg_sleep(15)")
+		assertCode(t, err, "57014")
+		execute(ctx, t, c, "SELECT 1")
+	})
+	t.Run("isolated replica", func(t *testing.T) {
+		g, ctx := start(t, nil)
+		g.Member("b").Isolate(true)
+		execute(ctx, t, connect(ctx, t, g, "a"), insert)
+		assert.Equal(t, len(g.Member("b").Rows("notes")), 0)
+		g.Member("b").Isolate(false)
+		assertValue(t, g.Member("b"), "k", "v", 1)
+	})
+}
+
+// Guards against limits that are not kept or not measured.
+func TestLimits(t *testing.T) {
+	g, ctx := start(t, func(g *labstandin.Group) { g.StatementCost = shortWait })
+
+	t.Run("wrong password", func(t *testing.T) {
+		_, err := dial(ctx, g, "a", "wrong")
+		assertCode(t, err, "28P01")
+	})
+	t.Run("connections", func(t *testing.T) {
+		for range 4 {
+			connect(ctx, t, g, "a")
+		}
+
+		_, err := dial(ctx, g, "a", "secret")
+		assertCode(t, err, "53300")
+		assert.Equal(t, g.Member("a").Counters().MaxOpen, 4)
+		assert.Equal(t, g.Member("a").Counters().Refused, uint64(1))
+	})
+	t.Run("slots", func(t *testing.T) {
+		var tasks sync.WaitGroup
+
+		for range 3 {
+			c := connect(ctx, t, g, "b")
+
+			tasks.Go(func() { _, _ = c.Exec(ctx, "SELECT 1") })
+		}
+
+		tasks.Wait()
+		assert.Equal(t, g.Member("b").Counters().MaxSlots, 3)
+	})
+}
+
+// Guards against announcements that end when one receiver is down, or continue while the member is.
+func TestAnnouncements(t *testing.T) {
+	received := make(chan lab.Announcement, 100)
+	refusing := httptest.NewServer(http.NotFoundHandler())
+	accepting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var a lab.Announcement
+
+		if r.URL.Path == "/v1/announcements" && json.NewDecoder(r.Body).Decode(&a) == nil {
+			received <- a
+		}
+	}))
+
+	t.Cleanup(refusing.Close)
+	t.Cleanup(accepting.Close)
+
+	g, _ := start(t, func(g *labstandin.Group) {
+		g.Announce = []string{refusing.URL, accepting.URL}
+		g.AnnounceInterval = shortWait
+		g.Members = g.Members[:1]
+	})
+	assert.DeepEqual(t, <-received, g.Member("a").Announcement())
+	g.Member("a").SetLeaving(true)
+
+	for !(<-received).Leaving {
+	}
+
+	g.Member("a").Kill()
+	time.Sleep(shortWait)
+
+	for len(received) > 0 {
+		<-received
+	}
+
+	time.Sleep(3 * shortWait)
+	assert.Equal(t, len(received), 0)
+}
--- a/standin/process/labstandin/group_test.go
+++ b/standin/process/labstandin/group_test.go
@@ -17,7 +17,7 @@
 
 const testTimeout = 20 * time.Second
 
-func start(t *testing.T, change func(*labstandin.Group)) (*labstandin.Group, context.Context) {
+func start(t testing.TB, change func(*labstandin.Group)) (*labstandin.Group, context.Context) {
 	t.Helper()
 
 	g := &labstandin.Group{Database: "rota", User: "lab", Password: "secret", Members: []labstandin.MemberSetting{
@@ -198,8 +198,11 @@
 		assert.Equal(t, after.timeline, 1)
 	})
 	t.Run("replica refuses writes", func(t *testing.T) {
+		execute(ctx, t, b, "BEGIN")
+
 		_, err := b.Exec(ctx, "INSERT INTO notes (key, value) VALUES ('x', 'v')")
 		assertCode(t, err, "25006")
+		execute(ctx, t, b, "ROLLBACK")
 	})
 	t.Run("replica follows with lag", func(t *testing.T) {
 		for readPosition(ctx, t, b).replayed == nil || *readPosition(ctx, t, b).replayed != *after.replayed {
--- a/standin/process/labstandin/internal/labsql/token.go
+++ b/standin/process/labstandin/internal/labsql/token.go
@@ -47,38 +47,41 @@
 }
 
 func scanOne(sql string, i int) (token, int, error) {
-	c := sql[i]
-
-	switch {
+	switch c := sql[i]; {
 	case strings.HasPrefix(sql[i:], "--"):
-		n := strings.IndexByte(sql[i:], '\n')
-		if n < 0 {
-			return token{}, len(sql), nil
-		}
-
-		return token{}, i + n + 1, nil
+		return token{}, scanWhile(sql, i, func(c byte) bool { return c != '\n' }), nil
 	case strings.HasPrefix(sql[i:], "/*"):
 		return skipComment(sql, i)
-	case c == ' ' || c == '\t' || c == '\n' || c == '\r':
+	case strings.IndexByte(" \t\r\n", c) >= 0:
 		return token{}, i + 1, nil
 	case c == '\'':
 		return scanQuoted(sql, i, tokenString)
 	case c == '"':
 		return scanQuoted(sql, i, tokenQuoted)
+	case c == '$':
+		end := scanWhile(sql, i+1, isDigit)
+		return token{tokenParameter, sql[i+1 : end], i}, end, nil
+	}
+
+	t := scanPlain(sql, i)
+
+	return t, i + len(t.text), nil
+}
+
+// scanPlain scans words, numbers and symbols.
+func scanPlain(sql string, i int) token {
+	switch c := sql[i]; {
 	case isLetter(c):
 		end := scanWhile(sql, i, func(c byte) bool { return isLetter(c) || isDigit(c) || c == '.' })
-		return token{tokenWord, strings.ToLower(sql[i:end]), i}, end, nil
+		return token{tokenWord, lower(sql[i:end]), i}
 	case isDigit(c):
 		end := scanWhile(sql, i, func(c byte) bool { return isDigit(c) || c == '.' })
-		return token{tokenNumber, sql[i:end], i}, end, nil
-	case c == '$' && i+1 < len(sql) && isDigit(sql[i+1]):
-		end := scanWhile(sql, i+1, isDigit)
-		return token{tokenParameter, sql[i+1 : end], i}, end, nil
+		return token{tokenNumber, sql[i:end], i}
 	case strings.HasPrefix(sql[i:], "::"), strings.HasPrefix(sql[i:], "||"):
-		return token{tokenSymbol, sql[i : i+2], i}, i + 2, nil
+		return token{tokenSymbol, sql[i : i+2], i}
 	}
 
-	return token{tokenSymbol, sql[i : i+1], i}, i + 1, nil
+	return token{tokenSymbol, sql[i : i+1], i}
 }
 
 func scanWhile(sql string, i int, accept func(byte) bool) int {
@@ -141,3 +144,15 @@
 func isDigit(c byte) bool {
 	return c >= '0' && c <= '9'
 }
+
+// lower folds ASCII letters only, so that the length stays the same.
+func lower(word string) string {
+	b := []byte(word)
+	for i, c := range b {
+		if c >= 'A' && c <= 'Z' {
+			b[i] = c + 'a' - 'A'
+		}
+	}
+
+	return string(b)
+}
--- /dev/null
+++ b/standin/process/labstandin/load_test.go
@@ -0,0 +1,29 @@
+package labstandin_test
+
+import (
+	"sync/atomic"
+	"testing"
+)
+
+// BenchmarkSelect measures the stand-in's own cost per statement, which bounds the load that checks can offer.
+func BenchmarkSelect(b *testing.B) {
+	g, ctx := start(b, nil)
+
+	var next atomic.Int64
+
+	b.SetParallelism(1)
+	b.RunParallel(func(p *testing.PB) {
+		c, err := dial(ctx, g, string(rune('a'+next.Add(1)%3)), "secret")
+		if err != nil {
+			b.Error(err)
+			return
+		}
+
+		for p.Next() {
+			if _, err := c.Exec(ctx, "SELECT value FROM notes WHERE key = 'k'"); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
--- a/standin/process/labstandin/result.go
+++ b/standin/process/labstandin/result.go
@@ -26,37 +26,41 @@
 
 // describe returns the columns of a statement's result, nil when it returns no rows.
 func describe(st *labsql.Statement) []column {
-	var columns []column
-
 	switch st.Kind {
 	case labsql.Rows:
-		for _, c := range st.Columns {
-			columns = append(columns, column{c, labsql.TypeText})
+		columns := make([]column, len(st.Columns))
+		for i, c := range st.Columns {
+			columns[i] = column{c, labsql.TypeText}
 		}
-	case labsql.Count:
-		columns = []column{{"count", labsql.TypeInt8}}
-	case labsql.Series:
-		columns = []column{{"generate_series", labsql.TypeInt4}}
+
+		return columns
 	case labsql.Values:
-		for _, e := range st.Items {
-			columns = append(columns, column{e.Name, e.Type})
+		columns := make([]column, len(st.Items))
+		for i, e := range st.Items {
+			columns[i] = column{e.Name, e.Type}
 		}
+
+		return columns
+	case labsql.Count:
+		return []column{{"count", labsql.TypeInt8}}
+	case labsql.Series:
+		return []column{{"generate_series", labsql.TypeInt4}}
 	case labsql.Position:
-		columns = []column{
+		return []column{
 			{"in_recovery", labsql.TypeBool},
 			{"timeline", labsql.TypeInt4},
 			{"replayed", labsql.TypeLSN},
 			{"received", labsql.TypeLSN},
 		}
 	case labsql.Promote:
-		columns = []column{{"pg_promote", labsql.TypeBool}}
+		return []column{{"pg_promote", labsql.TypeBool}}
 	case labsql.SwitchPoint:
-		columns = []column{{"switch_point", labsql.TypeLSN}}
+		return []column{{"switch_point", labsql.TypeLSN}}
 	case labsql.Show:
-		columns = []column{{st.Setting, labsql.TypeText}}
+		return []column{{st.Setting, labsql.TypeText}}
 	}
 
-	return columns
+	return nil
 }
 
 func rowDescription(columns []column, formats []int16) *pgproto3.RowDescription {
