--- a/bench/doc.go
+++ b/bench/doc.go
@@ -1,2 +1,2 @@
-// Package main is the command of its module.
+// Command laburnumbench measures the system against stand-in upstreams.
 package main
--- a/control/doc.go
+++ b/control/doc.go
@@ -1,2 +1,2 @@
-// Package main is the command of its module.
+// Command laburnumlock-control is a control instance.
 package main
--- a/ctl/doc.go
+++ b/ctl/doc.go
@@ -1,2 +1,2 @@
-// Package main is the command of its module.
+// Command laburnumctl is the operators command line; its demo starts a whole deployment in one process.
 package main
--- a/process/labrandom/random.go
+++ b/process/labrandom/random.go
@@ -1,6 +1,8 @@
 package labrandom
 
 import (
+	cryptorand "crypto/rand"
+	"encoding/binary"
 	"math/rand/v2"
 	"sync"
 )
@@ -28,3 +30,15 @@
 
 	return r.source.Uint64()
 }
+
+// Secure implements lab.Random with numbers that nobody can predict.
+type Secure struct{}
+
+// Uint64 returns a uniformly distributed number from the operating system.
+func (Secure) Uint64() uint64 {
+	var b [8]byte
+
+	_, _ = cryptorand.Read(b[:]) // never fails
+
+	return binary.LittleEndian.Uint64(b[:])
+}
--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -1,2 +1,2 @@
-// Package main is the command of its module.
+// Command laburnumlock-proxy is the proxy that callers connect to.
 package main
--- a/proxy/process/labagent/agent.go
+++ b/proxy/process/labagent/agent.go
@@ -39,7 +39,8 @@
 	Routes  Routes
 	Control []string           // process addresses of the control instances
 	Held    func() []lab.Grant // grants in use, asked before each heartbeat
-	Changed func(index uint64) // called after grants or catalog changed; may be nil
+	// Renewed is called with the grants of each accepted answer and the end of the lease on Clock.
+	Renewed func(grants []lab.Grant, until time.Duration)
 	Log     zerolog.Logger
 
 	current  atomic.Pointer[lease]
@@ -295,9 +296,6 @@
 		return errors.Newf("answer %d of leader term %d is stale", answer.RequestID, answer.LeaderTerm)
 	}
 
-	before := a.current.Load()
-	_, index := a.Routes.Version()
-
 	if err := a.Routes.Apply(answer.Delta); err != nil {
 		a.refused.Add(1)
 
@@ -307,8 +305,8 @@
 	l := newLease(sent, answer)
 	a.current.Store(l)
 
-	if a.Changed != nil && (answer.Delta.Index != index || !l.sameGrants(before)) {
-		a.Changed(answer.Delta.Index)
+	if a.Renewed != nil {
+		a.Renewed(answer.Grants, l.deadline)
 	}
 
 	return nil
--- a/proxy/process/labagent/lease.go
+++ b/proxy/process/labagent/lease.go
@@ -24,18 +24,3 @@
 func (l *lease) alive(now time.Duration) bool {
 	return l != nil && now < l.deadline
 }
-
-// sameGrants reports whether both leases allow the same.
-func (l *lease) sameGrants(other *lease) bool {
-	if l == nil || other == nil || len(l.grants) != len(other.grants) {
-		return false
-	}
-
-	for d, g := range l.grants {
-		if other.grants[d] != g {
-			return false
-		}
-	}
-
-	return true
-}
