--- /dev/null
+++ b/bench/request/labhistory/history.go
@@ -0,0 +1,64 @@
+package labhistory
+
+import (
+	"encoding/json"
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// History collects operations in the order in which they ended.
+type History struct {
+	mutex      sync.Mutex
+	operations []Operation
+}
+
+// Add appends an operation.
+func (h *History) Add(o Operation) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+
+	h.operations = append(h.operations, o)
+}
+
+// Operations returns a copy of all operations.
+func (h *History) Operations() []Operation {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+
+	return append([]Operation(nil), h.operations...)
+}
+
+// Trace is a recorded history with the final rows and the outcome stated for it.
+type Trace struct {
+	Operations []Operation `json:"operations"`
+	Final      []FinalRow  `json:"final"`
+	Stated     Violations  `json:"stated"`
+}
+
+// Save writes a trace as JSON.
+func (t *Trace) Save(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+
+	if err := e.Encode(t); err != nil {
+		return errors.Newf("write trace: %w", err)
+	}
+
+	return nil
+}
+
+// LoadTrace reads a trace.
+func LoadTrace(r io.Reader) (*Trace, error) {
+	t := &Trace{}
+
+	d := json.NewDecoder(r)
+	d.DisallowUnknownFields()
+
+	if err := d.Decode(t); err != nil {
+		return nil, errors.Newf("read trace: %w", err)
+	}
+
+	return t, nil
+}
