--- a/control/process/lablease/right.go
+++ b/control/process/lablease/right.go
@@ -13,10 +13,9 @@
 	Grant       lab.Grant      `json:"grant"`
 	Until       time.Duration  `json:"until_ns"` // leader's clock; includes the drift margin
 	address     string
-	request     uint64 // newest heartbeat whose answer carried the grant
 }
 
-// gone reports whether a heartbeat of the holder proves that the right is no longer used.
+// gone reports whether a heartbeat of the holder, newer than any answered before, proves that the right isn't used.
 func (r *Right) gone(h *lab.Heartbeat) bool {
 	if h.Instance.ID != r.Holder {
 		return false
@@ -25,7 +24,7 @@
 		return h.Instance.Address == r.address // the earlier process must have freed the address
 	}
 
-	return h.Instance.Incarnation == r.Incarnation && h.RequestID > r.request && !holds(h, r.Grant)
+	return h.Instance.Incarnation == r.Incarnation && !holds(h, r.Grant)
 }
 
 func holds(h *lab.Heartbeat, g lab.Grant) bool {
--- a/control/process/lablease/table.go
+++ b/control/process/lablease/table.go
@@ -177,7 +177,7 @@
 func (s *databaseShard) record(now time.Duration, h *lab.Heartbeat, g lab.Grant) {
 	right := Right{
 		Holder: h.Instance.ID, Incarnation: h.Instance.Incarnation, Grant: g, Until: now + TTL + Margin,
-		address: h.Instance.Address, request: h.RequestID,
+		address: h.Instance.Address,
 	}
 	list := s.rights[g.Duty.Database]
 	for i := range list {
--- /dev/null
+++ b/control/version/labcatalog/catalog_test.go
@@ -0,0 +1,216 @@
+package labcatalog_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+)
+
+const template = `{"parameters": {"leave_grace_ms": 2000, "weight": 3, "read_classes": [{"name": "browse", "max_age_ms": 500}]}}`
+
+func organisation(extra string) string {
+	key := "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
+
+	return fmt.Sprintf(`{"template": "small", "databases": ["rota-core-1"], "credential": {"iterations": 4096, "salt": "AAAA",
+		"stored_key": %q, "server_key": %q}, "parameters": {%s}}`, key, key, extra)
+}
+
+// applier applies commands in order of their log index.
+type applier struct {
+	*labcatalog.Catalog
+	t     *testing.T
+	index uint64
+}
+
+func newApplier(t *testing.T) *applier {
+	return &applier{Catalog: labcatalog.New(), t: t}
+}
+
+func (a *applier) apply(c labcatalog.Command) labcatalog.Result {
+	a.t.Helper()
+	data, err := c.Encode()
+	assert.NilError(a.t, err)
+	a.index++
+	result, ok := a.Apply(a.index, data).(labcatalog.Result)
+	assert.Assert(a.t, ok)
+
+	return result
+}
+
+func (a *applier) change(c labcatalog.Change) labcatalog.Answer {
+	a.t.Helper()
+
+	return *a.apply(labcatalog.Command{Change: &c}).Answer
+}
+
+func (a *applier) putTemplate(id, operator string, base uint64, weight int64) labcatalog.Answer {
+	a.t.Helper()
+	d, err := labcatalog.ParseTemplate([]byte(template))
+	assert.NilError(a.t, err)
+	d.Parameters.Weight = weight
+
+	return a.change(labcatalog.Change{
+		ID: id, Operator: operator, Kind: labcatalog.KindTemplate, Name: "small", Base: base, Template: d,
+	})
+}
+
+func (a *applier) putOrganisation(id string, base uint64, extra string) labcatalog.Answer {
+	a.t.Helper()
+	d, err := labcatalog.ParseOrganisation([]byte(organisation(extra)))
+	assert.NilError(a.t, err)
+
+	return a.change(labcatalog.Change{
+		ID: id, Operator: "aino", Kind: labcatalog.KindOrganisation, Name: "ferry", Base: base, Organisation: d,
+	})
+}
+
+// Guards against two operators overwriting each other, and against a resent change being applied twice.
+func TestChange(t *testing.T) {
+	t.Run("second change on the same base names the winner", func(t *testing.T) {
+		a := newApplier(t)
+		first := a.putTemplate("c1", "aino", 0, 3)
+		second := a.putTemplate("c2", "eero", 0, 4)
+		assert.Equal(t, first.Outcome, labcatalog.OutcomeAccepted)
+		assert.Equal(t, second.Outcome, labcatalog.OutcomeConflict)
+		assert.DeepEqual(t, second.Winner, &labcatalog.Stamp{Operator: "aino", ChangeID: "c1", Version: first.Version})
+		stored, _ := a.Template("small")
+		assert.Equal(t, stored.Document.Parameters.Weight, int64(3))
+	})
+	t.Run("resent change gets the first answer", func(t *testing.T) {
+		a := newApplier(t)
+		first := a.putTemplate("c1", "aino", 0, 3)
+		a.putTemplate("c2", "eero", first.Version, 4)
+		assert.DeepEqual(t, a.putTemplate("c1", "aino", 0, 3), first)
+		assert.Equal(t, a.Version(), first.Version+1)
+	})
+	t.Run("reused change id is rejected", func(t *testing.T) {
+		a := newApplier(t)
+		first := a.putTemplate("c1", "aino", 0, 3)
+		assert.Equal(t, a.putTemplate("c1", "aino", first.Version, 9).Outcome, labcatalog.OutcomeRejected)
+	})
+	t.Run("deleted object keeps its version", func(t *testing.T) {
+		a := newApplier(t)
+		first := a.putTemplate("c1", "aino", 0, 3)
+		gone := a.change(labcatalog.Change{ID: "c2", Operator: "aino", Kind: labcatalog.KindTemplate, Name: "small", Base: first.Version})
+		assert.Equal(t, gone.Outcome, labcatalog.OutcomeAccepted)
+		assert.Equal(t, a.putTemplate("c3", "eero", 0, 4).Outcome, labcatalog.OutcomeConflict)
+		assert.Equal(t, a.putTemplate("c4", "eero", gone.Version, 4).Version, gone.Version+1)
+	})
+	t.Run("ten thousand ids are remembered", func(t *testing.T) {
+		a := newApplier(t)
+		first := a.putTemplate("c0", "aino", 0, 3)
+		for i := range 9999 {
+			a.putTemplate(fmt.Sprintf("other-%d", i), "eero", 0, 4)
+		}
+		assert.DeepEqual(t, a.putTemplate("c0", "aino", 0, 3), first)
+	})
+}
+
+// Guards against organisations that keep a template's old parameters or lose their own.
+func TestOrganisation(t *testing.T) {
+	a := newApplier(t)
+	small := a.putTemplate("c1", "aino", 0, 3)
+	a.putOrganisation("c2", 0, `"leave_grace_ms": 1000`)
+	assert.Equal(t, a.putTemplate("c3", "aino", small.Version, 7).Outcome, labcatalog.OutcomeAccepted)
+	o, ok := a.Organisation("ferry")
+	assert.Assert(t, ok)
+	assert.Equal(t, o.Parameters.Weight, int64(7))
+	assert.Equal(t, o.Parameters.LeaveGraceMS, int64(1000))
+	assert.Equal(t, len(o.Parameters.ReadClasses), 1)
+	assert.Equal(t, len(a.Delta(2).Organisations), 1)
+	stored, _ := a.Template("small")
+	gone := a.change(labcatalog.Change{ID: "c4", Operator: "aino", Kind: labcatalog.KindTemplate, Name: "small", Base: stored.Changed.Version})
+	assert.Equal(t, gone.Outcome, labcatalog.OutcomeRejected)
+}
+
+// Guards against documents that are accepted with a misspelt field or a value outside its range.
+func TestValidation(t *testing.T) {
+	rejects := func(document, path, accepted string) func(*testing.T) {
+		return func(t *testing.T) {
+			_, err := labcatalog.ParseOrganisation([]byte(document))
+			assert.ErrorContains(t, err, path+": ")
+			assert.ErrorContains(t, err, "accepted: "+accepted)
+		}
+	}
+	t.Run("unknown field", rejects(organisation(`"leave_grace": 1`), "$.parameters.leave_grace", "read_classes, leave_grace_ms"))
+	t.Run("leave grace", rejects(organisation(`"leave_grace_ms": 5001`), "$.parameters.leave_grace_ms", "0 to 5000"))
+	t.Run("type", rejects(organisation(`"weight": "3"`), "$.parameters.weight", "integer"))
+	t.Run("nested", rejects(organisation(`"read_classes": [{"name": "A"}]`), "$.parameters.read_classes[0].name", "1 to 63"))
+	t.Run("credential", rejects(`{"databases": ["a"]}`, "$.credential.stored_key", "32 bytes"))
+	t.Run("syntax", rejects(`{"databases": [`, "$", "one JSON object"))
+	t.Run("field name in other case", rejects(organisation(`"Weight": 3`), "$.parameters.Weight", "read_classes"))
+}
+
+// Guards against announcements of an ended process that replace those of a running one.
+func TestAnnouncement(t *testing.T) {
+	m := lab.Announcement{Database: "rota-core-1", Member: "m1", Address: "10.0.0.1:5432", Region: "gulf-coast", Incarnation: 5}
+	announce := func(a *applier, m lab.Announcement) *lab.Database {
+		a.apply(labcatalog.Command{Members: []lab.Announcement{m}})
+		d, _ := a.Database("rota-core-1")
+
+		return d
+	}
+	t.Run("older incarnation", func(t *testing.T) {
+		a := newApplier(t)
+		announce(a, m)
+		old := m
+		old.Incarnation, old.Address = 4, "10.0.0.9:5432"
+		assert.DeepEqual(t, announce(a, old).Members, []lab.Announcement{m})
+	})
+	t.Run("reused address", func(t *testing.T) {
+		a := newApplier(t)
+		announce(a, m)
+		next := m
+		next.Member, next.Incarnation = "m2", 1
+		assert.DeepEqual(t, announce(a, next).Members, []lab.Announcement{next})
+		assert.DeepEqual(t, announce(a, m).Members, []lab.Announcement{next})
+		assert.Assert(t, !a.News(m))
+		m.Incarnation, m.Address = 6, "10.0.0.3:5432"
+		assert.Equal(t, len(announce(a, m).Members), 2)
+	})
+	t.Run("unchanged facts make no delta", func(t *testing.T) {
+		a := newApplier(t)
+		announce(a, m)
+		announce(a, m)
+		assert.Equal(t, len(a.Delta(1).Databases), 0)
+	})
+}
+
+// Guards against a late heartbeat of an ended process that brings its instance back.
+func TestInstance(t *testing.T) {
+	a := newApplier(t)
+	i := lab.Instance{ID: "proxy-1", Incarnation: 5, Region: "gulf-coast", AvailabilityZone: "hanko", Address: "10.0.0.1:1"}
+	old, other := i, i
+	old.Incarnation = 4
+	other.ID, other.Incarnation = "proxy-2", 1
+	a.apply(labcatalog.Command{Joined: []lab.Instance{i}})
+	a.apply(labcatalog.Command{Joined: []lab.Instance{old}})
+	known, live := a.Instance("proxy-1")
+	assert.Equal(t, known, i)
+	assert.Assert(t, live)
+	a.apply(labcatalog.Command{Joined: []lab.Instance{other}})
+	a.apply(labcatalog.Command{Joined: []lab.Instance{i}})
+	_, live = a.Instance("proxy-1")
+	assert.Assert(t, !live, "the address belongs to another process now")
+	a.apply(labcatalog.Command{Left: []labcatalog.Departure{{Instance: "proxy-2", Incarnation: 0}}})
+	_, live = a.Instance("proxy-2")
+	assert.Assert(t, live, "a departure of an earlier life")
+}
+
+// Guards against placements decided on an outdated epoch.
+func TestPlacement(t *testing.T) {
+	a := newApplier(t)
+	duty := lab.Duty{Database: "rota-core-1", Region: "gulf-coast"}
+	for _, n := range []lab.InstanceID{"proxy-1", "proxy-2"} {
+		a.apply(labcatalog.Command{Joined: []lab.Instance{{ID: n, Incarnation: 1, Address: string(n)}}})
+		a.apply(labcatalog.Command{Placements: []labcatalog.PlacementSet{{Duty: duty, Instance: n}}})
+	}
+	d, _ := a.Database("rota-core-1")
+	assert.DeepEqual(t, d.Placements, []lab.Placement{{Region: "gulf-coast", Instance: "proxy-1", Address: "proxy-1", Epoch: 1}})
+	assert.DeepEqual(t, a.Duties("proxy-1"), []lab.Duty{duty})
+	assert.Equal(t, len(a.Duties("proxy-2")), 0)
+}
--- a/control/version/labcatalog/change.go
+++ b/control/version/labcatalog/change.go
@@ -1,9 +1,9 @@
 package labcatalog
 
 import (
+	"crypto/sha256"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -49,13 +49,14 @@
 }
 
 // digest tells changes apart that carry the same id.
-func (c *Change) digest() uint64 {
+func (c *Change) digest() []byte {
 	data, err := msgpack.Marshal(c)
 	if err != nil {
-		return 0 // a document that was decoded from msgpack can be encoded again
+		return nil // a document that was decoded from msgpack can be encoded again
 	}
+	sum := sha256.Sum256(data)
 
-	return xxhash.Sum64(data)
+	return sum[:]
 }
 
 func (c *Change) conflict(winner Stamp) Answer {
--- /dev/null
+++ b/control/version/labcatalog/check.go
@@ -0,0 +1,135 @@
+package labcatalog
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"regexp"
+
+	"laburnumlock.dev/lab"
+)
+
+// Accepted values of configuration documents.
+const (
+	// MaxLeaveGraceMS follows from the requirement that a leaving upstream gets no new work after 5 s.
+	MaxLeaveGraceMS = 5000
+
+	maxDeadlineMS  = 10 * 60 * 1000
+	maxMayWaitMS   = 24 * 60 * 60 * 1000
+	maxAgeMS       = 60 * 60 * 1000
+	maxQueueLimit  = 100000
+	maxWeight      = 1000
+	maxRetentionMS = 7 * 24 * 60 * 60 * 1000
+	maxResultBytes = 1 << 30
+	minIterations  = 4096 // RFC 7677 requires at least as many
+	maxIterations  = 1000000
+	maxSaltBytes   = 64
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
+
+const nameAccepted = "1 to 63 of a-z, 0-9, _ and -, starting with a letter or digit"
+
+// CheckName checks the name of a template or organisation.
+func CheckName(name string) error {
+	e := &ValidationError{}
+	e.name("$.name", name)
+
+	return e.orNil()
+}
+
+// ParseTemplate reads and checks a template's JSON document; its error is a ValidationError.
+func ParseTemplate(data []byte) (*TemplateDocument, error) {
+	t := &TemplateDocument{}
+	if err := decode(data, t); err != nil {
+		return nil, err
+	}
+	e := &ValidationError{}
+	e.parameters("$.parameters", &t.Parameters)
+
+	return t, e.orNil()
+}
+
+// ParseOrganisation reads and checks an organisation's JSON document; its error is a ValidationError.
+func ParseOrganisation(data []byte) (*OrganisationDocument, error) {
+	o := &OrganisationDocument{}
+	if err := decode(data, o); err != nil {
+		return nil, err
+	}
+	e := &ValidationError{}
+	if o.Template != "" {
+		e.name("$.template", o.Template)
+	}
+	if len(o.Databases) == 0 {
+		e.add("$.databases", "no database", "array of at least 1 database name")
+	}
+	seen := map[string]bool{}
+	for i, d := range o.Databases {
+		path := fmt.Sprintf("$.databases[%d]", i)
+		e.name(path, d)
+		if seen[d] {
+			e.add(path, fmt.Sprintf("%q is listed twice", d), "distinct database names")
+		}
+		seen[d] = true
+	}
+	e.credential("$.credential", &o.Credential)
+	e.parameters("$.parameters", &o.Parameters)
+
+	return o, e.orNil()
+}
+
+func (e *ValidationError) name(path, name string) {
+	if !namePattern.MatchString(name) {
+		e.add(path, fmt.Sprintf("%q is not a name", name), nameAccepted)
+	}
+}
+
+func (e *ValidationError) number(path string, value, least, most int64) {
+	if value < least || value > most {
+		e.add(path, fmt.Sprintf("%d is out of range", value), fmt.Sprintf("%d to %d", least, most))
+	}
+}
+
+func (e *ValidationError) credential(path string, c *lab.Credential) {
+	e.number(path+".iterations", int64(c.Iterations), minIterations, maxIterations)
+	if n := len(c.Salt); n < 1 || n > maxSaltBytes {
+		e.add(path+".salt", fmt.Sprintf("%d bytes", n), fmt.Sprintf("1 to %d bytes", maxSaltBytes))
+	}
+	for _, k := range []struct {
+		name string
+		key  []byte
+	}{{"stored_key", c.StoredKey}, {"server_key", c.ServerKey}} {
+		if n := len(k.key); n != sha256.Size {
+			e.add(path+"."+k.name, fmt.Sprintf("%d bytes", n), fmt.Sprintf("%d bytes", sha256.Size))
+		}
+	}
+}
+
+// parameters checks each value that is set; 0 means that the value is not set.
+func (e *ValidationError) parameters(path string, p *lab.Parameters) {
+	for _, f := range []struct {
+		name  string
+		value int64
+		most  int64
+	}{
+		{"leave_grace_ms", p.LeaveGraceMS, MaxLeaveGraceMS},
+		{"read_deadline_ms", p.ReadDeadlineMS, maxDeadlineMS},
+		{"write_deadline_ms", p.WriteDeadlineMS, maxDeadlineMS},
+		{"may_wait_ms", p.MayWaitMS, maxMayWaitMS},
+		{"queue_limit", p.QueueLimit, maxQueueLimit},
+		{"weight", p.Weight, maxWeight},
+		{"once_retention_ms", p.OnceRetentionMS, maxRetentionMS},
+		{"result_limit_bytes", p.ResultLimitBytes, maxResultBytes},
+	} {
+		e.number(path+"."+f.name, f.value, 0, f.most)
+	}
+	seen := map[string]bool{}
+	for i, c := range p.ReadClasses {
+		at := fmt.Sprintf("%s.read_classes[%d]", path, i)
+		e.name(at+".name", c.Name)
+		e.number(at+".max_age_ms", c.MaxAgeMS, 0, maxAgeMS)
+		if seen[c.Name] {
+			e.add(at+".name", fmt.Sprintf("%q is listed twice", c.Name), "distinct class names")
+		}
+		seen[c.Name] = true
+	}
+}
--- a/control/version/labcatalog/configuration.go
+++ b/control/version/labcatalog/configuration.go
@@ -1,6 +1,7 @@
 package labcatalog
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 	"sync"
@@ -84,7 +85,7 @@
 	f := &c.configuration
 	digest := change.digest()
 	if first, repeated := f.answers.find(change.ID); repeated {
-		if first.Digest != digest {
+		if !bytes.Equal(first.Digest, digest) {
 			return change.rejected("the change id was used before for a different change")
 		}
 
--- a/control/version/labcatalog/memory.go
+++ b/control/version/labcatalog/memory.go
@@ -5,7 +5,7 @@
 
 type remembered struct {
 	Answer Answer `msgpack:"a"`
-	Digest uint64 `msgpack:"d"`
+	Digest []byte `msgpack:"d"`
 }
 
 // memory keeps the answers to the newest change ids in order of arrival.
--- a/control/version/labcatalog/trail.go
+++ b/control/version/labcatalog/trail.go
@@ -24,7 +24,7 @@
 	Base     uint64 `json:"base"                msgpack:"b"`
 	Version  uint64 `json:"version"             msgpack:"v"`
 	Outcome  string `json:"outcome"             msgpack:"u"`
-	Digest   uint64 `json:"digest"              msgpack:"d"` // xxhash of the change's document
+	Digest   []byte `json:"digest,omitempty"    msgpack:"d"` // SHA-256 of the change
 	Hash     []byte `json:"hash"                msgpack:"h"` // SHA-256 over the previous hash and the record without Hash
 }
 
--- /dev/null
+++ b/control/version/labcatalog/validation.go
@@ -0,0 +1,38 @@
+package labcatalog
+
+import "strings"
+
+// Problem is one reason why a document is not acceptable.
+type Problem struct {
+	Path     string `json:"path"` // JSON path of the value
+	Reason   string `json:"reason"`
+	Accepted string `json:"accepted"`
+}
+
+// ValidationError lists everything that is wrong with a document.
+type ValidationError struct {
+	Problems []Problem `json:"problems"`
+}
+
+// Error names each problem's path and accepted values.
+func (e *ValidationError) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, p.Path+": "+p.Reason+"; accepted: "+p.Accepted)
+	}
+
+	return strings.Join(lines, "\n")
+}
+
+func (e *ValidationError) add(path, reason, accepted string) {
+	e.Problems = append(e.Problems, Problem{Path: path, Reason: reason, Accepted: accepted})
+}
+
+// orNil returns the error only when it lists a problem.
+func (e *ValidationError) orNil() error {
+	if len(e.Problems) == 0 {
+		return nil
+	}
+
+	return e
+}
