--- a/proxy/connection/labscram/exchange.go
+++ b/proxy/connection/labscram/exchange.go
@@ -38,7 +38,7 @@
 func (e *Exchange) Step(message string) (answer string, done bool, err error) {
 	answer, err = e.conversation.Step(message)
 	if err != nil {
-		return "", false, errors.Newf("%w: %w", ErrRefused, err)
+		return "", false, errors.Newf("%w: %s", ErrRefused, err.Error())
 	}
 
 	return answer, e.conversation.Done() && e.conversation.Valid(), nil
--- a/proxy/connection/labsession/answer.go
+++ b/proxy/connection/labsession/answer.go
@@ -50,6 +50,7 @@
 	skip    bool   // those bytes are left out
 	written bool   // something was written to the caller
 	failed  bool   // an ErrorResponse was passed on
+	code    string // its SQLSTATE
 	rolled  bool   // a ROLLBACK ended a transaction
 	changes []change
 	commits bool // a COMMIT ended a transaction
@@ -169,7 +170,7 @@
 	case typeParameterStatus:
 		a.pass(m, a.hides())
 	case typeErrorResponse:
-		a.failed, a.steps = true, nil
+		a.failed, a.steps, a.code = true, nil, sqlState(m)
 		a.pass(a.unshift(m), false)
 	case typeReadyForQuery, typeCopyIn, typeCopyOut, typeCopyBoth:
 		return errors.Newf("%w: type %q", errUpstreamMessage, m[0])
@@ -277,6 +278,20 @@
 	return encode(&e)
 }
 
+// sqlState returns the SQLSTATE of an ErrorResponse.
+func sqlState(m []byte) string {
+	for body := m[labframe.HeaderSize:]; len(body) > 1; {
+		value, rest, ok := cutString(body[1:])
+		if !ok || body[0] == 'C' {
+			return value
+		}
+
+		body = rest
+	}
+
+	return ""
+}
+
 // flush writes what was collected to the caller.
 func (a *answer) flush() error {
 	if len(a.buffer) == 0 {
--- a/proxy/connection/labsession/extended.go
+++ b/proxy/connection/labsession/extended.go
@@ -10,14 +10,14 @@
 )
 
 var (
-	messageParseComplete   = encode(&pgproto3.ParseComplete{})
-	messageBindComplete    = encode(&pgproto3.BindComplete{})
-	messageCloseComplete   = encode(&pgproto3.CloseComplete{})
-	messageNoData          = encode(&pgproto3.NoData{})
-	messageNoParameters    = encode(&pgproto3.ParameterDescription{})
-	messageEmptyQuery      = encode(&pgproto3.EmptyQueryResponse{})
-	errorMalformed         = &failure{codeProtocolViolation, "malformed message", ""}
-	errorMultipleStatement = &failure{"42601", "cannot insert multiple commands into a prepared statement", ""}
+	messageParseComplete = encode(&pgproto3.ParseComplete{})
+	messageBindComplete  = encode(&pgproto3.BindComplete{})
+	messageCloseComplete = encode(&pgproto3.CloseComplete{})
+	messageNoData        = encode(&pgproto3.NoData{})
+	messageNoParameters  = encode(&pgproto3.ParameterDescription{})
+	messageEmptyQuery    = encode(&pgproto3.EmptyQueryResponse{})
+	errMalformed         = &failure{codeProtocolViolation, "malformed message", ""}
+	errMultipleStatement = &failure{"42601", "cannot insert multiple commands into a prepared statement", ""}
 )
 
 // collect adds an extended message to the unit that the next Sync runs.
@@ -28,7 +28,7 @@
 
 	u := s.open
 	if len(u.messages)+len(f.Raw) > s.server.messageLimit() {
-		s.fault(errorUnitTooLarge)
+		s.fault(errUnitTooLarge)
 
 		return
 	}
@@ -62,17 +62,17 @@
 func (s *Session) parse(u *unit, f labframe.Frame) *failure {
 	name, rest, ok := cutString(f.Body())
 	if !ok {
-		return errorMalformed
+		return errMalformed
 	}
 
 	query, rest, ok := cutString(rest)
 	if !ok {
-		return errorMalformed
+		return errMalformed
 	}
 
 	types, ok := parseTypes(rest)
 	if !ok {
-		return errorMalformed
+		return errMalformed
 	}
 
 	if _, taken := s.statements[name]; taken && name != "" {
@@ -85,7 +85,7 @@
 	}
 
 	if len(t.text.Statements()) > 1 {
-		return errorMultipleStatement
+		return errMultipleStatement
 	}
 
 	s.remember(u, name, t)
@@ -111,7 +111,7 @@
 // parse leaves the Parse out and lists the statement instead, so that the gateway prepares it only on connections that
 // lack it. After an Execute the Parse is sent as it is, since it may depend on what the Execute does.
 func (u *unit) parse(name string, t *statement) {
-	if len(u.executes) == 0 {
+	if u.executed == 0 {
 		delete(u.inline, name)
 		u.refer(t)
 		u.steps = append(u.steps, step{kind: stepAdd, message: messageParseComplete, name: name, parses: true})
@@ -160,12 +160,12 @@
 func (s *Session) bind(u *unit, f labframe.Frame) *failure {
 	portal, rest, ok := cutString(f.Body())
 	if !ok {
-		return errorMalformed
+		return errMalformed
 	}
 
 	name, rest, ok := cutString(rest)
 	if !ok {
-		return errorMalformed
+		return errMalformed
 	}
 
 	upstream, t, failed := s.lookup(u, name)
@@ -188,7 +188,7 @@
 func (s *Session) describe(u *unit, f labframe.Frame) *failure {
 	kind, name, ok := target(f)
 	if !ok {
-		return errorMalformed
+		return errMalformed
 	}
 
 	if kind == 'P' {
@@ -213,7 +213,7 @@
 func (u *unit) execute(f labframe.Frame) *failure {
 	portal, rest, ok := cutString(f.Body())
 	if !ok || len(rest) != 4 {
-		return errorMalformed
+		return errMalformed
 	}
 
 	t := u.portals[portal]
@@ -221,10 +221,13 @@
 
 	if t != nil {
 		u.tag(t.text.Tags())
+		u.executes = append(u.executes, t.text.Statements()...)
+		u.executed += len(t.text.Statements())
+	} else {
+		u.executed++
 	}
 
 	u.messages = append(u.messages, f.Raw...)
-	u.executes = append(u.executes, e)
 	u.steps = append(u.steps, step{kind: stepExecute, statement: e})
 
 	return nil
@@ -245,7 +248,7 @@
 func (s *Session) closeMessage(u *unit, f labframe.Frame) *failure {
 	kind, name, ok := target(f)
 	if !ok {
-		return errorMalformed
+		return errMalformed
 	}
 
 	if kind == 'P' {
@@ -279,11 +282,21 @@
 	s.open, s.skipping = nil, false
 
 	if len(f.Raw) != labframe.HeaderSize {
-		u = &unit{fault: errorMalformed}
+		u = &unit{fault: errMalformed}
 	}
 
+	if s.implicit {
+		s.syncImplicit(u)
+
+		return
+	}
+
+	s.runOpen(u)
+}
+
+func (s *Session) runOpen(u *unit) {
 	switch {
-	case u == nil:
+	case u == nil || u.fault == nil && len(u.steps) == 0:
 		s.ready(nil)
 	case u.fault != nil:
 		s.forget(u, nil)
@@ -293,10 +306,6 @@
 	}
 }
 
-// flush is answered at the next Sync unless the collected unit can be run without it.
-func (s *Session) flush() {
-}
-
 // forget removes the statements whose Parse failed.
 func (s *Session) forget(u *unit, confirmed []string) {
 	for _, n := range confirmed {
--- a/proxy/connection/labsession/failure.go
+++ b/proxy/connection/labsession/failure.go
@@ -14,6 +14,7 @@
 	codeNotSupported       = "0A000"
 	codeInvalidParameter   = "22023"
 	codeActiveTransaction  = "25001"
+	codeReadOnly           = "25006"
 	codeNoTransaction      = "25P01"
 	codeFailedTransaction  = "25P02"
 	codeNoStatement        = "26000"
@@ -56,37 +57,41 @@
 }
 
 var (
-	errorShutdown = &failure{
+	errShutdown = &failure{
 		codeShutdown, "terminating connection due to administrator command",
 		"connect again to reach another proxy; nothing of this session was in progress",
 	}
-	errorTooMuchPending = &failure{
+	errTooMuchPending = &failure{
 		codeProgramLimit, "too much data sent ahead of the answers",
 		"read answers before sending more requests",
 	}
-	errorMessageType  = &failure{codeProtocolViolation, "invalid frontend message type", ""}
-	errorFunctionCall = &failure{
+	errMessageType     = &failure{codeProtocolViolation, "invalid frontend message type", ""}
+	errQueryBeforeSync = &failure{
+		codeProtocolViolation, "a query message came before Sync",
+		"end extended messages with Sync",
+	}
+	errFunctionCall = &failure{
 		codeNotSupported, "function call messages are not supported",
 		"call the function with SELECT",
 	}
-	errorCopy = &failure{
+	errCopy = &failure{
 		codeNotSupported, "COPY is not supported through the proxy",
 		"use INSERT with several rows, or connect to the database directly",
 	}
-	errorListen = &failure{
+	errListen = &failure{
 		codeNotSupported, "LISTEN is not supported through the proxy",
 		"connections are shared between transactions; connect to the database directly",
 	}
-	errorUnitTooLarge = &failure{
+	errUnitTooLarge = &failure{
 		codeProgramLimit, "messages up to Sync are over the size limit",
 		"send Sync more often",
 	}
-	errorFailedBlock = &failure{
+	errFailedBlock = &failure{
 		codeFailedTransaction,
 		"current transaction is aborted, commands ignored until end of transaction block", "",
 	}
-	errorCancelled = &failure{codeCancelled, "canceling statement due to user request", "the request was not run"}
-	errorMixed     = &failure{
+	errCancelled = &failure{codeCancelled, "canceling statement due to user request", "the request was not run"}
+	errMixed     = &failure{
 		codeNotSupported,
 		"laburnumlock parameters can't be set together with other statements",
 		"send the SET as a request of its own, or use a comment tag",
--- a/proxy/connection/labsession/local.go
+++ b/proxy/connection/labsession/local.go
@@ -31,17 +31,11 @@
 
 // act performs a statement that concerns only the session and returns its command tag.
 func (s *Session) act(e labstatement.Statement) (tag string, failed *failure, ok bool) {
-	if s.block.bound != nil {
-		if e.Kind() == labstatement.Set && e.Setting().Own() {
-			return "SET", s.setOwn(e.Setting()), true
-		}
-
-		return "", nil, false
-	}
+	status := s.block.status()
 
 	switch e.Kind() {
 	case labstatement.Begin, labstatement.BeginReadOnly:
-		if s.block.status() != statusIdle {
+		if status != statusIdle {
 			return "", nil, false
 		}
 
@@ -49,14 +43,22 @@
 
 		return beginTag(e.Text()), nil, true
 	case labstatement.Commit, labstatement.Rollback:
+		if s.block.bound != nil {
+			return "", nil, false
+		}
+
 		return s.endLocal(e)
 	case labstatement.Set:
-		if !e.Setting().Own() || s.block.failed {
+		if !e.Setting().Own() || status == statusFailed {
 			return "", nil, false
 		}
 
 		return setTag(e.Setting()), s.setOwn(e.Setting()), true
 	case labstatement.Discard:
+		if status == statusFailed {
+			return "", nil, false
+		}
+
 		return s.discard(e)
 	}
 
@@ -99,7 +101,7 @@
 // state counts.
 func (s *Session) discard(e labstatement.Statement) (tag string, failed *failure, ok bool) {
 	words := strings.Fields(strings.ToLower(strings.ReplaceAll(e.Text(), `"`, "")))
-	if s.block.failed || len(words) < 2 {
+	if len(words) < 2 {
 		return "", nil, false
 	}
 
--- a/proxy/connection/labsession/login.go
+++ b/proxy/connection/labsession/login.go
@@ -143,7 +143,7 @@
 	if l.minor > protocolMinor || len(unknown) > 0 {
 		l.minor = min(l.minor, protocolMinor)
 		s.conn.Send(encode(&pgproto3.NegotiateProtocolVersion{
-			NewestMinorProtocol: l.minor, UnrecognizedOptions: unknown,
+			NewestMinorProtocol: protocolMajor<<16 | l.minor, UnrecognizedOptions: unknown,
 		}))
 	}
 
--- a/proxy/connection/labsession/options.go
+++ b/proxy/connection/labsession/options.go
@@ -30,7 +30,7 @@
 
 	target := &s.options
 	if c.Local {
-		if s.block.status() != statusActive {
+		if s.block.status() != statusActive || s.implicit {
 			return &failure{codeNoTransaction, "SET LOCAL " + c.Name + " can only be used in transaction blocks", ""}
 		}
 
--- a/proxy/connection/labsession/ready.go
+++ b/proxy/connection/labsession/ready.go
@@ -1,6 +1,8 @@
 package labsession
 
 import (
+	"io"
+
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -17,7 +19,14 @@
 		out = append(out, s.tokenStatus()...)
 	}
 
-	out = append(out, encode(&pgproto3.ReadyForQuery{TxStatus: s.block.status()})...)
+	if !s.flushing {
+		out = append(out, encode(&pgproto3.ReadyForQuery{TxStatus: s.block.status()})...)
+	}
+
+	if len(out) == 0 {
+		return
+	}
+
 	_ = s.write(out) // a failure is counted there, and the connection is closed
 }
 
@@ -36,6 +45,7 @@
 // refuse answers a request with an error of the session. An open transaction fails with it, as in PostgreSQL.
 func (s *Session) refuse(f *failure) {
 	s.rollback()
+	s.skipping = s.skipping || s.flushing
 	s.ready(f.encode("ERROR"))
 }
 
@@ -48,7 +58,13 @@
 		return
 	}
 
-	t.Close()
+	ctx, done := s.watch()
+	defer done()
+
+	u := unit{simple: true, text: "ROLLBACK"}
+	if r, err := t.Run(ctx, u.wire(false), io.Discard); err == nil && r.Status != statusIdle {
+		t.Close()
+	}
 }
 
 // write passes bytes to the caller unless the session has ended.
--- a/proxy/connection/labsession/run.go
+++ b/proxy/connection/labsession/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/request/labstatement"
 )
@@ -73,10 +75,18 @@
 	}
 
 	s.block.bound = t
+	s.block.local.once = h.OnceName
+
+	r, err := s.attempt(ctx, w, a)
+	if err == nil && r.Replica && a.code == codeReadOnly && !a.written && r.Status == statusIdle {
+		err = lab.NotRun(lab.ReasonReadOnly, errReadOnly)
+	}
 
-	return s.attempt(ctx, w, a)
+	return r, err
 }
 
+var errReadOnly = errors.New("statement is not allowed on a replica")
+
 // beginGrace is added to the deadline for a gateway to report that the deadline passed.
 const beginGrace = time.Second
 
@@ -160,13 +170,18 @@
 		s.server.Counters.ReplicaReads.Add(1)
 	}
 
-	s.settle(u, a, r.Status)
+	s.settle(a, r.Status)
+
+	if a.failed && s.flushing {
+		s.skipping = true
+	}
+
 	s.token, s.tokenChanged = s.raise(r.Position)
 	s.ready(a.buffer)
 }
 
 // settle brings the session's transaction state up to date with the upstream's.
-func (s *Session) settle(u *unit, a *answer, status byte) {
+func (s *Session) settle(a *answer, status byte) {
 	pending := s.block.changes
 	if a.commits || a.rolled {
 		pending = nil
@@ -190,6 +205,7 @@
 	}
 
 	s.block.update(status)
+	s.implicit = s.implicit && status != statusIdle
 
 	if status != statusIdle {
 		s.block.changes = pending
@@ -227,6 +243,7 @@
 	}
 
 	s.block.fail()
+	s.skipping = s.skipping || s.flushing
 	s.ready(append(a.buffer, s.describeError(err).encode("ERROR")...))
 }
 
@@ -242,7 +259,7 @@
 		defer s.lock.Unlock()
 
 		if s.canceled {
-			return errorCancelled
+			return errCancelled
 		}
 	case lab.OutcomeUnknown:
 		s.server.Counters.Unknown.Add(1)
--- a/proxy/connection/labsession/session.go
+++ b/proxy/connection/labsession/session.go
@@ -39,6 +39,8 @@
 	skipping   bool  // the open unit has failed; messages up to Sync are ignored
 
 	tokenChanged bool // a floor was raised since the token was last reported
+	flushing     bool // an answer without ReadyForQuery is being written
+	implicit     bool // the block was opened for messages up to a Flush and ends with the next Sync
 }
 
 // Ready reports whether startup and authentication are done.
@@ -65,7 +67,7 @@
 	}
 
 	if s.splitter.Buffered() > s.server.pendingLimit() {
-		s.violate(errorTooMuchPending)
+		s.violate(errTooMuchPending)
 
 		return
 	}
@@ -110,7 +112,7 @@
 	}
 
 	s.server.Counters.Drained.Add(1)
-	s.finish(errorShutdown)
+	s.finish(errShutdown)
 }
 
 // finish sends a last message and closes the connection. The lock is held.
@@ -151,14 +153,16 @@
 // cancelRequest cancels what runs, if anything does.
 func (s *Session) cancelRequest() {
 	s.lock.Lock()
-	defer s.lock.Unlock()
+	t := s.current
 
-	switch {
-	case s.current != nil:
-		s.canceled = true
-		s.current.Cancel()
-	case s.stop != nil:
-		s.canceled = true
+	if t == nil && s.stop != nil {
 		s.stop()
 	}
+
+	s.canceled = t != nil || s.stop != nil
+	s.lock.Unlock()
+
+	if t != nil {
+		t.Cancel() // may wait for the network
+	}
 }
--- a/proxy/connection/labsession/simple.go
+++ b/proxy/connection/labsession/simple.go
@@ -7,12 +7,19 @@
 
 // query runs a simple query.
 func (s *Session) query(f labframe.Frame) {
-	s.open = nil
+	if s.open != nil || s.implicit {
+		s.open, s.skipping = nil, false
+		s.implicit = false
+		s.refuse(errQueryBeforeSync)
+
+		return
+	}
+
 	delete(s.statements, "") // as in PostgreSQL, a simple query ends the unnamed statement
 
 	query, rest, ok := cutString(f.Body())
 	if !ok || len(rest) != 0 {
-		s.refuse(errorMalformed)
+		s.refuse(errMalformed)
 
 		return
 	}
@@ -30,7 +37,7 @@
 		return
 	}
 
-	u := &unit{simple: true, text: query, tags: text.Tags(), executes: text.Statements()}
+	u := &unit{simple: true, text: query, tags: text.Tags(), executes: text.Statements(), executed: len(text.Statements())}
 	for _, e := range u.executes {
 		u.steps = append(u.steps, step{kind: stepExecute, statement: e})
 	}
@@ -47,23 +54,17 @@
 
 // dispatch answers a unit locally or runs it at a gateway.
 func (s *Session) dispatch(u *unit) {
-	if len(u.executes) == 1 && s.local(u, u.executes[0]) {
+	if len(u.executes) == 1 && u.executed == 1 && s.local(u, u.executes[0]) {
 		return
 	}
 
-	for _, e := range u.executes {
-		if e.Kind() == labstatement.Set && e.Setting().Own() {
-			s.forget(u, nil)
-			s.refuse(errorMixed)
-
-			return
-		}
-	}
-
 	switch {
+	case s.block.status() != statusFailed && u.setsOwn():
+		s.forget(u, nil)
+		s.refuse(errMixed)
 	case s.block.failed:
 		s.forget(u, nil)
-		s.refuse(errorFailedBlock)
+		s.refuse(errFailedBlock)
 	case len(u.messages) == 0 && len(u.refers) == 0 && !u.simple:
 		s.server.Counters.LocalUnits.Add(1)
 		s.ready(u.localAnswer(""))
@@ -74,6 +75,17 @@
 	}
 }
 
+// setsOwn reports whether the unit sets one of the system's own parameters.
+func (u *unit) setsOwn() bool {
+	for _, e := range u.executes {
+		if e.Kind() == labstatement.Set && e.Setting().Own() {
+			return true
+		}
+	}
+
+	return false
+}
+
 // late reports whether the unit names a request after its transaction was opened.
 func (s *Session) late(u *unit) bool {
 	return u.tags.Once != "" && u.tags.Once != s.block.local.once
--- a/proxy/connection/labsession/statement.go
+++ b/proxy/connection/labsession/statement.go
@@ -51,9 +51,9 @@
 	for _, s := range t.Statements() {
 		switch s.Kind() {
 		case labstatement.Copy:
-			return errorCopy
+			return errCopy
 		case labstatement.Listen:
-			return errorListen
+			return errListen
 		case labstatement.Set:
 			if f := refusedSetting(s.Setting()); f != nil {
 				return f
--- a/proxy/connection/labsession/unit.go
+++ b/proxy/connection/labsession/unit.go
@@ -19,7 +19,8 @@
 	messages []byte // rewritten extended messages
 	steps    []step // answers to expect
 	refers   []lab.Statement
-	executes []labstatement.Statement
+	executes []labstatement.Statement // of known statements
+	executed int                      // Execute messages, also of portals bound by an earlier unit
 	portals  map[string]*statement
 	inline   map[string]string     // upstream names of statements parsed after an Execute of this unit
 	parsed   map[string]*statement // statements created by this unit, by the caller's name
@@ -35,7 +36,7 @@
 		}
 	}
 
-	return !u.simple || len(u.executes) < 2
+	return len(u.executes) == u.executed && (!u.simple || u.executed < 2)
 }
 
 // pure reports whether running the unit twice has the effect of running it once.
--- a/proxy/connection/labsession/work.go
+++ b/proxy/connection/labsession/work.go
@@ -77,12 +77,12 @@
 		s.sync(f)
 	case typeCopyData, typeCopyDone, typeCopyFail: // PostgreSQL ignores these outside of COPY
 	case typeFunction:
-		s.refuse(errorFunctionCall)
+		s.refuse(errFunctionCall)
 	case typeTerminate:
 		s.terminate()
 	default:
 		s.lock.Lock()
-		s.violate(errorMessageType)
+		s.violate(errMessageType)
 		s.lock.Unlock()
 	}
 }
--- a/proxy/connection/labtoken/codec.go
+++ b/proxy/connection/labtoken/codec.go
@@ -61,7 +61,7 @@
 
 	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
 	if err != nil {
-		return Token{}, errors.Newf("%w: %w", ErrMalformed, err)
+		return Token{}, errors.Newf("%w: %s", ErrMalformed, err.Error())
 	}
 
 	if len(raw) < 1+macSize {
--- a/proxy/request/labframe/frame.go
+++ b/proxy/request/labframe/frame.go
@@ -9,15 +9,13 @@
 type Frame struct {
 	Type byte // 0 for a startup packet
 	Raw  []byte
+
+	header int // bytes before the body
 }
 
 // Body returns the message without type byte and length.
 func (f Frame) Body() []byte {
-	if f.Type == 0 {
-		return f.Raw[HeaderSize-1:]
-	}
-
-	return f.Raw[HeaderSize:]
+	return f.Raw[f.header:]
 }
 
 // Append appends a message of the given type, whose body is the parts one after another, to out.
--- a/proxy/request/labframe/splitter.go
+++ b/proxy/request/labframe/splitter.go
@@ -60,5 +60,5 @@
 		s.buffer = nil // frames own the array; an idle connection keeps no buffer
 	}
 
-	return Frame{Type: kind, Raw: raw}, true, nil
+	return Frame{Type: kind, Raw: raw, header: HeaderSize - 1 + offset}, true, nil
 }
