Forward transactions to gateways at other proxies

Cause: the forwarder took the local path only. Change: transactions run over a stream of numbered msgpack frames with request ids, keepalive frames, a progress deadline and outcomes; a stale placement is routed again at most twice; the region link has a priority token budget and byte counts by kind. Conclusion: the forwarder is usable against lab.Peers; a run over the real transport is still to be made.

--- /dev/null
+++ b/proxy/process/labforward/bucket.go
@@ -0,0 +1,91 @@
+package labforward
+
+import "time"
+
+// spender waits for room on the link.
+type spender struct {
+	size    int
+	granted chan struct{}
+}
+
+// bucket is a token bucket with a queue for each kind of traffic. A grant may overdraw it, so that messages above the
+// burst size pass; the debt delays the next one.
+type bucket struct {
+	rate   float64 // bytes per second
+	tokens float64 // bytes
+	at     time.Duration
+	queues [trafficKinds][]*spender
+}
+
+func newBucket(rate float64, now time.Duration) bucket {
+	return bucket{rate: rate, tokens: rate * linkBurst.Seconds(), at: now}
+}
+
+func (b *bucket) refill(now time.Duration) {
+	b.tokens = min(b.tokens+b.rate*(now-b.at).Seconds(), b.rate*linkBurst.Seconds())
+	b.at = now
+}
+
+// take reports whether bytes may be sent now. Control is never delayed, but it uses up the room of the rest.
+func (b *bucket) take(now time.Duration, traffic Traffic, size int) bool {
+	b.refill(now)
+
+	if traffic != TrafficControl && (b.tokens <= 0 || b.ahead(traffic)) {
+		return false
+	}
+
+	b.tokens -= float64(size)
+
+	return true
+}
+
+// ahead reports whether traffic of the same or a higher priority waits.
+func (b *bucket) ahead(traffic Traffic) bool {
+	for t := TrafficControl; t <= traffic; t++ {
+		if len(b.queues[t]) > 0 {
+			return true
+		}
+	}
+
+	return false
+}
+
+// grant lets waiting traffic pass in order of priority while there is room.
+func (b *bucket) grant(now time.Duration) {
+	b.refill(now)
+
+	for t := range b.queues {
+		for len(b.queues[t]) > 0 && b.tokens > 0 {
+			s := b.queues[t][0]
+			b.queues[t] = b.queues[t][1:]
+			b.tokens -= float64(s.size)
+			close(s.granted)
+		}
+	}
+}
+
+// delay returns the time until there is room again.
+func (b *bucket) delay(now time.Duration) time.Duration {
+	b.refill(now)
+
+	if b.tokens > 0 {
+		return 0
+	}
+
+	return time.Duration(-b.tokens/b.rate*float64(time.Second)) + time.Microsecond
+}
+
+func (b *bucket) pending() bool {
+	return b.ahead(TrafficRead)
+}
+
+func (b *bucket) remove(traffic Traffic, s *spender) {
+	queue := b.queues[traffic]
+	for i, q := range queue {
+		if q == s {
+			b.queues[traffic] = append(queue[:i:i], queue[i+1:]...)
+
+			return
+		}
+	}
+}
--- /dev/null
+++ b/proxy/process/labforward/fake_test.go
@@ -0,0 +1,206 @@
+package labforward
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"laburnumlock.dev/lab"
+)
+
+type wallClock struct{ start time.Time }
+
+func (c wallClock) Now() time.Duration { return time.Since(c.start) }
+func (c wallClock) Wall() time.Time    { return time.Now() }
+func (c wallClock) Sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// fakeGateway runs units by a function and records what it ran.
+type fakeGateway struct {
+	refuse func(lab.Header) error
+	run    func(ctx context.Context, unit lab.Unit, answer io.Writer) (lab.Result, error)
+
+	mu        sync.Mutex
+	headers   []lab.Header
+	ran       []string
+	cancelled int
+	closed    int
+}
+
+func (g *fakeGateway) Begin(_ context.Context, header lab.Header) (lab.Transaction, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.headers = append(g.headers, header)
+
+	if g.refuse != nil {
+		if err := g.refuse(header); err != nil {
+			return nil, err
+		}
+	}
+
+	return &fakeTransaction{gateway: g}, nil
+}
+
+func (g *fakeGateway) count() (ran, closed, cancelled int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return len(g.ran), g.closed, g.cancelled
+}
+
+type fakeTransaction struct{ gateway *fakeGateway }
+
+func (t *fakeTransaction) Run(ctx context.Context, unit lab.Unit, answer io.Writer) (lab.Result, error) {
+	g := t.gateway
+	g.mu.Lock()
+	g.ran = append(g.ran, string(unit.Messages))
+	g.mu.Unlock()
+
+	if g.run != nil {
+		return g.run(ctx, unit, answer)
+	}
+
+	if _, err := answer.Write(append([]byte("answer to "), unit.Messages...)); err != nil {
+		return lab.Result{}, err
+	}
+
+	return lab.Result{Status: 'I', Member: "a"}, nil
+}
+
+func (t *fakeTransaction) Cancel() {
+	t.gateway.mu.Lock()
+	defer t.gateway.mu.Unlock()
+	t.gateway.cancelled++
+}
+
+func (t *fakeTransaction) Close() {
+	t.gateway.mu.Lock()
+	defer t.gateway.mu.Unlock()
+	t.gateway.closed++
+}
+
+// tcpStream is a lab.Stream over a loopback connection.
+type tcpStream struct{ *net.TCPConn }
+
+func (s tcpStream) Cancel() {
+	_ = s.SetLinger(0)
+	_ = s.Close()
+}
+
+// fakePeers connects forwarders by address; intercept may replace the serving side.
+type fakePeers struct {
+	t         *testing.T
+	servers   map[string]*Forwarder
+	intercept func(stream lab.Stream) (handled bool)
+}
+
+func (p *fakePeers) Call(context.Context, string, lab.Method, any, any) error {
+	return errors.New("no calls")
+}
+
+func (p *fakePeers) Open(ctx context.Context, address string, _ lab.Method, header any) (lab.Stream, error) {
+	server, found := p.servers[address]
+	if !found {
+		return nil, errors.New("no such peer")
+	}
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer listener.Close()
+
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+
+	accepted, err := listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+
+	encoded, err := msgpack.Marshal(header)
+	if err != nil {
+		return nil, err
+	}
+
+	stream := tcpStream{accepted.(*net.TCPConn)}
+
+	go func() {
+		if p.intercept != nil && p.intercept(stream) {
+			return
+		}
+
+		decode := func(header any) error { return msgpack.Unmarshal(encoded, header) }
+		_ = server.Serve(context.WithoutCancel(ctx), "entry", decode, stream)
+	}()
+
+	return tcpStream{client.(*net.TCPConn)}, nil
+}
+
+// fakeRoutes is a catalog with one database.
+type fakeRoutes struct {
+	mu       sync.Mutex
+	database lab.Database
+}
+
+func (r *fakeRoutes) Database(string) (*lab.Database, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.database
+
+	return &d, true
+}
+
+func (r *fakeRoutes) Organisation(string) (*lab.Organisation, bool) { return nil, false }
+func (r *fakeRoutes) Version() (version, index uint64)              { return 1, 1 }
+
+// site is an entry proxy in the region coast and gateways at two other proxies, one in each region.
+type site struct {
+	entry  *Forwarder
+	peers  *fakePeers
+	routes *fakeRoutes
+	near   *fakeGateway // coast, at p2
+	far    *fakeGateway // bothnia, at p3; the primary's region
+	farFwd *Forwarder
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+
+	clock := wallClock{start: time.Now()}
+	s := &site{
+		near: &fakeGateway{}, far: &fakeGateway{},
+		routes: &fakeRoutes{database: lab.Database{
+			Name: "rota", Primary: "a",
+			Members:    []lab.Announcement{{Member: "a", Region: "bothnia"}},
+			Placements: []lab.Placement{{Region: "coast", Instance: "p2", Address: "p2"}, {Region: "bothnia", Instance: "p3", Address: "p3"}},
+		}},
+	}
+	proxy := func(id lab.InstanceID, region string, local lab.Gateway) *Forwarder {
+		return &Forwarder{
+			Self: lab.Instance{ID: id, Region: region}, Clock: clock, Routes: s.routes, Local: local,
+			Link: &Link{Clock: clock}, ProgressTimeout: 150 * time.Millisecond,
+		}
+	}
+	near := proxy("p2", "coast", s.near)
+	s.farFwd = proxy("p3", "bothnia", s.far)
+	s.entry = proxy("p1", "coast", &fakeGateway{})
+	s.peers = &fakePeers{t: t, servers: map[string]*Forwarder{"p2": near, "p3": s.farFwd}}
+	s.entry.Peers = s.peers
+
+	return s
+}
--- a/proxy/process/labforward/forwarder.go
+++ b/proxy/process/labforward/forwarder.go
@@ -2,50 +2,108 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"laburnumlock.dev/lab"
 )
 
-// Forwarder is the lab.Gateway of the entry side: it finds the proxy that holds a transaction's duty.
+const (
+	// maxHops is how often a transaction is sent on when the placement was stale.
+	maxHops = 2
+	// catalogPause gives the catalog time to change when every known gateway refused.
+	catalogPause = 50 * time.Millisecond
+
+	// DefaultProgressTimeout is the time without any frame after which a stream is taken for lost.
+	DefaultProgressTimeout = time.Second
+	// keepAlives is how many keepalive frames are sent in one progress timeout.
+	keepAlives = 3
+	// abandonAfter is how long the peer's word is awaited after the deadline, so that its outcome is used.
+	abandonAfter = 100 * time.Millisecond
+)
+
+// Forwarder opens transactions at the proxy that holds the duty, and serves those that other proxies forward here.
 type Forwarder struct {
-	Self   lab.Instance
-	Routes lab.Routes
-	Local  lab.Gateway
+	Self            lab.Instance
+	Clock           lab.Clock
+	Routes          lab.Routes
+	Local           lab.Gateway
+	Peers           lab.Peers
+	Link            *Link // to the other regions
+	ProgressTimeout time.Duration
 }
 
-// Begin opens a transaction at the gateway for the header.
+// Begin opens a transaction at the gateway for the header. A gateway at another proxy admits it with its first unit.
 func (f *Forwarder) Begin(ctx context.Context, header lab.Header) (lab.Transaction, error) {
-	placement, err := f.place(header)
-	if err != nil {
+	t := &transaction{forwarder: f, header: header, started: f.Clock.Now(), tried: map[lab.InstanceID]bool{}, first: true}
+
+	if err := t.route(ctx, nil); err != nil {
 		return nil, err
 	}
 
+	return t, nil
+}
+
+// open binds a transaction to the gateway of a placement.
+func (f *Forwarder) open(ctx context.Context, header lab.Header, placement lab.Placement) (lab.Transaction, error) {
 	header.Region = placement.Region
 
-	if placement.Instance != f.Self.ID {
-		return nil, lab.NotRun(lab.ReasonMisrouted, errors.Newf("gateway is %s", placement.Instance))
+	if placement.Instance == f.Self.ID {
+		return f.Local.Begin(ctx, header)
 	}
 
-	return f.Local.Begin(ctx, header)
+	return &remote{forwarder: f, header: header, placement: placement}, nil
 }
 
-// place finds the gateway: of the primary's region for writes, of the own region first for reads.
-func (f *Forwarder) place(header lab.Header) (lab.Placement, error) {
+// place finds the gateway among those not tried yet: of the primary's region for writes; for reads of the own region,
+// then of the primary's, then of any other.
+func (f *Forwarder) place(header lab.Header, tried map[lab.InstanceID]bool) (lab.Placement, bool, error) {
 	database, found := f.Routes.Database(header.Database)
 	if !found {
-		return lab.Placement{}, lab.NotRun(lab.ReasonRejected, errors.Newf("no database %q", header.Database))
+		return lab.Placement{}, false, lab.NotRun(lab.ReasonRejected, errors.Newf("no database %q", header.Database))
 	}
 
-	region := f.Self.Region
-	if primary, known := database.Member(database.Primary); known && !header.ReadOnly {
-		region = primary.Region
+	primary, _ := database.Member(database.Primary)
+	regions := make([]string, 0, 2+len(database.Placements))
+
+	switch {
+	case header.ReadOnly:
+		regions = append(regions, f.Self.Region, primary.Region)
+		for _, p := range database.Placements {
+			regions = append(regions, p.Region)
+		}
+	case primary.Region != "":
+		regions = append(regions, primary.Region)
+	default:
+		// While a promotion runs, the gateway that holds the primary's last region is not known.
+		for _, p := range database.Placements {
+			regions = append(regions, p.Region)
+		}
 	}
 
-	if p, placed := database.Placement(region); placed {
-		return p, nil
+	for _, r := range regions {
+		if p, placed := database.Placement(r); placed && !tried[p.Instance] {
+			return p, true, nil
+		}
+	}
+
+	return lab.Placement{}, false, nil
+}
+
+func (f *Forwarder) progressTimeout() time.Duration {
+	if f.ProgressTimeout > 0 {
+		return f.ProgressTimeout
+	}
+
+	return DefaultProgressTimeout
+}
+
+// linkTo returns the link that traffic to a region uses, nil within the own region.
+func (f *Forwarder) linkTo(region string) *Link {
+	if region == f.Self.Region {
+		return nil
 	}
 
-	return lab.Placement{}, lab.NotRun(lab.ReasonNoPrimary, errors.Newf("no gateway in region %q", region))
+	return f.Link
 }
--- /dev/null
+++ b/proxy/process/labforward/forwarder_test.go
@@ -0,0 +1,253 @@
+package labforward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+func unit(text string) lab.Unit { return lab.Unit{Messages: []byte(text)} }
+
+func (s *site) do(t *testing.T, header lab.Header, units ...string) (lab.Result, string, error) {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+
+	header.RequestID, header.Database = 9, "rota"
+
+	tx, err := s.entry.Begin(ctx, header)
+	if err != nil {
+		return lab.Result{}, "", err
+	}
+	defer tx.Close()
+
+	var (
+		answer bytes.Buffer
+		result lab.Result
+	)
+
+	for _, u := range units {
+		if result, err = tx.Run(ctx, unit(u), &answer); err != nil {
+			break
+		}
+	}
+
+	return result, answer.String(), err
+}
+
+func wantOutcome(t *testing.T, err error, outcome lab.Outcome, reason string) {
+	t.Helper()
+
+	gotOutcome, gotReason := lab.OutcomeOf(err)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, gotOutcome, outcome, "%v", err)
+	assert.Equal(t, gotReason, reason, "%v", err)
+}
+
+// Guards against writes that miss the primary's region and reads that leave their own without need.
+func TestRoute(t *testing.T) {
+	t.Run("write to the primary's region", func(t *testing.T) {
+		s := newSite(t)
+		result, answer, err := s.do(t, lab.Header{}, "w1")
+		assert.NilError(t, err)
+		assert.Equal(t, answer, "answer to w1")
+		assert.Equal(t, result.Status, byte('I'))
+		assert.Equal(t, s.far.headers[0].Region, "bothnia")
+
+		_, writes, reads := s.entry.Link.Counts()
+		assert.Assert(t, writes > 0)
+		assert.Equal(t, reads, int64(0))
+	})
+	t.Run("read in the own region", func(t *testing.T) {
+		s := newSite(t)
+		_, _, err := s.do(t, lab.Header{ReadOnly: true}, "r1")
+		assert.NilError(t, err)
+		assert.Equal(t, len(s.near.ran), 1)
+
+		_, writes, reads := s.entry.Link.Counts()
+		assert.Equal(t, writes+reads, int64(0))
+	})
+	t.Run("read without a replica goes to the primary's region", func(t *testing.T) {
+		s := newSite(t)
+		s.near.refuse = refuse(lab.ReasonMisrouted, 1<<10)
+		_, _, err := s.do(t, lab.Header{ReadOnly: true}, "r2")
+		assert.NilError(t, err)
+		assert.Equal(t, len(s.far.ran), 1)
+		assert.Equal(t, s.far.headers[0].Hops, 1)
+	})
+	t.Run("own gateway without a replica", func(t *testing.T) {
+		s := newSite(t)
+		s.routes.database.Placements[0].Instance = "p1"
+		s.entry.Local = &fakeGateway{refuse: refuse(lab.ReasonMisrouted, 1)}
+		_, _, err := s.do(t, lab.Header{ReadOnly: true}, "r3")
+		assert.NilError(t, err)
+		assert.Equal(t, len(s.far.ran), 1)
+	})
+	t.Run("stale placement", func(t *testing.T) {
+		s := newSite(t)
+		s.far.refuse = refuse(lab.ReasonMisrouted, 1)
+		_, answer, err := s.do(t, lab.Header{}, "w2")
+		assert.NilError(t, err)
+		assert.Equal(t, answer, "answer to w2")
+		assert.Equal(t, len(s.far.ran), 1)
+	})
+	t.Run("at most two hops", func(t *testing.T) {
+		s := newSite(t)
+		s.far.refuse = refuse(lab.ReasonMisrouted, 1<<10)
+		_, _, err := s.do(t, lab.Header{}, "w3")
+		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonMisrouted)
+		assert.Equal(t, len(s.far.headers), 1+maxHops)
+	})
+	t.Run("large answer and two units", func(t *testing.T) {
+		s := newSite(t)
+		large := strings.Repeat("x", 3*chunkSize+1)
+		s.far.run = func(_ context.Context, u lab.Unit, answer io.Writer) (lab.Result, error) {
+			status := byte('T')
+			if string(u.Messages) == "commit" {
+				status = 'I'
+			}
+
+			_, err := io.WriteString(answer, large)
+
+			return lab.Result{Status: status}, err
+		}
+		_, answer, err := s.do(t, lab.Header{}, "begin", "commit")
+		assert.NilError(t, err)
+		assert.Equal(t, answer, large+large)
+	})
+}
+
+func refuse(reason string, times int) func(lab.Header) error {
+	return func(lab.Header) error {
+		if times--; times >= 0 {
+			return lab.NotRun(reason, errors.New("refused"))
+		}
+
+		return nil
+	}
+}
+
+// Guards against a wrong word about a unit whose stream is lost, compared with what the gateway ran.
+func TestLostStream(t *testing.T) {
+	t.Run("no peer", func(t *testing.T) {
+		s := newSite(t)
+		delete(s.peers.servers, "p3")
+		_, _, err := s.do(t, lab.Header{}, "w")
+		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonLost)
+	})
+	t.Run("after the unit was sent", func(t *testing.T) {
+		s := newSite(t)
+		s.peers.intercept = func(stream lab.Stream) bool {
+			_, _, _ = readFrame(stream)
+			stream.Cancel()
+
+			return true
+		}
+		_, _, err := s.do(t, lab.Header{}, "w")
+		wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonLost)
+	})
+	t.Run("silent peer", func(t *testing.T) {
+		s := newSite(t)
+		s.peers.intercept = func(stream lab.Stream) bool {
+			_, _ = io.Copy(io.Discard, stream)
+
+			return true
+		}
+		started := time.Now()
+		_, _, err := s.do(t, lab.Header{}, "w")
+		wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonLost)
+		assert.Assert(t, time.Since(started) < time.Second)
+	})
+	t.Run("slow statement", func(t *testing.T) {
+		s := newSite(t)
+		s.far.run = func(context.Context, lab.Unit, io.Writer) (lab.Result, error) {
+			time.Sleep(500 * time.Millisecond)
+
+			return lab.Result{Status: 'I'}, nil
+		}
+		_, _, err := s.do(t, lab.Header{}, "w")
+		assert.NilError(t, err)
+	})
+	t.Run("answer of another request", func(t *testing.T) {
+		s := newSite(t)
+		s.peers.intercept = crossed(frame{Kind: kindResult, RequestID: 8, Result: &lab.Result{Status: 'I'}}, 1)
+		_, _, err := s.do(t, lab.Header{}, "w")
+		wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonLost)
+	})
+	t.Run("repeated frame", func(t *testing.T) {
+		s := newSite(t)
+		s.peers.intercept = crossed(frame{Kind: kindResult, RequestID: 9, Result: &lab.Result{Status: 'I'}}, 2)
+		_, _, err := s.do(t, lab.Header{}, "w")
+		wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonLost)
+	})
+	t.Run("outcome and reason of the gateway", func(t *testing.T) {
+		s := newSite(t)
+		s.far.refuse = refuse(lab.ReasonOverload, 1)
+		_, _, err := s.do(t, lab.Header{}, "w")
+		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonOverload)
+	})
+}
+
+// crossed answers any unit with one frame under a sequence number.
+func crossed(f frame, sequence uint64) func(lab.Stream) bool {
+	return func(stream lab.Stream) bool {
+		_, _, _ = readFrame(stream)
+		out, _ := encodeFrame(f)
+		number(out, sequence)
+		_, _ = stream.Write(out)
+
+		return true
+	}
+}
+
+// Guards against a gateway that keeps running for a caller that vanished, and cancel requests that don't arrive.
+func TestEndFromEntry(t *testing.T) {
+	s := newSite(t)
+	running := make(chan struct{}, 1)
+	s.far.run = func(ctx context.Context, _ lab.Unit, _ io.Writer) (lab.Result, error) {
+		running <- struct{}{}
+		<-ctx.Done()
+
+		return lab.Result{}, lab.Unknown(lab.ReasonCancelled, ctx.Err())
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	tx, err := s.entry.Begin(ctx, lab.Header{RequestID: 9, Database: "rota"})
+	assert.NilError(t, err)
+
+	go func() {
+		<-running
+		tx.Cancel()
+
+		for {
+			if _, _, cancelled := s.far.count(); cancelled == 1 {
+				cancel()
+
+				return
+			}
+
+			time.Sleep(time.Millisecond)
+		}
+	}()
+
+	_, err = tx.Run(ctx, unit("w"), io.Discard)
+	wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonCancelled)
+	tx.Close()
+
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) {
+		if _, closed, _ := s.far.count(); closed == 1 {
+			return
+		}
+
+		assert.Assert(t, time.Now().Before(end), "the gateway's transaction was not closed")
+	}
+}
--- /dev/null
+++ b/proxy/process/labforward/frame.go
@@ -0,0 +1,117 @@
+package labforward
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"laburnumlock.dev/lab"
+)
+
+const (
+	frameHeader = 12       // bytes of a frame's length and sequence number
+	frameLimit  = 64 << 20 // bytes of one frame
+	chunkSize   = 32 << 10 // bytes of an answer in one frame
+)
+
+// kind is the type of a frame.
+type kind uint8
+
+const (
+	kindUnit      kind = iota + 1 // entry to gateway: run a unit
+	kindCancel                    // entry to gateway: cancel what runs
+	kindAnswer                    // gateway to entry: part of the answer
+	kindResult                    // gateway to entry: the unit ended
+	kindFailure                   // gateway to entry: the unit failed
+	kindKeepAlive                 // gateway to entry: the unit still runs
+)
+
+var errFrame = errors.New("invalid frame")
+
+// opening is the header of a stream.
+type opening struct {
+	Header lab.Header `msgpack:"h"`
+	Region string     `msgpack:"r"` // of the entry proxy
+}
+
+// frame is one message of a transaction's stream; the frames of each direction are numbered from 1.
+type frame struct {
+	Kind      kind        `msgpack:"k"`
+	RequestID uint64      `msgpack:"q"`
+	Unit      *lab.Unit   `msgpack:"u,omitempty"`
+	Data      []byte      `msgpack:"d,omitempty"`
+	Result    *lab.Result `msgpack:"r,omitempty"`
+	Outcome   lab.Outcome `msgpack:"o,omitempty"`
+	Reason    string      `msgpack:"w,omitempty"`
+	Text      string      `msgpack:"t,omitempty"`
+}
+
+// encodeFrame returns the frame with room for its sequence number, which is set last: frames are encoded, and wait for
+// the region link, before their order is decided.
+func encodeFrame(f frame) ([]byte, error) {
+	body, err := msgpack.Marshal(&f)
+	if err != nil {
+		return nil, errors.Newf("encode frame: %w", err)
+	}
+
+	if len(body) > frameLimit {
+		return nil, errors.Newf("%w: %d bytes", errFrame, len(body))
+	}
+
+	out := binary.BigEndian.AppendUint32(make([]byte, 0, frameHeader+len(body)), uint32(len(body)))
+	out = binary.BigEndian.AppendUint64(out, 0)
+
+	return append(out, body...), nil
+}
+
+// number sets the sequence number of an encoded frame.
+func number(out []byte, sequence uint64) {
+	binary.BigEndian.PutUint64(out[4:], sequence)
+}
+
+// decodeFrame decodes a frame without its length.
+func decodeFrame(body []byte) (frame, error) {
+	var f frame
+	if err := msgpack.Unmarshal(body, &f); err != nil {
+		return frame{}, errors.Newf("%w: %s", errFrame, err.Error())
+	}
+
+	complete := f.Kind >= kindUnit && f.Kind <= kindKeepAlive
+	complete = complete && (f.Kind != kindUnit || f.Unit != nil)
+	complete = complete && (f.Kind != kindResult || f.Result != nil)
+
+	if !complete {
+		return frame{}, errors.Newf("%w: kind %d", errFrame, f.Kind)
+	}
+
+	return f, nil
+}
+
+// readFrame reads one frame and its sequence number.
+func readFrame(reader io.Reader) (frame, uint64, error) {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return frame{}, 0, err
+	}
+
+	length := binary.BigEndian.Uint32(header[:])
+	if length > frameLimit {
+		return frame{}, 0, errors.Newf("%w: %d bytes", errFrame, length)
+	}
+
+	// Reading in steps keeps a peer that only announces a long frame from costing its memory.
+	body, err := io.ReadAll(io.LimitReader(reader, int64(length)))
+	if err != nil {
+		return frame{}, 0, errors.Newf("read frame: %w", err)
+	}
+
+	if len(body) < int(length) {
+		return frame{}, 0, io.ErrUnexpectedEOF
+	}
+
+	f, err := decodeFrame(body)
+
+	return f, binary.BigEndian.Uint64(header[4:]), err
+}
--- /dev/null
+++ b/proxy/process/labforward/serve.go
@@ -0,0 +1,204 @@
+package labforward
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+)
+
+// server runs one forwarded transaction at the local gateway.
+type server struct {
+	forwarder *Forwarder
+	header    lab.Header
+	wire      *wire
+	units     chan lab.Unit
+
+	mu          sync.Mutex
+	transaction lab.Transaction
+}
+
+// Serve is the lab.StreamHandler of lab.MethodTransaction.
+func (f *Forwarder) Serve(ctx context.Context, _ lab.InstanceID, decode func(header any) error, stream lab.Stream) error {
+	defer func() { _ = stream.Close() }()
+
+	var o opening
+	if err := decode(&o); err != nil {
+		stream.Cancel()
+
+		return errors.Newf("decode transaction header: %w", err)
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	s := &server{
+		forwarder: f, header: o.Header, wire: newWire(stream, o.Header, f.linkTo(o.Region)), units: make(chan lab.Unit),
+	}
+
+	// The reader ends with the stream: by its peer's end, or by Cancel below.
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+		defer cancel()
+		s.read(ctx)
+	}()
+
+	err := s.run(ctx)
+
+	// A blocked read does not see the context, so the receiving side is ended too once the peer had time to close.
+	select {
+	case <-done:
+	case <-time.After(abandonAfter):
+		stream.Cancel()
+		<-done
+	}
+
+	return err
+}
+
+// read takes frames from the entry proxy until the stream ends, which ends the transaction.
+func (s *server) read(ctx context.Context) {
+	for {
+		f, err := s.wire.receive()
+		if err != nil {
+			return
+		}
+
+		switch f.Kind {
+		case kindUnit:
+			select {
+			case s.units <- *f.Unit:
+			case <-ctx.Done():
+				return
+			}
+		case kindCancel:
+			s.cancel()
+		case kindAnswer, kindResult, kindFailure, kindKeepAlive:
+			return
+		}
+	}
+}
+
+func (s *server) cancel() {
+	s.mu.Lock()
+	t := s.transaction
+	s.mu.Unlock()
+
+	if t != nil {
+		t.Cancel()
+	}
+}
+
+// run executes units until the transaction ends or the entry proxy vanishes.
+func (s *server) run(ctx context.Context) error {
+	defer func() {
+		if s.transaction != nil {
+			s.transaction.Close()
+		}
+	}()
+
+	for {
+		var unit lab.Unit
+
+		select {
+		case unit = <-s.units:
+		case <-ctx.Done():
+			return nil
+		}
+
+		result, err := s.unit(ctx, unit)
+		if err != nil {
+			outcome, reason := lab.OutcomeOf(err)
+			_, err = s.wire.send(ctx, frame{Kind: kindFailure, Outcome: outcome, Reason: reason, Text: err.Error()})
+
+			return s.finish(err)
+		}
+
+		if _, err = s.wire.send(ctx, frame{Kind: kindResult, Result: &result}); err != nil || result.Status == 'I' {
+			return s.finish(err)
+		}
+	}
+}
+
+func (s *server) finish(err error) error {
+	if err != nil {
+		return errors.Newf("answer unit: %w", err)
+	}
+
+	if err = s.wire.stream.CloseWrite(); err != nil {
+		return errors.Newf("end stream: %w", err)
+	}
+
+	return nil
+}
+
+// unit runs one unit, the first one after admission, and sends keepalive frames meanwhile.
+func (s *server) unit(ctx context.Context, unit lab.Unit) (lab.Result, error) {
+	stop := s.keepAlive(ctx)
+	defer stop()
+
+	if s.transaction == nil {
+		t, err := s.forwarder.Local.Begin(ctx, s.header)
+		if err != nil {
+			return lab.Result{}, err
+		}
+
+		s.mu.Lock()
+		s.transaction = t
+		s.mu.Unlock()
+	}
+
+	return s.transaction.Run(ctx, unit, &answerWriter{ctx: ctx, wire: s.wire})
+}
+
+// keepAlive tells the entry proxy regularly that the unit still runs. The returned function waits for the last one.
+func (s *server) keepAlive(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		ticker := time.NewTicker(s.forwarder.progressTimeout() / keepAlives)
+		defer ticker.Stop()
+
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				if _, err := s.wire.send(ctx, frame{Kind: kindKeepAlive}); err != nil {
+					return
+				}
+			}
+		}
+	}()
+
+	return func() { cancel(); <-done }
+}
+
+// answerWriter sends an answer in frames.
+type answerWriter struct {
+	ctx  context.Context //nolint:containedctx // of the unit whose answer it is
+	wire *wire
+}
+
+var _ io.Writer = (*answerWriter)(nil)
+
+// Write sends the data in chunks.
+func (a *answerWriter) Write(data []byte) (int, error) {
+	for sent := 0; sent < len(data); sent += chunkSize {
+		chunk := data[sent:min(sent+chunkSize, len(data))]
+		if _, err := a.wire.send(a.ctx, frame{Kind: kindAnswer, Data: chunk}); err != nil {
+			return sent, err
+		}
+	}
+
+	return len(data), nil
+}
