Send heartbeats soon after one another while a change is pending

Change: the answer asks a proxy to come back after 50 ms while a promotion of its databases runs or is about to start, or while it holds something else than it was granted.

--- /dev/null
+++ b/bench/process/labload/load.go
@@ -0,0 +1,130 @@
+package labload
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"laburnumlock.dev/lab/bench/connection/labcaller"
+	"laburnumlock.dev/lab/bench/request/labhistory"
+	"laburnumlock.dev/lab/process/labmetrics"
+	"laburnumlock.dev/lab/process/labrandom"
+)
+
+const (
+	keysPerSession  = 4
+	defaultDeadline = 20 * time.Second
+	onceTries       = 4
+)
+
+// Load describes the callers; exported fields are set before Run.
+type Load struct {
+	Addresses    []string // of the proxies
+	Organisation string
+	Password     string
+	Databases    []string
+	Sessions     int
+	Seed         uint64
+	Reads        float64       // per second, all sessions together
+	Writes       float64       // per second
+	AgedPct      uint64        // percent of the sessions whose reads accept the read class's age
+	ReadClass    string        //
+	OncePct      uint64        // percent of the writes that are named and run at most once
+	MovePct      uint64        // percent of the operations before which a session moves to another proxy
+	Deadline     time.Duration // for one operation, 20 s when zero
+
+	history  labhistory.History
+	reads    *labmetrics.Histogram
+	writes   *labmetrics.Histogram
+	start    time.Time
+	sessions []*session
+}
+
+// History returns what was recorded.
+func (l *Load) History() []labhistory.Operation {
+	return l.history.Operations()
+}
+
+// ReadLatency returns the latencies of successful reads from the time they were due.
+func (l *Load) ReadLatency() *labmetrics.Histogram {
+	return l.reads
+}
+
+// WriteLatency returns the latencies of acknowledged writes from the time they were due.
+func (l *Load) WriteLatency() *labmetrics.Histogram {
+	return l.writes
+}
+
+// Since returns the time since Run began, the scale of the history's times.
+func (l *Load) Since() time.Duration {
+	return time.Since(l.start)
+}
+
+// Prepare connects the sessions and inserts their rows.
+func (l *Load) Prepare(ctx context.Context) error {
+	l.reads, l.writes = labmetrics.NewHistogram(), labmetrics.NewHistogram()
+
+	if l.Deadline == 0 {
+		l.Deadline = defaultDeadline
+	}
+
+	for i := range l.Sessions {
+		s := &session{
+			load: l, number: i, random: labrandom.Seeded(l.Seed*1_000_003 + uint64(i)),
+			caller: &labcaller.Caller{
+				Addresses: l.Addresses, Organisation: l.Organisation, Password: l.Password,
+				Database: l.Databases[i%len(l.Databases)], Start: i,
+			},
+		}
+		s.aged = uint64(i)*100/uint64(l.Sessions) < l.AgedPct && l.ReadClass != ""
+
+		if s.aged {
+			s.caller.ReadClass = l.ReadClass
+		}
+
+		l.sessions = append(l.sessions, s)
+	}
+
+	return l.each(func(s *session) error { return s.prepare(ctx) })
+}
+
+// Run sends operations for the duration and returns when all have ended.
+func (l *Load) Run(ctx context.Context, duration time.Duration) error {
+	l.start = time.Now()
+
+	return l.each(func(s *session) error {
+		s.run(ctx, duration)
+
+		return nil
+	})
+}
+
+// Close ends all sessions.
+func (l *Load) Close() {
+	for _, s := range l.sessions {
+		s.caller.Close()
+	}
+}
+
+func (l *Load) each(do func(s *session) error) error {
+	var (
+		wait   sync.WaitGroup
+		mutex  sync.Mutex
+		failed error
+	)
+
+	for _, s := range l.sessions {
+		wait.Go(func() {
+			if err := do(s); err != nil {
+				mutex.Lock()
+				defer mutex.Unlock()
+
+				failed = err
+			}
+		})
+	}
+
+	wait.Wait()
+
+	return failed
+}
--- a/control/process/labcontrol/heartbeat.go
+++ b/control/process/labcontrol/heartbeat.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -110,6 +112,21 @@
 	return nil
 }
 
+// pending reports whether the sender should come back soon: it holds something else than it is granted, waits for a duty
+// or holds one of a database whose promotion runs or is about to start.
+func (s *Server) pending(l *leadership, now time.Duration, h *lab.Heartbeat, grants []lab.Grant) bool {
+	if len(grants) != len(h.Held) || len(grants) != len(s.Catalog.Duties(h.Instance.ID)) {
+		return true
+	}
+	for _, g := range grants {
+		if l.promoter.Pending(now, g.Duty.Database) || !slices.Contains(h.Held, g) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // answer renews the lease of one proxy; an outdated heartbeat renews nothing.
 func (s *Server) answer(l *leadership, h *lab.Heartbeat) lab.HeartbeatAnswer {
 	a := lab.HeartbeatAnswer{RequestID: h.RequestID, LeaderTerm: l.term}
@@ -131,6 +148,9 @@
 		l.promoter.Observe(now, h.Instance.ID, m)
 	}
 	a.TTL, a.Grants = lablease.TTL, grants
+	if s.pending(l, now, h, grants) {
+		a.Again = PendingPause
+	}
 
 	return a
 }
--- a/control/process/labcontrol/server.go
+++ b/control/process/labcontrol/server.go
@@ -23,6 +23,8 @@
 	SettleTime = time.Second
 	// TickInterval is the time between two looks at membership, placements and promotions.
 	TickInterval = 100 * time.Millisecond
+	// PendingPause is the pause after which a proxy with a pending change sends its next heartbeat.
+	PendingPause = 50 * time.Millisecond
 	// proposeTimeout bounds the commit of one command.
 	proposeTimeout = 3 * time.Second
 )
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -34,6 +34,7 @@
 	LeaderTerm uint64        `msgpack:"t"` // consensus term of the answering leader
 	TTL        time.Duration `msgpack:"v"` // counted from the moment the heartbeat was sent; 0 renews nothing
 	Grants     []Grant       `msgpack:"g"` // everything the sender may do until the lease ends
+	Again      time.Duration `msgpack:"n"` // pause until the next heartbeat when a change is pending; 0 for the usual one
 	Delta      Delta         `msgpack:"d"`
 }
 
--- a/proxy/process/labagent/agent.go
+++ b/proxy/process/labagent/agent.go
@@ -149,9 +149,8 @@
 	a.start()
 
 	for ctx.Err() == nil {
-		pause := HeartbeatInterval
-
-		if err := a.beat(ctx); err != nil {
+		pause, err := a.beat(ctx)
+		if err != nil {
 			a.failures.Add(1)
 			a.Log.Debug().Err(err).Msg("heartbeat_failed")
 
@@ -183,8 +182,9 @@
 	}
 }
 
-// beat sends one heartbeat and applies its answer; a failure makes the next one go to another control instance.
-func (a *Agent) beat(ctx context.Context) error {
+// beat sends one heartbeat, applies its answer and returns the pause until the next one; a failure makes that go to
+// another control instance.
+func (a *Agent) beat(ctx context.Context) (time.Duration, error) {
 	h, address := a.prepare()
 
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -197,7 +197,7 @@
 		a.restore(h)
 		a.next("")
 
-		return errors.Newf("send heartbeat to %s: %w", address, err)
+		return 0, errors.Newf("send heartbeat to %s: %w", address, err)
 	}
 
 	a.heartbeats.Add(1)
@@ -206,10 +206,14 @@
 		a.restore(h)
 		a.next(answer.Leader)
 
-		return errors.Newf("control instance %s renewed nothing, leader is %q", address, answer.Leader)
+		return 0, errors.Newf("control instance %s renewed nothing, leader is %q", address, answer.Leader)
+	}
+
+	if answer.Again > 0 {
+		return min(max(answer.Again, eventPause), HeartbeatInterval), a.accept(sent, answer)
 	}
 
-	return a.accept(sent, answer)
+	return HeartbeatInterval, a.accept(sent, answer)
 }
 
 func (a *Agent) prepare() (lab.Heartbeat, string) {
--- a/proxy/process/labagent/agent_test.go
+++ b/proxy/process/labagent/agent_test.go
@@ -75,7 +75,7 @@
 
 		return granting(h, 1, 1), nil
 	})
-	assert.NilError(t, a.beat(context.Background()))
+	assert.NilError(t, beat(a))
 	granted(t, a, true)
 
 	c.now += time.Second
@@ -88,11 +88,11 @@
 	a, c, _ := newAgent(func(_ string, h lab.Heartbeat) (lab.HeartbeatAnswer, error) {
 		return granting(h, term, index), nil
 	})
-	assert.NilError(t, a.beat(context.Background()))
+	assert.NilError(t, beat(a))
 
 	term, index = 4, 12
 	c.now += 2500 * time.Millisecond
-	assert.ErrorContains(t, a.beat(context.Background()), "stale")
+	assert.ErrorContains(t, beat(a), "stale")
 	_, at := a.Routes.Version()
 	assert.Equal(t, at, uint64(9))
 
@@ -107,7 +107,7 @@
 
 		return granting(h, 1, 1), nil
 	})
-	assert.ErrorContains(t, a.beat(context.Background()), "stale")
+	assert.ErrorContains(t, beat(a), "stale")
 	granted(t, a, false)
 }
 
@@ -127,11 +127,11 @@
 		return granting(h, 1, 1), nil
 	})
 	a.Observe(lab.MemberStatus{Database: "d", Member: "m"})
-	assert.ErrorContains(t, a.beat(context.Background()), "lost")
+	assert.ErrorContains(t, beat(a), "lost")
 
 	lost = false
 
-	assert.NilError(t, a.beat(context.Background()))
+	assert.NilError(t, beat(a))
 	assert.Equal(t, len(got), 1)
 	assert.Assert(t, p.asked[0] != p.asked[1])
 }
@@ -144,7 +144,7 @@
 
 		return granting(h, 1, 1), nil
 	})
-	for a.beat(context.Background()) != nil {
+	for beat(a) != nil {
 		assert.Assert(t, len(p.asked) < 3)
 	}
 
@@ -162,3 +162,29 @@
 		assert.Assert(t, n > 830/5*7/10 && n < 830/5*13/10, "%v", count)
 	}
 }
+
+func beat(a *Agent) error {
+	_, err := a.beat(context.Background())
+
+	return err
+}
+
+// Guards against a release that control waits for being confirmed only with the next regular heartbeat.
+func TestPauseWhenChangeIsPending(t *testing.T) {
+	again := 50 * time.Millisecond
+	a, _, _ := newAgent(func(_ string, h lab.Heartbeat) (lab.HeartbeatAnswer, error) {
+		g := granting(h, 1, 1)
+		g.Again = again
+
+		return g, nil
+	})
+
+	pause, err := a.beat(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, pause, again)
+
+	again = 0
+	pause, err = a.beat(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, pause, HeartbeatInterval)
+}
--- a/version/labsettings/proxy.go
+++ b/version/labsettings/proxy.go
@@ -1,6 +1,7 @@
 package labsettings
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 
@@ -43,13 +44,7 @@
 
 // ParseProxy reads and checks a proxy's settings; name is used in errors.
 func ParseProxy(name string, text []byte) (*Proxy, error) {
-	s := &Proxy{
-		MaxCallers:        defaultMaxCallers,
-		MaxMessageBytes:   defaultMaxMessageBytes,
-		RegionLinkBits:    defaultRegionLinkBits,
-		DrainSeconds:      defaultDrainSeconds,
-		StartupDeadlineMS: defaultStartupDeadlineMS,
-	}
+	s := &Proxy{}
 
 	d, err := parse(name, text, s)
 	if err != nil {
@@ -57,6 +52,7 @@
 	}
 
 	s.defaults()
+	s.ownDefaults()
 
 	c := &checks{document: d}
 	s.check(c)
@@ -65,6 +61,30 @@
 	return s, c.err()
 }
 
+// CheckProxy fills in what is left out of settings made by a program and checks them.
+func CheckProxy(s *Proxy) (*Proxy, error) {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return nil, errors.Newf("encode settings: %w", err)
+	}
+
+	return ParseProxy("settings", text)
+}
+
+func (s *Proxy) ownDefaults() {
+	for value, fallback := range map[*int64]int64{
+		&s.MaxCallers:        defaultMaxCallers,
+		&s.MaxMessageBytes:   defaultMaxMessageBytes,
+		&s.RegionLinkBits:    defaultRegionLinkBits,
+		&s.DrainSeconds:      defaultDrainSeconds,
+		&s.StartupDeadlineMS: defaultStartupDeadlineMS,
+	} {
+		if *value == 0 {
+			*value = fallback
+		}
+	}
+}
+
 func (s *Proxy) checkOwn(c *checks) {
 	c.address("/caller_address", s.CallerAddress)
 	c.between("/max_callers", s.MaxCallers, 1, 1_000_000)
