Test upstream connections and keep pooled ones usable

Cause: the liveness check of a pooled connection went through the read deadline, so a healthy connection was refused once it had been idle for longer than the progress timeout; an early ReadyForQuery passed for the position query's. Change: the check reads past the deadline, the position phase insists on a completed query, tests and fuzz targets.

--- /dev/null
+++ b/proxy/connection/labupstream/conn_test.go
@@ -0,0 +1,319 @@
+package labupstream
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+func encode(messages ...pgproto3.FrontendMessage) []byte {
+	var out []byte
+	for _, m := range messages {
+		out, _ = m.Encode(out)
+	}
+
+	return out
+}
+
+func simple(sql string) lab.Unit {
+	return lab.Unit{Messages: encode(&pgproto3.Query{String: sql}), Simple: true, Reads: true}
+}
+
+func extended(messages ...pgproto3.FrontendMessage) lab.Unit {
+	return lab.Unit{Messages: encode(append(messages, &pgproto3.Sync{})...), Reads: true}
+}
+
+// run returns the types of the answer's messages, held ones after a bar.
+func run(t *testing.T, c *Conn, unit lab.Unit) (string, Ended, error) {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+
+	var answer bytes.Buffer
+
+	ended, err := c.Run(ctx, unit, &answer, true)
+	kinds := types(answer.Bytes())
+
+	if len(ended.Held) > 0 {
+		kinds += "|" + types(ended.Held)
+	}
+
+	return kinds, ended, err
+}
+
+func types(data []byte) string {
+	kinds := ""
+
+	for len(data) > 0 {
+		m, rest, err := nextMessage(data)
+		if err != nil {
+			return kinds + "?"
+		}
+
+		kinds, data = kinds+string(m.kind), rest
+	}
+
+	return kinds
+}
+
+func row(b *pgproto3.Backend) {
+	b.Send(&pgproto3.RowDescription{})
+	b.Send(&pgproto3.DataRow{})
+	b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+}
+
+// Guards against answers that contain what the proxy asked for itself, or lack what the caller asked for.
+func TestRun(t *testing.T) {
+	f := newFake(t)
+	f.script["SELECT"] = row
+	f.script["FAIL"] = func(b *pgproto3.Backend) { b.Send(&pgproto3.ErrorResponse{Code: "22012"}) }
+	f.script["FAIL LATE"] = func(b *pgproto3.Backend) { row(b); b.Send(&pgproto3.ErrorResponse{Code: "22012"}) }
+	c := f.dial(t)
+
+	answer := func(unit lab.Unit, want, code string) func(*testing.T) {
+		return func(t *testing.T) {
+			got, ended, err := run(t, c, unit)
+			assert.NilError(t, err)
+			assert.Equal(t, got, want)
+			assert.Equal(t, ended.Code, code)
+			assert.Equal(t, ended.Position, Position{
+				InRecovery: true,
+				Replayed:   lab.Position{Term: 3, Offset: 1<<32 | 0xA}, Received: lab.Position{Term: 3, Offset: 1<<32 | 0xB},
+			})
+			assert.Assert(t, !c.Broken())
+		}
+	}
+
+	write := simple("INSERT")
+	write.Reads = false
+
+	t.Run("read", answer(simple("SELECT"), "TDC", ""))
+	t.Run("write is held from its completion on", answer(write, "|C", ""))
+	t.Run("error first is held", answer(simple("FAIL"), "|E", "22012"))
+	t.Run("error later is passed on", answer(simple("FAIL LATE"), "TDCE", "22012"))
+	t.Run("error within an extended unit", answer(
+		extended(&pgproto3.Bind{PreparedStatement: "none"}, &pgproto3.Execute{}), "|E", "26000"))
+}
+
+// Guards against statements of one caller that are missing, stale or already there on a pooled connection.
+func TestPreparedStatements(t *testing.T) {
+	f := newFake(t)
+	c := f.dial(t)
+	use := func(query string) lab.Unit {
+		u := extended(&pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{})
+		u.Statements = []lab.Statement{{Name: "s", Query: query}}
+
+		return u
+	}
+	check := func(unit lab.Unit, want, sent string) func(*testing.T) {
+		return func(t *testing.T) {
+			f.take()
+			got, _, err := run(t, c, unit)
+			assert.NilError(t, err)
+			assert.Equal(t, got, want)
+			assert.Equal(t, f.take(), sent)
+		}
+	}
+	ownParse := extended(&pgproto3.Parse{Name: "s", Query: "Q3"}, &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Execute{})
+	execute := simple("EXECUTE p")
+	execute.Statements = []lab.Statement{{Name: "p", Query: "Q4"}}
+	bad := simple("EXECUTE b")
+	bad.Statements = []lab.Statement{{Name: "b", Query: "BAD"}}
+
+	t.Run("prepared first", check(use("Q1"), "2C", "parse:s run:Q1"))
+	t.Run("known", check(use("Q1"), "2C", "run:Q1"))
+	t.Run("other text", check(use("Q2"), "2C", "close:s parse:s run:Q2"))
+	t.Run("parsed by the caller", check(ownParse, "12C", "close:s parse:s run:Q3"))
+	t.Run("after the caller's parse", check(use("Q3"), "2C", "run:Q3"))
+	t.Run("closed by the caller", check(extended(&pgproto3.Close{ObjectType: 'S', Name: "s"}), "3", "close:s"))
+	t.Run("prepared again", check(use("Q3"), "2C", "parse:s run:Q3"))
+	t.Run("ahead of a simple query", check(execute, "C", "parse:p run:EXECUTE p"))
+	t.Run("failed preparation stops the query", check(bad, "|E", "parse:b"))
+	t.Run("reset forgets them", func(t *testing.T) {
+		assert.NilError(t, c.Reset(context.Background()))
+		assert.Equal(t, f.take(), "")
+
+		unit := simple("SET")
+		unit.Changes = true
+		_, _, err := run(t, c, unit)
+		assert.NilError(t, err)
+		assert.NilError(t, c.Reset(context.Background()))
+		assert.Equal(t, f.take(), "run:SET run:DISCARD ALL")
+		assert.Equal(t, len(c.statements), 0)
+	})
+}
+
+// Guards against reuse of a connection whose state is in doubt.
+func TestBreak(t *testing.T) {
+	f := newFake(t)
+	f.script["DROP"] = nil
+	f.script["SLEEP"] = func(*pgproto3.Backend) { time.Sleep(250 * time.Millisecond) }
+	f.script["COPY"] = func(b *pgproto3.Backend) { b.Send(&pgproto3.CopyInResponse{}) }
+	f.script["CLOSED"] = func(b *pgproto3.Backend) { b.Send(&pgproto3.CloseComplete{}) }
+	f.script["PARSED"] = func(b *pgproto3.Backend) { b.Send(&pgproto3.ParseComplete{}) }
+	f.script["LARGE"] = func(b *pgproto3.Backend) {
+		b.Send(&pgproto3.DataRow{Values: [][]byte{make([]byte, 1<<17)}})
+	}
+	f.script["TWICE"] = func(b *pgproto3.Backend) { b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'}) }
+
+	breaks := func(sql string, want error) func(*testing.T) {
+		return func(t *testing.T) {
+			c := f.dial(t)
+			_, ended, err := run(t, c, simple(sql))
+			assert.Assert(t, err != nil)
+			assert.Assert(t, want == nil || errors.Is(err, want), "%v", err)
+			assert.Assert(t, ended.Sent)
+			assert.Assert(t, c.Broken())
+
+			_, ended, err = run(t, c, simple("AGAIN"))
+			assert.ErrorIs(t, err, ErrBroken)
+			assert.Assert(t, !ended.Sent)
+		}
+	}
+
+	t.Run("dropped", breaks("DROP", nil))
+	t.Run("silent", breaks("SLEEP", ErrSilent))
+	t.Run("copy", breaks("COPY", ErrUnexpected))
+	t.Run("completion of another close", breaks("CLOSED", ErrUnexpected))
+	t.Run("completion of another parse", breaks("PARSED", ErrUnexpected))
+	t.Run("ready too early", breaks("TWICE", ErrUnexpected))
+	t.Run("too large", breaks("LARGE", ErrTooLarge))
+	t.Run("slow but accepted", func(t *testing.T) {
+		c := f.dial(t)
+		asked := 0
+		c.Silent = func(context.Context, time.Duration) error { asked++; return nil }
+		_, _, err := run(t, c, simple("SLEEP"))
+		assert.NilError(t, err)
+		assert.Assert(t, asked >= 2)
+	})
+	t.Run("cancelled context", func(t *testing.T) {
+		c := f.dial(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		defer cancel()
+
+		c.Silent = func(context.Context, time.Duration) error { return nil }
+		started := time.Now()
+		_, err := c.Run(ctx, simple("SLEEP"), &bytes.Buffer{}, false)
+		assert.Assert(t, time.Since(started) < 90*time.Millisecond, "waited for the progress deadline")
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Assert(t, c.Broken())
+	})
+	t.Run("malformed unit is not sent", func(t *testing.T) {
+		c := f.dial(t)
+		for _, messages := range [][]byte{
+			{},
+			{'Q'},
+			{'Q', 0, 0, 0, 9, 'x'},
+			encode(&pgproto3.Sync{}, &pgproto3.Sync{}),
+			encode(&pgproto3.Query{String: "a"}, &pgproto3.Query{String: "b"}), encode(&pgproto3.Terminate{}, &pgproto3.Sync{}),
+			encode(&pgproto3.Flush{}),
+		} {
+			_, ended, err := run(t, c, lab.Unit{Messages: messages})
+			assert.ErrorIs(t, err, ErrMalformed)
+			assert.Assert(t, !ended.Sent)
+		}
+
+		assert.Assert(t, !c.Broken())
+	})
+	t.Run("closed while idle", func(t *testing.T) {
+		c := f.dial(t)
+		_, _, err := run(t, c, simple("ONE"))
+		assert.NilError(t, err)
+		time.Sleep(150 * time.Millisecond)
+		assert.Assert(t, c.Idle(), "an open connection is refused after the progress deadline")
+
+		_, _, err = run(t, c, simple("DROP"))
+		assert.Assert(t, err != nil)
+		c.broken.Store(false)
+
+		for end := time.Now().Add(time.Second); c.Idle(); time.Sleep(time.Millisecond) {
+			assert.Assert(t, time.Now().Before(end))
+		}
+	})
+}
+
+// Guards against cancel requests with a wrong key, and a unit larger than the socket buffers that blocks on its answer.
+func TestCancelAndLargeUnit(t *testing.T) {
+	f := newFake(t)
+	c := f.dial(t)
+	assert.NilError(t, c.Cancel(context.Background()))
+	f.mu.Lock()
+	assert.DeepEqual(t, f.cancelled, []uint32{42})
+	f.mu.Unlock()
+
+	f.script["WIDE"] = func(b *pgproto3.Backend) {
+		b.Send(&pgproto3.DataRow{Values: [][]byte{make([]byte, 60<<10)}})
+		b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+		_ = b.Flush()
+	}
+
+	messages := make([]pgproto3.FrontendMessage, 0, 401)
+	messages = append(messages, &pgproto3.Parse{Query: "WIDE"})
+
+	for range 200 {
+		messages = append(messages, &pgproto3.Bind{Parameters: [][]byte{make([]byte, 60<<10)}}, &pgproto3.Execute{})
+	}
+
+	_, ended, err := run(t, c, extended(messages...))
+	assert.NilError(t, err)
+	assert.Equal(t, ended.Completed, 200)
+}
+
+// Guards against a decoder that panics, or lets more or less than one unit through.
+func FuzzPlan(f *testing.F) {
+	f.Add(simple("SELECT 1").Messages)
+	f.Add(extended(&pgproto3.Parse{Name: "s", Query: "x", ParameterOIDs: []uint32{23}}, &pgproto3.Close{ObjectType: 'S', Name: "s"}).Messages)
+
+	f.Fuzz(func(t *testing.T, messages []byte) {
+		p, err := makePlan(lab.Unit{Messages: messages}, map[string]string{"s": "y"})
+		if err != nil {
+			return
+		}
+
+		ends := 0
+
+		for data := p.out; len(data) > 0; {
+			m, rest, err := nextMessage(data)
+			assert.NilError(t, err)
+
+			if m.kind == 'Q' || m.kind == 'S' {
+				ends++
+			}
+
+			data = rest
+		}
+
+		assert.Equal(t, ends, 1)
+	})
+}
+
+// Guards against a position decoder that panics on a damaged row.
+func FuzzPosition(f *testing.F) {
+	good := encodeRow("f", "2", "0/16B3748", "0/16B3748")
+	f.Add(good)
+	f.Add(good[:9])
+
+	f.Fuzz(func(t *testing.T, body []byte) {
+		p, err := parsePosition(body)
+		assert.Assert(t, err == nil || p == Position{})
+	})
+}
+
+func encodeRow(columns ...string) []byte {
+	row := pgproto3.DataRow{}
+	for _, c := range columns {
+		row.Values = append(row.Values, []byte(c))
+	}
+
+	out, _ := row.Encode(nil)
+
+	return out[headerSize:]
+}
--- a/proxy/connection/labupstream/liveness.go
+++ b/proxy/connection/labupstream/liveness.go
@@ -24,13 +24,13 @@
 	}
 
 	idle := false
-	err = raw.Read(func(fd uintptr) bool {
+
+	// Control, unlike Read, does not fail on the deadline that the last unit left behind.
+	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
 
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		idle = errors.Is(err, syscall.EAGAIN)
-
-		return true
 	})
 
 	return err == nil && idle
--- a/proxy/connection/labupstream/run.go
+++ b/proxy/connection/labupstream/run.go
@@ -355,7 +355,7 @@
 
 // readPosition reads the answer to the position query, which is an error in a failed transaction.
 func (e *exchange) readPosition(ctx context.Context) error {
-	for {
+	for complete := false; ; {
 		raw, err := e.next(ctx)
 		if err != nil {
 			return errors.Newf("read position: %w", err)
@@ -363,6 +363,10 @@
 
 		switch raw[0] {
 		case 'Z':
+			if !complete {
+				return errors.Newf("%w: ReadyForQuery to position query", ErrUnexpected)
+			}
+
 			return e.ready(raw)
 		case 'D':
 			if e.ended.Position, err = parsePosition(raw[headerSize:]); err != nil {
@@ -370,7 +374,9 @@
 			}
 
 			e.ended.Positioned = true
-		case 'T', 'C', 'E', 'N', 'S', 'A':
+		case 'C', 'E':
+			complete = true
+		case 'T', 'N', 'S', 'A':
 		default:
 			return errors.Newf("%w: type %q to position query", ErrUnexpected, raw[0])
 		}
