--- /dev/null
+++ b/proxy/process/labobserver/observer_test.go
@@ -0,0 +1,199 @@
+package labobserver
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labupstream"
+)
+
+type wallClock struct{ start time.Time }
+
+func (c wallClock) Now() time.Duration { return time.Since(c.start) }
+func (c wallClock) Wall() time.Time    { return time.Now() }
+func (c wallClock) Sleep(context.Context, time.Duration) error {
+	return nil
+}
+
+// fakeSource counts connections and answers with one position.
+type fakeSource struct {
+	mu       sync.Mutex
+	offset   uint64
+	silent   bool // open connections no longer answer
+	refuse   bool // new connections fail
+	opened   map[string]int
+	open     int
+	statuses []lab.MemberStatus
+}
+
+type fakeReader struct {
+	source *fakeSource
+	after  bool // opened after the silence began
+}
+
+func (f *fakeSource) Open(_ context.Context, m lab.Announcement) (Reader, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.refuse {
+		return nil, errors.New("refused")
+	}
+
+	f.opened[m.Member]++
+	f.open++
+
+	return &fakeReader{source: f, after: f.silent}, nil
+}
+
+func (f *fakeSource) Observe(status lab.MemberStatus) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.statuses = append(f.statuses, status)
+}
+
+func (f *fakeSource) count(check func() int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return check()
+}
+
+func (r *fakeReader) Probe(ctx context.Context) (labupstream.Position, error) {
+	r.source.mu.Lock()
+	silent, offset := r.source.silent && !r.after || r.source.refuse, r.source.offset
+	r.source.mu.Unlock()
+
+	if silent {
+		<-ctx.Done()
+
+		return labupstream.Position{}, ctx.Err()
+	}
+
+	return at(true, 2, offset), nil
+}
+
+func (r *fakeReader) Abort() { r.Close() }
+
+func (r *fakeReader) Close() {
+	r.source.mu.Lock()
+	defer r.source.mu.Unlock()
+	r.source.open--
+}
+
+func observe(t *testing.T, region string) (*Observer, *fakeSource) {
+	t.Helper()
+
+	f := &fakeSource{opened: map[string]int{}, offset: 200}
+	o := &Observer{
+		Clock: wallClock{start: time.Now()}, Source: f, Report: f, Interval: 10 * ms, LostAfter: 150 * ms, ProbeTimeout: 30 * ms,
+	}
+	o.Watch(database(), region)
+	t.Cleanup(o.Close)
+	until(t, func() bool { return len(o.Views("rota", nil)) > 0 && o.Views("rota", nil)[0].Known })
+
+	return o, f
+}
+
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+
+	for end := time.Now().Add(3 * time.Second); !condition(); time.Sleep(ms) {
+		assert.Assert(t, time.Now().Before(end), "condition not reached")
+	}
+}
+
+// Guards against polling members that this region has no need of, and against leaving connections open.
+func TestWatched(t *testing.T) {
+	members := func(region string, want int) func(*testing.T) {
+		return func(t *testing.T) {
+			o, f := observe(t, region)
+			assert.Equal(t, len(o.Views("rota", nil)), want)
+			o.Unwatch("rota")
+			assert.Equal(t, f.count(func() int { return f.open }), 0)
+		}
+	}
+
+	t.Run("all from the primary's region", members("coast", 3))
+	t.Run("own members and the primary from another region", members("bothnia", 2))
+}
+
+// Guards against taking a silent connection for a lost member, and a lost member for a silent connection.
+func TestSilence(t *testing.T) {
+	o, f := observe(t, "coast")
+	lost := func() int {
+		count := 0
+		for _, v := range o.Views("rota", nil) {
+			if v.Lost {
+				count++
+			}
+		}
+
+		return count
+	}
+	f.mu.Lock()
+	f.silent, f.offset = true, 300
+	f.mu.Unlock()
+	until(t, func() bool { return f.count(func() int { return f.opened["a"] }) == 2 })
+	until(t, func() bool { return o.Views("rota", nil)[0].Status.Replayed.Offset == 300 })
+	assert.Equal(t, lost(), 0)
+	assert.Equal(t, f.count(func() int { return f.opened["a"] }), 2)
+	assert.Equal(t, f.count(func() int {
+		unreachable := 0
+		for _, st := range f.statuses {
+			if !st.Reachable {
+				unreachable++
+			}
+		}
+
+		return unreachable
+	}), 0, "a silent connection was reported as a lost member")
+
+	f.mu.Lock()
+	f.refuse = true
+	f.mu.Unlock()
+	until(t, func() bool { return lost() == 3 })
+}
+
+// Guards against commits that wait for the next regular poll.
+func TestWait(t *testing.T) {
+	f := &fakeSource{opened: map[string]int{}, offset: 200}
+	o := &Observer{Clock: wallClock{start: time.Now()}, Source: f, Interval: time.Hour}
+	o.Watch(database(), "coast")
+	t.Cleanup(o.Close)
+	until(t, func() bool { return len(o.Views("rota", nil)) == 3 && o.Views("rota", nil)[0].Known })
+
+	go func() {
+		time.Sleep(20 * ms)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.offset = 400
+	}()
+
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+
+	reached := func(views []View) bool {
+		for _, v := range views {
+			if v.Member.Member == "b" && v.Status.Received.Offset >= 400 {
+				return true
+			}
+		}
+
+		return false
+	}
+	assert.NilError(t, o.Wait(ctx, "rota", reached))
+
+	t.Run("ends with the observation", func(t *testing.T) {
+		ended := make(chan error, 1)
+		go func() { ended <- o.Wait(ctx, "rota", func([]View) bool { return false }) }()
+		time.Sleep(10 * ms)
+		o.Unwatch("rota")
+		assert.ErrorIs(t, <-ended, errUnwatched)
+	})
+}
