Add admission queues per member and a retry budget

Cause: a member runs only a few statements at once, and overload must not turn into requests that are answered too late.

Change: labadmission keeps one deterministic queue per member under its own lock. Classes have shares 5:3:1, organisations share a class by weighted virtual start time, an organisation's requests run by deadline. A request is refused at once when the measured service times plus one deviation of their sum do not let it start by its deadline. The queue limit applies to an organisation's requests in one class. labbudget is a token bucket of 10% of the requests plus one retry per second.

Guards taken out one at a time, each made a test fail and was put back: slots in grant and in offer, release once, early refusal, queue limit, waiting without slots, expiry before grants, class shares, weights, order of organisations, order and rank by deadline, cancel frees a slot or withdraws, bound of one measured service time, idle organisations, waking for an earlier deadline, retry ratio and burst.

--- /dev/null
+++ b/proxy/process/labadmission/admission.go
@@ -0,0 +1,79 @@
+package labadmission
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/labadmission/internal/labqueue"
+)
+
+// defaultQueueLimit bounds an organisation's waiting requests when neither the request nor Admission does.
+const defaultQueueLimit = 1000
+
+// Outcomes are prepared, since refusing must stay cheap under overload.
+var (
+	errOverload  = lab.NotRun(lab.ReasonOverload, errors.New("the deadline cannot be met or the queue is full"))
+	errDeadline  = lab.NotRun(lab.ReasonDeadline, errors.New("the deadline passed in the queue"))
+	errCancelled = lab.NotRun(lab.ReasonCancelled, errors.New("cancelled in the queue"))
+)
+
+// Admission grants slots of members. It implements lab.Admission; Clock must be set before use.
+type Admission struct {
+	Clock      lab.Clock
+	QueueLimit int64 // waiting requests per organisation, class and member for requests without a limit; 1,000 when zero
+
+	shards sync.Map // member name to *shard
+}
+
+var _ lab.Admission = (*Admission)(nil)
+
+// Acquire waits for a slot of a member. The release function may be called more than once; only the first call counts.
+func (a *Admission) Acquire(ctx context.Context, member string, request lab.AdmissionRequest) (func(), error) {
+	if request.QueueLimit <= 0 {
+		request.QueueLimit = a.queueLimit()
+	}
+
+	s := a.shard(member)
+	t := s.offer(request)
+
+	if t.Signal != nil {
+		return s.wait(ctx, t)
+	}
+
+	return s.result(t)
+}
+
+// Resize sets the slots of a member; 0 slots stop new grants.
+func (a *Admission) Resize(member string, slots int) {
+	a.shard(member).resize(slots)
+}
+
+// Load returns how many requests run and wait at a member.
+func (a *Admission) Load(member string) (running, waiting int) {
+	s := a.shard(member)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+
+	return s.queue.Running(), s.queue.Waiting()
+}
+
+func (a *Admission) queueLimit() int64 {
+	if a.QueueLimit > 0 {
+		return a.QueueLimit
+	}
+
+	return defaultQueueLimit
+}
+
+func (a *Admission) shard(member string) *shard {
+	if s, ok := a.shards.Load(member); ok {
+		return s.(*shard)
+	}
+
+	s, _ := a.shards.LoadOrStore(member, &shard{clock: a.Clock, queue: labqueue.New()})
+
+	return s.(*shard)
+}
--- /dev/null
+++ b/proxy/process/labadmission/admission_test.go
@@ -0,0 +1,191 @@
+package labadmission_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/labadmission"
+)
+
+// wallClock is the real clock.
+type wallClock struct{ start time.Time }
+
+func (c wallClock) Now() time.Duration { return time.Since(c.start) }
+func (c wallClock) Wall() time.Time    { return time.Now() }
+
+func (c wallClock) Sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return errors.Newf("sleep: %w", ctx.Err())
+	}
+}
+
+func admission() *labadmission.Admission {
+	return &labadmission.Admission{Clock: wallClock{time.Now()}}
+}
+
+func within(a *labadmission.Admission, patience time.Duration) lab.AdmissionRequest {
+	return lab.AdmissionRequest{Organisation: "a", Class: lab.ClassPrompt, Deadline: a.Clock.Now() + patience}
+}
+
+func assertNotRun(t *testing.T, err error, reason string) {
+	t.Helper()
+
+	outcome, got := lab.OutcomeOf(err)
+	assert.Equal(t, outcome, lab.OutcomeNotRun)
+	assert.Equal(t, got, reason)
+}
+
+// Guards against waiters that miss their grant, their deadline or their context, or lose a slot.
+func TestAcquire(t *testing.T) {
+	t.Run("granted on release", func(t *testing.T) {
+		a := admission()
+		a.Resize("m", 1)
+		release, err := a.Acquire(t.Context(), "m", within(a, time.Second))
+		assert.NilError(t, err)
+		time.AfterFunc(20*time.Millisecond, release)
+
+		second, err := a.Acquire(t.Context(), "m", within(a, 10*time.Second))
+		assert.NilError(t, err)
+		release()
+
+		running, _ := a.Load("m")
+		assert.Equal(t, running, 1, "the second call of release freed another request's slot")
+		second()
+	})
+	t.Run("deadline", func(t *testing.T) {
+		a := admission()
+
+		began := time.Now()
+		later := make(chan error)
+
+		go func() {
+			_, err := a.Acquire(t.Context(), "m", within(a, 200*time.Millisecond))
+			later <- err
+		}()
+
+		time.Sleep(10 * time.Millisecond)
+
+		_, err := a.Acquire(t.Context(), "m", within(a, 50*time.Millisecond))
+		assertNotRun(t, err, lab.ReasonDeadline)
+		assert.Assert(t, time.Since(began) < 150*time.Millisecond, "an earlier deadline did not wake the queue")
+		assertNotRun(t, <-later, lab.ReasonDeadline)
+	})
+	t.Run("context", func(t *testing.T) {
+		a := admission()
+		a.Resize("m", 0)
+
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(20*time.Millisecond, cancel)
+
+		_, err := a.Acquire(ctx, "m", within(a, 10*time.Second))
+		assertNotRun(t, err, lab.ReasonCancelled)
+
+		_, waiting := a.Load("m")
+		assert.Equal(t, waiting, 0)
+	})
+	t.Run("members are separate", func(t *testing.T) {
+		a := admission()
+		a.Resize("m", 1)
+		a.Resize("n", 1)
+
+		for _, m := range []string{"m", "n"} {
+			_, err := a.Acquire(t.Context(), m, within(a, time.Second))
+			assert.NilError(t, err)
+		}
+	})
+}
+
+// Guards against more statements on a member than it has slots while grants, cancels, expiries and resizes race.
+func TestSlotsUnderConcurrency(t *testing.T) {
+	const most = 3
+
+	a := admission()
+	a.Resize("m", most)
+
+	var (
+		running, excess, granted atomic.Int64
+		tasks                    sync.WaitGroup
+	)
+
+	for range 50 {
+		tasks.Go(func() {
+			for range 100 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rand.IntN(5)+1)*time.Millisecond)
+				release, err := a.Acquire(ctx, "m", within(a, time.Duration(rand.IntN(5))*time.Millisecond))
+
+				if err == nil {
+					if running.Add(1) > most {
+						excess.Add(1)
+					}
+
+					granted.Add(1)
+					time.Sleep(time.Duration(rand.IntN(200)) * time.Microsecond)
+					running.Add(-1)
+					release()
+				}
+
+				cancel()
+			}
+		})
+	}
+
+	for range 20 {
+		a.Resize("m", rand.IntN(most+1))
+		time.Sleep(2 * time.Millisecond)
+	}
+
+	a.Resize("m", most)
+	tasks.Wait()
+	assert.Equal(t, excess.Load(), int64(0))
+	assert.Assert(t, granted.Load() > 0)
+
+	left, waiting := a.Load("m")
+	assert.Equal(t, left, 0, "a slot was lost")
+	assert.Equal(t, waiting, 0)
+}
+
+// BenchmarkAcquire measures a grant without contention and one after waiting.
+func BenchmarkAcquire(b *testing.B) {
+	b.Run("free", func(b *testing.B) {
+		a := admission()
+		a.Resize("m", 1)
+		b.ReportAllocs()
+
+		for b.Loop() {
+			release, err := a.Acquire(b.Context(), "m", within(a, time.Hour))
+			if err != nil {
+				b.Fatal(err)
+			}
+
+			release()
+		}
+	})
+	b.Run("contended", func(b *testing.B) {
+		a := admission()
+		a.Resize("m", 3)
+		b.ReportAllocs()
+		b.SetParallelism(10)
+		b.RunParallel(func(p *testing.PB) {
+			for p.Next() {
+				release, err := a.Acquire(b.Context(), "m", within(a, time.Hour))
+				if err != nil {
+					b.Error(err)
+					return
+				}
+
+				release()
+			}
+		})
+	})
+}
--- /dev/null
+++ b/proxy/process/labadmission/internal/labqueue/queue.go
@@ -0,0 +1,270 @@
+package labqueue
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"laburnumlock.dev/lab"
+)
+
+const classes = 3
+
+// Queue admits requests to the slots of one member.
+type Queue struct {
+	slots    int
+	running  int
+	waiting  int
+	sequence uint64
+	virtual  int64 // virtual start time of the last granted class
+	classes  [classes]class
+	expiries expiryHeap
+	settled  []*Ticket
+}
+
+// New returns a queue without slots.
+func New() *Queue {
+	q := &Queue{}
+	for i, share := range []int64{sharePrompt, shareWrite, shareMayWait} {
+		q.classes[i] = class{share: share, organisations: map[string]*organisation{}}
+	}
+
+	return q
+}
+
+// Offer adds a request. The ticket's state tells whether it was granted at once, waits or was refused.
+func (q *Queue) Offer(now time.Duration, request lab.AdmissionRequest) *Ticket {
+	q.expire(now)
+
+	c := &q.classes[classIndex(request.Class)]
+	o := c.organisation(request.Organisation, request.Weight)
+	t := &Ticket{organisation: o, deadline: request.Deadline, sequence: q.sequence}
+	q.sequence++
+
+	switch {
+	case request.Deadline < now:
+		t.state = Expired
+	case q.waiting == 0 && q.running < q.slots:
+		o.start = max(o.finish, c.virtual)
+		c.start = max(c.finish, q.virtual)
+		q.admit(now, t)
+	case int64(len(o.waiting)) >= request.QueueLimit || !q.feasible(now, t):
+		t.state = Refused
+	default:
+		q.push(t)
+		q.grant(now)
+	}
+
+	return t
+}
+
+// Release ends a granted request and reports whether it was still granted.
+func (q *Queue) Release(now time.Duration, t *Ticket) bool {
+	if t.state != Granted {
+		return false
+	}
+
+	t.state = Released
+	t.organisation.class.measure(now - t.granted)
+	q.running--
+	q.grant(now)
+
+	return true
+}
+
+// Cancel withdraws a request. When it was granted already, its slot is freed.
+func (q *Queue) Cancel(now time.Duration, t *Ticket) {
+	switch t.state {
+	case Granted:
+		t.state = Cancelled
+		q.running--
+		q.grant(now)
+	case Waiting:
+		t.state = Cancelled
+		q.remove(t)
+	}
+}
+
+// Resize sets the number of slots. Requests in progress beyond it are not disturbed.
+func (q *Queue) Resize(now time.Duration, slots int) {
+	q.slots = max(slots, 0)
+	q.grant(now)
+}
+
+// Advance expires requests whose deadline has passed.
+func (q *Queue) Advance(now time.Duration) {
+	q.grant(now)
+}
+
+// Next returns the earliest deadline of a waiting request.
+func (q *Queue) Next() (time.Duration, bool) {
+	if len(q.expiries) == 0 {
+		return 0, false
+	}
+
+	return q.expiries[0].deadline, true
+}
+
+// Settled returns the tickets that were granted or expired after waiting since the last call. The slice is valid until
+// the next call of any method.
+func (q *Queue) Settled() []*Ticket {
+	s := q.settled
+	q.settled = q.settled[:0]
+
+	return s
+}
+
+// Running returns the number of granted requests.
+func (q *Queue) Running() int {
+	return q.running
+}
+
+// Waiting returns the number of waiting requests.
+func (q *Queue) Waiting() int {
+	return q.waiting
+}
+
+// Organisations returns how many pairs of an organisation and a class the queue remembers.
+func (q *Queue) Organisations() int {
+	n := 0
+	for i := range q.classes {
+		n += len(q.classes[i].organisations)
+	}
+
+	return n
+}
+
+func (q *Queue) push(t *Ticket) {
+	c := t.organisation.class
+	if c.queued == 0 {
+		c.start = max(c.finish, q.virtual)
+	}
+
+	c.push(t)
+	heap.Push(&q.expiries, t)
+	q.waiting++
+}
+
+func (q *Queue) remove(t *Ticket) {
+	t.organisation.class.remove(t)
+	heap.Remove(&q.expiries, t.expiry)
+	q.waiting--
+}
+
+func (q *Queue) expire(now time.Duration) {
+	for len(q.expiries) > 0 && q.expiries[0].deadline < now {
+		t := q.expiries[0]
+		q.remove(t)
+		t.state = Expired
+		q.settled = append(q.settled, t)
+	}
+}
+
+// grant gives free slots to waiting requests.
+func (q *Queue) grant(now time.Duration) {
+	q.expire(now)
+
+	for q.running < q.slots && q.waiting > 0 {
+		t := q.pick().ready[0].waiting[0]
+		q.remove(t)
+		q.admit(now, t)
+		q.settled = append(q.settled, t)
+	}
+}
+
+// pick returns the class with waiting requests whose grant is due first.
+func (q *Queue) pick() *class {
+	var first *class
+
+	for i := range q.classes {
+		c := &q.classes[i]
+		if c.queued > 0 && (first == nil || c.start < first.start) {
+			first = c
+		}
+	}
+
+	return first
+}
+
+func (q *Queue) admit(now time.Duration, t *Ticket) {
+	o := t.organisation
+	c := o.class
+	t.state = Granted
+	t.granted = now
+	q.running++
+	q.virtual = c.start
+	c.finish = c.start + virtualScale/c.share
+	c.start = c.finish
+	c.charge(o)
+}
+
+// feasible estimates whether a request would start by its deadline. Without slots nothing is known, so it waits.
+func (q *Queue) feasible(now time.Duration, t *Ticket) bool {
+	if q.slots == 0 {
+		return true
+	}
+
+	own := len(t.organisation.waiting)
+	if q.startAfter(t.organisation, own) <= t.deadline-now {
+		return true
+	}
+
+	// Own requests with a later deadline do not come before it; counting them is left to the case that needs it.
+	for _, u := range t.organisation.waiting {
+		if t.before(u) {
+			own--
+		}
+	}
+
+	return q.startAfter(t.organisation, own) <= t.deadline-now
+}
+
+// startAfter estimates when a request starts that has a number of its organisation's requests before it. Other
+// organisations and classes come before it at most in proportion to their weights.
+func (q *Queue) startAfter(o *organisation, own int) time.Duration {
+	c := o.class
+
+	others, weight := int64(c.queued-len(o.waiting)), c.active
+	if len(o.waiting) > 0 {
+		weight -= o.weight
+	}
+
+	before := int64(own) + min(others, ceil(int64(own+1)*weight, o.weight))
+	work, variance := q.work(c, before+1)
+
+	for i := range q.classes {
+		d := &q.classes[i]
+		if d != c {
+			w, v := q.work(d, min(int64(d.queued), ceil((before+1)*d.share, c.share)))
+			work += w
+			variance += v
+		}
+	}
+
+	// One deviation of the sum is added: without it, half of the requests that are just admitted wait in vain.
+	return time.Duration(min((work+math.Sqrt(variance))/float64(q.slots), math.MaxInt64/2))
+}
+
+// work returns the expected service time of a number of a class's requests and its variance.
+func (q *Queue) work(c *class, requests int64) (work, variance float64) {
+	d := float64(c.deviation)
+	return float64(requests) * float64(q.serviceOf(c)), float64(requests) * d * d
+}
+
+func ceil(a, b int64) int64 {
+	return (a + b - 1) / b
+}
+
+// serviceOf returns the measured service time of a class, or the longest of the others while it has none.
+func (q *Queue) serviceOf(c *class) time.Duration {
+	if c.service > 0 {
+		return c.service
+	}
+
+	var longest time.Duration
+	for i := range q.classes {
+		longest = max(longest, q.classes[i].service)
+	}
+
+	return longest
+}
--- /dev/null
+++ b/proxy/process/labadmission/internal/labqueue/queue_test.go
@@ -0,0 +1,378 @@
+package labqueue_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/labadmission/internal/labqueue"
+)
+
+const (
+	ms    = time.Millisecond
+	large = 1 << 20
+)
+
+func request(organisation string, class lab.Class, deadline time.Duration) lab.AdmissionRequest {
+	return lab.AdmissionRequest{
+		Organisation: organisation, Class: class, Weight: 1, QueueLimit: large, Deadline: deadline,
+	}
+}
+
+// Guards against grants beyond the slots, slots left idle while requests wait, and requests that end twice or never.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := labqueue.New()
+		now, slots, offered, settled := time.Duration(0), 0, 0, 0
+
+		var tickets []*labqueue.Ticket
+
+		check := func(running int) {
+			for _, u := range q.Settled() {
+				assert.Assert(t, u.State() == labqueue.Granted || u.State() == labqueue.Expired)
+				settled++
+			}
+
+			assert.Assert(t, q.Running() <= max(slots, running), "granted beyond the slots")
+			assert.Assert(t, q.Waiting() == 0 || q.Running() >= slots, "idle slot while requests wait")
+
+			states := map[labqueue.State]int{}
+			for _, u := range tickets {
+				states[u.State()]++
+			}
+
+			assert.Equal(t, states[labqueue.Granted], q.Running())
+			assert.Equal(t, states[labqueue.Waiting], q.Waiting())
+		}
+
+		drawn := func() *labqueue.Ticket { return rapid.SampledFrom(tickets).Draw(t, "ticket") }
+		actions := map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				r := lab.AdmissionRequest{
+					Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+					Class:        rapid.SampledFrom([]lab.Class{lab.ClassPrompt, lab.ClassWrite, lab.ClassMayWait}).Draw(t, "class"),
+					Weight:       rapid.Int64Range(0, 5).Draw(t, "weight"),
+					QueueLimit:   rapid.Int64Range(0, 4).Draw(t, "limit"),
+					Deadline:     now + time.Duration(rapid.IntRange(-1, 20).Draw(t, "deadline"))*ms,
+				}
+				running := q.Running()
+				tickets = append(tickets, q.Offer(now, r))
+				offered++
+				check(running)
+			},
+			"release": func(t *rapid.T) {
+				if offered > 0 {
+					u, running := drawn(), q.Running()
+					granted := u.State() == labqueue.Granted
+					assert.Equal(t, q.Release(now, u), granted)
+					check(running)
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				if offered > 0 {
+					running := q.Running()
+					q.Cancel(now, drawn())
+					check(running)
+				}
+			},
+			"resize": func(t *rapid.T) {
+				running := q.Running()
+				slots = rapid.IntRange(0, 3).Draw(t, "slots")
+				q.Resize(now, slots)
+				check(running)
+			},
+			"advance": func(t *rapid.T) {
+				running := q.Running()
+				now += time.Duration(rapid.IntRange(0, 5).Draw(t, "pause")) * ms
+				q.Advance(now)
+				check(running)
+			},
+		}
+		t.Repeat(actions)
+
+		// With slots and time, everything that waits ends.
+		slots = 1
+		q.Resize(now, slots)
+		now += 30 * ms
+		q.Advance(now)
+		assert.Equal(t, q.Waiting(), 0)
+	})
+}
+
+// simulation serves a queue with random service times on a fake clock.
+type simulation struct {
+	queue   *labqueue.Queue
+	random  *rand.Rand
+	service time.Duration // mean
+	now     time.Duration
+	running map[*labqueue.Ticket]time.Duration // end of service
+	granted map[string]int                     // by label
+	ended   map[labqueue.State]int
+	labels  map[*labqueue.Ticket]string
+	order   []string
+}
+
+func simulate(slots int, service time.Duration) *simulation {
+	s := &simulation{
+		queue: labqueue.New(), random: rand.New(rand.NewPCG(1, 2)), service: service,
+		running: map[*labqueue.Ticket]time.Duration{}, granted: map[string]int{},
+		ended: map[labqueue.State]int{}, labels: map[*labqueue.Ticket]string{},
+	}
+	s.queue.Resize(0, slots)
+
+	return s
+}
+
+func (s *simulation) offer(r lab.AdmissionRequest) *labqueue.Ticket {
+	t := s.queue.Offer(s.now, r)
+	s.labels[t] = fmt.Sprintf("%s %s", r.Organisation, r.Class)
+	s.collect()
+
+	if t.State() != labqueue.Waiting {
+		s.settle(t)
+	}
+
+	return t
+}
+
+func (s *simulation) collect() {
+	for _, t := range s.queue.Settled() {
+		s.settle(t)
+	}
+}
+
+func (s *simulation) settle(t *labqueue.Ticket) {
+	s.ended[t.State()]++
+
+	if t.State() != labqueue.Granted {
+		return
+	}
+
+	s.granted[s.labels[t]]++
+	s.order = append(s.order, s.labels[t])
+	s.running[t] = s.now + time.Duration(s.random.ExpFloat64()*float64(s.service))
+}
+
+// until serves up to a time.
+func (s *simulation) until(end time.Duration) {
+	for {
+		var first *labqueue.Ticket
+		for t, at := range s.running {
+			if first == nil || at < s.running[first] {
+				first = t
+			}
+		}
+
+		if first == nil || s.running[first] > end {
+			s.now = end
+			s.queue.Advance(end)
+			s.collect()
+
+			return
+		}
+
+		s.now = s.running[first]
+		delete(s.running, first)
+		s.queue.Release(s.now, first)
+		s.collect()
+	}
+}
+
+// Guards against a queue that collapses under overload, by serving requests that are too late or leaving slots idle.
+func TestGoodputAtTripleLoad(t *testing.T) {
+	const (
+		slots    = 3
+		service  = 2 * ms
+		length   = 20 * time.Second
+		patience = 50 * ms
+	)
+
+	s := simulate(slots, service)
+	capacity := float64(length) / float64(service) * slots
+	gap := float64(service) / slots / 3
+
+	for at := time.Duration(0); at < length; at += time.Duration(s.random.ExpFloat64() * gap) {
+		s.until(at)
+		s.offer(request("a", lab.ClassPrompt, at+patience))
+	}
+
+	goodput := float64(s.ended[labqueue.Granted]) / capacity
+	refused, expired := s.ended[labqueue.Refused], s.ended[labqueue.Expired]
+	t.Logf("goodput=%.3f granted=%d refused=%d expired=%d", goodput, s.ended[labqueue.Granted], refused, expired)
+	assert.Assert(t, goodput >= 0.95)
+	assert.Assert(t, expired*10 <= refused, "requests wait in vain instead of being refused at once")
+}
+
+// backlog keeps a number of requests of each kind waiting while a number of grants is made.
+func backlog(s *simulation, grants int, kinds ...lab.AdmissionRequest) {
+	const depth = 20
+
+	for _, k := range kinds {
+		for range depth {
+			s.offer(k)
+		}
+	}
+
+	for n := 0; n < grants; n++ {
+		before := len(s.order)
+		for len(s.order) == before {
+			s.until(s.now + ms)
+		}
+
+		for _, label := range s.order[before:] {
+			for _, k := range kinds {
+				if label == fmt.Sprintf("%s %s", k.Organisation, k.Class) {
+					s.offer(k)
+				}
+			}
+		}
+	}
+}
+
+// Guards against work that may wait being starved by prompt work and writes.
+func TestMayWaitShare(t *testing.T) {
+	const window = 100
+
+	s := simulate(2, ms)
+	backlog(s, 2000, request("a", lab.ClassPrompt, time.Hour), request("a", lab.ClassWrite, time.Hour),
+		request("a", lab.ClassMayWait, time.Hour))
+
+	// The first grants were made before all kinds waited.
+	for from := 60; from+window <= len(s.order); from++ {
+		n := 0
+		for _, label := range s.order[from : from+window] {
+			if label == "a may_wait" {
+				n++
+			}
+		}
+
+		assert.Assert(t, n >= window/10, "%d of %d grants from grant %d on", n, window, from)
+	}
+}
+
+// Guards against one organisation taking the capacity of another.
+func TestOrganisationShare(t *testing.T) {
+	t.Run("flood", func(t *testing.T) {
+		s := simulate(2, 2*ms)
+
+		for at := time.Duration(0); at < 10*time.Second; at += ms {
+			s.until(at)
+
+			for range 5 {
+				r := request("flood", lab.ClassPrompt, at+100*ms)
+				r.QueueLimit = 200
+				s.offer(r)
+			}
+
+			if at%(4*ms) == 0 {
+				s.offer(request("modest", lab.ClassPrompt, at+100*ms))
+			}
+		}
+
+		// The modest organisation asks for a quarter of the capacity, below its half.
+		assert.Assert(t, s.granted["modest prompt"] >= 2490, "granted %d of 2500", s.granted["modest prompt"])
+	})
+	t.Run("weight", func(t *testing.T) {
+		s := simulate(2, ms)
+		heavy := request("heavy", lab.ClassWrite, time.Hour)
+		heavy.Weight = 3
+		backlog(s, 2000, request("light", lab.ClassWrite, time.Hour), heavy)
+
+		ratio := float64(s.granted["heavy write"]) / float64(s.granted["light write"])
+		assert.Assert(t, ratio > 2.8 && ratio < 3.2, "ratio %.2f", ratio)
+	})
+	t.Run("queue limit", func(t *testing.T) {
+		s := simulate(1, ms)
+		r := request("flood", lab.ClassPrompt, time.Hour)
+		r.QueueLimit = 3
+
+		for range 10 {
+			s.offer(r)
+		}
+
+		assert.Equal(t, s.queue.Waiting(), 3)
+		assert.Equal(t, s.ended[labqueue.Refused], 6)
+		assert.Equal(t, s.offer(request("modest", lab.ClassPrompt, time.Hour)).State(), labqueue.Waiting)
+	})
+}
+
+// Guards against wrong decisions about deadlines.
+func TestDeadlines(t *testing.T) {
+	// busy returns a queue with one slot in use and a measured service time of 10 ms.
+	busy := func() *labqueue.Queue {
+		q := labqueue.New()
+		q.Resize(0, 1)
+
+		first := q.Offer(0, request("a", lab.ClassPrompt, ms))
+		q.Release(10*ms, first)
+		q.Offer(10*ms, request("a", lab.ClassPrompt, 20*ms))
+
+		return q
+	}
+
+	t.Run("earliest first", func(t *testing.T) {
+		q := busy()
+		late := q.Offer(10*ms, request("a", lab.ClassPrompt, 80*ms))
+		early := q.Offer(10*ms, request("a", lab.ClassPrompt, 40*ms))
+		q.Resize(10*ms, 2)
+		assert.Equal(t, early.State(), labqueue.Granted)
+		assert.Equal(t, late.State(), labqueue.Waiting)
+	})
+	t.Run("refused at once", func(t *testing.T) {
+		q := busy()
+		assert.Equal(t, q.Offer(10*ms, request("a", lab.ClassPrompt, 25*ms)).State(), labqueue.Waiting)
+		assert.Equal(t, q.Offer(10*ms, request("a", lab.ClassPrompt, 25*ms)).State(), labqueue.Refused)
+		assert.Equal(t, q.Offer(10*ms, request("a", lab.ClassPrompt, 35*ms)).State(), labqueue.Waiting)
+	})
+	t.Run("own later deadlines do not count", func(t *testing.T) {
+		q := busy()
+		q.Offer(10*ms, request("a", lab.ClassPrompt, 200*ms))
+		q.Offer(10*ms, request("a", lab.ClassPrompt, 200*ms))
+		assert.Equal(t, q.Offer(10*ms, request("a", lab.ClassPrompt, 25*ms)).State(), labqueue.Waiting)
+	})
+	t.Run("passed before the offer", func(t *testing.T) {
+		assert.Equal(t, busy().Offer(10*ms, request("a", lab.ClassPrompt, 9*ms)).State(), labqueue.Expired)
+	})
+	t.Run("passed in the queue", func(t *testing.T) {
+		q := busy()
+		u := q.Offer(10*ms, request("a", lab.ClassPrompt, 30*ms))
+		q.Resize(31*ms, 2)
+		assert.Equal(t, u.State(), labqueue.Expired)
+	})
+	t.Run("no slots", func(t *testing.T) {
+		q := busy()
+		q.Resize(10*ms, 0)
+
+		u := q.Offer(10*ms, request("a", lab.ClassPrompt, 12*ms))
+		assert.Equal(t, u.State(), labqueue.Waiting)
+		q.Advance(13 * ms)
+		assert.Equal(t, u.State(), labqueue.Expired)
+	})
+	t.Run("one stuck statement", func(t *testing.T) {
+		q := labqueue.New()
+		q.Resize(0, 1)
+		q.Release(ms, q.Offer(0, request("a", lab.ClassPrompt, ms)))
+		q.Release(time.Hour, q.Offer(ms, request("a", lab.ClassPrompt, ms)))
+		q.Offer(time.Hour, request("a", lab.ClassPrompt, time.Hour))
+		assert.Equal(t, q.Offer(time.Hour, request("a", lab.ClassPrompt, time.Hour+10*ms)).State(), labqueue.Waiting)
+	})
+}
+
+// Guards against memory that grows with every organisation ever seen.
+func TestIdleOrganisations(t *testing.T) {
+	q := labqueue.New()
+	q.Resize(0, 1)
+
+	for i := range 10_000 {
+		for _, name := range []string{"busy", fmt.Sprint(i)} {
+			q.Release(0, q.Offer(0, request(name, lab.ClassPrompt, time.Hour)))
+		}
+	}
+
+	assert.Assert(t, q.Organisations() < 200, "%d remembered", q.Organisations())
+}
--- /dev/null
+++ b/proxy/process/labadmission/internal/labqueue/ticket.go
@@ -0,0 +1,93 @@
+package labqueue
+
+import "time"
+
+// State is where a request is in its life.
+type State uint8
+
+// The states of a request.
+const (
+	Waiting State = iota
+	Granted
+	Released
+	Cancelled // left before it was granted
+	Expired   // its deadline passed before it was granted
+	Refused   // its deadline could not be met, or its organisation's queue was full
+)
+
+// Ticket is one request at a queue. Only the queue changes it.
+type Ticket struct {
+	// Signal is not used by the queue; the caller may wait on it.
+	Signal chan struct{}
+
+	state        State
+	organisation *organisation
+	deadline     time.Duration
+	sequence     uint64 // order of arrival
+	granted      time.Duration
+	index        int // in the organisation's heap
+	expiry       int // in the queue's expiry heap
+}
+
+// State returns the ticket's state.
+func (t *Ticket) State() State {
+	return t.state
+}
+
+func (t *Ticket) before(u *Ticket) bool {
+	if t.deadline != u.deadline {
+		return t.deadline < u.deadline
+	}
+
+	return t.sequence < u.sequence
+}
+
+// ticketHeap orders the tickets of one organisation and class by deadline.
+type ticketHeap []*Ticket
+
+func (h ticketHeap) Len() int           { return len(h) }
+func (h ticketHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h ticketHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *ticketHeap) Push(x any) {
+	t := x.(*Ticket)
+	t.index = len(*h)
+	*h = append(*h, t)
+}
+
+func (h *ticketHeap) Pop() any {
+	n := len(*h) - 1
+	t := (*h)[n]
+	(*h)[n] = nil
+	*h = (*h)[:n]
+
+	return t
+}
+
+// expiryHeap orders all waiting tickets of a queue by deadline.
+type expiryHeap []*Ticket
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].expiry, h[j].expiry = i, j
+}
+
+func (h *expiryHeap) Push(x any) {
+	t := x.(*Ticket)
+	t.expiry = len(*h)
+	*h = append(*h, t)
+}
+
+func (h *expiryHeap) Pop() any {
+	n := len(*h) - 1
+	t := (*h)[n]
+	(*h)[n] = nil
+	*h = (*h)[:n]
+
+	return t
+}
--- /dev/null
+++ b/proxy/process/labbudget/budget_test.go
@@ -0,0 +1,80 @@
+package labbudget_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"laburnumlock.dev/lab/proxy/process/labbudget"
+)
+
+// stillClock stands until it is moved.
+type stillClock struct{ now time.Duration }
+
+func (c *stillClock) Now() time.Duration                         { return c.now }
+func (c *stillClock) Wall() time.Time                            { return time.Time{} }
+func (c *stillClock) Sleep(context.Context, time.Duration) error { return nil }
+
+// Guards against retries that multiply the load of a failing upstream.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &stillClock{now: time.Hour}
+		b := &labbudget.RetryBudget{Clock: c}
+		requests, retries := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(*rapid.T) {
+				b.Request()
+				requests++
+			},
+			"retry": func(*rapid.T) {
+				if b.Allow() {
+					retries++
+				}
+			},
+			"pass": func(t *rapid.T) { c.now += time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond },
+		})
+
+		bound := float64(requests)*0.1 + (c.now - time.Hour).Seconds()
+		assert.Assert(t, float64(retries) <= bound+1e-6, "%d retries, bound %.2f", retries, bound)
+	})
+}
+
+// Guards against a budget that never allows the retries it should.
+func TestBudgetGrants(t *testing.T) {
+	allowed := func(b *labbudget.RetryBudget) int {
+		n := 0
+		for b.Allow() {
+			n++
+		}
+
+		return n
+	}
+
+	t.Run("a tenth of the requests", func(t *testing.T) {
+		b := &labbudget.RetryBudget{Clock: &stillClock{}}
+		for range 51 {
+			b.Request()
+		}
+
+		assert.Equal(t, allowed(b), 5)
+	})
+	t.Run("minimum rate", func(t *testing.T) {
+		c := &stillClock{}
+		b := &labbudget.RetryBudget{Clock: c}
+		assert.Equal(t, allowed(b), 0)
+
+		c.now = 3 * time.Second
+		assert.Equal(t, allowed(b), 3)
+	})
+	t.Run("burst", func(t *testing.T) {
+		c := &stillClock{}
+		b := &labbudget.RetryBudget{Clock: c}
+		assert.Equal(t, allowed(b), 0)
+
+		c.now = time.Hour
+		assert.Equal(t, allowed(b), 10)
+	})
+}
--- /dev/null
+++ b/proxy/process/labbudget/doc.go
@@ -0,0 +1,2 @@
+// Package labbudget limits automatic retries to a fraction of the requests.
+package labbudget
