Run the whole path: callers through proxies to upstreams, with control

Cause: the parts existed side by side; nothing ran end to end. Change: labproxy and labinstance wire the two daemons; labdeployment runs a deployment in one process over real loopback sockets; labload sends open-loop load and records a history. Before: nothing end to end. Conclusion: the path is in place; the parts now grow behind their interfaces.

--- /dev/null
+++ b/bench/process/labdeployment/deployment_test.go
@@ -0,0 +1,82 @@
+package labdeployment_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab/bench/process/labdeployment"
+	"laburnumlock.dev/lab/bench/process/labload"
+	"laburnumlock.dev/lab/bench/request/labhistory"
+	"laburnumlock.dev/lab/version/labsettings"
+)
+
+const (
+	password = "secret"
+	seed     = 1
+)
+
+func start(t *testing.T, change func(s *labsettings.Deployment)) *labdeployment.Deployment {
+	t.Helper()
+
+	s, err := labsettings.LoadDeployment("../../../samples/rantavahti.json")
+	assert.NilError(t, err)
+
+	s.ProxyZones = []string{"hanko", "kotka", "oulu"}
+	s.Group.Databases = s.Group.Databases[:1]
+
+	if change != nil {
+		change(s)
+	}
+
+	d := &labdeployment.Deployment{
+		Settings: s, Folder: t.TempDir(), Password: password, StatementCost: time.Millisecond, Lag: 20 * time.Millisecond,
+		Logger: zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.WarnLevel),
+	}
+	assert.NilError(t, d.Start(context.Background()))
+	t.Cleanup(func() { assert.NilError(t, d.Stop()) })
+
+	return d
+}
+
+func load(t *testing.T, d *labdeployment.Deployment) *labload.Load {
+	t.Helper()
+
+	l := &labload.Load{
+		Addresses: d.CallerAddresses(), Organisation: d.Settings.Organisation, Password: password,
+		Databases: d.Settings.Group.Databases, Sessions: 10, Seed: seed, Reads: 100, Writes: 30, AgedPct: 50,
+		ReadClass: "rota_board", MovePct: 5,
+	}
+	assert.NilError(t, l.Prepare(context.Background()))
+	t.Cleanup(l.Close)
+
+	return l
+}
+
+func clean(t *testing.T, d *labdeployment.Deployment, l *labload.Load) {
+	t.Helper()
+
+	h := l.History()
+	final := append(d.FinalRows(labload.Table), d.FinalRows(labload.OnceTable)...)
+	assert.Equal(t, labhistory.Check(h, final), labhistory.Violations{})
+	assert.Assert(t, len(h) > 100)
+}
+
+// Guards against any part of the path losing an acknowledged write, or a session its own writes, when the primary fails.
+func TestPrimaryLost(t *testing.T) {
+	d := start(t, nil)
+	l := load(t, d)
+
+	const event = time.Second
+
+	time.AfterFunc(event, d.Group(d.Settings.Group.Databases[0]).Primary().Kill)
+	assert.NilError(t, l.Run(context.Background(), 6*time.Second))
+	clean(t, d, l)
+
+	gap := labhistory.Gap(l.History(), d.Settings.Group.Databases[0], event)
+	assert.Assert(t, gap >= 0 && gap < 10*time.Second, "failover gap %s", gap)
+	t.Logf("failover gap %s", gap)
+}
--- /dev/null
+++ b/bench/process/labdeployment/start.go
@@ -0,0 +1,144 @@
+package labdeployment
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab/control/process/labinstance"
+	"laburnumlock.dev/lab/proxy/process/labproxy"
+	"laburnumlock.dev/lab/standin/process/labstandin"
+	"laburnumlock.dev/lab/version/labsettings"
+)
+
+const passwordMode = 0o600
+
+// writePassword stores the system's password at the upstreams; no instance may be running yet, since they read it.
+func (d *Deployment) writePassword() error {
+	if err := os.WriteFile(d.passwordFile(), []byte(upstreamPassword+"\n"), passwordMode); err != nil {
+		return errors.Newf("write upstream password: %w", err)
+	}
+
+	return nil
+}
+
+func (d *Deployment) passwordFile() string {
+	return filepath.Join(d.Folder, "upstream_password")
+}
+
+func (d *Deployment) common(name, zone string) labsettings.Common {
+	return labsettings.Common{
+		Instance: name, Region: d.Settings.Region(zone), AvailabilityZone: zone, ProcessAddress: anyPort,
+		AnnounceAddress: anyPort, MetricsAddress: anyPort, KeysFolder: d.keys(), UpstreamUser: upstreamUser,
+		UpstreamPasswordFile: d.passwordFile(), LogLevel: "info",
+	}
+}
+
+func (d *Deployment) startControls(ctx context.Context) error {
+	var peers []labsettings.Peer
+
+	for i, name := range d.names("control", d.Settings.ControlZones) {
+		c := d.common(name, d.Settings.ControlZones[i])
+		s := &labsettings.Control{
+			Common: c, DataFolder: filepath.Join(d.Folder, name), OperatorAddress: anyPort, SnapshotEntries: 1000, LeaseMS: 3000,
+		}
+		n := d.controlNode(name, s)
+
+		if err := n.listen(ctx); err != nil {
+			return errors.Newf("start %s: %w", name, err)
+		}
+
+		// A restart must come back at the same addresses.
+		s.ProcessAddress, s.OperatorAddress = n.control.ProcessAddress(), n.control.OperatorAddress()
+		s.AnnounceAddress = n.control.AnnounceAddress()
+		peers = append(peers, labsettings.Peer{
+			Instance: name, ProcessAddress: s.ProcessAddress, OperatorAddress: s.OperatorAddress,
+		})
+		d.controls = append(d.controls, n)
+	}
+
+	for _, n := range d.controls {
+		n.control.Settings.Peers = peers
+		n.run(ctx)
+	}
+
+	return nil
+}
+
+func (d *Deployment) controlNode(name string, s *labsettings.Control) *node {
+	n := &node{name: name}
+	n.listen = func(ctx context.Context) error {
+		n.control = &labinstance.Instance{Settings: s, Logger: d.Logger.With().Str("process", name).Logger()}
+
+		return n.control.Listen(ctx)
+	}
+
+	return n
+}
+
+func (d *Deployment) startProxies(ctx context.Context) error {
+	control := addresses(d.controls, func(n *node) string { return n.control.ProcessAddress() })
+
+	for i, name := range d.names("proxy", d.Settings.ProxyZones) {
+		c := d.common(name, d.Settings.ProxyZones[i])
+		s, err := labsettings.CheckProxy(&labsettings.Proxy{
+			Common: c, CallerAddress: anyPort, Control: control, EventLoops: 2, RegionLinkBits: d.Settings.RegionLinkBits,
+		})
+		if err != nil {
+			return errors.Newf("settings of %s: %w", name, err)
+		}
+
+		n := &node{name: name}
+		n.listen = func(ctx context.Context) error {
+			n.proxy = &labproxy.Proxy{Settings: s, Logger: d.Logger.With().Str("process", name).Logger()}
+
+			return n.proxy.Listen(ctx)
+		}
+
+		if err := n.listen(ctx); err != nil {
+			return errors.Newf("start %s: %w", name, err)
+		}
+
+		s.ProcessAddress, s.AnnounceAddress = n.proxy.ProcessAddress(), n.proxy.AnnounceAddress()
+		d.proxies = append(d.proxies, n)
+		n.run(ctx)
+	}
+
+	return nil
+}
+
+func (d *Deployment) startGroups(ctx context.Context) error {
+	var urls []string
+	for _, a := range addresses(d.proxies, func(n *node) string { return n.proxy.AnnounceAddress() }) {
+		urls = append(urls, "http://"+a)
+	}
+
+	d.groups = map[string]*labstandin.Group{}
+
+	for k, name := range d.Settings.Group.Databases {
+		g := &labstandin.Group{
+			Database: name, User: upstreamUser, Password: upstreamPassword, Announce: urls,
+			ConnectionCost: d.ConnectionCost, StatementCost: d.StatementCost,
+		}
+
+		for i := range d.Settings.Group.MemberZones {
+			// The first member is the primary; it rotates over the zones.
+			z := d.Settings.Group.MemberZones[(i+k)%len(d.Settings.Group.MemberZones)]
+			g.Members = append(g.Members, labstandin.MemberSetting{
+				Name: fmt.Sprintf("%s-%s", name, z), Region: d.Settings.Region(z), AvailabilityZone: z,
+				Slots: int(d.Settings.Group.Slots), Connections: int(d.Settings.Group.Connections), Lag: d.Lag,
+			})
+		}
+
+		if err := g.Start(context.WithoutCancel(ctx)); err != nil {
+			return errors.Newf("start upstreams of %s: %w", name, err)
+		}
+
+		d.groups[name] = g
+	}
+
+	return nil
+}
--- /dev/null
+++ b/proxy/process/labproxy/wire.go
@@ -0,0 +1,114 @@
+package labproxy
+
+import (
+	"context"
+	"crypto/sha256"
+	"expvar"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labannounce"
+	"laburnumlock.dev/lab/process/labhttp"
+	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/process/labpassword"
+	"laburnumlock.dev/lab/process/labrandom"
+	"laburnumlock.dev/lab/proxy/connection/labsession"
+	"laburnumlock.dev/lab/proxy/connection/labtoken"
+	"laburnumlock.dev/lab/proxy/connection/labupstream"
+	"laburnumlock.dev/lab/proxy/process/labadmission"
+	"laburnumlock.dev/lab/proxy/process/labagent"
+	"laburnumlock.dev/lab/proxy/process/labbudget"
+	"laburnumlock.dev/lab/proxy/process/labforward"
+	"laburnumlock.dev/lab/proxy/process/labfront"
+	"laburnumlock.dev/lab/proxy/process/labgateway"
+	"laburnumlock.dev/lab/proxy/process/labobserver"
+)
+
+// wire builds the parts from the settings; nothing runs yet.
+func (p *Proxy) wire() error {
+	s := p.Settings
+	self := lab.Instance{
+		ID: lab.InstanceID(s.Instance), Incarnation: uint64(time.Now().UnixNano()),
+		Region: s.Region, AvailabilityZone: s.AvailabilityZone, Address: p.ProcessAddress(),
+	}
+
+	password, err := labpassword.Read(s.UpstreamPasswordFile)
+	if err != nil {
+		return err
+	}
+
+	tokenKeys, err := labkeys.TokenKeys(s.KeysFolder)
+	if err != nil {
+		return err
+	}
+
+	p.agent = &labagent.Agent{
+		Self: self, Peers: p.transport, Clock: p.clock, Random: labrandom.New(), Routes: p.routes, Log: p.Logger,
+	}
+	p.wireGateway(self, &labupstream.Dialer{User: s.UpstreamUser, Password: password})
+	p.agent.Held = p.gateway.Held
+	p.agent.Renewed = p.gateway.Assign
+	p.wireFront(self, tokenKeys)
+	p.announce = &labhttp.Server{
+		Address: s.AnnounceAddress,
+		Handler: labannounce.Handler(func(_ context.Context, a lab.Announcement) error {
+			p.agent.Announce(a)
+
+			return nil
+		}),
+	}
+
+	return nil
+}
+
+func (p *Proxy) wireGateway(self lab.Instance, dialer *labupstream.Dialer) {
+	p.observer = &labobserver.Observer{
+		Clock: p.clock, Source: labobserver.Upstreams{Dialer: dialer}, Report: p.agent,
+	}
+	p.gateway = &labgateway.Gateway{
+		Self: self, Clock: p.clock, Routes: p.routes, Lease: p.agent, Admission: &labadmission.Admission{Clock: p.clock},
+		Observer: p.observer, Dialer: dialer, Logger: p.Logger,
+	}
+}
+
+func (p *Proxy) wireFront(self lab.Instance, tokenKeys [][]byte) {
+	s := p.Settings
+	forwarder := &labforward.Forwarder{
+		Self: self, Clock: p.clock, Routes: p.routes, Local: p.gateway, Peers: p.transport,
+		Link: &labforward.Link{Clock: p.clock, Rate: s.RegionLinkBits},
+	}
+	p.transport.HandleStream(lab.MethodTransaction, forwarder.Serve)
+
+	secret := sha256.Sum256(append([]byte("unknown users"), tokenKeys[0]...))
+	p.sessions = &labsession.Server{
+		Gateway: forwarder, Routes: p.routes, Clock: p.clock, Random: labrandom.Secure{},
+		Codec: &labtoken.Codec{Keys: tokenKeys}, Budget: &labbudget.RetryBudget{Clock: p.clock},
+		Keys:   &labsession.CancelKeys{Proxy: proxyNumber(self.ID)},
+		Secret: secret[:], Log: p.Logger, MessageLimit: int(s.MaxMessageBytes),
+	}
+	p.front = &labfront.Front{
+		Listen: s.CallerAddress, Server: p.sessions, Log: p.Logger, EventLoops: int(s.EventLoops),
+		MaxConnections: int(s.MaxCallers), StartupDeadline: time.Duration(s.StartupDeadlineMS) * time.Millisecond,
+	}
+	p.publish()
+}
+
+// proxyNumber derives the number in cancel keys from the instance's name; two proxies may share one, and then the
+// secret of the key tells them apart.
+func proxyNumber(id lab.InstanceID) uint32 {
+	return uint32(xxhash.Sum64String(string(id)) % (labsession.MaxProxy + 1))
+}
+
+func (p *Proxy) publish() {
+	p.variables.Set("transport", p.transport.Variables())
+	p.variables.Set("agent", p.agent.Variables())
+	p.variables.Set("callers_open", expvar.Func(func() any { return p.front.Counters.Open.Load() }))
+	p.variables.Set("units", expvar.Func(func() any { return p.sessions.Counters.Units.Load() }))
+	p.variables.Set("replica_reads", expvar.Func(func() any { return p.sessions.Counters.ReplicaReads.Load() }))
+	p.variables.Set("not_run", expvar.Func(func() any { return p.sessions.Counters.NotRun.Load() }))
+	p.variables.Set("outcome_unknown", expvar.Func(func() any { return p.sessions.Counters.Unknown.Load() }))
+	p.variables.Set("late_answers", expvar.Func(func() any { return p.sessions.Counters.LateAnswers.Load() }))
+	p.variables.Set("retries", expvar.Func(func() any { return p.sessions.Counters.Retries.Load() }))
+}
