--- /dev/null
+++ b/bench/process/labcommand/doc.go
@@ -0,0 +1,2 @@
+// Package labcommand is the developers' command line, laburnumbench.
+package labcommand
--- /dev/null
+++ b/bench/process/labcommand/run.go
@@ -0,0 +1,50 @@
+package labcommand
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"laburnumlock.dev/lab/bench/process/labscenario"
+	"laburnumlock.dev/lab/process/lablog"
+	"laburnumlock.dev/lab/version/labsettings"
+)
+
+func (c *Command) addRun(a *kingpin.Application) {
+	k := a.Command("run", "Runs a scenario and prints a table and one JSON line.")
+	scenario := k.Flag("scenario", "Name of the scenario.").Required().Enum(labscenario.Names()...)
+	seed := k.Flag("seed", "Seed of the load.").Default("1").Uint64()
+	file := k.Flag("deployment", "Deployment file.").Default("samples/rantavahti.json").ExistingFile()
+	duration := k.Flag("duration", "Time under load.").Default("10s").Duration()
+	trace := k.Flag("trace", "File for the recorded history.").String()
+	level := k.Flag("log-level", "debug, info, warn or error.").Default("error").String()
+
+	c.actions[k.FullCommand()] = func(ctx context.Context) error {
+		d, err := labsettings.LoadDeployment(*file)
+		if err != nil {
+			return err
+		}
+
+		l, err := lablog.New(c.Err, *level, "bench")
+		if err != nil {
+			return err
+		}
+
+		s := &labscenario.Scenario{Name: *scenario, Settings: d, Seed: *seed, Duration: *duration, Trace: *trace, Logger: l}
+
+		r, err := s.Run(ctx)
+		if err != nil {
+			return err
+		}
+
+		if err := r.Print(c.Out); err != nil {
+			return err
+		}
+
+		if !r.Passed() {
+			return ErrViolation
+		}
+
+		return nil
+	}
+}
--- a/bench/process/labdeployment/final.go
+++ b/bench/process/labdeployment/final.go
@@ -52,10 +52,23 @@
 	return runs
 }
 
-// ReplicaShare returns the share of SELECT statements that replicas ran, and their number.
-func (d *Deployment) ReplicaShare() (share float64, reads int) {
-	replica := 0
+// Share counts the SELECT statements of one kind and those that replicas ran.
+type Share struct {
+	Reads   int
+	Replica int
+}
+
+// Ratio returns the replicas' share, 0 without reads.
+func (s Share) Ratio() float64 {
+	if s.Reads == 0 {
+		return 0
+	}
+
+	return float64(s.Replica) / float64(s.Reads)
+}
 
+// ReplicaShares returns the share of reads that carry a mark in their text, and of all others.
+func (d *Deployment) ReplicaShares(mark string) (marked, others Share) {
 	for _, g := range d.groups {
 		for _, m := range g.All() {
 			for _, s := range m.Statements() {
@@ -63,18 +76,19 @@
 					continue
 				}
 
-				reads++
+				share := &others
+				if strings.Contains(s.SQL, mark) {
+					share = &marked
+				}
+
+				share.Reads++
 
 				if s.Recovery {
-					replica++
+					share.Replica++
 				}
 			}
 		}
 	}
 
-	if reads == 0 {
-		return 0, 0
-	}
-
-	return float64(replica) / float64(reads), reads
+	return marked, others
 }
--- a/bench/process/labdeployment/start.go
+++ b/bench/process/labdeployment/start.go
@@ -119,18 +119,12 @@
 	d.groups = map[string]*labstandin.Group{}
 
 	for k, name := range d.Settings.Group.Databases {
-		g := &labstandin.Group{
-			Database: name, User: upstreamUser, Password: upstreamPassword, Announce: urls,
-			ConnectionCost: d.ConnectionCost, StatementCost: d.StatementCost,
-		}
+		g := NewGroup(d.Settings, name, k)
+		g.User, g.Password, g.Announce = upstreamUser, upstreamPassword, urls
+		g.ConnectionCost, g.StatementCost = d.ConnectionCost, d.StatementCost
 
-		for i := range d.Settings.Group.MemberZones {
-			// The first member is the primary; it rotates over the zones.
-			z := d.Settings.Group.MemberZones[(i+k)%len(d.Settings.Group.MemberZones)]
-			g.Members = append(g.Members, labstandin.MemberSetting{
-				Name: fmt.Sprintf("%s-%s", name, z), Region: d.Settings.Region(z), AvailabilityZone: z,
-				Slots: int(d.Settings.Group.Slots), Connections: int(d.Settings.Group.Connections), Lag: d.Lag,
-			})
+		for i := range g.Members {
+			g.Members[i].Lag = d.Lag
 		}
 
 		if err := g.Start(context.WithoutCancel(ctx)); err != nil {
@@ -142,3 +136,19 @@
 
 	return nil
 }
+
+// NewGroup returns the stand-in of a database with one member in each of the deployment's member zones; the first member,
+// the primary, is in the zone of the given number.
+func NewGroup(s *labsettings.Deployment, database string, first int) *labstandin.Group {
+	g := &labstandin.Group{Database: database}
+
+	for i := range s.Group.MemberZones {
+		z := s.Group.MemberZones[(i+first)%len(s.Group.MemberZones)]
+		g.Members = append(g.Members, labstandin.MemberSetting{
+			Name: fmt.Sprintf("%s-%s", database, z), Region: s.Region(z), AvailabilityZone: z,
+			Slots: int(s.Group.Slots), Connections: int(s.Group.Connections),
+		})
+	}
+
+	return g
+}
--- a/bench/process/labload/load.go
+++ b/bench/process/labload/load.go
@@ -24,6 +24,7 @@
 	Password     string
 	Databases    []string
 	Sessions     int
+	Prefix       string // of the keys, so that several loads can run on one deployment
 	Seed         uint64
 	Reads        float64       // per second, all sessions together
 	Writes       float64       // per second
--- a/bench/process/labload/session.go
+++ b/bench/process/labload/session.go
@@ -16,10 +16,11 @@
 	"laburnumlock.dev/lab/process/labrandom"
 )
 
-// Table and OnceTable are the tables that sessions use.
+// The tables that sessions use, and the comment that marks reads which accept data of the read class's age.
 const (
 	Table     = "rota"
 	OnceTable = "bookings"
+	AgedMark  = "/* aged */"
 )
 
 // session sends one operation after another at its own random times.
@@ -33,13 +34,13 @@
 	once     int64
 }
 
-func key(session, number int) string {
-	return fmt.Sprintf("s%d-%d", session, number)
+func (l *Load) key(session, number int) string {
+	return fmt.Sprintf("%ss%d-%d", l.Prefix, session, number)
 }
 
 func (s *session) prepare(ctx context.Context) error {
 	for k := range keysPerSession {
-		name := key(s.number, k)
+		name := s.load.key(s.number, k)
 
 		_, err := s.caller.Exec(ctx, fmt.Sprintf("INSERT INTO %s (key, value) VALUES ('%s', '%s:0')", Table, name, name))
 		if err != nil {
@@ -68,10 +69,21 @@
 			return
 		}
 
-		s.step(ctx, due)
+		if s.load.Since()-due > s.load.Deadline {
+			s.expire(due)
+		} else {
+			s.step(ctx, due)
+		}
 	}
 }
 
+// expire records an arrival whose deadline passed before the session was free to send it.
+func (s *session) expire(due time.Duration) {
+	o := s.operation(labhistory.KindRead, "", -1, due)
+	o.Ended, o.Result, o.Reason = o.Began, labhistory.ResultNotRun, "deadline passed at the caller"
+	s.load.history.Add(o)
+}
+
 // interval draws the time to the next arrival of a Poisson process.
 func (s *session) interval(rate float64) time.Duration {
 	u := (float64(s.random.Uint64()>>11) + 1) / (1 << 53)
@@ -80,7 +92,7 @@
 }
 
 func (s *session) step(ctx context.Context, due time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, s.load.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, s.load.Deadline-(s.load.Since()-due))
 	defer cancel()
 
 	if s.percent(s.load.MovePct) {
@@ -110,7 +122,7 @@
 func (s *session) update(ctx context.Context, due time.Duration) {
 	k := int(s.random.Uint64() % keysPerSession)
 	s.sequence[k]++
-	name := key(s.number, k)
+	name := s.load.key(s.number, k)
 	o := s.operation(labhistory.KindWrite, name, s.sequence[k], due)
 	_, err := s.caller.Exec(ctx, fmt.Sprintf("UPDATE %s SET value = '%s:%d' WHERE key = '%s'", Table, name, o.Sequence, name))
 	s.finish(o, err)
@@ -119,7 +131,7 @@
 // insertOnce sends a named request, and sends it again under the same name while its outcome is unknown.
 func (s *session) insertOnce(ctx context.Context, due time.Duration) {
 	s.once++
-	name := fmt.Sprintf("once-%d-%d", s.number, s.once)
+	name := fmt.Sprintf("%sonce-%d-%d", s.load.Prefix, s.number, s.once)
 	o := s.operation(labhistory.KindOnce, name, 1, due)
 	sql := fmt.Sprintf("/* laburnumlock:once=%s */ INSERT INTO %s (key, value) VALUES ('%s', '%s:1')", name, OnceTable, name, name)
 
@@ -144,7 +156,7 @@
 		}
 	}
 
-	name := key(owner, int(s.random.Uint64()%keysPerSession))
+	name := s.load.key(owner, int(s.random.Uint64()%keysPerSession))
 	kind := labhistory.KindRead
 
 	if s.aged {
@@ -152,7 +164,13 @@
 	}
 
 	o := s.operation(kind, name, -1, due)
-	a, err := s.caller.Query(ctx, fmt.Sprintf("SELECT value FROM %s WHERE key = $1", Table), name)
+	sql := fmt.Sprintf("SELECT value FROM %s WHERE key = $1", Table)
+
+	if s.aged {
+		sql += " " + AgedMark
+	}
+
+	a, err := s.caller.Query(ctx, sql, name)
 
 	if err == nil {
 		o.Sequence, o.Foreign = parse(name, a)
--- /dev/null
+++ b/bench/process/labscenario/scenario.go
@@ -0,0 +1,227 @@
+package labscenario
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"laburnumlock.dev/lab/bench/process/labdeployment"
+	"laburnumlock.dev/lab/bench/process/labload"
+	"laburnumlock.dev/lab/bench/request/labhistory"
+	"laburnumlock.dev/lab/version/labsettings"
+)
+
+// The names of the scenarios.
+const (
+	Steady      = "steady"       // the deployment's own load
+	PrimaryLost = "primary_lost" // the first database's primary is killed
+	Roaming     = "roaming"      // sessions move to another proxy before every fourth operation
+	Overload    = "overload"     // three times the load that the members can carry
+)
+
+const (
+	password       = "scenario"
+	defaultTime    = 10 * time.Second
+	lossAfter      = 3 * time.Second
+	overDeadline   = time.Second
+	overSessions   = 600
+	overFactor     = 3
+	steadyDeadline = 15 * time.Second
+)
+
+// Names lists the scenarios.
+func Names() []string {
+	return []string{Steady, PrimaryLost, Roaming, Overload}
+}
+
+// Scenario is one run; exported fields are set before Run.
+type Scenario struct {
+	Name     string
+	Settings *labsettings.Deployment
+	Seed     uint64
+	Duration time.Duration // 10 s when zero
+	Logger   zerolog.Logger
+	Trace    string // file to which the history is written, empty for none
+
+	deployment *labdeployment.Deployment
+}
+
+// Run starts the deployment, applies the load and returns the report.
+func (s *Scenario) Run(ctx context.Context) (*Report, error) {
+	if s.Duration == 0 {
+		s.Duration = defaultTime
+	}
+
+	folder, err := os.MkdirTemp("", "laburnumbench-")
+	if err != nil {
+		return nil, errors.Newf("create data folder: %w", err)
+	}
+
+	defer func() { _ = os.RemoveAll(folder) }()
+
+	w := s.Settings.Workload
+	s.deployment = &labdeployment.Deployment{
+		Settings: s.Settings, Folder: folder, Password: password, Logger: s.Logger,
+		ConnectionCost: time.Duration(s.Settings.ConnectCostUS) * time.Microsecond,
+		StatementCost:  time.Duration(w.StatementUS) * time.Microsecond,
+		Lag:            time.Duration(w.ReplicationLagMS) * time.Millisecond,
+	}
+
+	err = s.deployment.Start(ctx)
+
+	var r *Report
+	if err == nil {
+		r, err = s.measure(ctx)
+	}
+
+	if err = errors.CombineErrors(err, s.deployment.Stop()); err != nil {
+		return nil, errors.Newf("run scenario %s: %w", s.Name, err)
+	}
+
+	return r, nil
+}
+
+func (s *Scenario) measure(ctx context.Context) (*Report, error) {
+	if s.Name == Overload {
+		return s.overload(ctx)
+	}
+
+	l := s.load(1)
+
+	if s.Name == Roaming {
+		l.MovePct = 25
+	}
+
+	if s.Name == PrimaryLost {
+		g := s.deployment.Group(s.Settings.Group.Databases[0])
+
+		t := time.AfterFunc(lossAfter, func() { g.Primary().Kill() })
+		defer t.Stop()
+	}
+
+	return s.apply(ctx, l)
+}
+
+func (s *Scenario) load(factor float64) *labload.Load {
+	w := s.Settings.Workload
+	class := ""
+
+	if c := s.Settings.Parameters.ReadClasses; len(c) > 0 {
+		class = c[0].Name
+	}
+
+	return &labload.Load{
+		Addresses: s.deployment.CallerAddresses(), Organisation: s.Settings.Organisation, Password: password,
+		Databases: s.Settings.Group.Databases, Sessions: int(w.CallerSessionCount), Seed: s.Seed,
+		Reads: float64(w.ReadsPerSecond) * factor, Writes: float64(w.WritesPerSecond) * factor,
+		AgedPct: uint64(w.ReadsAcceptAgePct), ReadClass: class, OncePct: 0, Deadline: steadyDeadline,
+	}
+}
+
+func (s *Scenario) apply(ctx context.Context, l *labload.Load) (*Report, error) {
+	if err := l.Prepare(ctx); err != nil {
+		return nil, errors.Newf("prepare load: %w", err)
+	}
+
+	defer l.Close()
+
+	if err := l.Run(ctx, s.Duration); err != nil {
+		return nil, errors.Newf("apply load: %w", err)
+	}
+
+	return s.report(l)
+}
+
+func (s *Scenario) report(l *labload.Load) (*Report, error) {
+	operations := l.History()
+	final := append(s.deployment.FinalRows(labload.Table), s.deployment.FinalRows(labload.OnceTable)...)
+	r := &Report{
+		Scenario: s.Name, Deployment: s.Settings.Name, Seed: s.Seed, Seconds: s.Duration.Seconds(),
+		OfferedPerS: l.Reads + l.Writes, FailoverGapMS: -1, Violations: labhistory.Check(operations, final),
+		SlotLimit: int(s.Settings.Group.Slots), ConnectionLimit: int(s.Settings.Group.Connections),
+	}
+	r.count(operations, l.Deadline)
+
+	reads, writes := l.ReadLatency().Merged(), l.WriteLatency().Merged()
+	r.ReadP50MS, r.ReadP99MS = milliseconds(reads, 50), milliseconds(reads, 99)
+	r.WriteP50MS, r.WriteP99MS = milliseconds(writes, 50), milliseconds(writes, 99)
+
+	aged, others := s.deployment.ReplicaShares(labload.AgedMark)
+	r.AgedShare, r.OtherShare = aged.Ratio(), others.Ratio()
+
+	for _, d := range s.Settings.Group.Databases {
+		for _, m := range s.deployment.Group(d).All() {
+			c := m.Counters()
+			r.MaxSlots, r.MaxConnections = max(r.MaxSlots, c.MaxSlots), max(r.MaxConnections, c.MaxOpen)
+		}
+	}
+
+	if s.Name == PrimaryLost {
+		r.failover(operations, s.Settings.Group.Databases[0])
+	}
+
+	return r, s.save(operations, final, r.Violations)
+}
+
+func (r *Report) failover(operations []labhistory.Operation, database string) {
+	r.FailoverGapMS = labhistory.Gap(operations, database, lossAfter).Milliseconds()
+
+	for _, o := range operations {
+		write := o.Kind == labhistory.KindWrite || o.Kind == labhistory.KindOnce
+		if write && o.Ended > lossAfter && o.Result != labhistory.ResultDone {
+			r.FailoverErrors++
+		}
+	}
+}
+
+func (s *Scenario) save(operations []labhistory.Operation, final []labhistory.FinalRow, v labhistory.Violations) error {
+	if s.Trace == "" {
+		return nil
+	}
+
+	f, err := os.Create(s.Trace)
+	if err != nil {
+		return errors.Newf("create trace: %w", err)
+	}
+
+	t := &labhistory.Trace{Operations: operations, Final: final, Stated: v}
+	if err := errors.CombineErrors(t.Save(f), f.Close()); err != nil {
+		return errors.Newf("save trace: %w", err)
+	}
+
+	return nil
+}
+
+// overload measures goodput at the load that the slots of the members can just carry, and at three times that load.
+func (s *Scenario) overload(ctx context.Context) (*Report, error) {
+	w := s.Settings.Workload
+	perMember := float64(s.Settings.Group.Slots) * float64(time.Second/time.Microsecond) / float64(w.StatementUS)
+	// Every write runs on the primary and reads on any member, so that three members carry a little less than three
+	// times one member's rate.
+	carried := perMember * float64(len(s.Settings.Group.MemberZones)) * float64(len(s.Settings.Group.Databases)) * 0.8
+	unit := carried / float64(w.ReadsPerSecond+w.WritesPerSecond)
+
+	capacity, err := s.apply(ctx, s.over(unit, "capacity-"))
+	if err != nil {
+		return nil, err
+	}
+
+	r, err := s.apply(ctx, s.over(unit*overFactor, "over-"))
+	if err != nil {
+		return nil, err
+	}
+
+	r.CapacityPerS, r.GoodputRatio = capacity.GoodputPerS, r.GoodputPerS/capacity.GoodputPerS
+
+	return r, nil
+}
+
+func (s *Scenario) over(factor float64, prefix string) *labload.Load {
+	l := s.load(factor)
+	l.Sessions, l.Deadline, l.OncePct, l.Prefix = overSessions, overDeadline, 0, prefix
+
+	return l
+}
