Test the consensus state machine under faults

Cause: nothing yet showed that the replica keeps its guarantees under loss, duplication, reordering, one-way loss, partitions, pauses, crashes at sync points, lost disks and membership changes. The check for compacted entries now precedes the window (TestLongIsolation fails without it).

--- a/control/process/labreplica/leader.go
+++ b/control/process/labreplica/leader.go
@@ -164,21 +164,21 @@
 }
 
 func (r *Replica) replicateTo(p *progress) {
-	for p.transfer == nil && p.next <= r.log.last() && !p.blocked(r.Window) {
-		if p.next <= r.log.baseIndex {
-			p.transfer = &transfer{snapshot: r.snapshot, due: true}
+	if p.transfer == nil && p.next <= r.log.baseIndex {
+		p.startTransfer(r.snapshot)
+	}
 
-			break
-		}
+	if p.transfer != nil {
+		r.sendChunk(p)
 
+		return
+	}
+
+	for p.next <= r.log.last() && !p.blocked(r.Window) {
 		e := r.log.batch(p.next, r.BatchBytes)
 		r.sendAppend(p, e)
 		p.sent(e)
 	}
-
-	if p.transfer != nil {
-		r.sendChunk(p)
-	}
 }
 
 // sendAppend sends entries from the member's next index on. During a snapshot transfer the preceding entry is not
--- /dev/null
+++ b/control/process/labreplica/membership_test.go
@@ -0,0 +1,76 @@
+package labreplica_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labreplica"
+)
+
+// Guards against two overlapping membership changes, whose quorums need not intersect.
+func TestOneChangeAtATime(t *testing.T) {
+	r := single(t, lab.HardState{Term: 3})
+	now, term := elect(t, r)
+	commit := func(index uint64) {
+		stepAll(t, r, now, labreplica.Message{
+			Kind: labreplica.KindAppendAnswer, From: "b", Term: term, Index: index, Sent: now,
+		})
+		r.Output()
+		r.Persisted()
+	}
+	add := func(id lab.InstanceID) error {
+		_, _, err := r.Change(now, labreplica.Change{Kind: labreplica.ChangeAddLearner, Instance: id})
+
+		return err
+	}
+
+	assert.ErrorIs(t, add("d"), labreplica.ErrChangePending, "before the first entry of the term is committed")
+	commit(1)
+	assert.NilError(t, add("d"))
+	assert.ErrorIs(t, add("e"), labreplica.ErrChangePending)
+	commit(2)
+	assert.NilError(t, add("e"))
+	assert.Equal(t, fmt.Sprint(r.Members()), "{[a b c] [d e]}")
+}
+
+// Guards against a membership that stays in force after its entry was replaced.
+func TestReplacedChange(t *testing.T) {
+	b, err := msgpack.Marshal(labreplica.Members{Voters: []lab.InstanceID{"a", "b", "c", "d"}})
+	assert.NilError(t, err)
+
+	r := single(t, lab.HardState{})
+	add := func(term uint64, data []byte) {
+		stepAll(t, r, second, labreplica.Message{
+			Kind: labreplica.KindAppend, From: "b", Term: term, Entries: []lab.LogEntry{{Index: 1, Term: term, Data: data}},
+		})
+	}
+
+	add(1, append([]byte{2}, b...))
+	assert.Equal(t, fmt.Sprint(r.Members()), "{[a b c d] []}")
+	add(2, nil)
+	assert.Equal(t, fmt.Sprint(r.Members()), "{[a b c] []}")
+}
+
+// Guards against a learner that is promoted before it has caught up.
+func TestPromotionWaits(t *testing.T) {
+	w := newWorld(t, 31, 3, 1)
+	l := w.waitLeader()
+	w.propose(l, 60)
+	w.change(labreplica.ChangeAddLearner, "j0")
+	w.isolate(w.node("j0"), true)
+	w.run(second)
+	w.propose(l, 60)
+	w.run(second)
+
+	promote := labreplica.Change{Kind: labreplica.ChangePromote, Instance: "j0"}
+	_, _, err := l.replica.Change(w.now, promote)
+	assert.ErrorIs(t, err, labreplica.ErrLearnerBehind)
+
+	w.heal()
+	w.change(promote.Kind, promote.Instance)
+	w.converge()
+}
--- a/control/process/labreplica/progress.go
+++ b/control/process/labreplica/progress.go
@@ -33,6 +33,12 @@
 	return &progress{id: id, next: next, probing: true, contact: never}
 }
 
+// startTransfer sends a snapshot instead of entries; appends still unanswered then no longer fill the window.
+func (p *progress) startTransfer(s lab.LogSnapshot) {
+	p.transfer = &transfer{snapshot: s, due: true}
+	p.probing, p.paused, p.inflight = true, false, nil
+}
+
 func (p *progress) touch(round uint64, sent time.Duration) {
 	p.round = max(p.round, round)
 	p.contact = max(p.contact, sent)
