Test the consensus group and speed up restart

Cause: the group's outcomes, group commit, restart and replacement were untested; loading 10,000 entries took time quadratic in their number, since every record copied all entries before it.

--- a/control/process/labconsensus/call.go
+++ b/control/process/labconsensus/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,6 +15,7 @@
 	command []byte
 	change  *labreplica.Change
 	barrier bool
+	lost    error // returned when the wait ends without a result
 	done    chan result
 }
 
@@ -85,9 +87,9 @@
 	case r := <-c.done:
 		return r.value, r.err
 	case <-ctx.Done():
-		return nil, errors.Newf("%w: %w", lab.ErrOutcomeUnknown, ctx.Err())
+		return nil, fmt.Errorf("%w: %w", c.lost, ctx.Err()) // errors.Newf wraps one error only
 	case <-g.stopped:
-		return nil, lab.ErrOutcomeUnknown
+		return nil, c.lost
 	}
 }
 
@@ -95,7 +97,7 @@
 // ErrNotLeader when this instance does not lead, and ErrOutcomeUnknown when leadership, the context or Run ends before
 // the command is known to be committed.
 func (g *Group) Propose(ctx context.Context, command []byte) (any, error) {
-	v, err := g.do(ctx, call{command: command})
+	v, err := g.do(ctx, call{command: command, lost: lab.ErrOutcomeUnknown})
 	if err != nil {
 		return nil, errors.Newf("propose: %w", err)
 	}
@@ -104,9 +106,9 @@
 }
 
 // Barrier returns once a quorum has confirmed, after the call, that this instance leads, and everything committed
-// before the call is applied here. It returns ErrNotLeader when this instance does not lead.
+// before the call is applied here. It returns ErrNotLeader when this instance does not lead or the wait ends before that.
 func (g *Group) Barrier(ctx context.Context) error {
-	_, err := g.do(ctx, call{barrier: true})
+	_, err := g.do(ctx, call{barrier: true, lost: lab.ErrNotLeader})
 	if err != nil {
 		return errors.Newf("barrier: %w", err)
 	}
--- a/control/process/labconsensus/group.go
+++ b/control/process/labconsensus/group.go
@@ -27,21 +27,21 @@
 
 // Group is this instance's member of the consensus group; it implements lab.Log.
 type Group struct {
-	ID       lab.InstanceID
-	Voters   []lab.InstanceID // first voters of a new group, used while the journal is empty; empty on one that joins
-	Journal  lab.Journal
-	Clock    lab.Clock
-	Random   lab.Random
-	Machine  lab.StateMachine
-	Send     func(to lab.InstanceID, message labreplica.Message) // called by one goroutine; must not block
-	OnChange func(leadership lab.Leadership)                     // called by Run's goroutine when leader or term change; optional
-
-	ElectionMin   time.Duration
-	ElectionMax   time.Duration
-	Heartbeat     time.Duration
-	TickInterval  time.Duration
-	SnapshotEvery uint64 // applied entries between snapshots
-	Trailing      uint64 // entries kept in memory before a snapshot, for members slightly behind
+	ID      lab.InstanceID
+	Voters  []lab.InstanceID // first voters of a new group, used while the journal is empty; empty on one that joins
+	Journal lab.Journal      // closed by the caller after Run
+	Clock   lab.Clock
+	Random  lab.Random
+	Machine lab.StateMachine // called by Run's goroutine
+	// Send passes a message on and may drop it; it is called by Run's goroutine and must not block.
+	Send func(to lab.InstanceID, message labreplica.Message)
+
+	ElectionMin   time.Duration // lower bound of the election timeout
+	ElectionMax   time.Duration // upper bound of the election timeout
+	Heartbeat     time.Duration // interval of the leader's heartbeats
+	TickInterval  time.Duration // resolution of the timeouts
+	SnapshotEvery uint64        // applied entries between snapshots
+	Trailing      uint64        // entries kept in memory before a snapshot, for members slightly behind
 
 	once     sync.Once
 	messages chan labreplica.Message
--- a/control/process/labconsensus/group_test.go
+++ b/control/process/labconsensus/group_test.go
@@ -3,16 +3,22 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"math/rand/v2"
+	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labconsensus"
+	"laburnumlock.dev/lab/control/process/labjournal"
 	"laburnumlock.dev/lab/control/process/labreplica"
 )
 
@@ -53,6 +59,7 @@
 	state    lab.HardState
 	snapshot lab.LogSnapshot
 	entries  []lab.LogEntry
+	appends  atomic.Int64
 }
 
 func (j *memoryJournal) Load() (lab.HardState, lab.LogSnapshot, []lab.LogEntry, error) {
@@ -66,6 +73,7 @@
 }
 
 func (j *memoryJournal) Append(e []lab.LogEntry) error {
+	j.appends.Add(1)
 	j.entries = append(j.entries[:e[0].Index-j.snapshot.Index-1:e[0].Index-j.snapshot.Index-1], e...)
 
 	return nil
@@ -89,11 +97,12 @@
 
 // cluster connects groups in memory.
 type cluster struct {
-	t      *testing.T
-	mutex  sync.Mutex
-	groups map[lab.InstanceID]*labconsensus.Group
-	cut    map[lab.InstanceID]bool
-	stop   map[lab.InstanceID]func()
+	t        *testing.T
+	mutex    sync.Mutex
+	groups   map[lab.InstanceID]*labconsensus.Group
+	cut      map[lab.InstanceID]bool
+	stop     map[lab.InstanceID]func()
+	journals map[lab.InstanceID]lab.Journal
 }
 
 func newCluster(t *testing.T, ids ...lab.InstanceID) *cluster {
@@ -101,7 +110,7 @@
 
 	c := &cluster{
 		t: t, groups: map[lab.InstanceID]*labconsensus.Group{}, cut: map[lab.InstanceID]bool{},
-		stop: map[lab.InstanceID]func(){},
+		stop: map[lab.InstanceID]func(){}, journals: map[lab.InstanceID]lab.Journal{},
 	}
 
 	t.Cleanup(func() {
@@ -135,6 +144,7 @@
 		assert.Check(c.t, g.Run(ctx))
 	}()
 
+	c.journals[id] = journal
 	c.stop[id] = func() { cancel(); <-done }
 
 	return g
@@ -185,6 +195,20 @@
 	return nil
 }
 
+// caughtUp waits until a group has applied what the leader has.
+func (c *cluster) caughtUp(g *labconsensus.Group) {
+	c.t.Helper()
+
+	for range 1000 {
+		if g.Applied() >= c.leader().Applied() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	c.t.Fatalf("%s did not catch up within 10 s", g.ID)
+}
+
 func one() []byte { return binary.BigEndian.AppendUint64(nil, 1) }
 
 func propose(t *testing.T, g *labconsensus.Group, want uint64) {
@@ -198,7 +222,7 @@
 	assert.Equal(t, v, want)
 }
 
-// Guards against a group that does not elect, commit or apply.
+// Guards against a group that does not elect, commit or apply, also across snapshots.
 func TestGroup(t *testing.T) {
 	c := newCluster(t, "a", "b", "c")
 	g := c.leader()
@@ -208,6 +232,7 @@
 	}
 
 	assert.NilError(t, g.Barrier(context.Background()))
+	assert.Equal(t, g.Applied(), uint64(121))
 }
 
 // Guards against an old leader that serves reads or proposals after a partition.
@@ -220,9 +245,178 @@
 	assert.ErrorIs(t, old.Barrier(context.Background()), lab.ErrNotLeader)
 	assert.Equal(t, old.Leadership().Self, false)
 
-	next := c.leader()
-	propose(t, next, 2)
+	_, err := old.Propose(context.Background(), one())
+	assert.ErrorIs(t, err, lab.ErrNotLeader)
+
+	propose(t, c.leader(), 2)
 	c.isolate(old.ID, false)
-	time.Sleep(700 * time.Millisecond)
-	assert.Equal(t, next.Leadership().Self, true)
+	c.caughtUp(old)
+}
+
+// Guards against proposals that are lost, doubled or synced one by one.
+func TestConcurrentProposals(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	g := c.leader()
+
+	var wait sync.WaitGroup
+
+	for range 64 {
+		wait.Go(func() {
+			for range 20 {
+				_, err := g.Propose(context.Background(), one())
+				assert.Check(t, err)
+			}
+		})
+	}
+
+	wait.Wait()
+	propose(t, g, 64*20+1)
+
+	n := c.journals[g.ID].(*memoryJournal).appends.Load()
+	t.Logf("%d proposals in %d appends", 64*20+1, n)
+	assert.Assert(t, n < 64*20/2)
+}
+
+// Guards against a call that reports a wrong outcome or never returns.
+func TestOutcomes(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	g := c.leader()
+	c.isolate(g.ID, true)
+
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+
+	_, err := g.Propose(ctx, one())
+	assert.ErrorIs(t, err, lab.ErrOutcomeUnknown)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+
+	_, err = g.Propose(context.Background(), one())
+	assert.ErrorIs(t, err, lab.ErrOutcomeUnknown, "leadership ended while the proposal was under way")
+
+	c.stop[g.ID]()
+	assert.ErrorIs(t, g.Barrier(context.Background()), lab.ErrNotLeader)
+	assert.Equal(t, g.Leadership().Self, false)
+
+	_, err = g.Propose(context.Background(), one())
+	assert.Assert(t, err != nil)
+}
+
+// failingJournal fails to store entries.
+type failingJournal struct{ memoryJournal }
+
+func (*failingJournal) Append([]lab.LogEntry) error { return errors.New("no space") }
+
+// Guards against an instance that goes on after its journal failed.
+func TestJournalFailure(t *testing.T) {
+	g := &labconsensus.Group{
+		ID: "a", Voters: []lab.InstanceID{"a"}, Journal: &failingJournal{}, Clock: realClock{time.Now()},
+		Random: rand.NewPCG(1, 1), Machine: &adder{},
+	}
+	assert.ErrorContains(t, g.Run(context.Background()), "store entries: no space")
+	assert.ErrorIs(t, g.Barrier(context.Background()), lab.ErrNotLeader)
+}
+
+// Guards against state that is lost or applied twice when all instances restart at once, and against a lost disk that
+// cannot be replaced by a new identity.
+func TestRestartAndReplace(t *testing.T) {
+	c := newCluster(t)
+	folder := t.TempDir()
+	voters := []lab.InstanceID{"a", "b", "c"}
+	startAll := func() {
+		for _, id := range voters {
+			c.start(id, &labjournal.Journal{Folder: filepath.Join(folder, string(id))}, voters...)
+		}
+	}
+
+	startAll()
+
+	sum := uint64(0)
+	for range 3 {
+		g := c.leader()
+		for range 40 {
+			sum++
+			propose(t, g, sum)
+		}
+
+		for _, id := range voters {
+			c.stop[id]()
+			assert.NilError(t, c.journals[id].Close())
+		}
+
+		startAll()
+	}
+
+	g := c.leader()
+	lost := voters[(slices.Index(voters, g.ID)+1)%3]
+	c.stop[lost]()
+	c.isolate(lost, true)
+
+	joined := c.start("d", &labjournal.Journal{Folder: filepath.Join(folder, "d")})
+	assert.NilError(t, g.AddLearner(context.Background(), "d"))
+	assert.NilError(t, g.Promote(context.Background(), "d"))
+	assert.NilError(t, g.Remove(context.Background(), lost))
+	propose(t, g, sum+1)
+	c.caughtUp(joined)
+	assert.Equal(t, joined.Members().Voter("d"), true)
+	assert.Equal(t, len(joined.Members().Voters), 3)
+}
+
+// BenchmarkRestart measures loading the journal and applying it in a group of one, without the election timeout.
+func BenchmarkRestart(b *testing.B) {
+	for _, n := range []uint64{700, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			folder := b.TempDir()
+			fill(b, folder, n)
+
+			for b.Loop() {
+				restart(b, folder, n)
+			}
+		})
+	}
+}
+
+// fill stores entries with commands of 200 bytes.
+func fill(b *testing.B, folder string, n uint64) {
+	b.Helper()
+
+	j := &labjournal.Journal{Folder: folder}
+	_, _, _, err := j.Load()
+	assert.NilError(b, err)
+	assert.NilError(b, j.SaveSnapshot(lab.LogSnapshot{Peers: []lab.InstanceID{"a"}}))
+	assert.NilError(b, j.SaveState(lab.HardState{Term: 1, Voted: "a"}))
+
+	d := append([]byte{1}, one()...)
+	d = append(d, make([]byte, 192)...)
+
+	for i := range n {
+		assert.NilError(b, j.Append([]lab.LogEntry{{Index: i + 1, Term: 1, Data: d}}))
+	}
+
+	assert.NilError(b, j.Close())
+}
+
+func restart(b *testing.B, folder string, n uint64) {
+	b.Helper()
+
+	j := &labjournal.Journal{Folder: folder}
+	g := &labconsensus.Group{
+		ID: "a", Journal: j, Clock: realClock{time.Now()}, Random: rand.NewPCG(1, 1), Machine: &adder{},
+		ElectionMin: time.Millisecond, ElectionMax: time.Millisecond, TickInterval: time.Millisecond,
+		SnapshotEvery: 1 << 40,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+		assert.Check(b, g.Run(ctx))
+	}()
+
+	for g.Applied() <= n {
+		time.Sleep(100 * time.Microsecond)
+	}
+
+	cancel()
+	<-done
+	assert.NilError(b, j.Close())
 }
--- a/control/process/labconsensus/leadership.go
+++ b/control/process/labconsensus/leadership.go
@@ -29,14 +29,7 @@
 		v.leadership.Since = r.Elected()
 	}
 
-	old := g.view.Swap(v)
-	if g.OnChange == nil {
-		return
-	}
-
-	if old == nil || old.leads != v.leads || old.leadership != v.leadership {
-		g.OnChange(g.Leadership())
-	}
+	g.view.Store(v)
 }
 
 // Leadership returns the current view of who leads.
--- a/control/process/labjournal/content.go
+++ b/control/process/labjournal/content.go
@@ -113,7 +113,7 @@
 	}
 
 	n := entries[0].Index - c.snapshot.Index - 1
-	c.entries = append(c.entries[:n:n], entries...)
+	c.entries = append(c.entries[:n], entries...)
 
 	return nil
 }
