--- /dev/null
+++ b/ctl/process/labdemo/check.go
@@ -0,0 +1,162 @@
+package labdemo
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumlock.dev/lab/bench/process/labdeployment"
+	"laburnumlock.dev/lab/bench/process/labload"
+	"laburnumlock.dev/lab/bench/request/labhistory"
+)
+
+// The times of a check since its load began.
+const (
+	changeAt    = time.Second
+	killAt      = 2 * time.Second
+	restartAt   = 6 * time.Second
+	loadTime    = 10 * time.Second
+	checkLimit  = 90 * time.Second
+	inForcePoll = 20 * time.Millisecond
+)
+
+// ErrViolation is returned when a check found a broken invariant or a missed target.
+var ErrViolation = errors.New("the check failed")
+
+// Check starts the deployment, drives it through a configuration change, the loss of the primary and restarts under
+// load, and prints one JSON line. It returns ErrViolation when an invariant was broken.
+func (d *Demo) Check(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, checkLimit)
+	defer cancel()
+
+	deployment, clean, err := d.start(ctx)
+	if err != nil {
+		return err
+	}
+
+	defer clean()
+
+	report, err := d.drive(ctx, deployment)
+	if err = errors.CombineErrors(err, deployment.Stop()); err != nil {
+		return err
+	}
+
+	if err := json.NewEncoder(d.Out).Encode(report); err != nil {
+		return errors.Newf("write report: %w", err)
+	}
+
+	if !report.Passed() {
+		return ErrViolation
+	}
+
+	return nil
+}
+
+func (d *Demo) drive(ctx context.Context, deployment *labdeployment.Deployment) (*Report, error) {
+	l := &labload.Load{
+		Addresses: deployment.CallerAddresses(), Organisation: Organisation, Password: Password,
+		Databases: []string{Database}, Sessions: 12, Seed: d.Seed, Reads: 120, Writes: 30, AgedPct: 50,
+		ReadClass: readClass, OncePct: 30, MovePct: 5,
+	}
+	if err := l.Prepare(ctx); err != nil {
+		return nil, errors.Newf("prepare load: %w", err)
+	}
+
+	defer l.Close()
+
+	r := &Report{Seed: d.Seed}
+
+	var g errgroup.Group
+
+	g.Go(func() error { return l.Run(ctx, loadTime) })
+	g.Go(func() error { return d.disturb(ctx, deployment, r) })
+
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+
+	operations := l.History()
+	final := append(deployment.FinalRows(labload.Table), deployment.FinalRows(labload.OnceTable)...)
+	r.count(operations)
+	r.Violations = labhistory.Check(operations, final)
+	aged, others := deployment.ReplicaShares(labload.AgedMark)
+	r.ReplicaShare = labdeployment.Share{Reads: aged.Reads + others.Reads, Replica: aged.Replica + others.Replica}.Ratio()
+	r.FailoverGapMS = labhistory.Gap(operations, Database, killAt).Milliseconds()
+
+	return r, nil
+}
+
+// disturb changes the configuration, kills the primary, and restarts a proxy and a control instance, in this order.
+func (d *Demo) disturb(ctx context.Context, deployment *labdeployment.Deployment, r *Report) error {
+	begin := time.Now()
+
+	sleepUntil(ctx, begin.Add(changeAt))
+
+	const limit = 321
+
+	accepted, err := deployment.ChangeQueueLimit(ctx, limit)
+	if err != nil {
+		return errors.Newf("change configuration: %w", err)
+	}
+
+	if r.InForceMS, err = inForce(ctx, deployment, accepted); err != nil {
+		return err
+	}
+
+	sleepUntil(ctx, begin.Add(killAt))
+	deployment.Group(Database).Primary().Kill()
+	sleepUntil(ctx, begin.Add(restartAt))
+
+	if err := deployment.RestartProxy(ctx, int(d.Seed%3)); err != nil {
+		return err
+	}
+
+	if err := deployment.RestartControl(ctx, int(d.Seed/3%3)); err != nil {
+		return err
+	}
+
+	kept, err := deployment.QueueLimit(ctx)
+	if err != nil {
+		return errors.Newf("read configuration: %w", err)
+	}
+
+	if kept != limit {
+		r.Reverted++
+	}
+
+	return nil
+}
+
+func inForce(ctx context.Context, deployment *labdeployment.Deployment, change string) (int64, error) {
+	begin := time.Now()
+
+	for {
+		ok, err := deployment.InForce(ctx, change)
+		if err != nil {
+			return 0, errors.Newf("look up change: %w", err)
+		}
+
+		if ok {
+			return time.Since(begin).Milliseconds(), nil
+		}
+
+		sleepUntil(ctx, time.Now().Add(inForcePoll))
+
+		if ctx.Err() != nil {
+			return 0, errors.Newf("wait for change in force: %w", ctx.Err())
+		}
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/ctl/process/labdemo/doc.go
@@ -0,0 +1,2 @@
+// Package labdemo runs a whole deployment in one process, to try it out or to check it under failure.
+package labdemo
--- /dev/null
+++ b/ctl/process/labdemo/report.go
@@ -0,0 +1,47 @@
+package labdemo
+
+import "laburnumlock.dev/lab/bench/request/labhistory"
+
+// Report is the outcome of a check; its JSON is one line.
+type Report struct {
+	Seed          uint64  `json:"seed"`
+	Acknowledged  int     `json:"acknowledged"` // writes
+	Reads         int     `json:"reads"`        // answered
+	NotRun        int     `json:"not_run"`
+	Unknown       int     `json:"outcome_unknown"`
+	ReplicaShare  float64 `json:"replica_read_share"`
+	FailoverGapMS int64   `json:"failover_gap_ms"` // from the primary's loss to the first acknowledged write sent after it
+	InForceMS     int64   `json:"in_force_ms"`     // from the acceptance of a change until every proxy has it in force
+	Reverted      int     `json:"reverted"`        // configuration changes that were gone after the restart
+
+	labhistory.Violations
+}
+
+// Passed reports whether every invariant held and the deployment came back within the targets.
+func (r *Report) Passed() bool {
+	return !r.Any() && r.Reverted == 0 && r.Acknowledged > 0 && r.Reads > 0 &&
+		r.FailoverGapMS >= 0 && r.FailoverGapMS <= gapLimitMS && r.InForceMS <= inForceLimitMS
+}
+
+// The targets for a primary change and a configuration change, in milliseconds.
+const (
+	gapLimitMS     = 10_000
+	inForceLimitMS = 10_000
+)
+
+func (r *Report) count(operations []labhistory.Operation) {
+	for _, o := range operations {
+		write := o.Kind == labhistory.KindWrite || o.Kind == labhistory.KindOnce
+
+		switch {
+		case o.Result == labhistory.ResultNotRun:
+			r.NotRun++
+		case o.Result == labhistory.ResultUnknown:
+			r.Unknown++
+		case write:
+			r.Acknowledged++
+		default:
+			r.Reads++
+		}
+	}
+}
