--- a/control/process/labpromoter/bootstrap.go
+++ b/control/process/labpromoter/bootstrap.go
@@ -11,7 +11,9 @@
 
 // Errors of steps that have to be tried again.
 var (
-	errTooFew    = errors.New("too few readable members that follow the history")
+	errTooFew = errors.New("too few readable members that follow the history")
+	// errTerm means that the member didn't know of the term in force and reused its timeline; it has to be rebuilt.
+	errTerm      = errors.New("promoted member is not in a new term")
 	errAmbiguous = errors.New("readable members don't agree on one primary")
 )
 
--- a/control/process/labpromoter/choice.go
+++ b/control/process/labpromoter/choice.go
@@ -29,7 +29,7 @@
 func candidates(d *lab.Database, p labcatalog.Promotion, readings []reading) []reading {
 	var list []reading
 	for _, r := range readings {
-		received := r.status.Received
+		received := position(r.status)
 		promoted := r.member.Member == p.Chosen && received.Term >= p.Term
 		primary := r.member.Member == p.OldPrimary && received.Term == d.Term()
 		switch {
@@ -68,11 +68,15 @@
 }
 
 // better orders candidates by position; of equally advanced ones a staying member, then a replica, then one in the old
-// primary's region wins.
+// primary's region wins. Candidates up to the term in force all lie on its history, where the offset alone tells who is
+// more advanced: a replica may already report a term whose switch point it hasn't received yet.
 func better(d *lab.Database, p labcatalog.Promotion, a, b reading) bool {
-	x, y := a.status.Received, b.status.Received
-	if x != y {
-		return x.Later(y)
+	x, y := position(a.status), position(b.status)
+	switch {
+	case max(x.Term, y.Term) > d.Term() && x.Term != y.Term:
+		return x.Term > y.Term
+	case x.Offset != y.Offset:
+		return x.Offset > y.Offset
 	}
 
 	return rank(d, p, a) > rank(d, p, b)
--- a/control/process/labpromoter/promoter.go
+++ b/control/process/labpromoter/promoter.go
@@ -17,6 +17,10 @@
 const (
 	// ReachableWait is how long loss reports must last when control still reaches the primary over a new connection.
 	ReachableWait = 3 * time.Second
+	// SuspectWait is how long control's own probes must fail when no gateway reports on the primary.
+	SuspectWait = time.Second
+	// RestAfterReinstatement keeps a primary that its gateway can't reach from losing its writes again at once.
+	RestAfterReinstatement = 5 * time.Second
 	// RechooseAfter is how long the chosen member may be unreachable before another one is chosen.
 	RechooseAfter = 3 * time.Second
 	// CatchUpWait is how long a successor of a leaving primary may take to catch up.
@@ -59,7 +63,7 @@
 	}
 	w := s.watches[database]
 	if w == nil {
-		w = &watch{losses: map[string]loss{}, stream: map[string]lab.Position{}}
+		w = &watch{losses: map[report]time.Duration{}, stream: map[string]lab.Position{}}
 		s.watches[database] = w
 	}
 
@@ -71,6 +75,11 @@
 	p.watch(status.Database).observe(now, from, status)
 }
 
+// Suspect makes control probe a primary itself, because no gateway can report on it.
+func (p *Promoter) Suspect(database string) {
+	p.watch(database).suspect()
+}
+
 // Tick starts the steps that are due and returns without waiting for them.
 func (p *Promoter) Tick(ctx context.Context, now time.Duration) {
 	p.once.Do(func() { p.slots = make(chan struct{}, concurrent) })
@@ -85,9 +94,7 @@
 		select {
 		case p.slots <- struct{}{}:
 		default:
-			w.lock.Lock()
-			w.running = false
-			w.lock.Unlock()
+			w.end()
 
 			return
 		}
@@ -125,32 +132,10 @@
 			continue
 		}
 		w.settle(now, p.jitter(w.failures()), err != nil)
-		w.lock.Lock()
-		w.running = false
-		w.lock.Unlock()
-
-		return
-	}
-}
-
-func (w *watch) failures() int {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-
-	return w.failed
-}
-
-// settle records the result of a step; only failures are backed off.
-func (w *watch) settle(now, delay time.Duration, failed bool) {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	if !failed {
-		w.failed, w.next = 0, now
+		w.end()
 
 		return
 	}
-	w.failed++
-	w.next = now + delay
 }
 
 // jitter returns the backoff after a number of failures, spread over its upper half.
--- a/control/process/labpromoter/reading.go
+++ b/control/process/labpromoter/reading.go
@@ -41,12 +41,21 @@
 	return list
 }
 
+// position returns how much of the log a member has; a replica that restarted may have replayed more than it received
+// since.
+func position(s lab.MemberStatus) lab.Position {
+	p := s.Received
+	p.Offset = max(p.Offset, s.Replayed.Offset)
+
+	return p
+}
+
 // withTerm completes the position of a replica that isn't streaming and therefore reports no timeline: it is the one
 // that a gateway last saw the replica stream.
 func (p *Promoter) withTerm(m lab.Announcement, s lab.MemberStatus) lab.MemberStatus {
 	if s.InRecovery && s.Received.Term == 0 {
 		last := p.watch(m.Database).streamed(m.Member)
-		if last.Offset <= s.Received.Offset {
+		if last.Offset <= position(s).Offset {
 			s.Received.Term = last.Term
 		}
 	}
--- a/control/process/labpromoter/steps.go
+++ b/control/process/labpromoter/steps.go
@@ -12,27 +12,29 @@
 
 // The reasons for a promotion.
 const (
-	reasonLost    = "lost"    // the gateway can't open connections to the primary
-	reasonLeaving = "leaving" // the primary announced that it leaves
-	reasonRetired = "retired" // another process took over the primary's address
+	reasonLost      = "lost"      // the gateway can't open connections to the primary
+	reasonSuspected = "suspected" // the gateway is silent, and control can't open connections either
+	reasonLeaving   = "leaving"   // the primary announced that it leaves
+	reasonRetired   = "retired"   // another process took over the primary's address
 )
 
 // reason tells why the primary should be replaced, empty when it should not.
 func (p *Promoter) reason(now time.Duration, d *lab.Database) string {
-	if d.Primary == "" {
+	w := p.watch(d.Name)
+	if d.Primary == "" || w.rests(now) {
 		return ""
 	}
 	m, known := d.Member(d.Primary)
 	if !known {
 		return reasonRetired
 	}
-	w := p.watch(d.Name)
-	if l, lost := w.loss(d.Primary); lost {
-		// Other gateways than the one that writes may be cut off from the primary without any effect on writes.
-		if g, placed := d.Placement(m.Region); !placed || g.Instance == "" || g.Instance == l.reporter {
-			return reasonLost
-		}
-		w.forget(d.Primary)
+	// Gateways of other regions may be cut off from the primary without any effect on writes.
+	g, _ := d.Placement(m.Region)
+	if _, lost := w.lostSince(d.Primary, g.Instance); lost {
+		return reasonLost
+	}
+	if w.isSuspected() {
+		return reasonSuspected
 	}
 	if m.Leaving && hasSuccessor(d) {
 		return reasonLeaving
@@ -61,6 +63,10 @@
 		if !p.confirmed(ctx, now, d) {
 			return false, nil
 		}
+	case reasonSuspected:
+		if p.watch(d.Name).probed(now, p.reachable(ctx, d)) < SuspectWait {
+			return false, nil
+		}
 	case reasonLeaving:
 		if len(p.read(ctx, d)) < needed(d, d.Primary) {
 			return false, errors.Newf("replace leaving primary of %s: %w", d.Name, errTooFew)
@@ -77,19 +83,21 @@
 
 // confirmed reports whether the loss was reported for long enough, or control can't reach the primary either.
 func (p *Promoter) confirmed(ctx context.Context, now time.Duration, d *lab.Database) bool {
-	l, lost := p.watch(d.Name).loss(d.Primary)
-	if !lost {
-		return false
-	}
-	if now-l.since >= ReachableWait {
-		return true
-	}
+	m, _ := d.Member(d.Primary)
+	g, _ := d.Placement(m.Region)
+	since, lost := p.watch(d.Name).lostSince(d.Primary, g.Instance)
+
+	return lost && (now-since >= ReachableWait || !p.reachable(ctx, d))
+}
+
+// reachable reports whether control can use the primary over a new connection.
+func (p *Promoter) reachable(ctx context.Context, d *lab.Database) bool {
 	m, _ := d.Member(d.Primary)
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	s, err := p.Prober.Status(ctx, m)
 
-	return err != nil || s.InRecovery || s.Received.Term != d.Term()
+	return err == nil && !s.InRecovery && s.Received.Term == d.Term()
 }
 
 // choose commits the most advanced member, or reinstates the old primary, once nobody can write in the old term.
@@ -106,7 +114,7 @@
 			d.Name, len(readings), len(d.Members), errTooFew)
 	case verdictReinstate:
 		p.Logger.Info().Str("event", "promotion_cancelled").Str("database", d.Name).Str("primary", best.member.Member).Send()
-		p.watch(d.Name).forget(best.member.Member)
+		p.watch(d.Name).done(best.member.Member, now+RestAfterReinstatement)
 
 		return p.propose(ctx, &labcatalog.Command{Cancelled: &labcatalog.PromotionCancel{
 			Database: d.Name, Term: r.Term, Primary: best.member.Member,
@@ -114,12 +122,12 @@
 	case verdictPromote:
 	}
 	p.Logger.Info().Str("event", "promotion_chosen").Str("database", d.Name).Str("member", best.member.Member).
-		Stringer("position", best.status.Received).Send()
+		Stringer("position", position(best.status)).Send()
 	p.watch(d.Name).unreachable(0, false)
 
 	return p.propose(ctx, &labcatalog.Command{Chosen: &labcatalog.PromotionChosen{
 		Database: d.Name, Term: r.Term, Member: best.member.Member, Incarnation: best.member.Incarnation,
-		Position: best.status.Received, BaseChoice: r.Choice,
+		Position: position(best.status), BaseChoice: r.Choice,
 	}})
 }
 
@@ -147,11 +155,11 @@
 		return false, errors.Newf("promote %s of %s: %w", m.Member, d.Name, err)
 	}
 	if s.InRecovery || s.Received.Term < r.Term {
-		return false, errors.Newf("promote %s of %s: still at %s", m.Member, d.Name, s.Received)
+		return false, errors.Newf("promote %s of %s to term %d: it is at %s: %w", m.Member, d.Name, r.Term, s.Received, errTerm)
 	}
 	p.Logger.Info().Str("event", "term_started").Str("database", d.Name).Str("primary", m.Member).
 		Uint32("term", uint32(s.Received.Term)).Stringer("switch_point", s.Replayed).Send()
-	p.watch(d.Name).done(m.Member)
+	p.watch(d.Name).done(m.Member, 0)
 
 	return p.propose(ctx, &labcatalog.Command{Term: &labcatalog.TermStarted{
 		Database: d.Name, Term: s.Received.Term, Offset: s.Replayed.Offset, Primary: m.Member, Choice: r.Choice,
@@ -171,40 +179,5 @@
 		return s.Received.Term < r.Term, nil
 	}
 
-	return s.Received.Offset < r.Position.Offset, nil
-}
-
-// work returns when this leader first worked on the running promotion.
-func (w *watch) work(now time.Duration) time.Duration {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	if w.started == 0 {
-		w.started = now
-	}
-
-	return w.started
-}
-
-// done forgets the finished promotion and any loss of the new primary.
-func (w *watch) done(primary string) {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	w.started, w.since = 0, 0
-	delete(w.losses, primary)
-}
-
-// unreachable returns how long the chosen member has been unreachable.
-func (w *watch) unreachable(now time.Duration, failed bool) time.Duration {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	if !failed {
-		w.since = 0
-
-		return 0
-	}
-	if w.since == 0 {
-		w.since = now
-	}
-
-	return now - w.since
+	return position(s).Offset < r.Position.Offset, nil
 }
--- a/control/process/labpromoter/watch.go
+++ b/control/process/labpromoter/watch.go
@@ -9,20 +9,23 @@
 
 // watch is what the promoter remembers of one database between steps; none of it is needed to resume.
 type watch struct {
-	lock    sync.Mutex
-	running bool
-	next    time.Duration // earliest time of the next step
-	failed  int           // consecutive failures
-	losses  map[string]loss
-	stream  map[string]lab.Position // last position with a known term by member
-	since   time.Duration           // first failed attempt to reach the chosen member, 0 for none
-	started time.Duration           // when the running promotion was first worked on, 0 for none
-}
-
-// loss is a member's unreachability as its gateway sees it.
-type loss struct {
+	lock      sync.Mutex
+	running   bool
+	next      time.Duration // earliest time of the next step
+	failed    int           // consecutive failures
+	losses    map[report]time.Duration
+	stream    map[string]lab.Position // last position with a known term by member
+	missing   time.Duration           // first failed attempt to reach the chosen member, 0 for none
+	started   time.Duration           // when the running promotion was first worked on, 0 for none
+	resting   time.Duration           // no new promotion starts before this time
+	suspected bool                    // control has to find out for itself whether the primary is reachable
+	refused   time.Duration           // first failed probe of a suspected primary, 0 for none
+}
+
+// report identifies who sees which member as unreachable.
+type report struct {
+	member   string
 	reporter lab.InstanceID
-	since    time.Duration
 }
 
 func (w *watch) observe(now time.Duration, from lab.InstanceID, s lab.MemberStatus) {
@@ -31,12 +34,14 @@
 	if s.Received.Term != 0 {
 		w.stream[s.Member] = s.Received
 	}
-	old, lost := w.losses[s.Member]
-	switch {
-	case s.Reachable:
-		delete(w.losses, s.Member)
-	case !lost || old.reporter != from:
-		w.losses[s.Member] = loss{reporter: from, since: now - s.LostFor}
+	key := report{member: s.Member, reporter: from}
+	if s.Reachable {
+		delete(w.losses, key)
+
+		return
+	}
+	if _, lost := w.losses[key]; !lost {
+		w.losses[key] = now - s.LostFor
 	}
 }
 
@@ -47,18 +52,42 @@
 	return w.stream[member]
 }
 
-func (w *watch) loss(member string) (loss, bool) {
+// lostSince returns since when a reporter sees a member as unreachable.
+func (w *watch) lostSince(member string, reporter lab.InstanceID) (time.Duration, bool) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	t, lost := w.losses[report{member: member, reporter: reporter}]
+
+	return t, lost
+}
+
+func (w *watch) suspect() {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	l, ok := w.losses[member]
+	w.suspected = true
+}
 
-	return l, ok
+func (w *watch) isSuspected() bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+
+	return w.suspected
 }
 
-func (w *watch) forget(member string) {
+// probed takes in control's own probe of a suspected primary and returns for how long probes have failed.
+func (w *watch) probed(now time.Duration, reachable bool) time.Duration {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	delete(w.losses, member)
+	if reachable {
+		w.suspected, w.refused = false, 0
+
+		return 0
+	}
+	if w.refused == 0 {
+		w.refused = now
+	}
+
+	return now - w.refused
 }
 
 // begin reserves the database for one step.
@@ -72,3 +101,76 @@
 
 	return true
 }
+
+func (w *watch) end() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.running = false
+}
+
+func (w *watch) failures() int {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+
+	return w.failed
+}
+
+// settle records the result of a step; only failures are backed off.
+func (w *watch) settle(now, delay time.Duration, failed bool) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if !failed {
+		w.failed, w.next = 0, now
+
+		return
+	}
+	w.failed++
+	w.next = now + delay
+}
+
+// work returns when this leader first worked on the running promotion.
+func (w *watch) work(now time.Duration) time.Duration {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if w.started == 0 {
+		w.started = now
+	}
+
+	return w.started
+}
+
+// rests reports whether a reinstated primary is not to be replaced yet.
+func (w *watch) rests(now time.Duration) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+
+	return now < w.resting
+}
+
+// done forgets the finished promotion and what was reported about the primary that now holds the term.
+func (w *watch) done(primary string, resting time.Duration) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.started, w.missing, w.refused, w.suspected, w.resting = 0, 0, 0, false, resting
+	for k := range w.losses {
+		if k.member == primary && resting == 0 {
+			delete(w.losses, k)
+		}
+	}
+}
+
+// unreachable returns how long the chosen member has been unreachable.
+func (w *watch) unreachable(now time.Duration, failed bool) time.Duration {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if !failed {
+		w.missing = 0
+
+		return 0
+	}
+	if w.missing == 0 {
+		w.missing = now
+	}
+
+	return now - w.missing
+}
