--- a/bench/process/labcommand/run.go
+++ b/bench/process/labcommand/run.go
@@ -17,6 +17,7 @@
 	file := k.Flag("deployment", "Deployment file.").Default("samples/rantavahti.json").ExistingFile()
 	duration := k.Flag("duration", "Time under load.").Default("10s").Duration()
 	trace := k.Flag("trace", "File for the recorded history.").String()
+	profile := k.Flag("cpu-profile", "File for a processor profile of the run.").String()
 	level := k.Flag("log-level", "debug, info, warn or error.").Default("error").String()
 
 	c.actions[k.FullCommand()] = func(ctx context.Context) error {
@@ -30,6 +31,13 @@
 			return err
 		}
 
+		stop, err := startProfile(*profile)
+		if err != nil {
+			return err
+		}
+
+		defer stop()
+
 		s := &labscenario.Scenario{Name: *scenario, Settings: d, Seed: *seed, Duration: *duration, Trace: *trace, Logger: l}
 
 		r, err := s.Run(ctx)
--- a/bench/process/labload/load.go
+++ b/bench/process/labload/load.go
@@ -15,6 +15,8 @@
 	keysPerSession  = 4
 	defaultDeadline = 20 * time.Second
 	onceTries       = 4
+	// prepareAtOnce bounds logins at once, whose password hashing would otherwise starve the processes measured.
+	prepareAtOnce = 16
 )
 
 // Load describes the callers; exported fields are set before Run.
@@ -86,14 +88,14 @@
 		l.sessions = append(l.sessions, s)
 	}
 
-	return l.each(func(s *session) error { return s.prepare(ctx) })
+	return l.each(prepareAtOnce, func(s *session) error { return s.prepare(ctx) })
 }
 
 // Run sends operations for the duration and returns when all have ended.
 func (l *Load) Run(ctx context.Context, duration time.Duration) error {
 	l.start = time.Now()
 
-	return l.each(func(s *session) error {
+	return l.each(len(l.sessions), func(s *session) error {
 		s.run(ctx, duration)
 
 		return nil
@@ -107,15 +109,22 @@
 	}
 }
 
-func (l *Load) each(do func(s *session) error) error {
+// each calls do for every session, for at most atOnce of them at the same time.
+func (l *Load) each(atOnce int, do func(s *session) error) error {
 	var (
 		wait   sync.WaitGroup
 		mutex  sync.Mutex
 		failed error
 	)
 
+	free := make(chan struct{}, max(1, atOnce))
+
 	for _, s := range l.sessions {
+		free <- struct{}{}
+
 		wait.Go(func() {
+			defer func() { <-free }()
+
 			if err := do(s); err != nil {
 				mutex.Lock()
 				defer mutex.Unlock()
--- a/ctl/process/labcommand/credential.go
+++ b/ctl/process/labcommand/credential.go
@@ -10,7 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
-	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/proxy/connection/labscram"
 )
 
 func (c *Command) addCredential(a *kingpin.Application) {
@@ -22,7 +22,7 @@
 			return errors.Newf("read password: %w", err)
 		}
 
-		v, err := labkeys.NewCredential(strings.TrimRight(line, "\r\n"))
+		v, err := labscram.NewCredential(strings.TrimRight(line, "\r\n"))
 		if err != nil {
 			return err
 		}
--- a/process/labtransport/transport.go
+++ b/process/labtransport/transport.go
@@ -229,11 +229,11 @@
 }
 
 func (st *status) err() error {
+	err := errors.Newf("peer: %s", st.Message)
 	if st.NotLeader {
-		return errors.Newf("%s: %w", st.Message, lab.ErrNotLeader)
+		return errors.Mark(err, lab.ErrNotLeader)
 	}
 
-	err := errors.Newf("peer: %s", st.Message)
 	if st.Typed {
 		return &lab.OutcomeError{Outcome: st.Outcome, Reason: st.Reason, Err: err}
 	}
