--- a/control/process/labreplica/recovery_test.go
+++ b/control/process/labreplica/recovery_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labreplica"
 )
 
@@ -125,3 +126,24 @@
 	assert.Assert(t, w.waitLeader() != l)
 	w.converge()
 }
+
+// Guards against a snapshot put together from chunks of two leaders, which may encode the same state differently.
+func TestChunksOfTwoLeaders(t *testing.T) {
+	r := single(t, lab.HardState{})
+	chunk := func(from lab.InstanceID, term, offset uint64, data string) labreplica.Output {
+		stepAll(t, r, 100*time.Millisecond, labreplica.Message{
+			Kind: labreplica.KindSnapshot, From: from, Term: term, Index: 9, LogTerm: 1,
+			Chunk: &labreplica.Chunk{Offset: offset, Total: 4, Data: []byte(data)},
+		})
+
+		o := r.Output()
+		r.Persisted()
+
+		return o
+	}
+
+	assert.Equal(t, chunk("b", 2, 0, "ab").Messages[0].Chunk.Offset, uint64(2))
+	assert.Equal(t, chunk("c", 3, 2, "yz").Messages[0].Chunk.Offset, uint64(0))
+	chunk("c", 3, 0, "wx")
+	assert.Equal(t, string(chunk("c", 3, 2, "yz").Snapshot.Data), "wxyz")
+}
--- a/control/process/labreplica/replica.go
+++ b/control/process/labreplica/replica.go
@@ -71,7 +71,7 @@
 	history  []membership
 	snapshot lab.LogSnapshot
 	install  *lab.LogSnapshot
-	incoming *lab.LogSnapshot
+	incoming *incoming
 
 	peers     []*progress
 	elected   time.Duration
--- a/control/process/labreplica/snapshot.go
+++ b/control/process/labreplica/snapshot.go
@@ -6,6 +6,12 @@
 	"laburnumlock.dev/lab"
 )
 
+// incoming is a snapshot being received from the leader of a term.
+type incoming struct {
+	term     uint64
+	snapshot lab.LogSnapshot
+}
+
 // Snapshot wraps the state machine's state as of Applied for storage.
 func (r *Replica) Snapshot(data []byte) lab.LogSnapshot {
 	t, _ := r.log.term(r.applied)
@@ -86,14 +92,14 @@
 }
 
 func (r *Replica) receiveChunk(m Message) {
-	s := r.incoming
-	if s == nil || s.Index != m.Index || s.Term != m.LogTerm {
-		s = &lab.LogSnapshot{
+	// Two leaders may encode the same state differently, so their chunks must not be mixed.
+	if r.incoming == nil || r.incoming.term != m.Term || r.incoming.snapshot.Index != m.Index {
+		r.incoming = &incoming{term: m.Term, snapshot: lab.LogSnapshot{
 			Index: m.Index, Term: m.LogTerm, Peers: m.Chunk.Members.Voters, Learners: m.Chunk.Members.Learners,
-		}
-		r.incoming = s
+		}}
 	}
 
+	s := &r.incoming.snapshot
 	if m.Chunk.Offset == uint64(len(s.Data)) {
 		s.Data = append(s.Data, m.Chunk.Data...)
 	}
