--- a/control/process/labreplica/recovery_test.go
+++ b/control/process/labreplica/recovery_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labreplica"
 )
 
@@ -53,14 +55,7 @@
 func TestLongIsolation(t *testing.T) {
 	w := newWorld(t, 17, 3, 0)
 	l := w.waitLeader()
-
-	var n *node
-	for _, o := range w.nodes {
-		if o != l {
-			n = o
-		}
-	}
-
+	n := w.nodes[(slices.Index(w.nodes, l)+1)%3]
 	w.isolate(n, true)
 
 	for range 50 {
@@ -75,6 +70,23 @@
 	w.converge()
 }
 
+// Guards against a follower that is never sent again what it lost after acknowledging it, because a damaged last record
+// of its journal was cut.
+func TestCutTail(t *testing.T) {
+	w := newWorld(t, 37, 3, 0)
+	l := w.waitLeader()
+	n := w.nodes[(slices.Index(w.nodes, l)+1)%3]
+	w.propose(l, 10)
+	w.run(100 * time.Millisecond)
+	w.crash(n)
+	n.entries = n.entries[:len(n.entries)-3]
+	w.restart(n)
+	w.run(time.Second)
+	assert.Equal(t, l.replica.Leading(), true)
+	assert.Equal(t, n.applied, w.committed)
+	w.converge()
+}
+
 // Guards against an instance that cannot be replaced after its disk is lost, and a second loss right after the repair.
 func TestLostDisk(t *testing.T) {
 	w := newWorld(t, 19, 3, 2)
@@ -100,13 +112,7 @@
 func TestUnsafeRemoval(t *testing.T) {
 	w := newWorld(t, 23, 3, 0)
 	l := w.waitLeader()
-
-	var others []*node
-	for _, n := range w.nodes {
-		if n != l {
-			others = append(others, n)
-		}
-	}
+	others := slices.DeleteFunc(slices.Clone(w.nodes), func(n *node) bool { return n == l })
 
 	w.crash(others[0])
 	w.run(time.Second)
@@ -125,3 +131,24 @@
 	assert.Assert(t, w.waitLeader() != l)
 	w.converge()
 }
+
+// Guards against a snapshot put together from chunks of two leaders, which may encode the same state differently.
+func TestChunksOfTwoLeaders(t *testing.T) {
+	r := single(t, lab.HardState{})
+	chunk := func(from lab.InstanceID, term, offset uint64, data string) labreplica.Output {
+		stepAll(t, r, 100*time.Millisecond, labreplica.Message{
+			Kind: labreplica.KindSnapshot, From: from, Term: term, Index: 9, LogTerm: 1,
+			Chunk: &labreplica.Chunk{Offset: offset, Total: 4, Data: []byte(data)},
+		})
+
+		o := r.Output()
+		r.Persisted()
+
+		return o
+	}
+
+	assert.Equal(t, chunk("b", 2, 0, "ab").Messages[0].Chunk.Offset, uint64(2))
+	assert.Equal(t, chunk("c", 3, 2, "yz").Messages[0].Chunk.Offset, uint64(0))
+	chunk("c", 3, 0, "wx")
+	assert.Equal(t, string(chunk("c", 3, 2, "yz").Snapshot.Data), "wxyz")
+}
