Add the operators' API, status, relay tests and placement limits

Cause: operators had no way in, placements ignored load, and a loss known only to a dead leader or a silent gateway started no promotion. Change: HTTP API (templates, organisations, changes, status, audit, drain, announcements); a follower redirects, an instance without a quorum answers 503; duties and registry holders stay while their holders are usable, and a holder takes at most a quarter more than the mean of its region and one; control probes primaries itself when their gateway is silent (1 s) or a new leader has heard nothing about them (3 s). Before: no such API. After: go test ./... and go test -race -short ./process/... pass.

--- a/control/process/labcontrol/fakes_test.go
+++ b/control/process/labcontrol/fakes_test.go
@@ -11,8 +11,9 @@
 
 // clock is a clock that only the test advances; sleeping returns at once.
 type clock struct {
-	lock sync.Mutex
-	now  time.Duration
+	lock  sync.Mutex
+	now   time.Duration
+	block chan struct{} // sleepers wait for it when set
 }
 
 func (c *clock) Now() time.Duration {
@@ -30,7 +31,13 @@
 
 func (c *clock) Wall() time.Time { return time.UnixMilli(0).Add(c.Now()) }
 
-func (c *clock) Sleep(ctx context.Context, _ time.Duration) error { return ctx.Err() }
+func (c *clock) Sleep(ctx context.Context, _ time.Duration) error {
+	if c.block != nil {
+		<-c.block
+	}
+
+	return ctx.Err()
+}
 
 // log applies every proposal at once to the catalog of all instances; one of them leads.
 type log struct {
@@ -93,6 +100,13 @@
 	return lab.Leadership{Leader: m.leader, Self: m.leader == m.id, Term: m.term, Since: m.since}
 }
 
+// isolate cuts the leader off from its quorum.
+func (l *log) isolate() {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.isolated = true
+}
+
 // elect makes an instance the leader.
 func (l *log) elect(id lab.InstanceID, now time.Duration) {
 	l.lock.Lock()
@@ -145,3 +159,9 @@
 	defer p.lock.Unlock()
 	p.members[key] = s
 }
+
+func (p *prober) lose(key string) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	delete(p.members, key)
+}
--- a/control/process/labcontrol/placements.go
+++ b/control/process/labcontrol/placements.go
@@ -4,22 +4,23 @@
 	"context"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/version/labcatalog"
 )
 
-// registryHolders is the number of instances that hold a database's at-most-once registry.
-const registryHolders = 3
-
 // tickPlacements commits the placements that no longer fit the live proxies.
 func (s *Server) tickPlacements(ctx context.Context, l *leadership) {
 	if s.Clock.Now()-l.since < SettleTime {
 		return
 	}
+	index := s.Catalog.Index()
+	if l.planned == index {
+		return
+	}
 	command := plan(s.Catalog)
 	if command.Placements == nil && command.Registries == nil {
+		l.planned = index
+
 		return
 	}
 	if _, err := s.propose(ctx, &command); err != nil {
@@ -59,8 +60,3 @@
 
 	return slices.Compact(list)
 }
-
-// score orders instances for a key by rendezvous hashing.
-func score(key string, id lab.InstanceID) uint64 {
-	return xxhash.Sum64String(key + "\x00" + string(id))
-}
--- a/control/process/labcontrol/server.go
+++ b/control/process/labcontrol/server.go
@@ -52,6 +52,7 @@
 	table    *lablease.Table
 	promoter *labpromoter.Promoter
 	contacts contacts
+	planned  uint64 // log index at which no placement needed a change; used by Tick only
 }
 
 // Run works until the context ends.
@@ -96,6 +97,9 @@
 		Catalog: s.Catalog, Prober: s.Prober, Random: s.Random, Logger: s.Logger, Propose: s.propose,
 		WritesEnded: func(database string) bool { return l.table.WritesEnded(s.Clock.Now(), database) },
 	}
+	for _, n := range s.Catalog.Databases() {
+		l.promoter.Suspect(n, labpromoter.ReachableWait) // losses known to the former leader may not be reported again
+	}
 	s.lead.Store(l)
 	s.Logger.Info().Str("event", "leadership_began").Uint64("term", v.Term).Send()
 
--- /dev/null
+++ b/control/process/labcontrol/status.go
@@ -0,0 +1,92 @@
+package labcontrol
+
+import (
+	"net/http"
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/lablease"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+)
+
+// Status is the answer to GET /v1/status.
+type Status struct {
+	Leader          lab.InstanceID   `json:"leader"`
+	ConsensusTerm   uint64           `json:"consensus_term"`
+	Index           uint64           `json:"index"`
+	AcceptedVersion uint64           `json:"accepted_version"`
+	Databases       []DatabaseStatus `json:"databases"`
+	Proxies         []ProxyStatus    `json:"proxies"`
+	Leases          []lablease.Right `json:"leases"`
+	NowNS           time.Duration    `json:"now_ns"` // leader's clock, to which the leases' ends refer
+}
+
+// DatabaseStatus describes one database group.
+type DatabaseStatus struct {
+	lab.Database
+	Term      lab.Term              `json:"term"`
+	Promotion *labcatalog.Promotion `json:"promotion,omitempty"`
+	Statuses  []MemberLag           `json:"statuses"`
+}
+
+// MemberLag is the last observation of a member that was reported to this leader.
+type MemberLag struct {
+	lab.MemberStatus
+	LagBytes uint64 `json:"lag_bytes"` // behind the primary's last reported position
+}
+
+// ProxyStatus describes one live proxy.
+type ProxyStatus struct {
+	Instance       lab.Instance `json:"instance"`
+	Draining       bool         `json:"draining"`
+	Duties         int          `json:"duties"`
+	ConfirmedIndex uint64       `json:"confirmed_index"`
+	InForceVersion uint64       `json:"in_force_version"`
+	SilentMS       int64        `json:"silent_ms"` // since the last heartbeat or the start of this leadership
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request, l *leadership) {
+	reply(w, http.StatusOK, s.report(l))
+}
+
+func (s *Server) report(l *leadership) Status {
+	now := s.Clock.Now()
+	status := Status{
+		Leader: s.Self.ID, ConsensusTerm: l.term, Index: s.Catalog.Index(), AcceptedVersion: s.Catalog.Version(),
+		Databases: []DatabaseStatus{}, Proxies: []ProxyStatus{}, Leases: l.table.Rights(now), NowNS: now,
+	}
+	for _, n := range s.Catalog.Databases() {
+		status.Databases = append(status.Databases, s.reportDatabase(l, n))
+	}
+	for _, p := range s.Catalog.Proxies() {
+		c := l.contacts.last(p.Instance.ID)
+		status.Proxies = append(status.Proxies, ProxyStatus{
+			Instance: p.Instance, Draining: p.Draining, Duties: len(s.Catalog.Duties(p.Instance.ID)),
+			ConfirmedIndex: c.confirmed, InForceVersion: s.Catalog.VersionAt(c.confirmed),
+			SilentMS: (now - max(c.at, l.since)).Milliseconds(),
+		})
+	}
+
+	return status
+}
+
+func (s *Server) reportDatabase(l *leadership, name string) DatabaseStatus {
+	d, _ := s.Catalog.Database(name)
+	status := DatabaseStatus{Database: *d, Term: d.Term(), Statuses: []MemberLag{}}
+	if p, running := s.Catalog.Promotion(name); running {
+		status.Promotion = &p
+	}
+	seen := l.promoter.Statuses(name)
+	primary := seen[d.Primary].Received.Offset
+	for _, m := range d.Members {
+		if x, known := seen[m.Member]; known {
+			lag := MemberLag{MemberStatus: x}
+			if primary > x.Received.Offset {
+				lag.LagBytes = primary - x.Received.Offset
+			}
+			status.Statuses = append(status.Statuses, lag)
+		}
+	}
+
+	return status
+}
--- a/control/process/labpromoter/promoter.go
+++ b/control/process/labpromoter/promoter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -17,7 +18,7 @@
 const (
 	// ReachableWait is how long loss reports must last when control still reaches the primary over a new connection.
 	ReachableWait = 3 * time.Second
-	// SuspectWait is how long control's own probes must fail when no gateway reports on the primary.
+	// SuspectWait is how long control's own probes must fail when the primary's gateway is silent.
 	SuspectWait = time.Second
 	// RestAfterReinstatement keeps a primary that its gateway can't reach from losing its writes again at once.
 	RestAfterReinstatement = 5 * time.Second
@@ -63,7 +64,7 @@
 	}
 	w := s.watches[database]
 	if w == nil {
-		w = &watch{losses: map[report]time.Duration{}, stream: map[string]lab.Position{}}
+		w = &watch{losses: map[report]time.Duration{}, stream: map[string]lab.Position{}, statuses: map[string]lab.MemberStatus{}}
 		s.watches[database] = w
 	}
 
@@ -72,12 +73,31 @@
 
 // Observe takes in a member status reported by a gateway.
 func (p *Promoter) Observe(now time.Duration, from lab.InstanceID, status lab.MemberStatus) {
-	p.watch(status.Database).observe(now, from, status)
+	w := p.watch(status.Database)
+	w.observe(now, from, status)
+	d, known := p.Catalog.Database(status.Database)
+	if !known || !status.Reachable || status.Member != d.Primary {
+		return
+	}
+	m, _ := d.Member(d.Primary)
+	if g, _ := d.Placement(m.Region); g.Instance == from {
+		w.trust()
+	}
+}
+
+// Statuses returns the last reported status of each member of a database.
+func (p *Promoter) Statuses(database string) map[string]lab.MemberStatus {
+	w := p.watch(database)
+	w.lock.Lock()
+	defer w.lock.Unlock()
+
+	return maps.Clone(w.statuses)
 }
 
-// Suspect makes control probe a primary itself, because no gateway can report on it.
-func (p *Promoter) Suspect(database string) {
-	p.watch(database).suspect()
+// Suspect makes control probe a primary itself, because no gateway has reported on it. The primary is replaced when
+// probes fail for the given time and no gateway reports it as reachable meanwhile.
+func (p *Promoter) Suspect(database string, wait time.Duration) {
+	p.watch(database).suspect(wait)
 }
 
 // Tick starts the steps that are due and returns without waiting for them.
--- a/control/process/labpromoter/promoter_test.go
+++ b/control/process/labpromoter/promoter_test.go
@@ -74,7 +74,7 @@
 	t.Run("gateway is silent as well", func(t *testing.T) {
 		w := started(t)
 		w.cluster.nodes["m1"].up = false
-		w.promoter.Suspect(database)
+		w.promoter.Suspect(database, labpromoter.SuspectWait)
 		assert.NilError(t, w.step())
 		w.primary("m1", 1)
 		w.now += labpromoter.SuspectWait
--- a/control/process/labpromoter/steps.go
+++ b/control/process/labpromoter/steps.go
@@ -64,7 +64,7 @@
 			return false, nil
 		}
 	case reasonSuspected:
-		if p.watch(d.Name).probed(now, p.reachable(ctx, d)) < SuspectWait {
+		if !p.watch(d.Name).probed(now, p.reachable(ctx, d)) {
 			return false, nil
 		}
 	case reasonLeaving:
--- a/control/process/labpromoter/watch.go
+++ b/control/process/labpromoter/watch.go
@@ -15,11 +15,12 @@
 	failed    int           // consecutive failures
 	losses    map[report]time.Duration
 	stream    map[string]lab.Position // last position with a known term by member
-	missing   time.Duration           // first failed attempt to reach the chosen member, 0 for none
-	started   time.Duration           // when the running promotion was first worked on, 0 for none
-	resting   time.Duration           // no new promotion starts before this time
-	suspected bool                    // control has to find out for itself whether the primary is reachable
-	refused   time.Duration           // first failed probe of a suspected primary, 0 for none
+	statuses  map[string]lab.MemberStatus
+	missing   time.Duration // first failed attempt to reach the chosen member, 0 for none
+	started   time.Duration // when the running promotion was first worked on, 0 for none
+	resting   time.Duration // no new promotion starts before this time
+	suspected time.Duration // how long control's own probes of the primary must fail, 0 for no suspicion
+	refused   time.Duration // first failed probe of a suspected primary, 0 for none
 }
 
 // report identifies who sees which member as unreachable.
@@ -34,6 +35,7 @@
 	if s.Received.Term != 0 {
 		w.stream[s.Member] = s.Received
 	}
+	w.statuses[s.Member] = s
 	key := report{member: s.Member, reporter: from}
 	if s.Reachable {
 		delete(w.losses, key)
@@ -45,6 +47,13 @@
 	}
 }
 
+// trust ends a suspicion, because the primary's gateway reached it.
+func (w *watch) trust() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.suspected, w.refused = 0, 0
+}
+
 func (w *watch) streamed(member string) lab.Position {
 	w.lock.Lock()
 	defer w.lock.Unlock()
@@ -61,33 +70,35 @@
 	return t, lost
 }
 
-func (w *watch) suspect() {
+func (w *watch) suspect(wait time.Duration) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.suspected = true
+	if w.suspected == 0 || wait < w.suspected {
+		w.suspected = wait
+	}
 }
 
 func (w *watch) isSuspected() bool {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 
-	return w.suspected
+	return w.suspected > 0
 }
 
-// probed takes in control's own probe of a suspected primary and returns for how long probes have failed.
-func (w *watch) probed(now time.Duration, reachable bool) time.Duration {
+// probed takes in control's own probe of a suspected primary and reports whether probes failed for long enough.
+func (w *watch) probed(now time.Duration, reachable bool) bool {
 	w.lock.Lock()
 	defer w.lock.Unlock()
 	if reachable {
-		w.suspected, w.refused = false, 0
+		w.suspected, w.refused = 0, 0
 
-		return 0
+		return false
 	}
 	if w.refused == 0 {
 		w.refused = now
 	}
 
-	return now - w.refused
+	return w.suspected > 0 && now-w.refused >= w.suspected
 }
 
 // begin reserves the database for one step.
@@ -151,7 +162,7 @@
 func (w *watch) done(primary string, resting time.Duration) {
 	w.lock.Lock()
 	defer w.lock.Unlock()
-	w.started, w.missing, w.refused, w.suspected, w.resting = 0, 0, 0, false, resting
+	w.started, w.missing, w.refused, w.suspected, w.resting = 0, 0, 0, 0, resting
 	for k := range w.losses {
 		if k.member == primary && resting == 0 {
 			delete(w.losses, k)
--- a/control/version/labcatalog/configuration.go
+++ b/control/version/labcatalog/configuration.go
@@ -61,6 +61,22 @@
 	return o, ok
 }
 
+// Templates returns the names of all templates, without deleted ones, in ascending order.
+func (c *Catalog) Templates() []string {
+	c.configuration.lock.RLock()
+	defer c.configuration.lock.RUnlock()
+
+	return c.configuration.templateNames()
+}
+
+// VersionAt returns the configuration version as of a log index, 0 when it is older than the remembered changes.
+func (c *Catalog) VersionAt(index uint64) uint64 {
+	c.configuration.lock.RLock()
+	defer c.configuration.lock.RUnlock()
+
+	return c.configuration.answers.version(index)
+}
+
 // Organisation returns an organisation as proxies see it; the caller must not change it.
 func (c *Catalog) Organisation(name string) (*lab.Organisation, bool) {
 	c.configuration.lock.RLock()
@@ -141,7 +157,7 @@
 	switch {
 	case c.Organisation != nil && c.Organisation.Template != "":
 		if t, ok := f.templates[c.Organisation.Template]; !ok || t.Deleted {
-			return fmt.Sprintf("$.template: no template %q; accepted: %s", c.Organisation.Template, f.templateNames())
+			return fmt.Sprintf("$.template: no template %q; accepted: %q", c.Organisation.Template, f.templateNames())
 		}
 	case c.Kind == KindTemplate && c.Template == nil:
 		if t, ok := f.templates[c.Name]; !ok || t.Deleted {
@@ -172,7 +188,7 @@
 	return names
 }
 
-func (f *configuration) templateNames() string {
+func (f *configuration) templateNames() []string {
 	names := []string{}
 	for n, t := range f.templates {
 		if !t.Deleted {
@@ -181,7 +197,7 @@
 	}
 	slices.Sort(names)
 
-	return fmt.Sprintf("%q", names)
+	return names
 }
 
 func (c *Catalog) store(index uint64, change *Change) {
--- a/control/version/labcatalog/memory.go
+++ b/control/version/labcatalog/memory.go
@@ -1,5 +1,7 @@
 package labcatalog
 
+import "sort"
+
 // memoryLimit is how many change ids are remembered; at 690 changes a day this covers three weeks.
 const memoryLimit = 16384
 
@@ -32,3 +34,16 @@
 
 	return r, ok
 }
+
+// version returns the newest version that was accepted up to a log index.
+func (m *memory) version(index uint64) uint64 {
+	n := sort.Search(len(m.order), func(i int) bool { return m.order[i].Answer.Index > index })
+	for n > 0 {
+		n--
+		if m.order[n].Answer.Outcome == OutcomeAccepted {
+			return m.order[n].Answer.Version
+		}
+	}
+
+	return 0
+}
