--- a/proxy/connection/labsession/failure.go
+++ b/proxy/connection/labsession/failure.go
@@ -82,6 +82,14 @@
 		codeNotSupported, "LISTEN is not supported through the proxy",
 		"connections are shared between transactions; connect to the database directly",
 	}
+	errSessionLock = &failure{
+		codeNotSupported, "session-level advisory locks are not supported through the proxy",
+		"use pg_advisory_xact_lock; connections are shared between transactions",
+	}
+	errSetConfig = &failure{
+		codeNotSupported, "set_config outside of a transaction block is not supported through the proxy",
+		"use SET, which the proxy remembers for the session",
+	}
 	errUnitTooLarge = &failure{
 		codeProgramLimit, "messages up to Sync are over the size limit",
 		"send Sync more often",
--- a/proxy/connection/labsession/flush.go
+++ b/proxy/connection/labsession/flush.go
@@ -13,7 +13,7 @@
 
 	s.open = &unit{portals: u.portals}
 
-	if s.block.status() == statusIdle && len(u.portals) > 0 {
+	if s.block.status() == statusIdle && len(u.portals) > 0 && !u.begins() {
 		s.block.start("BEGIN", false)
 		s.implicit = true
 	}
@@ -27,6 +27,17 @@
 	}
 }
 
+// begins reports whether the unit contains the start of a transaction block.
+func (u *unit) begins() bool {
+	for _, e := range u.executes {
+		if e.Kind() == labstatement.Begin || e.Kind() == labstatement.BeginReadOnly {
+			return true
+		}
+	}
+
+	return false
+}
+
 // syncImplicit runs the messages since the last Flush and ends the block that was opened for them.
 func (s *Session) syncImplicit(u *unit) {
 	s.flushing = true
@@ -45,7 +56,7 @@
 }
 
 func (s *Session) endImplicit(u *unit) {
-	if u != nil && u.ends(labstatement.Begin, labstatement.BeginReadOnly) {
+	if u != nil && u.begins() && s.block.status() == statusActive {
 		return // the caller made it a block of its own
 	}
 
--- a/proxy/connection/labsession/login.go
+++ b/proxy/connection/labsession/login.go
@@ -54,6 +54,8 @@
 
 		if failed := s.step(l, f); failed != nil {
 			s.server.Counters.LoginsFailed.Add(1)
+			s.server.Log.Warn().Str("organisation", l.parameters["user"]).Str("database", l.parameters["database"]).
+				Str("code", failed.code).Str("reason", failed.message).Msg("login_refused")
 			s.finish(failed)
 
 			return false
--- a/proxy/connection/labsession/session.go
+++ b/proxy/connection/labsession/session.go
@@ -136,6 +136,8 @@
 
 func (s *Session) violate(f *failure) {
 	s.server.Counters.Violations.Add(1)
+	s.server.Log.Warn().Str("organisation", s.organisation).Str("database", s.database).
+		Str("code", f.code).Str("reason", f.message).Msg("session_closed")
 	s.finish(f)
 }
 
--- a/proxy/connection/labsession/simple.go
+++ b/proxy/connection/labsession/simple.go
@@ -62,6 +62,9 @@
 	case s.block.status() != statusFailed && u.setsOwn():
 		s.forget(u, nil)
 		s.refuse(errMixed)
+	case s.block.status() == statusIdle && u.setsConfig():
+		s.forget(u, nil)
+		s.refuse(errSetConfig)
 	case s.block.failed:
 		s.forget(u, nil)
 		s.refuse(errFailedBlock)
@@ -86,6 +89,17 @@
 	return false
 }
 
+// setsConfig reports whether the unit calls set_config, whose effect would end with the unit.
+func (u *unit) setsConfig() bool {
+	for _, e := range u.executes {
+		if e.SessionCall() == callSetConfig {
+			return true
+		}
+	}
+
+	return false
+}
+
 // late reports whether the unit names a request after its transaction was opened.
 func (s *Session) late(u *unit) bool {
 	return u.tags.Once != "" && u.tags.Once != s.block.local.once
--- a/proxy/connection/labsession/statement.go
+++ b/proxy/connection/labsession/statement.go
@@ -13,6 +13,8 @@
 // upstreamPrefix starts the names of prepared statements on upstream connections.
 const upstreamPrefix = "lab_"
 
+const callSetConfig = "set_config"
+
 const nameBytes = 16 // of SHA-256; a shorter or weaker hash would let a caller forge another organisation's statement
 
 // statement is a prepared statement of the session.
@@ -59,6 +61,10 @@
 				return f
 			}
 		}
+
+		if c := s.SessionCall(); c != "" && c != callSetConfig {
+			return errSessionLock
+		}
 	}
 
 	return nil
--- a/proxy/connection/labsession/unit.go
+++ b/proxy/connection/labsession/unit.go
@@ -28,10 +28,10 @@
 	fault    *failure // found before running; the unit is answered with it
 }
 
-// reads reports whether the unit runs nothing but reads.
+// reads reports whether the unit runs nothing but reads, and SET, which the upstream only checks.
 func (u *unit) reads() bool {
 	for _, e := range u.executes {
-		if e.Kind() != labstatement.Read {
+		if e.Kind() != labstatement.Read && e.Kind() != labstatement.Set {
 			return false
 		}
 	}
@@ -85,12 +85,7 @@
 		return !u.simple || len(u.executes) == 1
 	}
 
-	if u.reads() {
-		return true
-	}
-
-	// SET and RESET are sent only to be checked; the session remembers the value.
-	return len(u.executes) == 1 && u.executes[0].Kind() == labstatement.Set
+	return u.reads()
 }
 
 // refer lists a statement that the unit uses.
--- a/proxy/connection/labtoken/codec.go
+++ b/proxy/connection/labtoken/codec.go
@@ -34,18 +34,11 @@
 
 // Encode returns the signed text of a token.
 func (c *Codec) Encode(t Token) string {
-	names := make([]string, 0, len(t.floors))
-	for n := range t.floors {
-		names = append(names, n)
-	}
-
-	slices.Sort(names)
-
 	out := appendText([]byte{version}, t.session)
-	for _, n := range names {
-		out = appendText(out, n)
-		out = binary.AppendUvarint(out, uint64(t.floors[n].Term))
-		out = binary.AppendUvarint(out, t.floors[n].Offset)
+	for _, f := range t.floors {
+		out = appendText(out, f.database)
+		out = binary.AppendUvarint(out, uint64(f.position.Term))
+		out = binary.AppendUvarint(out, f.position.Offset)
 	}
 
 	out = append(out, sign(c.Keys[0], out)...)
@@ -90,11 +83,7 @@
 			r.bad = true
 		}
 
-		if t.floors == nil {
-			t.floors = make(map[string]lab.Position, 1)
-		}
-
-		t.floors[name] = lab.Position{Term: lab.Term(term), Offset: offset}
+		t = t.with(name, lab.Position{Term: lab.Term(term), Offset: offset})
 	}
 
 	if r.bad {
--- a/proxy/connection/labtoken/token.go
+++ b/proxy/connection/labtoken/token.go
@@ -1,7 +1,8 @@
 package labtoken
 
 import (
-	"maps"
+	"slices"
+	"strings"
 
 	"laburnumlock.dev/lab"
 )
@@ -9,7 +10,12 @@
 // Token is the content of a session token; a Token is not changed after it is shared.
 type Token struct {
 	session string
-	floors  map[string]lab.Position
+	floors  []floor // by database; a map would take several times the memory for the usual single entry
+}
+
+type floor struct {
+	database string
+	position lab.Position
 }
 
 // New returns a token of a session without floors.
@@ -24,31 +30,48 @@
 
 // Floor returns the floor of a database, zero when there is none.
 func (t Token) Floor(database string) lab.Position {
-	return t.floors[database]
+	if i, ok := t.find(database); ok {
+		return t.floors[i].position
+	}
+
+	return lab.Position{}
+}
+
+func (t Token) find(database string) (index int, found bool) {
+	return slices.BinarySearchFunc(t.floors, database, func(f floor, name string) int {
+		return strings.Compare(f.database, name)
+	})
 }
 
 // Raise returns the token with the floor of a database raised to at least position. A floor of an older term is first
 // cut back to its term's switch point in history; with an empty history the later position by term and offset wins.
 func (t Token) Raise(database string, position lab.Position, history lab.History) (raised Token, changed bool) {
-	have := t.floors[database]
+	have := t.Floor(database)
 	if position.IsZero() || !higher(position, have, history) {
 		return t, false
 	}
 
-	floors := maps.Clone(t.floors)
-	if floors == nil {
-		floors = make(map[string]lab.Position, 1)
+	return t.with(database, position), true
+}
+
+func (t Token) with(database string, position lab.Position) Token {
+	f := floor{database: database, position: position}
+
+	i, found := t.find(database)
+	if !found {
+		return Token{session: t.session, floors: slices.Insert(slices.Clip(t.floors), i, f)}
 	}
 
-	floors[database] = position
+	floors := slices.Clone(t.floors)
+	floors[i] = f
 
-	return Token{session: t.session, floors: floors}, true
+	return Token{session: t.session, floors: floors}
 }
 
 // Merge returns the token with every floor of other merged in.
 func (t Token) Merge(other Token, history func(database string) lab.History) Token {
-	for d, p := range other.floors {
-		t, _ = t.Raise(d, p, history(d))
+	for _, f := range other.floors {
+		t, _ = t.Raise(f.database, f.position, history(f.database))
 	}
 
 	return t
--- a/proxy/process/labfront/connection.go
+++ b/proxy/process/labfront/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 	"unsafe"
 
@@ -23,12 +24,21 @@
 	pollLimit = 50 * time.Millisecond
 )
 
+// lingerLimit is how long a caller has to close its side after the last message.
+const lingerLimit = 500 * time.Millisecond
+
 // connection is the socket of one caller.
 type connection struct {
 	front   *Front
 	socket  gnet.Conn
 	session *labsession.Session
-	ready   bool // used by the event loop only
+
+	// Used by the event loop only.
+	ready   bool
+	leaving bool      // received bytes are dropped
+	shut    bool      // the sending direction is closed
+	least   int       // fewest bytes buffered since leaving
+	until   time.Time // when a leaving connection is closed
 
 	lock     sync.Mutex
 	queued   int // bytes on the way to the event loop
@@ -123,7 +133,7 @@
 			least, progress = now, time.Now()
 		case time.Since(progress) > c.front.ProgressDeadline:
 			c.front.Counters.SlowReaders.Add(1)
-			c.Close()
+			c.cut()
 
 			return errSlow
 		}
@@ -132,12 +142,23 @@
 
 // refresh asks the event loop how much it still holds.
 func (c *connection) refresh() {
-	_ = c.socket.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+	c.onLoop(func() {
 		c.lock.Lock()
 		defer c.lock.Unlock()
 
-		if !c.closed {
-			c.buffered = c.socket.OutboundBuffered()
+		c.buffered = c.socket.OutboundBuffered()
+	})
+}
+
+// onLoop calls a function on the connection's event loop unless the connection is closed by then.
+func (c *connection) onLoop(call func()) {
+	_ = c.socket.EventLoop().Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		c.lock.Lock()
+		closed := c.closed
+		c.lock.Unlock()
+
+		if !closed {
+			call()
 		}
 
 		return nil
@@ -146,6 +167,40 @@
 
 // Close closes the connection after what was queued before.
 func (c *connection) Close() {
+	_ = c.socket.AsyncWrite(nil, func(_ gnet.Conn, err error) error {
+		if err == nil && !c.leaving {
+			c.leaving = true
+			c.least = c.socket.OutboundBuffered()
+			c.until = time.Now().Add(c.front.ProgressDeadline)
+			c.shard().leave(c)
+			c.linger()
+		}
+
+		return nil
+	})
+}
+
+// linger closes the sending direction when everything has been sent, and the connection when the caller has closed its
+// side or takes too long. Closing at once would reset the connection while the caller still sends, and the reset can
+// overtake the last message. It runs on the event loop.
+func (c *connection) linger() {
+	buffered, now := c.socket.OutboundBuffered(), time.Now()
+
+	switch {
+	case buffered == 0 && !c.shut:
+		c.shut = true
+		c.until = now.Add(lingerLimit)
+		_ = syscall.Shutdown(c.socket.Fd(), syscall.SHUT_WR)
+	case buffered > 0 && buffered < c.least:
+		c.least = buffered
+		c.until = now.Add(c.front.ProgressDeadline)
+	case now.After(c.until):
+		_ = c.socket.Close()
+	}
+}
+
+// cut closes the connection without sending what is left.
+func (c *connection) cut() {
 	_ = c.socket.AsyncWrite(nil, func(s gnet.Conn, err error) error {
 		if err != nil {
 			return nil //nolint:nilerr // the connection is closed already
--- a/proxy/process/labfront/fake_test.go
+++ b/proxy/process/labfront/fake_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -67,19 +69,25 @@
 	lock     sync.Mutex
 	next     int
 	offset   uint64
-	ran      []string // statements run, in order
-	headers  []lab.Header
+	ran      []string               // statements run, in order
+	header   lab.Header             // of the last Begin
 	begin    func(lab.Header) error // fails Begin
 	after    func(query string) error
+	wait     atomic.Pointer[func(context.Context) error] // holds up the next Begin
+	closed   atomic.Int64
 	conns    [3]map[string]string // prepared statements by connection
 	released chan struct{}        // closed to let "select block" end
 }
 
-func (g *fakeGateway) Begin(_ context.Context, h lab.Header) (lab.Transaction, error) {
+func (g *fakeGateway) Begin(ctx context.Context, h lab.Header) (lab.Transaction, error) {
+	if wait := g.wait.Swap(nil); wait != nil {
+		return nil, (*wait)(ctx)
+	}
+
 	g.lock.Lock()
 	defer g.lock.Unlock()
 
-	g.headers = append(g.headers, h)
+	g.header = h
 	if g.begin != nil {
 		if err := g.begin(h); err != nil {
 			return nil, err
@@ -91,7 +99,26 @@
 		g.conns[g.next] = map[string]string{}
 	}
 
-	return &fakeTransaction{gateway: g, prepared: g.conns[g.next], status: 'I', cancel: make(chan struct{}, 1)}, nil
+	return &fakeTransaction{gateway: g, prepared: g.conns[g.next], status: 'I', readOnly: h.ReadOnly, cancel: make(chan struct{}, 1)}, nil
+}
+
+// set changes the gateway while it may be in use.
+func (g *fakeGateway) set(change func(*fakeGateway)) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+
+	change(g)
+}
+
+func (g *fakeGateway) failure(query string) error {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+
+	if g.after == nil {
+		return nil
+	}
+
+	return g.after(query)
 }
 
 func (g *fakeGateway) record(query string) {
@@ -112,13 +139,14 @@
 	g.lock.Lock()
 	defer g.lock.Unlock()
 
-	return g.headers[len(g.headers)-1]
+	return g.header
 }
 
 type fakeTransaction struct {
 	gateway  *fakeGateway
 	prepared map[string]string
 	status   byte
+	readOnly bool
 	portals  map[string]fakePortal
 	out      io.Writer
 	err      error
@@ -132,7 +160,7 @@
 
 func (t *fakeTransaction) Cancel() { t.cancel <- struct{}{} }
 
-func (t *fakeTransaction) Close() {}
+func (t *fakeTransaction) Close() { t.gateway.closed.Add(1) }
 
 func (t *fakeTransaction) Run(ctx context.Context, u lab.Unit, answer io.Writer) (lab.Result, error) {
 	t.out, t.err, t.portals = answer, nil, map[string]fakePortal{}
@@ -140,15 +168,13 @@
 	failed := false
 
 	for _, s := range u.Statements {
-		if strings.Contains(s.Query, "syntax") {
-			t.fail("42601", "syntax error")
-
-			failed = true
+		if _, ok := t.prepared[s.Name]; ok {
+			continue
+		}
 
+		if failed = !t.prepare(s.Name, s.Query); failed {
 			break
 		}
-
-		t.prepared[s.Name] = s.Query
 	}
 
 	b := pgproto3.NewBackend(bytes.NewReader(u.Messages), io.Discard)
@@ -177,7 +203,7 @@
 
 	t.gateway.offset++
 
-	return lab.Result{Status: t.status, Position: lab.Position{Term: 1, Offset: t.gateway.offset}}, t.err
+	return lab.Result{Status: t.status, Replica: t.readOnly, Position: lab.Position{Term: 1, Offset: t.gateway.offset}}, t.err
 }
 
 func (t *fakeTransaction) send(m pgproto3.BackendMessage) {
@@ -197,6 +223,21 @@
 	return false
 }
 
+// prepare adds a statement; one that says "syntax" is faulty, and one that says "made" needs "insert made" before it.
+func (t *fakeTransaction) prepare(name, query string) bool {
+	if strings.Contains(query, "syntax") {
+		return t.fail("42601", "syntax error")
+	}
+
+	if strings.Contains(query, "select made") && !slices.Contains(t.gateway.queries(), "insert made") {
+		return t.fail("42P01", "relation does not exist")
+	}
+
+	t.prepared[name] = query
+
+	return true
+}
+
 // message handles one message and returns false when an error was answered.
 func (t *fakeTransaction) message(ctx context.Context, m pgproto3.FrontendMessage) bool {
 	switch m := m.(type) {
@@ -211,7 +252,10 @@
 			}
 		}
 	case *pgproto3.Parse:
-		t.prepared[m.Name] = m.Query
+		if !t.prepare(m.Name, m.Query) {
+			return false
+		}
+
 		t.send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
 		q, ok := t.prepared[m.PreparedStatement]
@@ -263,10 +307,8 @@
 func (t *fakeTransaction) execute(ctx context.Context, p fakePortal, describe bool) bool {
 	t.gateway.record(p.query)
 
-	if t.gateway.after != nil {
-		if t.err = t.gateway.after(p.query); t.err != nil {
-			return false
-		}
+	if t.err = t.gateway.failure(p.query); t.err != nil {
+		return false
 	}
 
 	w := strings.Fields(strings.ToLower(p.query))
@@ -303,6 +345,10 @@
 	switch w[1] {
 	case "error":
 		return t.fail("22012", "division by zero")
+	case "primary":
+		if t.readOnly {
+			return t.fail("25006", "cannot execute in a read-only transaction")
+		}
 	case "block":
 		select {
 		case <-t.cancel:
@@ -334,6 +380,12 @@
 		}
 	}
 
+	if w[len(w)-1] == "lost" {
+		t.err = lab.Unknown(lab.ReasonLost, errFake)
+
+		return false
+	}
+
 	t.send(&pgproto3.CommandComplete{CommandTag: fmt.Appendf(nil, "SELECT %d", rows)})
 
 	return true
--- /dev/null
+++ b/proxy/process/labfront/flow_test.go
@@ -0,0 +1,200 @@
+package labfront_test
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab/proxy/connection/labsession"
+	"laburnumlock.dev/lab/proxy/process/labfront"
+)
+
+func forwardTo(c chan<- uint32) func(context.Context, uint32, labsession.CancelKey) {
+	return func(_ context.Context, proxy uint32, _ labsession.CancelKey) { c <- proxy }
+}
+
+// Guards against holding a large result in memory, blocking an event loop for it, and waiting for ever for its reader.
+func TestSlowReader(t *testing.T) {
+	const rows, size = 20_000, 1000
+
+	x := start(t, func(f *labfront.Front) {
+		f.EventLoops = 1
+		f.ProgressDeadline = 300 * time.Millisecond
+		f.OutboundLimit = 64 << 10
+	})
+	other := x.connect(t)
+	query := &pgproto3.Query{String: "select rows 20000 1000"}
+
+	t.Run("slow", func(t *testing.T) {
+		r := x.login(t)
+		r.Send(query)
+		assert.NilError(t, r.Flush())
+		time.Sleep(100 * time.Millisecond)
+		answers(other, "v", "select $1", "v")(t)
+
+		sent := x.front.Counters.BytesOut.Load()
+		assert.Assert(t, sent < rows*size/2, "%d bytes were taken from the gateway before the caller read any", sent)
+
+		got := 0
+		for got < rows {
+			m, err := r.Receive()
+			assert.NilError(t, err)
+
+			if _, ok := m.(*pgproto3.DataRow); ok {
+				got++
+			}
+
+			if got%1000 == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+
+		assert.Equal(t, r.ask(t, 'Z'), "CIZ")
+	})
+	t.Run("stalled", func(t *testing.T) {
+		r := x.login(t)
+		r.Send(query)
+		assert.NilError(t, r.Flush())
+		eventually(t, func() bool { return x.front.Counters.SlowReaders.Load() == 1 })
+		eventually(t, func() bool { return x.front.Counters.Open.Load() == 1 })
+		answers(other, "v", "select $1", "v")(t)
+	})
+}
+
+// Guards against an answer that reaches another caller, and against work that goes on for a caller that has left.
+func TestLateAnswer(t *testing.T) {
+	x := start(t, nil)
+	r := x.login(t)
+	r.Send(&pgproto3.Query{String: "select block"})
+	assert.NilError(t, r.Flush())
+	eventually(t, func() bool { return count(x, "select block") == 1 })
+	assert.NilError(t, r.Close())
+	eventually(t, func() bool { return x.server.Counters.LateAnswers.Load() == 1 })
+
+	c := x.connect(t)
+	for range 5 {
+		answers(c, "v", "select $1", "v")(t)
+	}
+}
+
+// Guards against losing an open transaction's connection when its caller leaves.
+func TestLeftInTransaction(t *testing.T) {
+	x := start(t, nil)
+	r := x.login(t)
+	assert.Equal(t, r.ask(t, 'Z', &pgproto3.Query{String: "begin"}, &pgproto3.Query{String: "insert 1"})[:3], "CTZ")
+	eventually(t, func() bool { return count(x, "insert 1") == 1 })
+	assert.NilError(t, r.Close())
+	eventually(t, func() bool { return x.gateway.closed.Load() == 1 })
+}
+
+// Guards against a planned stop that cuts a request or a transaction, or takes new callers.
+func TestDrain(t *testing.T) {
+	x := start(t, nil)
+	ctx := context.Background()
+	idle, busy, block := x.login(t), x.login(t), x.connect(t)
+
+	busy.Send(&pgproto3.Query{String: "select block"})
+	assert.NilError(t, busy.Flush())
+	eventually(t, func() bool { return count(x, "select block") == 1 })
+
+	tx, err := block.Begin(ctx)
+	assert.NilError(t, err)
+	_, err = tx.Exec(ctx, "insert 1")
+	assert.NilError(t, err)
+
+	done := make(chan error, 1)
+	go func() { done <- x.front.Drain(ctx) }()
+
+	idle.fails(t, "57P01")
+
+	_, err = pgx.Connect(ctx, x.url(""))
+	assert.Equal(t, code(t, err), "57P03")
+
+	close(x.gateway.released)
+	assert.Equal(t, busy.ask(t, 'Z'), "TDCIZ")
+	busy.fails(t, "57P01")
+
+	_, err = tx.Exec(ctx, "insert 2")
+	assert.NilError(t, err)
+	assert.NilError(t, tx.Commit(ctx))
+	assert.NilError(t, <-done)
+	runs(x, "begin", "insert 1", "insert 2", "commit")(t)
+
+	t.Run("deadline", func(t *testing.T) {
+		y := start(t, nil)
+		c := y.connect(t)
+		_, err := c.Exec(ctx, "begin")
+		assert.NilError(t, err)
+
+		limited, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+		defer cancel()
+		assert.ErrorIs(t, y.front.Drain(limited), context.DeadlineExceeded)
+		assert.NilError(t, c.Ping(ctx))
+	})
+}
+
+// Guards against a goroutine or a buffer per idle connection.
+func TestIdleMemory(t *testing.T) {
+	const connections = 300
+
+	x := start(t, nil)
+	use := func() (goroutines int, bytes uint64) {
+		var m runtime.MemStats
+
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+
+		return runtime.NumGoroutine(), m.HeapAlloc
+	}
+
+	x.idle(t)
+
+	goroutines, heap := use()
+
+	for range connections {
+		x.idle(t)
+	}
+
+	after, heapAfter := use()
+	each := (int64(heapAfter) - int64(heap)) / connections
+
+	t.Logf("heap per idle authenticated connection: %d bytes, goroutines %d before, %d after", each, goroutines, after)
+	assert.Assert(t, after <= goroutines+2)
+	assert.Assert(t, each < 4<<10)
+	assert.Equal(t, x.front.Counters.Open.Load(), int64(connections+1))
+}
+
+// idle opens a session that has run a query, and keeps nothing of its client but a file descriptor.
+func (x *fixture) idle(t *testing.T) {
+	t.Helper()
+
+	c, err := pgconn.Connect(context.Background(), x.url(""))
+	assert.NilError(t, err)
+	_, err = c.Exec(context.Background(), "select one").ReadAll()
+	assert.NilError(t, err)
+
+	h, err := c.Hijack()
+	assert.NilError(t, err)
+
+	tcp, ok := h.Conn.(*net.TCPConn)
+	assert.Assert(t, ok)
+
+	raw, err := tcp.SyscallConn()
+	assert.NilError(t, err)
+
+	descriptor := -1
+
+	assert.NilError(t, raw.Control(func(fd uintptr) { descriptor, err = syscall.Dup(int(fd)) }))
+	assert.NilError(t, err)
+	assert.NilError(t, h.Conn.Close())
+	t.Cleanup(func() { _ = syscall.Close(descriptor) })
+}
--- a/proxy/process/labfront/front.go
+++ b/proxy/process/labfront/front.go
@@ -98,10 +98,19 @@
 }
 
 func (f *Front) setDefaults() {
+	for i := range f.shards {
+		f.shards[i].reset()
+	}
+
 	if f.MaxConnections == 0 {
 		f.MaxConnections = DefaultMaxConnections
 	}
 
+	if n := descriptorLimit(); f.MaxConnections > n {
+		f.Log.Warn().Int("max_connections", f.MaxConnections).Int("possible", n).Msg("too_few_descriptors")
+		f.MaxConnections = n
+	}
+
 	if f.StartupDeadline == 0 {
 		f.StartupDeadline = DefaultStartupDeadline
 	}
--- a/proxy/process/labfront/front_test.go
+++ b/proxy/process/labfront/front_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,10 +81,10 @@
 	return fmt.Sprintf("postgres://hanko:%s@%s/rota?sslmode=disable&%s", url.PathEscape(password), x.front.Address(), parameters)
 }
 
-func (x *fixture) connect(t *testing.T) *pgx.Conn {
+func (x *fixture) connect(t *testing.T, parameters ...string) *pgx.Conn {
 	t.Helper()
 
-	c, err := pgx.Connect(context.Background(), x.url(""))
+	c, err := pgx.Connect(context.Background(), x.url(strings.Join(parameters, "&")))
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close(context.Background()) })
 
--- a/proxy/process/labfront/handler.go
+++ b/proxy/process/labfront/handler.go
@@ -7,7 +7,7 @@
 	"github.com/panjf2000/gnet/v2"
 )
 
-const tick = 250 * time.Millisecond
+const tick = 100 * time.Millisecond
 
 // handler receives gnet's events.
 type handler struct {
@@ -96,6 +96,11 @@
 	}
 
 	h.front.Counters.BytesIn.Add(int64(len(data)))
+
+	if c.leaving {
+		return gnet.None
+	}
+
 	c.session.Receive(data)
 
 	if !c.ready && c.session.Ready() {
@@ -114,7 +119,11 @@
 		for _, c := range h.front.shards[i].overdue(before) {
 			h.front.Counters.StartupTimeouts.Add(1)
 			h.front.shards[i].started(c)
-			c.Close()
+			c.cut()
+		}
+
+		for _, c := range h.front.shards[i].departing() {
+			c.onLoop(c.linger)
 		}
 	}
 
--- /dev/null
+++ b/proxy/process/labfront/outcomes_test.go
@@ -0,0 +1,255 @@
+package labfront_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+var errFake = errors.New("fake failure")
+
+// failing makes the first n units of a query fail after they ran.
+func failing(n int, query string, err error) func(string) error {
+	return func(q string) error {
+		if q != query || n == 0 {
+			return nil
+		}
+
+		n--
+
+		return err
+	}
+}
+
+func count(x *fixture, query string) int {
+	n := 0
+
+	for _, q := range x.gateway.queries() {
+		if q == query {
+			n++
+		}
+	}
+
+	return n
+}
+
+// Guards against running a request twice, reporting a wrong outcome, and leaving the caller in a wrong state.
+func TestOutcomes(t *testing.T) {
+	ctx := context.Background()
+	unknown := lab.Unknown(lab.ReasonLost, errFake)
+
+	// ends runs a query of which the first n runs fail, and compares the SQLSTATE ("" for success) and number of runs.
+	ends := func(query string, n int, failure error, want string, times int) func(*testing.T) {
+		return func(t *testing.T) {
+			x := start(t, nil)
+			x.gateway.set(func(g *fakeGateway) { g.after = failing(n, query, failure) })
+			c := x.connect(t)
+
+			_, err := c.Exec(ctx, query)
+			if want == "" {
+				assert.NilError(t, err)
+			} else {
+				assert.Equal(t, code(t, err), want)
+			}
+
+			assert.Equal(t, count(x, query), times)
+			assert.Equal(t, c.PgConn().TxStatus(), byte('I'))
+			answers(c, "v", "select $1", "v")(t)
+		}
+	}
+
+	t.Run("read lost", ends("select one", 2, unknown, "", 3))
+	t.Run("unknown function lost", ends("select charge()", 1, unknown, "LL002", 1))
+	t.Run("named read lost", ends("/* laburnumlock:once=a */ select one", 1, unknown, "LL002", 1))
+	t.Run("write lost", ends("insert one", 1, unknown, "LL002", 1))
+	t.Run("write not run", ends("insert one", 2, lab.NotRun(lab.ReasonNoPrimary, errFake), "", 3))
+	t.Run("write rejected", ends("insert one", 1, lab.NotRun(lab.ReasonRejected, errFake), "LL001", 1))
+	t.Run("not run until the deadline", ends("insert one", -1, lab.NotRun(lab.ReasonDeadline, errFake), "LL001", 1))
+	t.Run("read on a replica that refuses", func(t *testing.T) {
+		x := start(t, nil)
+		x.gateway.set(func(g *fakeGateway) { g.after = failing(1, "select one", lab.NotRun(lab.ReasonReadOnly, errFake)) })
+		_, err := x.connect(t).Exec(ctx, "select one")
+		assert.NilError(t, err)
+		assert.Equal(t, x.gateway.lastHeader().ReadOnly, false)
+	})
+	t.Run("read that a replica answers with an error", func(t *testing.T) {
+		x := start(t, nil)
+		_, err := x.connect(t).Exec(ctx, "select primary")
+		assert.NilError(t, err)
+		assert.Equal(t, x.gateway.lastHeader().ReadOnly, false)
+	})
+	t.Run("no retry after a part of the answer", func(t *testing.T) {
+		x := start(t, nil)
+		r, err := x.connect(t).PgConn().Exec(ctx, "select rows 100 1000 lost").ReadAll()
+		assert.Equal(t, code(t, err), "LL002")
+		assert.Equal(t, len(r[0].Rows), 100)
+		assert.Equal(t, count(x, "select rows 100 1000 lost"), 1)
+	})
+	t.Run("no retry without budget", func(t *testing.T) {
+		x := start(t, nil)
+		x.server.Budget = emptyBudget{}
+		x.gateway.set(func(g *fakeGateway) { g.after = failing(1, "select one", unknown) })
+		_, err := x.connect(t).Exec(ctx, "select one")
+		assert.Equal(t, code(t, err), "LL002")
+	})
+	t.Run("retries end with the deadline", func(t *testing.T) {
+		x := start(t, nil)
+		x.server.ReadDeadline = 50 * time.Millisecond
+		x.gateway.set(func(g *fakeGateway) {
+			g.begin = func(lab.Header) error { return lab.NotRun(lab.ReasonNoLease, errFake) }
+		})
+		began := time.Now()
+		_, err := x.connect(t).Exec(ctx, "select one")
+		assert.Equal(t, code(t, err), "LL001")
+		assert.Assert(t, time.Since(began) < 5*time.Second)
+	})
+	t.Run("in a transaction", func(t *testing.T) {
+		x := start(t, nil)
+		x.gateway.set(func(g *fakeGateway) { g.after = failing(1, "insert two", lab.NotRun(lab.ReasonLost, errFake)) })
+		tx, err := x.connect(t).Begin(ctx)
+		assert.NilError(t, err)
+		_, err = tx.Exec(ctx, "insert one")
+		assert.NilError(t, err)
+		_, err = tx.Exec(ctx, "insert two")
+		assert.Equal(t, code(t, err), "LL001")
+		_, err = tx.Exec(ctx, "insert three")
+		assert.Equal(t, code(t, err), "25P02")
+		assert.ErrorIs(t, tx.Commit(ctx), pgx.ErrTxCommitRollback)
+		assert.Equal(t, count(x, "insert three")+count(x, "commit"), 0)
+	})
+	t.Run("commit lost", func(t *testing.T) {
+		x := start(t, nil)
+		x.gateway.set(func(g *fakeGateway) { g.after = failing(1, "commit", unknown) })
+		c := x.connect(t)
+		tx, err := c.Begin(ctx)
+		assert.NilError(t, err)
+		_, err = tx.Exec(ctx, "insert one")
+		assert.NilError(t, err)
+		assert.Equal(t, code(t, tx.Commit(ctx)), "LL002")
+		assert.Equal(t, c.PgConn().TxStatus(), byte('I'))
+	})
+}
+
+type emptyBudget struct{ fakeBudget }
+
+func (emptyBudget) Retry() bool { return false }
+
+// Guards against tags and settings that do not reach the gateway.
+func TestHeader(t *testing.T) {
+	x := start(t, nil)
+	c := x.connect(t, "laburnumlock.read_class=report")
+	ctx := context.Background()
+
+	is := func(want lab.Header, queries ...string) func(*testing.T) {
+		return func(t *testing.T) {
+			for _, q := range queries {
+				_, err := c.Exec(ctx, q)
+				assert.NilError(t, err, q)
+			}
+
+			got := x.gateway.lastHeader()
+			got.RequestID, got.Floor = 0, lab.Position{}
+			want.Organisation, want.Database = "hanko", "rota"
+			assert.Assert(t, got.Deadline > 0 && got.Deadline <= 60*time.Second)
+			got.Deadline = 0
+			assert.Equal(t, got, want)
+		}
+	}
+	refuses := func(want string, queries ...string) func(*testing.T) {
+		return func(t *testing.T) {
+			_, err := c.Exec(ctx, strings.Join(queries, ";"))
+			assert.Equal(t, code(t, err), want)
+
+			_, err = c.Exec(ctx, "rollback")
+			assert.NilError(t, err)
+		}
+	}
+	write := lab.Header{Class: lab.ClassWrite}
+
+	t.Run("read class of the session", is(lab.Header{Class: lab.ClassPrompt, ReadOnly: true, MaxAge: 2 * time.Second}, "select 1"))
+	t.Run("read class", is(lab.Header{Class: lab.ClassPrompt, ReadOnly: true}, "reset laburnumlock.read_class", "select 1"))
+	t.Run("read class of a tag", is(lab.Header{Class: lab.ClassPrompt, ReadOnly: true, MaxAge: 2 * time.Second},
+		"/* laburnumlock:class=report */ select 1"))
+	t.Run("write", is(write, "insert 1"))
+	t.Run("once", is(lab.Header{Class: lab.ClassWrite, OnceName: "n1"}, "/* laburnumlock:once=n1 */ insert 1"))
+	t.Run("once on a read", is(lab.Header{Class: lab.ClassWrite, OnceName: "n1"}, "/* laburnumlock:once=n1 */ select 1"))
+	t.Run("once in a transaction", is(lab.Header{Class: lab.ClassWrite, OnceName: "n2"},
+		"begin", "set local laburnumlock.once = 'n2'", "insert 1", "commit"))
+	t.Run("once ends with the transaction", is(write, "insert 1"))
+	t.Run("may wait", is(lab.Header{Class: lab.ClassMayWait}, "set laburnumlock.class = 'may_wait'", "insert 1"))
+	t.Run("reset", is(write, "reset laburnumlock.class", "insert 1"))
+
+	t.Run("session once", refuses("22023", "set laburnumlock.once = 'n3'"))
+	t.Run("once outside of a transaction", refuses("25P01", "set local laburnumlock.once = 'n3'"))
+	t.Run("bad tag", refuses("22023", "/* laburnumlock:once=a b */ insert 1"))
+	t.Run("unknown class", refuses("22023", "/* laburnumlock:class=none */ insert 1"))
+	t.Run("unknown parameter", refuses("22023", "set laburnumlock.foo = 1"))
+	t.Run("mixed", refuses("0A000", "begin", "set local laburnumlock.once = 'n4'", "insert 1"))
+	t.Run("late once", func(t *testing.T) {
+		_, err := c.Exec(ctx, "begin")
+		assert.NilError(t, err)
+		_, err = c.Exec(ctx, "insert 1")
+		assert.NilError(t, err)
+		refuses("55000", "/* laburnumlock:once=n5 */ insert 2")(t)
+	})
+}
+
+// Guards against session parameters that are lost on another connection or survive a rollback.
+func TestSettings(t *testing.T) {
+	x := start(t, nil)
+	c := x.connect(t, "search_path=mine", "extra_float_digits=2", "client_encoding=UTF8")
+	ctx := context.Background()
+
+	after := func(want []string, queries ...string) func(*testing.T) {
+		return func(t *testing.T) {
+			t.Helper()
+
+			for _, q := range queries {
+				_, err := c.Exec(ctx, q)
+				assert.NilError(t, err, q)
+			}
+
+			runs(x, want...)(t)
+		}
+	}
+	path := `SET "search_path" = 'mine'`
+
+	t.Run("startup", after([]string{path, "insert 1"}, "insert 1"))
+	t.Run("extended", func(t *testing.T) {
+		answers(c, "v", "select $1", "v")(t)
+		runs(x, path, "select $1")(t)
+	})
+	t.Run("set", after([]string{path, "set a = 1", "insert 2"}, "set a = 1", "insert 2"))
+	t.Run("replaced", after([]string{path, "set a = 2", "insert 3"}, "set a = 2", "insert 3"))
+	t.Run("in a block", after([]string{"begin", path, "set a = 2", "insert 4", "commit"}, "begin", "insert 4", "commit"))
+	t.Run("rolled back", after([]string{path, "set a = 2", "insert 5"}, "begin", "set b = 1", "rollback", "insert 5"))
+	t.Run("committed", after([]string{path, "set a = 2", "set b = 1", "insert 6"}, "begin", "set b = 1", "commit", "insert 6"))
+	t.Run("local", after([]string{path, "set a = 2", "set b = 1", "insert 7"}, "begin", "set local c = 1", "commit", "insert 7"))
+	t.Run("discard all", after([]string{path, "insert 8"}, "discard all", "insert 8"))
+	t.Run("reset", after([]string{path, "insert 9"}, "set search_path = x", "reset search_path", "insert 9"))
+	t.Run("position of an error", func(t *testing.T) {
+		_, err := c.Exec(ctx, "syntax")
+
+		var e *pgconn.PgError
+
+		assert.Assert(t, errors.As(err, &e))
+		assert.Equal(t, e.Position, int32(30-len(path+"\n;\n"))) // the fake reports 30
+	})
+	t.Run("refused", func(t *testing.T) {
+		for _, q := range []string{
+			"set client_encoding = 'SJIS'", "set default_transaction_read_only = on", "listen x",
+			"select pg_advisory_lock(1)", "select set_config('a', 'b', false)",
+		} {
+			_, err := c.Exec(ctx, q)
+			assert.Equal(t, code(t, err), "0A000")
+		}
+	})
+}
--- /dev/null
+++ b/proxy/process/labfront/startup_test.go
@@ -0,0 +1,277 @@
+package labfront_test
+
+import (
+	"context"
+	"encoding/binary"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labtoken"
+	"laburnumlock.dev/lab/proxy/process/labfront"
+)
+
+// Guards against letting callers in that must not get in, and against unclear refusals.
+func TestLogin(t *testing.T) {
+	x := start(t, nil)
+	refuses := func(old, replacement, want string) func(*testing.T) {
+		return func(t *testing.T) {
+			_, err := pgx.Connect(context.Background(), strings.Replace(x.url(""), old, replacement, 1))
+			assert.Equal(t, code(t, err), want)
+		}
+	}
+
+	t.Run("wrong password", refuses("horse", "cow", "28P01"))
+	t.Run("unknown user", refuses("hanko", "kotka", "28P01"))
+	t.Run("unknown database", refuses("/rota", "/none", "3D000"))
+	t.Run("replication", refuses("&", "&replication=database", "0A000"))
+	t.Run("encoding", refuses("&", "&client_encoding=LATIN1", "0A000"))
+	t.Run("read class", refuses("&", "&laburnumlock.read_class=none", "22023"))
+	t.Run("token", refuses("&", "&laburnumlock.token=none", "22023"))
+	t.Run("no user", func(t *testing.T) {
+		r := x.dial(t)
+		r.Send(&pgproto3.StartupMessage{ProtocolVersion: 196608, Parameters: map[string]string{"database": "rota"}})
+		assert.NilError(t, r.Flush())
+		r.fails(t, "28000")
+	})
+	t.Run("no credentials", func(t *testing.T) {
+		r := x.dial(t)
+		r.Send(&pgproto3.StartupMessage{ProtocolVersion: 196608, Parameters: map[string]string{"user": "hanko"}})
+		assert.Equal(t, r.ask(t, 'R'), "R")
+		r.Send(&pgproto3.PasswordMessage{Password: password})
+		assert.NilError(t, r.Flush())
+		r.fails(t, "28000")
+	})
+	t.Run("query before authentication", func(t *testing.T) {
+		r := x.dial(t)
+		r.Send(&pgproto3.StartupMessage{ProtocolVersion: 196608, Parameters: map[string]string{"user": "hanko"}})
+		r.Send(&pgproto3.Query{String: "select one"})
+		assert.NilError(t, r.Flush())
+		r.fails(t, "08P01")
+		assert.Equal(t, count(x, "select one"), 0)
+	})
+	t.Run("no encryption, newer protocol", func(t *testing.T) {
+		r := x.dial(t)
+
+		for _, m := range []pgproto3.FrontendMessage{&pgproto3.SSLRequest{}, &pgproto3.GSSEncRequest{}} {
+			r.Send(m)
+			assert.NilError(t, r.Flush())
+
+			b := make([]byte, 1)
+			_, err := r.Read(b)
+			assert.NilError(t, err)
+			assert.Equal(t, b[0], byte('N'))
+		}
+
+		r.Send(&pgproto3.StartupMessage{ProtocolVersion: 196608 + 9, Parameters: map[string]string{"user": "hanko", "_pq_.x": "1"}})
+		assert.NilError(t, r.Flush())
+
+		m, err := r.Receive()
+		assert.NilError(t, err)
+
+		v, ok := m.(*pgproto3.NegotiateProtocolVersion)
+		assert.Assert(t, ok, "%T", m)
+		assert.Equal(t, v.NewestMinorProtocol, uint32(196608+2))
+		assert.DeepEqual(t, v.UnrecognizedOptions, []string{"_pq_.x"})
+	})
+	t.Run("protocol 3.2", func(t *testing.T) {
+		c := x.connect(t, "max_protocol_version=3.2")
+		assert.Equal(t, len(c.PgConn().SecretKey()), 16)
+	})
+}
+
+// Guards against memory use by broken or oversized frames, and against running anything of them.
+func TestFrames(t *testing.T) {
+	x := start(t, func(f *labfront.Front) { f.Server.MessageLimit = 1 << 20 })
+	header := func(kind byte, length uint32) []byte {
+		return binary.BigEndian.AppendUint32([]byte{kind}, length)
+	}
+	ends := func(open func(*fixture, *testing.T) *raw, want string, data []byte) func(*testing.T) {
+		return func(t *testing.T) {
+			r := open(x, t)
+			_, err := r.Write(data)
+			assert.NilError(t, err)
+			r.fails(t, want)
+			assert.Equal(t, len(x.gateway.queries()), 0)
+		}
+	}
+
+	t.Run("short length", ends((*fixture).login, "08P01", header('Q', 3)))
+	t.Run("negative length", ends((*fixture).login, "08P01", header('Q', 1<<31)))
+	t.Run("unknown type", ends((*fixture).login, "08P01", header('?', 4)))
+	t.Run("over the limit", ends((*fixture).login, "54000", append(header('Q', 1<<20+1), make([]byte, 8<<20)...)))
+	t.Run("startup over the limit", ends((*fixture).dial, "54000", header(0, 0x01000000)))
+	t.Run("startup too short", ends((*fixture).dial, "08P01", []byte{0, 0, 0, 6, 0, 3}))
+	t.Run("startup garbage", ends((*fixture).dial, "54000", []byte("GET / HTTP/1.1\r\n")))
+	t.Run("protocol 2", ends((*fixture).dial, "0A000", []byte{0, 0, 0, 8, 0, 2, 0, 0}))
+	t.Run("unit over the limit", func(t *testing.T) {
+		r := x.login(t)
+		large := &pgproto3.Parse{Query: "select '" + strings.Repeat("x", 600_000) + "'"}
+		assert.Equal(t, r.ask(t, 'Z', large, &pgproto3.Bind{Parameters: [][]byte{make([]byte, 600_000)}},
+			&pgproto3.Bind{Parameters: [][]byte{make([]byte, 600_000)}}, &pgproto3.Sync{}), "EIZ")
+	})
+	t.Run("too much ahead", func(t *testing.T) {
+		r := x.login(t)
+		r.Send(&pgproto3.Query{String: "select block"})
+
+		for range 4 {
+			r.Send(&pgproto3.Query{String: "select '" + strings.Repeat("x", 900_000) + "'"})
+		}
+
+		go func() { _ = r.Flush() }()
+
+		r.fails(t, "54000")
+	})
+}
+
+// Guards against connections that occupy the listener without ever logging in.
+func TestHalfOpen(t *testing.T) {
+	x := start(t, func(f *labfront.Front) { f.StartupDeadline = 50 * time.Millisecond })
+	c := x.connect(t)
+	silent, partial := x.dial(t), x.dial(t)
+	_, err := partial.Write([]byte{0, 0, 0, 50})
+	assert.NilError(t, err)
+
+	for _, r := range []*raw{silent, partial} {
+		_, err = r.Receive()
+		assert.Assert(t, err != nil)
+	}
+
+	assert.Equal(t, x.front.Counters.StartupTimeouts.Load(), int64(2))
+	answers(c, "v", "select $1", "v")(t)
+}
+
+// Guards against accepting more callers than the limit, and against losing count when they leave.
+func TestConnectionLimit(t *testing.T) {
+	x := start(t, func(f *labfront.Front) { f.MaxConnections = 2 })
+	first := x.connect(t)
+	x.connect(t)
+
+	_, err := pgx.Connect(context.Background(), x.url(""))
+	assert.Equal(t, code(t, err), "53300")
+	assert.NilError(t, first.Close(context.Background()))
+	eventually(t, func() bool { return x.front.Counters.Open.Load() == 1 })
+	x.connect(t)
+}
+
+// Guards against losing read-your-writes when a session moves to another proxy.
+func TestRoaming(t *testing.T) {
+	a, b := start(t, nil), start(t, nil)
+	ctx := context.Background()
+	a.gateway.set(func(g *fakeGateway) { g.offset = 41 })
+
+	first := a.connect(t, "laburnumlock.session=s-1")
+	_, err := first.Exec(ctx, "insert 1")
+	assert.NilError(t, err)
+
+	token := first.PgConn().ParameterStatus("laburnumlock.token")
+	floor := func(want uint64, c *pgx.Conn) func(*testing.T) {
+		return func(t *testing.T) {
+			answers(c, "one", "select one", pgx.QueryExecModeSimpleProtocol)(t)
+			assert.Equal(t, b.gateway.lastHeader().Floor, lab.Position{Term: min(1, lab.Term(want)), Offset: want})
+		}
+	}
+
+	t.Run("startup option", floor(42, b.connect(t, "laburnumlock.token="+token)))
+	t.Run("command-line option", floor(42, b.connect(t, "options=-c%20laburnumlock.token%3D"+token)))
+	t.Run("none", floor(0, b.connect(t)))
+	t.Run("set", func(t *testing.T) {
+		c := b.connect(t)
+		_, err := c.Exec(ctx, "set laburnumlock.token = '"+token+"'")
+		assert.NilError(t, err)
+		floor(42, c)(t)
+	})
+	t.Run("set to an older token", func(t *testing.T) {
+		older := a.connect(t).PgConn().ParameterStatus("laburnumlock.token")
+		c := b.connect(t, "laburnumlock.token="+token)
+		_, err := c.Exec(ctx, "set laburnumlock.token = '"+older+"'")
+		assert.NilError(t, err)
+		floor(42, c)(t)
+	})
+	t.Run("set to a bad token", func(t *testing.T) {
+		_, err := b.connect(t).Exec(ctx, "set laburnumlock.token = '"+token[1:]+"'")
+		assert.Equal(t, code(t, err), "22023")
+	})
+	t.Run("the floor never goes back", func(t *testing.T) {
+		c := b.connect(t, "laburnumlock.token="+token)
+		_, err := c.Exec(ctx, "insert 2") // at a position below the floor
+		assert.NilError(t, err)
+		floor(42, c)(t)
+		assert.Equal(t, c.PgConn().ParameterStatus("laburnumlock.token"), token)
+	})
+	t.Run("session id", func(t *testing.T) {
+		d, err := (&labtoken.Codec{Keys: [][]byte{[]byte("deployment key")}}).Decode(token)
+		assert.NilError(t, err)
+		assert.Equal(t, d.Session(), "s-1")
+	})
+}
+
+// Guards against a session that can't be cancelled, and against cancelling with a guessed key.
+func TestCancel(t *testing.T) {
+	x := start(t, nil)
+	c := x.connect(t)
+
+	blocked := func(t *testing.T, cancel func(*pgconn.PgConn)) {
+		t.Helper()
+
+		n := count(x, "select block")
+
+		go func() {
+			for count(x, "select block") == n {
+				time.Sleep(time.Millisecond)
+			}
+
+			cancel(c.PgConn())
+		}()
+
+		_, err := c.Exec(context.Background(), "select block")
+		assert.Equal(t, code(t, err), "57014")
+		answers(c, "v", "select $1", "v")(t)
+	}
+
+	t.Run("cancel", func(t *testing.T) {
+		blocked(t, func(p *pgconn.PgConn) { _ = p.CancelRequest(context.Background()) })
+	})
+	t.Run("wrong key", func(t *testing.T) {
+		blocked(t, func(p *pgconn.PgConn) {
+			r := x.dial(t)
+			r.Send(&pgproto3.CancelRequest{ProcessID: p.PID(), SecretKey: []byte("none")})
+			_ = r.Flush()
+			eventually(t, func() bool { return x.server.Counters.CancelsLost.Load() == 1 })
+			_ = p.CancelRequest(context.Background())
+		})
+	})
+	t.Run("while waiting for a gateway", func(t *testing.T) {
+		waiting := make(chan struct{})
+		wait := func(ctx context.Context) error {
+			close(waiting)
+			<-ctx.Done()
+
+			return lab.NotRun(lab.ReasonCancelled, ctx.Err())
+		}
+		x.gateway.wait.Store(&wait)
+
+		go func() {
+			<-waiting
+			_ = c.PgConn().CancelRequest(context.Background())
+		}()
+
+		_, err := c.Exec(context.Background(), "insert waiting")
+		assert.Equal(t, code(t, err), "57014")
+		assert.Equal(t, count(x, "insert waiting"), 0)
+	})
+	t.Run("another proxy's key", func(t *testing.T) {
+		forwarded := make(chan uint32, 1)
+		y := start(t, func(f *labfront.Front) { f.Server.Forward = forwardTo(forwarded) })
+		r := y.dial(t)
+		r.Send(&pgproto3.CancelRequest{ProcessID: c.PgConn().PID() + 1<<19, SecretKey: c.PgConn().SecretKey()})
+		assert.NilError(t, r.Flush())
+		assert.Equal(t, <-forwarded, uint32(8))
+	})
+}
--- a/proxy/request/labstatement/functions.go
+++ b/proxy/request/labstatement/functions.go
@@ -13,6 +13,10 @@
 	"pg_rotate_logfile pg_promote pg_export_snapshot pg_is_in_recovery pg_current_wal_lsn pg_current_wal_insert_lsn " +
 	"pg_current_wal_flush_lsn pg_stat_reset pg_stat_reset_shared loread lowrite")
 
+// sessionCalls change the upstream session in a way that lasts beyond the transaction.
+var sessionCalls = set("set_config pg_advisory_lock pg_advisory_lock_shared pg_try_advisory_lock " +
+	"pg_try_advisory_lock_shared")
+
 // pureFunctions are keywords that a parenthesis may follow, and built-in functions without effects.
 var pureFunctions = set("select from where and or not in any all some exists as on using values with over filter " +
 	"within by having when then else case distinct join lateral union except intersect limit offset like " +
--- a/proxy/request/labstatement/parse.go
+++ b/proxy/request/labstatement/parse.go
@@ -9,11 +9,12 @@
 type features struct {
 	head    [headSize]string
 	words   int
-	rest    int  // offset after the first word
-	changes bool // a word or call that changes data or takes locks
-	runs    bool // EXPLAIN that runs its statement
-	unknown bool // calls a function that is not known to be pure
-	session bool // calls a function that changes or reads session state
+	rest    int    // offset after the first word
+	changes bool   // a word or call that changes data or takes locks
+	runs    bool   // EXPLAIN that runs its statement
+	unknown bool   // calls a function that is not known to be pure
+	session bool   // calls a function that changes or reads session state
+	named   string // the last sessionCalls function called
 	broken  bool
 	serial  bool // SERIALIZABLE or READ WRITE, which a replica refuses
 	only    bool // READ ONLY
@@ -94,6 +95,10 @@
 		name = strings.ToLower(name)
 	}
 
+	if sessionCalls[name] {
+		f.named = name
+	}
+
 	switch {
 	case denied(name):
 		f.changes, f.session = true, true
@@ -104,7 +109,7 @@
 }
 
 func (f *features) statement(text string, escapes bool) Statement {
-	s := Statement{text: text}
+	s := Statement{text: text, call: f.named}
 	if f.broken {
 		return s
 	}
--- a/proxy/request/labstatement/statement.go
+++ b/proxy/request/labstatement/statement.go
@@ -6,6 +6,7 @@
 	pure    bool
 	keeps   bool
 	text    string
+	call    string
 	setting Setting
 }
 
@@ -25,6 +26,12 @@
 	return !s.keeps
 }
 
+// SessionCall returns the name of a called built-in function whose purpose is to change the upstream session: one that
+// takes a session-level advisory lock, or set_config. It is empty when there is none.
+func (s Statement) SessionCall() string {
+	return s.call
+}
+
 // Text returns the statement without its semicolon.
 func (s Statement) Text() string {
 	return s.text
--- a/proxy/request/labstatement/text_test.go
+++ b/proxy/request/labstatement/text_test.go
@@ -97,6 +97,21 @@
 	t.Run("broken", is("select 'x", false, true))
 }
 
+// Guards against taking a lock or setting a parameter on a connection that another session gets next.
+func TestSessionCall(t *testing.T) {
+	is := func(text, want string) func(*testing.T) {
+		return func(t *testing.T) {
+			p, err := labstatement.Parse(text)
+			assert.NilError(t, err)
+			assert.Equal(t, p.Statements()[0].SessionCall(), want)
+		}
+	}
+
+	t.Run("lock", is("select pg_catalog.PG_ADVISORY_LOCK(1), lower('x')", "pg_advisory_lock"))
+	t.Run("set_config", is("select set_config('a', 'b', false)", "set_config"))
+	t.Run("transaction lock", is("select pg_advisory_xact_lock(1)", ""))
+}
+
 // Guards against a SET whose name or value is misread, above all the system's own.
 func TestSetting(t *testing.T) {
 	is := func(text string, want labstatement.Setting) func(*testing.T) {
