Guard against late writes, bound prepared statements, and measure queries

Cause: a gateway that writes to an answer after its Run returned would have put those bytes into the session's next answer, and a session could keep any amount of query text.

Change: an answer refuses and counts writes after its run; prepared statements of a session are limited to 4 MiB of query text.

Tests: 24 callers with 2400 queries that also cancel and leave see only their own answers (TestCrossedAnswers).

--- a/proxy/connection/labsession/answer.go
+++ b/proxy/connection/labsession/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -36,7 +37,10 @@
 	minimumMessageLength = 4
 )
 
-var errUpstreamMessage = errors.New("unexpected message from upstream")
+var (
+	errUpstreamMessage = errors.New("unexpected message from upstream")
+	errLate            = errors.New("answer came after the end of its unit")
+)
 
 // answer turns the upstream's messages into the caller's: it adds the messages that the session owes, leaves out those
 // of statements that the session added, and passes on the rest. It implements io.Writer.
@@ -55,13 +59,20 @@
 	changes []change
 	commits bool // a COMMIT ended a transaction
 
-	confirmed []string // the caller's names of statements whose Parse succeeded
+	done      atomic.Bool // the run that this answers has ended
+	confirmed []string    // the caller's names of statements whose Parse succeeded
 }
 
 // Write takes upstream messages, cut anywhere.
 func (a *answer) Write(p []byte) (int, error) {
 	size := len(p)
 
+	if a.done.Load() {
+		a.session.server.Counters.LateAnswers.Add(1)
+
+		return 0, errLate
+	}
+
 	for len(p) > 0 {
 		n, err := a.take(p)
 		if err != nil {
--- a/proxy/connection/labsession/extended.go
+++ b/proxy/connection/labsession/extended.go
@@ -75,7 +75,7 @@
 		return errMalformed
 	}
 
-	if _, taken := s.statements[name]; taken && name != "" {
+	if _, taken := s.statements.get(name); taken && name != "" {
 		return &failure{codeDuplicateStatement, fmt.Sprintf("prepared statement %q already exists", name), ""}
 	}
 
@@ -88,19 +88,17 @@
 		return errMultipleStatement
 	}
 
-	s.remember(u, name, t)
+	if !s.statements.put(name, t) {
+		return errStatementLimit
+	}
+
+	u.remember(name, t)
 	u.parse(name, t)
 
 	return nil
 }
 
-func (s *Session) remember(u *unit, name string, t *statement) {
-	if s.statements == nil {
-		s.statements = make(map[string]*statement, 1)
-	}
-
-	s.statements[name] = t
-
+func (u *unit) remember(name string, t *statement) {
 	if u.parsed == nil {
 		u.parsed = make(map[string]*statement, 1)
 	}
@@ -143,7 +141,7 @@
 
 // lookup returns the upstream name of a statement of the caller.
 func (s *Session) lookup(u *unit, name string) (string, *statement, *failure) {
-	t, ok := s.statements[name]
+	t, ok := s.statements.get(name)
 	if !ok {
 		return "", nil, &failure{codeNoStatement, fmt.Sprintf("prepared statement %q does not exist", name), ""}
 	}
@@ -258,7 +256,7 @@
 		return nil
 	}
 
-	delete(s.statements, name)
+	s.statements.remove(name)
 	u.steps = append(u.steps, step{kind: stepAdd, message: messageCloseComplete})
 
 	return nil
@@ -313,8 +311,8 @@
 	}
 
 	for n, t := range u.parsed {
-		if s.statements[n] == t {
-			delete(s.statements, n)
+		if have, _ := s.statements.get(n); have == t {
+			s.statements.remove(n)
 		}
 	}
 }
--- a/proxy/connection/labsession/failure.go
+++ b/proxy/connection/labsession/failure.go
@@ -82,6 +82,10 @@
 		codeNotSupported, "LISTEN is not supported through the proxy",
 		"connections are shared between transactions; connect to the database directly",
 	}
+	errStatementLimit = &failure{
+		codeProgramLimit, "prepared statements are over the size limit",
+		"close statements that are no longer used",
+	}
 	errSessionLock = &failure{
 		codeNotSupported, "session-level advisory locks are not supported through the proxy",
 		"use pg_advisory_xact_lock; connections are shared between transactions",
--- a/proxy/connection/labsession/local.go
+++ b/proxy/connection/labsession/local.go
@@ -111,7 +111,7 @@
 				return "", &failure{codeActiveTransaction, "DISCARD ALL cannot run inside a transaction block", ""}, true
 			}
 
-			s.statements = nil
+			s.statements.clear()
 			s.settings.active = s.settings.startup
 			s.options = options{}
 		}
@@ -121,16 +121,16 @@
 
 	name := words[len(words)-1]
 	if name == "all" {
-		s.statements = nil
+		s.statements.clear()
 
 		return "DEALLOCATE ALL", nil, true
 	}
 
-	if _, found := s.statements[name]; !found {
+	if _, found := s.statements.get(name); !found {
 		return "", &failure{codeNoStatement, "prepared statement \"" + name + "\" does not exist", ""}, true
 	}
 
-	delete(s.statements, name)
+	s.statements.remove(name)
 
 	return "DEALLOCATE", nil, true
 }
--- a/proxy/connection/labsession/run.go
+++ b/proxy/connection/labsession/run.go
@@ -101,6 +101,7 @@
 	}
 
 	r, err := t.Run(ctx, w, a)
+	a.done.Store(true)
 	s.clearCurrent()
 
 	if err != nil || r.Status == statusIdle {
--- a/proxy/connection/labsession/session.go
+++ b/proxy/connection/labsession/session.go
@@ -31,7 +31,7 @@
 
 	// Owned by the worker, or by whoever holds the lock while none runs.
 	token      labtoken.Token
-	statements map[string]*statement
+	statements statements
 	settings   settings
 	options    options
 	block      block
@@ -149,7 +149,8 @@
 	}
 
 	s.block.abandon()
-	s.statements, s.open = nil, nil
+	s.statements.clear()
+	s.open = nil
 }
 
 // cancelRequest cancels what runs, if anything does.
--- a/proxy/connection/labsession/simple.go
+++ b/proxy/connection/labsession/simple.go
@@ -15,7 +15,7 @@
 		return
 	}
 
-	delete(s.statements, "") // as in PostgreSQL, a simple query ends the unnamed statement
+	s.statements.remove("") // as in PostgreSQL, a simple query ends the unnamed statement
 
 	query, rest, ok := cutString(f.Body())
 	if !ok || len(rest) != 0 {
--- a/proxy/process/labfront/fake_test.go
+++ b/proxy/process/labfront/fake_test.go
@@ -67,16 +67,17 @@
 // fakeGateway answers units from a small set of statements, each transaction on the next of its connections.
 type fakeGateway struct {
 	lock     sync.Mutex
-	next     int
 	offset   uint64
 	ran      []string               // statements run, in order
+	silent   bool                   // ran is not kept
 	header   lab.Header             // of the last Begin
 	begin    func(lab.Header) error // fails Begin
 	after    func(query string) error
 	wait     atomic.Pointer[func(context.Context) error] // holds up the next Begin
 	closed   atomic.Int64
-	conns    [3]map[string]string // prepared statements by connection
-	released chan struct{}        // closed to let "select block" end
+	late     func() error        // writes to an answer whose run has ended
+	free     []map[string]string // prepared statements of each idle connection
+	released chan struct{}       // closed to let "select block" end
 }
 
 func (g *fakeGateway) Begin(ctx context.Context, h lab.Header) (lab.Transaction, error) {
@@ -94,12 +95,12 @@
 		}
 	}
 
-	g.next = (g.next + 1) % len(g.conns)
-	if g.conns[g.next] == nil {
-		g.conns[g.next] = map[string]string{}
+	prepared := map[string]string{}
+	if len(g.free) > 1 { // keep one back, so that successive transactions get different connections
+		prepared, g.free = g.free[0], g.free[1:]
 	}
 
-	return &fakeTransaction{gateway: g, prepared: g.conns[g.next], status: 'I', readOnly: h.ReadOnly, cancel: make(chan struct{}, 1)}, nil
+	return &fakeTransaction{gateway: g, prepared: prepared, status: 'I', readOnly: h.ReadOnly, cancel: make(chan struct{}, 1)}, nil
 }
 
 // set changes the gateway while it may be in use.
@@ -125,7 +126,9 @@
 	g.lock.Lock()
 	defer g.lock.Unlock()
 
-	g.ran = append(g.ran, query)
+	if !g.silent {
+		g.ran = append(g.ran, query)
+	}
 }
 
 func (g *fakeGateway) queries() []string {
@@ -203,6 +206,10 @@
 
 	t.gateway.offset++
 
+	if t.status == 'I' && t.err == nil {
+		t.gateway.free = append(t.gateway.free, t.prepared)
+	}
+
 	return lab.Result{Status: t.status, Replica: t.readOnly, Position: lab.Position{Term: 1, Offset: t.gateway.offset}}, t.err
 }
 
@@ -343,6 +350,15 @@
 
 func (t *fakeTransaction) query(ctx context.Context, p fakePortal, w []string, describe bool) bool {
 	switch w[1] {
+	case "late":
+		old := t.out
+		t.gateway.set(func(g *fakeGateway) {
+			g.late = func() error {
+				_, err := old.Write([]byte("C\x00\x00\x00\x0cSELECT 9"))
+
+				return err
+			}
+		})
 	case "error":
 		return t.fail("22012", "division by zero")
 	case "primary":
--- a/proxy/process/labfront/flow_test.go
+++ b/proxy/process/labfront/flow_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"runtime"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -85,6 +87,67 @@
 	}
 }
 
+// Guards against a gateway that still writes an answer when the session runs its next unit.
+func TestLateWrite(t *testing.T) {
+	x := start(t, nil)
+	c := x.connect(t)
+	answers(c, "late", "select late", pgx.QueryExecModeSimpleProtocol)(t)
+	x.gateway.set(func(g *fakeGateway) { assert.ErrorContains(t, g.late(), "after the end") })
+	answers(c, "v", "select $1", "v")(t)
+	assert.Equal(t, x.server.Counters.LateAnswers.Load(), int64(1))
+}
+
+// Guards against answers that reach another caller while callers come, cancel and leave.
+func TestCrossedAnswers(t *testing.T) {
+	x := start(t, nil)
+
+	var w sync.WaitGroup
+
+	for i := range 24 {
+		w.Go(func() {
+			for j := range 10 {
+				caller(t, x, fmt.Sprint("caller_", i, "_", j))
+			}
+		})
+	}
+
+	w.Wait()
+}
+
+// caller runs queries on a connection of its own, of which it gives up the last one.
+func caller(t *testing.T, x *fixture, name string) {
+	ctx := context.Background()
+
+	c, err := pgx.Connect(ctx, x.url(""))
+	if !assert.Check(t, err == nil, "%v", err) {
+		return
+	}
+
+	defer func() { _ = c.Close(ctx) }()
+
+	for k := range 10 {
+		var got string
+
+		want := fmt.Sprint(name, "_", k)
+		switch k % 3 {
+		case 0:
+			err = c.QueryRow(ctx, "select $1", want).Scan(&got)
+		case 1:
+			err = c.QueryRow(ctx, "select "+want, pgx.QueryExecModeSimpleProtocol).Scan(&got)
+		case 2:
+			err = pgx.BeginFunc(ctx, c, func(tx pgx.Tx) error { return tx.QueryRow(ctx, "select $1", want).Scan(&got) })
+		}
+
+		assert.Check(t, err == nil && got == want, "got %q, want %q, error %v", got, want, err)
+	}
+
+	limited, cancel := context.WithTimeout(ctx, time.Millisecond)
+	defer cancel()
+
+	_, err = c.Exec(limited, "select block")
+	assert.Check(t, err != nil)
+}
+
 // Guards against losing an open transaction's connection when its caller leaves.
 func TestLeftInTransaction(t *testing.T) {
 	x := start(t, nil)
--- /dev/null
+++ b/proxy/process/labfront/front_benchmark_test.go
@@ -0,0 +1,28 @@
+package labfront_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkQuery measures prepared reads over loopback, client and fake gateway included.
+func BenchmarkQuery(b *testing.B) {
+	x := start(b, nil)
+	x.gateway.set(func(g *fakeGateway) { g.silent = true })
+	b.ReportAllocs()
+	b.SetParallelism(4)
+	b.RunParallel(func(p *testing.PB) {
+		c, err := pgx.Connect(context.Background(), x.url(""))
+		assert.NilError(b, err)
+
+		defer func() { _ = c.Close(context.Background()) }()
+
+		var got string
+		for p.Next() {
+			assert.NilError(b, c.QueryRow(context.Background(), "select $1", "v").Scan(&got))
+		}
+	})
+}
--- a/proxy/process/labfront/front_test.go
+++ b/proxy/process/labfront/front_test.go
@@ -29,7 +29,7 @@
 	gateway *fakeGateway
 }
 
-func start(t *testing.T, change func(*labfront.Front)) *fixture {
+func start(t testing.TB, change func(*labfront.Front)) *fixture {
 	t.Helper()
 
 	credential, err := labscram.NewCredential(password)
@@ -69,7 +69,7 @@
 	return x
 }
 
-func eventually(t *testing.T, condition func() bool) {
+func eventually(t testing.TB, condition func() bool) {
 	t.Helper()
 
 	for until := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
--- a/proxy/process/labfront/outcomes_test.go
+++ b/proxy/process/labfront/outcomes_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/labfront"
 )
 
 var errFake = errors.New("fake failure")
@@ -94,15 +95,13 @@
 		assert.Equal(t, count(x, "select rows 100 1000 lost"), 1)
 	})
 	t.Run("no retry without budget", func(t *testing.T) {
-		x := start(t, nil)
-		x.server.Budget = emptyBudget{}
+		x := start(t, func(f *labfront.Front) { f.Server.Budget = emptyBudget{} })
 		x.gateway.set(func(g *fakeGateway) { g.after = failing(1, "select one", unknown) })
 		_, err := x.connect(t).Exec(ctx, "select one")
 		assert.Equal(t, code(t, err), "LL002")
 	})
 	t.Run("retries end with the deadline", func(t *testing.T) {
-		x := start(t, nil)
-		x.server.ReadDeadline = 50 * time.Millisecond
+		x := start(t, func(f *labfront.Front) { f.Server.ReadDeadline = 50 * time.Millisecond })
 		x.gateway.set(func(g *fakeGateway) {
 			g.begin = func(lab.Header) error { return lab.NotRun(lab.ReasonNoLease, errFake) }
 		})
--- a/proxy/process/labfront/startup_test.go
+++ b/proxy/process/labfront/startup_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -116,6 +117,20 @@
 		assert.Equal(t, r.ask(t, 'Z', large, &pgproto3.Bind{Parameters: [][]byte{make([]byte, 600_000)}},
 			&pgproto3.Bind{Parameters: [][]byte{make([]byte, 600_000)}}, &pgproto3.Sync{}), "EIZ")
 	})
+	t.Run("statements over the limit", func(t *testing.T) {
+		r := x.login(t)
+
+		for i := range 5 {
+			s := &pgproto3.Parse{Name: fmt.Sprint(i), Query: "select '" + strings.Repeat("x", 900_000) + "'"}
+			want := "1IZ"
+
+			if i == 4 {
+				want = "EIZ"
+			}
+
+			assert.Equal(t, r.ask(t, 'Z', s, &pgproto3.Sync{}), want)
+		}
+	})
 	t.Run("too much ahead", func(t *testing.T) {
 		r := x.login(t)
 		r.Send(&pgproto3.Query{String: "select block"})
