Replay only settings that differ from fresh connections

Cause: drivers set DateStyle, extra_float_digits and application_name on every connection; replaying them would reset the upstream connection after each transaction. gnet reports a port in use as a bad file descriptor.

Change: settings equal to the reported parameters are not replayed. The front probes its address before it starts. Counters are expvar.Int.

Tests: taken out, the comparison with fresh connections fails TestSettings, the probe fails TestAddressInUse. go test -race passes.

Conclusion: sessions of common drivers need no reset.

--- a/proxy/connection/labsession/begin.go
+++ b/proxy/connection/labsession/begin.go
@@ -24,19 +24,6 @@
 
 const forwardTimeout = 5 * time.Second
 
-// reported are the parameter values that a session starts with.
-var reported = map[string]string{
-	"server_version":              "16.0 (laburnumlock)",
-	"server_encoding":             "UTF8",
-	"client_encoding":             "UTF8",
-	"DateStyle":                   "ISO, MDY",
-	"TimeZone":                    "UTC",
-	"IntervalStyle":               "postgres",
-	"integer_datetimes":           "on",
-	"standard_conforming_strings": "on",
-	"is_superuser":                "off",
-}
-
 // begin makes an authenticated session ready.
 func (s *Session) begin(l *login) *failure {
 	s.organisation = l.parameters["user"]
@@ -85,8 +72,7 @@
 }
 
 func (s *Session) greeting(parameters map[string]string, secret []byte) []byte {
-	values := maps.Clone(reported)
-	maps.Copy(values, s.server.Parameters)
+	values := s.server.values()
 	values["session_authorization"] = s.organisation
 	values["application_name"] = parameters["application_name"]
 
@@ -165,7 +151,7 @@
 		return &failure{codeNotSupported, "replication connections are not supported through the proxy", "connect to the database directly"}
 	}
 
-	if strings.HasPrefix(lower, "_pq_.") || unchanged(lower, value) {
+	if strings.HasPrefix(lower, "_pq_.") || s.server.unchanged(lower, value) {
 		return nil
 	}
 
@@ -183,26 +169,6 @@
 	return nil
 }
 
-// unchanged reports whether a startup parameter has the value that upstream sessions have anyway.
-func unchanged(name, value string) bool {
-	value = strings.ToLower(strings.Trim(value, `'"`))
-
-	switch name {
-	case "client_encoding":
-		return value == "utf8" || value == "utf-8" || value == "unicode"
-	case "datestyle":
-		return value == "iso" || value == "iso, mdy" || value == "iso,mdy"
-	case "timezone":
-		return value == "utc"
-	case "extra_float_digits":
-		n, err := strconv.Atoi(value)
-
-		return err == nil && n >= 1 && n <= 3 // all the same since PostgreSQL 12
-	}
-
-	return false
-}
-
 // withCommandLine adds the -c and -- settings of the startup parameter "options" to the parameters; they give way to
 // parameters of their own.
 func withCommandLine(parameters map[string]string) (map[string]string, *failure) {
--- a/proxy/connection/labsession/counters.go
+++ b/proxy/connection/labsession/counters.go
@@ -1,20 +1,20 @@
 package labsession
 
-import "sync/atomic"
+import "expvar"
 
 // Counters count events of all sessions of a proxy.
 type Counters struct {
-	Logins       atomic.Int64 // sessions that became ready
-	LoginsFailed atomic.Int64 // refused startups and authentications
-	Units        atomic.Int64 // units run at a gateway
-	LocalUnits   atomic.Int64 // units answered by the session
-	Retries      atomic.Int64 // automatic retries
-	NotRun       atomic.Int64 // requests reported as not run
-	Unknown      atomic.Int64 // requests reported as of unknown outcome
-	ReplicaReads atomic.Int64 // units answered by a replica
-	LateAnswers  atomic.Int64 // answers dropped because their caller had left
-	Cancels      atomic.Int64 // cancel requests that found their session
-	CancelsLost  atomic.Int64 // cancel requests without a session
-	Violations   atomic.Int64 // sessions closed for breaking the protocol
-	Drained      atomic.Int64 // sessions closed by a graceful stop
+	Logins       expvar.Int // sessions that became ready
+	LoginsFailed expvar.Int // refused startups and authentications
+	Units        expvar.Int // units run at a gateway
+	LocalUnits   expvar.Int // units answered by the session
+	Retries      expvar.Int // automatic retries
+	NotRun       expvar.Int // requests reported as not run
+	Unknown      expvar.Int // requests reported as of unknown outcome
+	ReplicaReads expvar.Int // units answered by a replica
+	LateAnswers  expvar.Int // answers dropped because their caller had left
+	Cancels      expvar.Int // cancel requests that found their session
+	CancelsLost  expvar.Int // cancel requests without a session
+	Violations   expvar.Int // sessions closed for breaking the protocol
+	Drained      expvar.Int // sessions closed by a graceful stop
 }
--- a/proxy/connection/labsession/run.go
+++ b/proxy/connection/labsession/run.go
@@ -189,7 +189,7 @@
 
 		if a.commits {
 			for _, c := range s.block.changes {
-				s.settings.apply(c)
+				s.apply(c)
 			}
 		}
 	}
@@ -215,10 +215,14 @@
 	}
 
 	for _, c := range pending {
-		s.settings.apply(c)
+		s.apply(c)
 	}
 }
 
+func (s *Session) apply(c change) {
+	s.settings.apply(c, !s.server.unchanged(c.setting.Name, c.setting.Value))
+}
+
 // unfinished answers a unit whose run failed.
 func (s *Session) unfinished(u *unit, a *answer, err error) {
 	s.forget(u, a.confirmed)
--- a/proxy/connection/labsession/server.go
+++ b/proxy/connection/labsession/server.go
@@ -26,7 +26,8 @@
 	// Forward passes on a cancel request whose key belongs to another proxy; nil drops such requests.
 	Forward func(ctx context.Context, proxy uint32, key CancelKey)
 
-	// Parameters are the ParameterStatus values reported at startup in addition to and in place of the defaults.
+	// Parameters are the ParameterStatus values reported at startup in addition to and in place of the defaults. They
+	// must be those of fresh upstream connections: a caller's setting that equals them is not replayed.
 	Parameters map[string]string
 
 	// Limits; zero values mean the defaults.
--- a/proxy/connection/labsession/settings.go
+++ b/proxy/connection/labsession/settings.go
@@ -19,8 +19,8 @@
 	active  []change
 }
 
-// apply remembers a change.
-func (s *settings) apply(c change) {
+// apply remembers a change; keep is false when fresh upstream connections have the value already.
+func (s *settings) apply(c change, keep bool) {
 	if c.setting.Reset && c.setting.Name == "all" {
 		s.active = slices.Clone(s.startup)
 
@@ -31,7 +31,9 @@
 
 	s.active = slices.DeleteFunc(slices.Clone(s.active), same)
 	if !c.setting.Reset {
-		s.active = append(s.active, c)
+		if keep {
+			s.active = append(s.active, c)
+		}
 
 		return
 	}
--- a/proxy/process/labfront/fake_test.go
+++ b/proxy/process/labfront/fake_test.go
@@ -338,6 +338,10 @@
 	case w[0] == "select":
 		return t.query(ctx, p, w, describe)
 	case w[0] == "insert":
+		if w[1] == "repeated" {
+			t.send(&pgproto3.NoticeResponse{Severity: "NOTICE", Code: lab.CodeDone, Message: "done before"})
+		}
+
 		t.send(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")})
 
 		return true
--- a/proxy/process/labfront/flow_test.go
+++ b/proxy/process/labfront/flow_test.go
@@ -42,7 +42,7 @@
 		time.Sleep(100 * time.Millisecond)
 		answers(other, "v", "select $1", "v")(t)
 
-		sent := x.front.Counters.BytesOut.Load()
+		sent := x.front.Counters.BytesOut.Value()
 		assert.Assert(t, sent < rows*size/2, "%d bytes were taken from the gateway before the caller read any", sent)
 
 		got := 0
@@ -65,8 +65,8 @@
 		r := x.login(t)
 		r.Send(query)
 		assert.NilError(t, r.Flush())
-		eventually(t, func() bool { return x.front.Counters.SlowReaders.Load() == 1 })
-		eventually(t, func() bool { return x.front.Counters.Open.Load() == 1 })
+		eventually(t, func() bool { return x.front.Counters.SlowReaders.Value() == 1 })
+		eventually(t, func() bool { return x.front.Counters.Open.Value() == 1 })
 		answers(other, "v", "select $1", "v")(t)
 	})
 }
@@ -79,7 +79,7 @@
 	assert.NilError(t, r.Flush())
 	eventually(t, func() bool { return count(x, "select block") == 1 })
 	assert.NilError(t, r.Close())
-	eventually(t, func() bool { return x.server.Counters.LateAnswers.Load() == 1 })
+	eventually(t, func() bool { return x.server.Counters.LateAnswers.Value() == 1 })
 
 	c := x.connect(t)
 	for range 5 {
@@ -94,7 +94,7 @@
 	answers(c, "late", "select late", pgx.QueryExecModeSimpleProtocol)(t)
 	x.gateway.set(func(g *fakeGateway) { assert.ErrorContains(t, g.late(), "after the end") })
 	answers(c, "v", "select $1", "v")(t)
-	assert.Equal(t, x.server.Counters.LateAnswers.Load(), int64(1))
+	assert.Equal(t, x.server.Counters.LateAnswers.Value(), int64(1))
 }
 
 // Guards against answers that reach another caller while callers come, cancel and leave.
@@ -233,7 +233,7 @@
 	t.Logf("heap per idle authenticated connection: %d bytes, goroutines %d before, %d after", each, goroutines, after)
 	assert.Assert(t, after <= goroutines+2)
 	assert.Assert(t, each < 4<<10)
-	assert.Equal(t, x.front.Counters.Open.Load(), int64(connections+1))
+	assert.Equal(t, x.front.Counters.Open.Value(), int64(connections+1))
 }
 
 // idle opens a session that has run a query, and keeps nothing of its client but a file descriptor.
--- a/proxy/process/labfront/front.go
+++ b/proxy/process/labfront/front.go
@@ -56,6 +56,10 @@
 
 // Run listens until the context ends; connections still open then are cut.
 func (f *Front) Run(ctx context.Context) error {
+	if err := probe(ctx, f.Listen); err != nil {
+		return err
+	}
+
 	f.setDefaults()
 
 	stopped := make(chan struct{})
@@ -145,7 +149,7 @@
 	}
 
 	f.draining.Store(true)
-	f.Log.Info().Str("address", f.Address()).Int64("open", f.Counters.Open.Load()).Msg("drain_started")
+	f.Log.Info().Str("address", f.Address()).Int64("open", f.Counters.Open.Value()).Msg("drain_started")
 
 	for i := range f.shards {
 		for _, c := range f.shards[i].all() {
@@ -156,10 +160,10 @@
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
 
-	for f.Counters.Open.Load() > 0 {
+	for f.Counters.Open.Value() > 0 {
 		select {
 		case <-ctx.Done():
-			return errors.Newf("drain with %d connections open: %w", f.Counters.Open.Load(), ctx.Err())
+			return errors.Newf("drain with %d connections open: %w", f.Counters.Open.Value(), ctx.Err())
 		case <-t.C:
 		}
 	}
--- a/proxy/process/labfront/handler.go
+++ b/proxy/process/labfront/handler.go
@@ -40,7 +40,9 @@
 	f := h.front
 	f.Counters.Accepted.Add(1)
 
-	if f.Counters.Open.Add(1) > int64(f.MaxConnections) {
+	f.Counters.Open.Add(1)
+
+	if f.Counters.Open.Value() > int64(f.MaxConnections) {
 		return h.refuse("53300", "sorry, too many clients already")
 	}
 
--- a/proxy/process/labfront/listener.go
+++ b/proxy/process/labfront/listener.go
@@ -1,12 +1,30 @@
 package labfront
 
 import (
+	"context"
 	"net"
 	"os"
 
 	"github.com/cockroachdb/errors"
 )
 
+// probe checks that the address can be listened on. gnet 2.9.7 reports any failure to listen as "bad file descriptor",
+// because it sets keepalive options on the socket that it did not get.
+func probe(ctx context.Context, address string) error {
+	var c net.ListenConfig
+
+	l, err := c.Listen(ctx, "tcp", address)
+	if err != nil {
+		return errors.Newf("listen on %s: %w", address, err)
+	}
+
+	if err = l.Close(); err != nil {
+		return errors.Newf("close probe of %s: %w", address, err)
+	}
+
+	return nil
+}
+
 // fileListener wraps a listening socket, whose descriptor it closes.
 func fileListener(fd int) (net.Listener, error) {
 	file := os.NewFile(uintptr(fd), "listener")
--- a/proxy/process/labfront/outcomes_test.go
+++ b/proxy/process/labfront/outcomes_test.go
@@ -141,6 +141,26 @@
 
 func (emptyBudget) Retry() bool { return false }
 
+// Guards against hiding from the caller that its named request had run before.
+func TestNotice(t *testing.T) {
+	x := start(t, nil)
+
+	p, err := pgconn.ParseConfig(x.url(""))
+	assert.NilError(t, err)
+
+	var got string
+
+	p.OnNotice = func(_ *pgconn.PgConn, n *pgconn.Notice) { got = n.Code }
+	c, err := pgconn.ConnectConfig(context.Background(), p)
+	assert.NilError(t, err)
+
+	defer func() { _ = c.Close(context.Background()) }()
+
+	_, err = c.Exec(context.Background(), "insert repeated").ReadAll()
+	assert.NilError(t, err)
+	assert.Equal(t, got, lab.CodeDone)
+}
+
 // Guards against tags and settings that do not reach the gateway.
 func TestHeader(t *testing.T) {
 	x := start(t, nil)
@@ -232,6 +252,8 @@
 	t.Run("rolled back", after([]string{path, "set a = 2", "insert 5"}, "begin", "set b = 1", "rollback", "insert 5"))
 	t.Run("committed", after([]string{path, "set a = 2", "set b = 1", "insert 6"}, "begin", "set b = 1", "commit", "insert 6"))
 	t.Run("local", after([]string{path, "set a = 2", "set b = 1", "insert 7"}, "begin", "set local c = 1", "commit", "insert 7"))
+	t.Run("same as the default", after([]string{path, "set a = 2", "set b = 1", "insert 7"}, "set datestyle = 'ISO'",
+		"set extra_float_digits = 3", "set application_name = 'x'", "insert 7"))
 	t.Run("discard all", after([]string{path, "insert 8"}, "discard all", "insert 8"))
 	t.Run("reset", after([]string{path, "insert 9"}, "set search_path = x", "reset search_path", "insert 9"))
 	t.Run("position of an error", func(t *testing.T) {
--- a/proxy/process/labfront/startup_test.go
+++ b/proxy/process/labfront/startup_test.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"laburnumlock.dev/lab"
@@ -158,7 +159,7 @@
 		assert.Assert(t, err != nil)
 	}
 
-	assert.Equal(t, x.front.Counters.StartupTimeouts.Load(), int64(2))
+	assert.Equal(t, x.front.Counters.StartupTimeouts.Value(), int64(2))
 	answers(c, "v", "select $1", "v")(t)
 }
 
@@ -171,10 +172,18 @@
 	_, err := pgx.Connect(context.Background(), x.url(""))
 	assert.Equal(t, code(t, err), "53300")
 	assert.NilError(t, first.Close(context.Background()))
-	eventually(t, func() bool { return x.front.Counters.Open.Load() == 1 })
+	eventually(t, func() bool { return x.front.Counters.Open.Value() == 1 })
 	x.connect(t)
 }
 
+// Guards against a front that seems to run while another process has its port.
+func TestAddressInUse(t *testing.T) {
+	x := start(t, nil)
+	other := &labfront.Front{Listen: x.front.Address(), Server: x.server, Log: zerolog.Nop()}
+	assert.ErrorContains(t, other.Run(context.Background()), "address already in use")
+	assert.ErrorIs(t, other.Drain(context.Background()), labfront.ErrNotRunning)
+}
+
 // Guards against losing read-your-writes when a session moves to another proxy.
 func TestRoaming(t *testing.T) {
 	a, b := start(t, nil), start(t, nil)
@@ -258,7 +267,7 @@
 			r := x.dial(t)
 			r.Send(&pgproto3.CancelRequest{ProcessID: p.PID(), SecretKey: []byte("none")})
 			_ = r.Flush()
-			eventually(t, func() bool { return x.server.Counters.CancelsLost.Load() == 1 })
+			eventually(t, func() bool { return x.server.Counters.CancelsLost.Value() == 1 })
 			_ = p.CancelRequest(context.Background())
 		})
 	})
