Share prepared statements between sessions and reuse the port at restart

Cause: each session kept its own copy of a statement's text, and a front could not listen again on a port that closed connections still occupy.

The listener sets SO_REUSEADDR.

Conclusion: memory per idle session does not grow with its statements.

--- a/proxy/connection/labsession/extended.go
+++ b/proxy/connection/labsession/extended.go
@@ -79,7 +79,7 @@
 		return &failure{codeDuplicateStatement, fmt.Sprintf("prepared statement %q already exists", name), ""}
 	}
 
-	t, failed := newStatement(query, types)
+	t, failed := s.server.prepare(query, types)
 	if failed != nil {
 		return failed
 	}
--- a/proxy/connection/labsession/server.go
+++ b/proxy/connection/labsession/server.go
@@ -40,6 +40,8 @@
 	MayWaitDeadline time.Duration // 60 s
 
 	Counters Counters
+
+	shared sharedStatements
 }
 
 // Open returns a session for a new connection.
--- a/proxy/connection/labsession/statement.go
+++ b/proxy/connection/labsession/statement.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"io"
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/request/labstatement"
@@ -25,7 +26,13 @@
 	text  labstatement.Text
 }
 
-func newStatement(query string, types []uint32) (*statement, *failure) {
+// prepare returns the statement of a Parse message.
+func (v *Server) prepare(query string, types []uint32) (*statement, *failure) {
+	name := statementName(query, types)
+	if t := v.shared.get(name); t != nil {
+		return t, nil
+	}
+
 	text, err := labstatement.Parse(query)
 	if err != nil {
 		return nil, &failure{codeInvalidParameter, err.Error(), ""}
@@ -35,17 +42,22 @@
 		return nil, f
 	}
 
+	return v.shared.put(&statement{name: name, query: query, types: types, text: text}), nil
+}
+
+// statementName returns the name of a statement on upstream connections.
+func statementName(query string, types []uint32) string {
 	h := sha256.New()
-	_, _ = h.Write([]byte(query))
+	_, _ = io.WriteString(h, query)
 	_, _ = h.Write([]byte{0})
 
+	var b [4]byte
 	for _, t := range types {
-		_ = binary.Write(h, binary.BigEndian, t)
+		binary.BigEndian.PutUint32(b[:], t)
+		_, _ = h.Write(b[:])
 	}
 
-	name := upstreamPrefix + hex.EncodeToString(h.Sum(nil)[:nameBytes])
-
-	return &statement{name: name, query: query, types: types, text: text}, nil
+	return upstreamPrefix + hex.EncodeToString(h.Sum(nil)[:nameBytes])
 }
 
 // refused returns an error for statements that can't work over shared connections.
--- a/proxy/process/labfront/flow_test.go
+++ b/proxy/process/labfront/flow_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -191,6 +192,13 @@
 	assert.NilError(t, <-done)
 	runs(x, "begin", "insert 1", "insert 2", "commit")(t)
 
+	t.Run("restart on the same port", func(t *testing.T) {
+		address := x.front.Address()
+		x.stop()
+
+		y := start(t, func(f *labfront.Front) { f.Listen = address })
+		answers(y.connect(t), "v", "select $1", "v")(t)
+	})
 	t.Run("deadline", func(t *testing.T) {
 		y := start(t, nil)
 		c := y.connect(t)
@@ -204,46 +212,56 @@
 	})
 }
 
-// Guards against a goroutine or a buffer per idle connection.
+// Guards against a goroutine or a buffer per idle connection, and against a copy of a statement per session.
 func TestIdleMemory(t *testing.T) {
 	const connections = 300
 
-	x := start(t, nil)
-	use := func() (goroutines int, bytes uint64) {
-		var m runtime.MemStats
-
-		runtime.GC()
-		runtime.GC()
-		runtime.ReadMemStats(&m)
+	uses := func(query string, limit int64) func(*testing.T) {
+		return func(t *testing.T) {
+			x := start(t, nil)
+			x.idle(t, query)
 
-		return runtime.NumGoroutine(), m.HeapAlloc
-	}
+			goroutines, heap := use()
 
-	x.idle(t)
+			for range connections {
+				x.idle(t, query)
+			}
 
-	goroutines, heap := use()
+			after, heapAfter := use()
+			each := (int64(heapAfter) - int64(heap)) / connections
 
-	for range connections {
-		x.idle(t)
+			t.Logf("heap per idle authenticated connection: %d bytes, goroutines %d before, %d after", each, goroutines, after)
+			assert.Assert(t, after <= goroutines+2)
+			assert.Assert(t, each < limit)
+			assert.Equal(t, x.front.Counters.Open.Value(), int64(connections+1))
+		}
 	}
 
-	after, heapAfter := use()
-	each := (int64(heapAfter) - int64(heap)) / connections
+	t.Run("small statement", uses("select one", 4<<10))
+	t.Run("large statement", uses("select "+strings.Repeat("x", 32<<10), 8<<10))
+}
+
+func use() (goroutines int, heap uint64) {
+	var m runtime.MemStats
 
-	t.Logf("heap per idle authenticated connection: %d bytes, goroutines %d before, %d after", each, goroutines, after)
-	assert.Assert(t, after <= goroutines+2)
-	assert.Assert(t, each < 4<<10)
-	assert.Equal(t, x.front.Counters.Open.Value(), int64(connections+1))
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+
+	return runtime.NumGoroutine(), m.HeapAlloc
 }
 
-// idle opens a session that has run a query, and keeps nothing of its client but a file descriptor.
-func (x *fixture) idle(t *testing.T) {
+// idle opens a session that has prepared and run a statement, and keeps nothing of its client but a file descriptor.
+func (x *fixture) idle(t *testing.T, query string) {
 	t.Helper()
 
-	c, err := pgconn.Connect(context.Background(), x.url(""))
+	ctx := context.Background()
+
+	c, err := pgconn.Connect(ctx, x.url(""))
 	assert.NilError(t, err)
-	_, err = c.Exec(context.Background(), "select one").ReadAll()
+	_, err = c.Prepare(ctx, "a", query, nil)
 	assert.NilError(t, err)
+	assert.NilError(t, c.ExecPrepared(ctx, "a", nil, nil, nil).Read().Err)
 
 	h, err := c.Hijack()
 	assert.NilError(t, err)
--- a/proxy/process/labfront/front.go
+++ b/proxy/process/labfront/front.go
@@ -88,6 +88,7 @@
 		gnet.WithMulticore(true),
 		gnet.WithNumEventLoop(f.EventLoops),
 		gnet.WithTicker(true),
+		gnet.WithReuseAddr(true), // connections closed by a former process may still occupy the port
 		gnet.WithTCPKeepAlive(f.KeepAlive),
 		gnet.WithTCPKeepInterval(keepAliveInterval),
 		gnet.WithTCPKeepCount(keepAliveProbes),
--- a/proxy/process/labfront/front_test.go
+++ b/proxy/process/labfront/front_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/url"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	front   *labfront.Front
 	server  *labsession.Server
 	gateway *fakeGateway
+	stop    func()
 }
 
 func start(t testing.TB, change func(*labfront.Front)) *fixture {
@@ -59,10 +61,11 @@
 
 	go func() { done <- x.front.Run(ctx) }()
 
-	t.Cleanup(func() {
+	x.stop = sync.OnceFunc(func() {
 		cancel()
-		assert.NilError(t, <-done)
+		assert.Check(t, <-done == nil)
 	})
+	t.Cleanup(x.stop)
 
 	eventually(t, func() bool { return x.front.Address() != "" })
 
