--- a/proxy/connection/labsession/session.go
+++ b/proxy/connection/labsession/session.go
@@ -31,7 +31,7 @@
 
 	// Owned by the worker, or by whoever holds the lock while none runs.
 	token      labtoken.Token
-	statements map[string]*statement
+	statements statements
 	settings   settings
 	options    options
 	block      block
@@ -136,6 +136,8 @@
 
 func (s *Session) violate(f *failure) {
 	s.server.Counters.Violations.Add(1)
+	s.server.Log.Warn().Str("organisation", s.organisation).Str("database", s.database).
+		Str("code", f.code).Str("reason", f.message).Msg("session_closed")
 	s.finish(f)
 }
 
@@ -147,7 +149,8 @@
 	}
 
 	s.block.abandon()
-	s.statements, s.open = nil, nil
+	s.statements.clear()
+	s.open = nil
 }
 
 // cancelRequest cancels what runs, if anything does.
--- a/proxy/process/labfront/fake_test.go
+++ b/proxy/process/labfront/fake_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -65,40 +67,68 @@
 // fakeGateway answers units from a small set of statements, each transaction on the next of its connections.
 type fakeGateway struct {
 	lock     sync.Mutex
-	next     int
 	offset   uint64
-	ran      []string // statements run, in order
-	headers  []lab.Header
+	ran      []string               // statements run, in order
+	silent   bool                   // ran is not kept
+	header   lab.Header             // of the last Begin
 	begin    func(lab.Header) error // fails Begin
 	after    func(query string) error
-	conns    [3]map[string]string // prepared statements by connection
-	released chan struct{}        // closed to let "select block" end
+	wait     atomic.Pointer[func(context.Context) error] // holds up the next Begin
+	closed   atomic.Int64
+	late     func() error        // writes to an answer whose run has ended
+	free     []map[string]string // prepared statements of each idle connection
+	released chan struct{}       // closed to let "select block" end
 }
 
-func (g *fakeGateway) Begin(_ context.Context, h lab.Header) (lab.Transaction, error) {
+func (g *fakeGateway) Begin(ctx context.Context, h lab.Header) (lab.Transaction, error) {
+	if wait := g.wait.Swap(nil); wait != nil {
+		return nil, (*wait)(ctx)
+	}
+
 	g.lock.Lock()
 	defer g.lock.Unlock()
 
-	g.headers = append(g.headers, h)
+	g.header = h
 	if g.begin != nil {
 		if err := g.begin(h); err != nil {
 			return nil, err
 		}
 	}
 
-	g.next = (g.next + 1) % len(g.conns)
-	if g.conns[g.next] == nil {
-		g.conns[g.next] = map[string]string{}
+	prepared := map[string]string{}
+	if len(g.free) > 1 { // keep one back, so that successive transactions get different connections
+		prepared, g.free = g.free[0], g.free[1:]
 	}
 
-	return &fakeTransaction{gateway: g, prepared: g.conns[g.next], status: 'I', cancel: make(chan struct{}, 1)}, nil
+	return &fakeTransaction{gateway: g, prepared: prepared, status: 'I', readOnly: h.ReadOnly, cancel: make(chan struct{}, 1)}, nil
+}
+
+// set changes the gateway while it may be in use.
+func (g *fakeGateway) set(change func(*fakeGateway)) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+
+	change(g)
+}
+
+func (g *fakeGateway) failure(query string) error {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+
+	if g.after == nil {
+		return nil
+	}
+
+	return g.after(query)
 }
 
 func (g *fakeGateway) record(query string) {
 	g.lock.Lock()
 	defer g.lock.Unlock()
 
-	g.ran = append(g.ran, query)
+	if !g.silent {
+		g.ran = append(g.ran, query)
+	}
 }
 
 func (g *fakeGateway) queries() []string {
@@ -112,13 +142,14 @@
 	g.lock.Lock()
 	defer g.lock.Unlock()
 
-	return g.headers[len(g.headers)-1]
+	return g.header
 }
 
 type fakeTransaction struct {
 	gateway  *fakeGateway
 	prepared map[string]string
 	status   byte
+	readOnly bool
 	portals  map[string]fakePortal
 	out      io.Writer
 	err      error
@@ -132,7 +163,7 @@
 
 func (t *fakeTransaction) Cancel() { t.cancel <- struct{}{} }
 
-func (t *fakeTransaction) Close() {}
+func (t *fakeTransaction) Close() { t.gateway.closed.Add(1) }
 
 func (t *fakeTransaction) Run(ctx context.Context, u lab.Unit, answer io.Writer) (lab.Result, error) {
 	t.out, t.err, t.portals = answer, nil, map[string]fakePortal{}
@@ -140,15 +171,13 @@
 	failed := false
 
 	for _, s := range u.Statements {
-		if strings.Contains(s.Query, "syntax") {
-			t.fail("42601", "syntax error")
-
-			failed = true
+		if _, ok := t.prepared[s.Name]; ok {
+			continue
+		}
 
+		if failed = !t.prepare(s.Name, s.Query); failed {
 			break
 		}
-
-		t.prepared[s.Name] = s.Query
 	}
 
 	b := pgproto3.NewBackend(bytes.NewReader(u.Messages), io.Discard)
@@ -177,7 +206,11 @@
 
 	t.gateway.offset++
 
-	return lab.Result{Status: t.status, Position: lab.Position{Term: 1, Offset: t.gateway.offset}}, t.err
+	if t.status == 'I' && t.err == nil {
+		t.gateway.free = append(t.gateway.free, t.prepared)
+	}
+
+	return lab.Result{Status: t.status, Replica: t.readOnly, Position: lab.Position{Term: 1, Offset: t.gateway.offset}}, t.err
 }
 
 func (t *fakeTransaction) send(m pgproto3.BackendMessage) {
@@ -197,6 +230,21 @@
 	return false
 }
 
+// prepare adds a statement; one that says "syntax" is faulty, and one that says "made" needs "insert made" before it.
+func (t *fakeTransaction) prepare(name, query string) bool {
+	if strings.Contains(query, "syntax") {
+		return t.fail("42601", "syntax error")
+	}
+
+	if strings.Contains(query, "select made") && !slices.Contains(t.gateway.queries(), "insert made") {
+		return t.fail("42P01", "relation does not exist")
+	}
+
+	t.prepared[name] = query
+
+	return true
+}
+
 // message handles one message and returns false when an error was answered.
 func (t *fakeTransaction) message(ctx context.Context, m pgproto3.FrontendMessage) bool {
 	switch m := m.(type) {
@@ -211,7 +259,10 @@
 			}
 		}
 	case *pgproto3.Parse:
-		t.prepared[m.Name] = m.Query
+		if !t.prepare(m.Name, m.Query) {
+			return false
+		}
+
 		t.send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
 		q, ok := t.prepared[m.PreparedStatement]
@@ -263,10 +314,8 @@
 func (t *fakeTransaction) execute(ctx context.Context, p fakePortal, describe bool) bool {
 	t.gateway.record(p.query)
 
-	if t.gateway.after != nil {
-		if t.err = t.gateway.after(p.query); t.err != nil {
-			return false
-		}
+	if t.err = t.gateway.failure(p.query); t.err != nil {
+		return false
 	}
 
 	w := strings.Fields(strings.ToLower(p.query))
@@ -289,6 +338,10 @@
 	case w[0] == "select":
 		return t.query(ctx, p, w, describe)
 	case w[0] == "insert":
+		if w[1] == "repeated" {
+			t.send(&pgproto3.NoticeResponse{Severity: "NOTICE", Code: lab.CodeDone, Message: "done before"})
+		}
+
 		t.send(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")})
 
 		return true
@@ -301,8 +354,21 @@
 
 func (t *fakeTransaction) query(ctx context.Context, p fakePortal, w []string, describe bool) bool {
 	switch w[1] {
+	case "late":
+		old := t.out
+		t.gateway.set(func(g *fakeGateway) {
+			g.late = func() error {
+				_, err := old.Write([]byte("C\x00\x00\x00\x0cSELECT 9"))
+
+				return err
+			}
+		})
 	case "error":
 		return t.fail("22012", "division by zero")
+	case "primary":
+		if t.readOnly {
+			return t.fail("25006", "cannot execute in a read-only transaction")
+		}
 	case "block":
 		select {
 		case <-t.cancel:
@@ -334,6 +400,12 @@
 		}
 	}
 
+	if w[len(w)-1] == "lost" {
+		t.err = lab.Unknown(lab.ReasonLost, errFake)
+
+		return false
+	}
+
 	t.send(&pgproto3.CommandComplete{CommandTag: fmt.Appendf(nil, "SELECT %d", rows)})
 
 	return true
--- a/proxy/process/labfront/front.go
+++ b/proxy/process/labfront/front.go
@@ -56,6 +56,10 @@
 
 // Run listens until the context ends; connections still open then are cut.
 func (f *Front) Run(ctx context.Context) error {
+	if err := probe(ctx, f.Listen); err != nil {
+		return err
+	}
+
 	f.setDefaults()
 
 	stopped := make(chan struct{})
@@ -84,6 +88,7 @@
 		gnet.WithMulticore(true),
 		gnet.WithNumEventLoop(f.EventLoops),
 		gnet.WithTicker(true),
+		gnet.WithReuseAddr(true), // connections closed by a former process may still occupy the port
 		gnet.WithTCPKeepAlive(f.KeepAlive),
 		gnet.WithTCPKeepInterval(keepAliveInterval),
 		gnet.WithTCPKeepCount(keepAliveProbes),
@@ -98,10 +103,19 @@
 }
 
 func (f *Front) setDefaults() {
+	for i := range f.shards {
+		f.shards[i].reset()
+	}
+
 	if f.MaxConnections == 0 {
 		f.MaxConnections = DefaultMaxConnections
 	}
 
+	if n := descriptorLimit(); f.MaxConnections > n {
+		f.Log.Warn().Int("max_connections", f.MaxConnections).Int("possible", n).Msg("too_few_descriptors")
+		f.MaxConnections = n
+	}
+
 	if f.StartupDeadline == 0 {
 		f.StartupDeadline = DefaultStartupDeadline
 	}
@@ -136,7 +150,7 @@
 	}
 
 	f.draining.Store(true)
-	f.Log.Info().Str("address", f.Address()).Int64("open", f.Counters.Open.Load()).Msg("drain_started")
+	f.Log.Info().Str("address", f.Address()).Int64("open", f.Counters.Open.Value()).Msg("drain_started")
 
 	for i := range f.shards {
 		for _, c := range f.shards[i].all() {
@@ -147,10 +161,10 @@
 	t := time.NewTicker(drainPoll)
 	defer t.Stop()
 
-	for f.Counters.Open.Load() > 0 {
+	for f.Counters.Open.Value() > 0 {
 		select {
 		case <-ctx.Done():
-			return errors.Newf("drain with %d connections open: %w", f.Counters.Open.Load(), ctx.Err())
+			return errors.Newf("drain with %d connections open: %w", f.Counters.Open.Value(), ctx.Err())
 		case <-t.C:
 		}
 	}
--- a/proxy/process/labfront/front_test.go
+++ b/proxy/process/labfront/front_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/url"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,9 +28,10 @@
 	front   *labfront.Front
 	server  *labsession.Server
 	gateway *fakeGateway
+	stop    func()
 }
 
-func start(t *testing.T, change func(*labfront.Front)) *fixture {
+func start(t testing.TB, change func(*labfront.Front)) *fixture {
 	t.Helper()
 
 	credential, err := labscram.NewCredential(password)
@@ -58,17 +61,18 @@
 
 	go func() { done <- x.front.Run(ctx) }()
 
-	t.Cleanup(func() {
+	x.stop = sync.OnceFunc(func() {
 		cancel()
-		assert.NilError(t, <-done)
+		assert.Check(t, <-done == nil)
 	})
+	t.Cleanup(x.stop)
 
 	eventually(t, func() bool { return x.front.Address() != "" })
 
 	return x
 }
 
-func eventually(t *testing.T, condition func() bool) {
+func eventually(t testing.TB, condition func() bool) {
 	t.Helper()
 
 	for until := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
@@ -80,10 +84,10 @@
 	return fmt.Sprintf("postgres://hanko:%s@%s/rota?sslmode=disable&%s", url.PathEscape(password), x.front.Address(), parameters)
 }
 
-func (x *fixture) connect(t *testing.T) *pgx.Conn {
+func (x *fixture) connect(t *testing.T, parameters ...string) *pgx.Conn {
 	t.Helper()
 
-	c, err := pgx.Connect(context.Background(), x.url(""))
+	c, err := pgx.Connect(context.Background(), x.url(strings.Join(parameters, "&")))
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close(context.Background()) })
 
--- a/proxy/process/labfront/handler.go
+++ b/proxy/process/labfront/handler.go
@@ -7,7 +7,7 @@
 	"github.com/panjf2000/gnet/v2"
 )
 
-const tick = 250 * time.Millisecond
+const tick = 100 * time.Millisecond
 
 // handler receives gnet's events.
 type handler struct {
@@ -40,7 +40,9 @@
 	f := h.front
 	f.Counters.Accepted.Add(1)
 
-	if f.Counters.Open.Add(1) > int64(f.MaxConnections) {
+	f.Counters.Open.Add(1)
+
+	if f.Counters.Open.Value() > int64(f.MaxConnections) {
 		return h.refuse("53300", "sorry, too many clients already")
 	}
 
@@ -96,6 +98,11 @@
 	}
 
 	h.front.Counters.BytesIn.Add(int64(len(data)))
+
+	if c.leaving {
+		return gnet.None
+	}
+
 	c.session.Receive(data)
 
 	if !c.ready && c.session.Ready() {
@@ -114,7 +121,11 @@
 		for _, c := range h.front.shards[i].overdue(before) {
 			h.front.Counters.StartupTimeouts.Add(1)
 			h.front.shards[i].started(c)
-			c.Close()
+			c.cut()
+		}
+
+		for _, c := range h.front.shards[i].departing() {
+			c.onLoop(c.linger)
 		}
 	}
 
