Close gaps of the gateway found by tests of its guards

Cause: a request that held a slot waited for a connection while open transactions held all connections and waited for a slot; connections that the upstream had closed were cancelled before their slot was given back; a transaction that was ended while idle asked for a slot first; a second change of term within a write forgot the first one's grant.

--- a/proxy/connection/labupstream/conn.go
+++ b/proxy/connection/labupstream/conn.go
@@ -37,6 +37,7 @@
 	statements     map[string]string
 	status         byte
 	changed        bool
+	gone           bool // the upstream closed its side
 	broken         atomic.Bool
 	buffer         []byte
 }
@@ -56,6 +57,11 @@
 	return c.broken.Load()
 }
 
+// Running reports whether a unit that failed may still run on the upstream, so that it should be cancelled.
+func (c *Conn) Running() bool {
+	return c.Broken() && !c.gone
+}
+
 // Cancel asks the upstream over a new connection to cancel what runs on this one.
 func (c *Conn) Cancel(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, c.connectTimeout)
--- a/proxy/connection/labupstream/run.go
+++ b/proxy/connection/labupstream/run.go
@@ -447,6 +447,8 @@
 		}
 
 		if !errors.Is(err, os.ErrDeadlineExceeded) || ctx.Err() != nil {
+			e.conn.gone = !errors.Is(err, os.ErrDeadlineExceeded)
+
 			return errors.Newf("read from upstream: %w", err)
 		}
 
--- a/proxy/process/labgateway/begin.go
+++ b/proxy/process/labgateway/begin.go
@@ -87,7 +87,18 @@
 		return err
 	}
 
-	return t.connect(ctx)
+	if err = t.connect(ctx, false); !errors.Is(err, errExhausted) {
+		return err
+	}
+
+	// Open transactions hold all connections and may need a slot to end, so the slot is not held while waiting.
+	t.free()
+
+	if err = t.connect(ctx, true); err != nil {
+		return err
+	}
+
+	return t.acquire(ctx, member)
 }
 
 // awaitsPrimary reports whether a write failed for a reason that a promotion ends.
@@ -261,8 +272,8 @@
 }
 
 // connect takes a connection from the member's pool.
-func (t *transaction) connect(ctx context.Context) error {
-	conn, err := t.pool.Load().get(ctx)
+func (t *transaction) connect(ctx context.Context, mayWait bool) error {
+	conn, err := t.pool.Load().get(ctx, mayWait)
 	if err != nil && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
 		return lab.NotRun(lab.ReasonLost, errors.Newf("connect to member: %w", err))
 	}
--- a/proxy/process/labgateway/duty.go
+++ b/proxy/process/labgateway/duty.go
@@ -1,6 +1,7 @@
 package labgateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +23,7 @@
 
 	mu           sync.Mutex
 	current      hold
-	previous     *hold // grant of an earlier term that transactions still use
+	previous     []hold // grants of earlier terms that transactions still use
 	withdrawn    bool
 	followed     *lab.Database // catalog state that the pools follow
 	closed       bool          // all connections are closed or being closed
@@ -47,8 +48,7 @@
 	if h.grant.Term != d.current.grant.Term || h.grant.Writable != d.current.grant.Writable ||
 		h.grant.Epoch != d.current.grant.Epoch {
 		if d.writers(d.current.grant) {
-			old := d.current
-			d.previous = &old
+			d.previous = append(d.previous, d.current)
 		}
 	}
 
@@ -115,9 +115,7 @@
 
 	delete(d.transactions, t)
 
-	if d.previous != nil && !d.writers(d.previous.grant) {
-		d.previous = nil
-	}
+	d.previous = slices.DeleteFunc(d.previous, func(h hold) bool { return !d.writers(h.grant) })
 }
 
 // valid reports whether work begun under a grant may still be sent and acknowledged. A grant that is not renewed stays
@@ -136,8 +134,10 @@
 		return false
 	}
 
-	if d.previous != nil && d.previous.grant == g {
-		return now < d.previous.until
+	for _, h := range d.previous {
+		if h.grant == g {
+			return now < h.until
+		}
 	}
 
 	return d.current.grant == g && now < d.current.until
@@ -148,9 +148,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	grants := []lab.Grant{d.current.grant}
-	if d.previous != nil {
-		grants = append(grants, d.previous.grant)
+	grants := append(make([]lab.Grant, 0, 1+len(d.previous)), d.current.grant)
+	for _, h := range d.previous {
+		grants = append(grants, h.grant)
 	}
 
 	return grants
--- a/proxy/process/labgateway/fake_test.go
+++ b/proxy/process/labgateway/fake_test.go
@@ -42,6 +42,7 @@
 	committed []string
 	asked     []string
 	hook      func(sql string) act
+	slowClose time.Duration // before a used connection and a cancel request's are closed
 	hold      chan struct{} // a statement that begins with HOLD waits for it
 	open      int
 	peak      int
@@ -142,12 +143,21 @@
 		m.mu.Unlock()
 
 		go func() {
-			(&fakeSession{member: m, backend: pgproto3.NewBackend(conn, conn), status: 'I'}).run()
-			conn.Close()
+			s := &fakeSession{member: m, backend: pgproto3.NewBackend(conn, conn), status: 'I'}
+			s.run()
+
+			if s.used {
+				m.mu.Lock()
+				slow := m.slowClose
+				m.mu.Unlock()
+				time.Sleep(slow)
+			}
+
 			m.mu.Lock()
 			m.open--
 			delete(m.conns, conn)
 			m.mu.Unlock()
+			conn.Close()
 		}()
 	}
 }
@@ -192,6 +202,7 @@
 	status  byte
 	writes  []string
 	parsed  string
+	used    bool
 }
 
 var errDrop = errors.New("drop")
@@ -203,6 +214,8 @@
 	}
 
 	if _, cancel := startup.(*pgproto3.CancelRequest); cancel {
+		s.used = true
+
 		return
 	}
 
@@ -250,6 +263,8 @@
 		return nil
 	}
 
+	s.used = true
+
 	m.mu.Lock()
 	m.asked = append(m.asked, sql)
 	hook, recovery := m.hook, m.recovery
@@ -388,6 +403,10 @@
 	s := c.slots[member]
 	c.mu.Unlock()
 
+	if ctx.Err() != nil {
+		return nil, lab.NotRun(lab.ReasonOverload, ctx.Err())
+	}
+
 	select {
 	case s <- struct{}{}:
 		return sync.OnceFunc(func() { <-s }), nil
@@ -405,6 +424,17 @@
 	}
 }
 
+// set replaces the lease's grants.
+func (c *fakeControl) set(grants ...lab.Grant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.grants = map[lab.Duty]lab.Grant{}
+	for _, g := range grants {
+		c.grants[g.Duty] = g
+	}
+}
+
 // change replaces the catalog's state by a changed copy.
 func (c *fakeControl) change(change func(d *lab.Database)) {
 	c.mu.Lock()
@@ -421,6 +451,7 @@
 type fakeOnce struct {
 	mu      sync.Mutex
 	records map[string]lab.OnceRecord
+	settled map[string]int // calls of Resolve
 }
 
 func (o *fakeOnce) Reserve(_ context.Context, _, _, name string, _ time.Duration) (lab.OnceRecord, error) {
@@ -440,6 +471,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.records[name] = record
+	o.settled[name]++
 
 	return nil
 }
--- a/proxy/process/labgateway/follow.go
+++ b/proxy/process/labgateway/follow.go
@@ -1,6 +1,7 @@
 package labgateway
 
 import (
+	"slices"
 	"time"
 
 	"laburnumlock.dev/lab"
@@ -126,7 +127,7 @@
 	expired := now >= d.current.until
 	withdrawn := d.withdrawn
 	idle := len(d.transactions) == 0
-	previous := d.previous
+	previous := slices.Clone(d.previous)
 	d.mu.Unlock()
 
 	switch {
@@ -140,8 +141,10 @@
 		d.follow()
 	}
 
-	if previous != nil && (now >= previous.until || d.primaryLost()) {
-		d.force(errSuperseded, func(t *transaction) bool { return t.grant == previous.grant && !t.header.ReadOnly })
+	for _, h := range previous {
+		if now >= h.until || d.primaryLost() {
+			d.force(errSuperseded, func(t *transaction) bool { return t.grant == h.grant && !t.header.ReadOnly })
+		}
 	}
 
 	d.force(errLeaving, d.overstays)
--- a/proxy/process/labgateway/gateway_test.go
+++ b/proxy/process/labgateway/gateway_test.go
@@ -40,7 +40,7 @@
 	grant    lab.Grant
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t *testing.T, tick ...time.Duration) *bench {
 	t.Helper()
 
 	group := &fakeGroup{}
@@ -48,7 +48,7 @@
 		primary:  group.add(t, "a", "coast", "hanko", false),
 		replica:  group.add(t, "b", "coast", "kotka", true),
 		replica2: group.add(t, "c", "coast", "hanko", true),
-		once:     &fakeOnce{records: map[string]lab.OnceRecord{}},
+		once:     &fakeOnce{records: map[string]lab.OnceRecord{}, settled: map[string]int{}},
 		duty:     lab.Duty{Database: "rota", Region: "coast"},
 	}
 	b.grant = lab.Grant{Duty: b.duty, Epoch: 1, Term: 1, Writable: true}
@@ -70,6 +70,10 @@
 			LostAfter: 200 * time.Millisecond,
 		},
 	}
+	for _, d := range tick {
+		b.gateway.Tick = d
+	}
+
 	b.gateway.Assign([]lab.Grant{b.grant}, b.gateway.Clock.Now()+time.Hour)
 
 	ctx, cancel := context.WithCancel(context.Background())
--- a/proxy/process/labgateway/once.go
+++ b/proxy/process/labgateway/once.go
@@ -52,7 +52,7 @@
 		return lab.Position{}
 	}
 
-	conn, err := p.get(ctx)
+	conn, err := p.get(ctx, true)
 	if err != nil {
 		return lab.Position{}
 	}
--- a/proxy/process/labgateway/pool.go
+++ b/proxy/process/labgateway/pool.go
@@ -17,7 +17,10 @@
 // cancelWait bounds how long a cancel request waits for a free connection.
 const cancelWait = 500 * time.Millisecond
 
-var errPoolClosed = errors.New("connection pool is closed")
+var (
+	errPoolClosed = errors.New("connection pool is closed")
+	errExhausted  = errors.New("all connections are in use")
+)
 
 // idleConn is a pooled connection and the time of its last use.
 type idleConn struct {
@@ -51,10 +54,10 @@
 	return max(member.Connections-lab.ReservedConnections-observerConnections, 1)
 }
 
-// get returns a working connection, and whether it is new.
-func (p *pool) get(ctx context.Context) (*labupstream.Conn, error) {
+// get returns a working connection; it waits for one only if it may.
+func (p *pool) get(ctx context.Context, mayWait bool) (*labupstream.Conn, error) {
 	for {
-		idle, open, wake, err := p.take()
+		idle, open, wake, err := p.take(mayWait)
 		if err != nil {
 			return nil, err
 		}
@@ -81,7 +84,7 @@
 }
 
 // take returns an idle connection, permission to open one, or a channel that is closed when either may be available.
-func (p *pool) take() (idle idleConn, open bool, wake chan struct{}, err error) {
+func (p *pool) take(mayWait bool) (idle idleConn, open bool, wake chan struct{}, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -102,6 +105,10 @@
 		return idleConn{}, true, nil, nil
 	}
 
+	if !mayWait {
+		return idleConn{}, false, nil, errExhausted
+	}
+
 	wake = make(chan struct{})
 	p.waiters = append(p.waiters, wake)
 
@@ -189,7 +196,7 @@
 	defer stop()
 
 	for {
-		idle, open, wake, err := p.take()
+		idle, open, wake, err := p.take(true)
 
 		switch {
 		case err != nil:
--- a/proxy/process/labgateway/transaction.go
+++ b/proxy/process/labgateway/transaction.go
@@ -119,6 +119,10 @@
 
 // attempt runs a unit; a first one that was not sent, or a first read of which nothing was passed on, once more.
 func (t *transaction) attempt(ctx context.Context, unit lab.Unit, answer io.Writer) (lab.Result, error) {
+	if _, err := t.sendable(unit); err != nil {
+		return lab.Result{}, err
+	}
+
 	if t.release == nil {
 		if err := t.acquire(ctx, t.pool.Load().member.Member); err != nil {
 			return lab.Result{}, err
@@ -331,21 +335,18 @@
 	return 0
 }
 
-// acknowledge waits until a replica has received the position, while the grant stays valid.
+// acknowledge waits until a replica has received the position. The wait ends early when the grant does, by force.
 func (t *transaction) acknowledge(ctx context.Context, position lab.Position) error {
 	g := t.duty.gateway
-	valid := true
 
 	err := g.Observer.Wait(ctx, t.header.Database, func(views []labobserver.View) bool {
-		valid = t.duty.valid(t.grant, true)
-
-		return !valid || received(views, position)
+		return received(views, position)
 	})
-
-	switch {
-	case err != nil:
+	if err != nil {
 		return lab.Unknown(reason(err), errors.Newf("wait for a replica to receive %s: %w", position, err))
-	case !valid || !t.duty.valid(t.grant, true):
+	}
+
+	if !t.duty.valid(t.grant, true) {
 		return lab.Unknown(lab.ReasonSuperseded, errSuperseded)
 	}
 
@@ -479,7 +480,7 @@
 	conn.Silent = nil
 
 	if conn.Broken() || cancelled || conn.Status() != 'I' {
-		running := conn.Broken() && t.release != nil
+		running := conn.Running() && t.release != nil
 		p.discard(conn, running, t.release)
 		t.release = nil
 
