Add the operators' commands and the demo

Cause: operators need one command line, and a newcomer one command that shows the system under failure. An answer that brings changes asks for the next heartbeat at once, so that control learns sooner that a change is in force.

--- a/bench/process/labdeployment/configure.go
+++ b/bench/process/labdeployment/configure.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/http"
+	"encoding/json"
 
 	"github.com/cockroachdb/errors"
 
@@ -40,18 +40,62 @@
 	s := d.Settings
 	template := templateDocument{Parameters: s.Parameters}
 
-	if err := d.put(ctx, "/v1/templates/"+s.Template, template); err != nil {
-		return errors.Newf("create template: %w", err)
+	if _, err := d.put(ctx, laboperator.KindTemplate, s.Template, 0, template); err != nil {
+		return err
 	}
 
 	organisation := organisationDocument{Template: s.Template, Databases: s.Group.Databases, Credential: credential}
-	if err := d.put(ctx, "/v1/organisations/"+s.Organisation, organisation); err != nil {
-		return errors.Newf("create organisation: %w", err)
+	_, err = d.put(ctx, laboperator.KindOrganisation, s.Organisation, 0, organisation)
+
+	return err
+}
+
+// ChangeQueueLimit sets the organisation's queue limit and returns the change id.
+func (d *Deployment) ChangeQueueLimit(ctx context.Context, limit int64) (string, error) {
+	o, err := d.operator.Get(ctx, laboperator.KindOrganisation, d.Settings.Organisation)
+	if err != nil {
+		return "", errors.Newf("read organisation: %w", err)
+	}
+
+	var document organisationDocument
+	if err := json.Unmarshal(o.Document, &document); err != nil {
+		return "", errors.Newf("decode organisation: %w", err)
 	}
 
-	return nil
+	document.Parameters.QueueLimit = limit
+
+	a, err := d.put(ctx, laboperator.KindOrganisation, d.Settings.Organisation, o.Changed.Version, document)
+
+	return a.ChangeID, err
 }
 
-func (d *Deployment) put(ctx context.Context, path string, document any) error {
-	return d.operator.Do(ctx, http.MethodPut, path, document, nil)
+// QueueLimit returns the organisation's queue limit as control has it.
+func (d *Deployment) QueueLimit(ctx context.Context) (int64, error) {
+	o, err := d.operator.Get(ctx, laboperator.KindOrganisation, d.Settings.Organisation)
+	if err != nil {
+		return 0, errors.Newf("read organisation: %w", err)
+	}
+
+	var merged lab.Organisation
+	if err := json.Unmarshal(o.Merged, &merged); err != nil {
+		return 0, errors.Newf("decode organisation: %w", err)
+	}
+
+	return merged.Parameters.QueueLimit, nil
+}
+
+// InForce reports whether every proxy has confirmed a change.
+func (d *Deployment) InForce(ctx context.Context, changeID string) (bool, error) {
+	s, err := d.operator.ChangeStatus(ctx, changeID)
+
+	return s.InForce, err
+}
+
+func (d *Deployment) put(ctx context.Context, kind laboperator.Kind, name string, base uint64, document any) (laboperator.Answer, error) {
+	b, err := json.Marshal(document)
+	if err != nil {
+		return laboperator.Answer{}, errors.Newf("encode document: %w", err)
+	}
+
+	return d.operator.Put(ctx, kind, name, laboperator.Change{ID: laboperator.NewChangeID(), Base: base, Document: b})
 }
--- a/control/process/labcontrol/changes.go
+++ b/control/process/labcontrol/changes.go
@@ -13,9 +13,12 @@
 	"laburnumlock.dev/lab/control/version/labcatalog"
 )
 
+// HeaderOperator names the operator; whoever serves the API sets it from the operator's certificate.
+const HeaderOperator = "Operator"
+
 // Headers that carry what a change needs besides the document; without them the body is an envelope.
 const (
-	headerOperator = "Operator"
+	headerOperator = HeaderOperator
 	headerChangeID = "Change-Id"
 	headerBase     = "Base-Version"
 )
@@ -89,6 +92,10 @@
 			return e, errors.Newf("read change: %w; accepted: change_id, operator, base_version, document", err)
 		}
 	}
+	// The server sets the header from the operator's certificate, which goes before the body.
+	if name := r.Header.Get(headerOperator); name != "" {
+		e.Operator = name
+	}
 	if e.ChangeID == "" || e.Operator == "" {
 		return e, errors.New("a change needs a change id and an operator")
 	}
--- a/control/process/labcontrol/heartbeat.go
+++ b/control/process/labcontrol/heartbeat.go
@@ -148,7 +148,7 @@
 		l.promoter.Observe(now, h.Instance.ID, m)
 	}
 	a.TTL, a.Grants = lablease.TTL, grants
-	if s.pending(l, now, h, grants) {
+	if s.pending(l, now, h, grants) || s.Catalog.Index() > h.Confirmed {
 		a.Again = PendingPause
 	}
 
--- a/control/process/labinstance/instance.go
+++ b/control/process/labinstance/instance.go
@@ -265,6 +265,7 @@
 			return
 		}
 
+		r.Header.Set(labcontrol.HeaderOperator, string(labkeys.PeerName(*r.TLS)))
 		next.ServeHTTP(w, r)
 	})
 }
--- a/ctl/process/labcommand/command.go
+++ b/ctl/process/labcommand/command.go
@@ -6,6 +6,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab/request/laboperator"
 )
 
 // Command runs one command line; Out and Err are set before Run.
@@ -25,6 +27,12 @@
 	a.ErrorWriter(c.Err)
 	a.HelpFlag.Short('h')
 
+	n := addConnection(a)
+	c.addDemo(a)
+	c.addStatus(a, n)
+	c.addObjects(a, n, "template", laboperator.KindTemplate)
+	c.addObjects(a, n, "organisation", laboperator.KindOrganisation)
+	c.addAudit(a, n)
 	c.addKeys(a)
 	c.addSettings(a)
 	c.addCredential(a)
--- a/ctl/process/labdemo/demo.go
+++ b/ctl/process/labdemo/demo.go
@@ -52,7 +52,7 @@
 	}
 
 	<-ctx.Done()
-	fmt.Fprintln(d.Out, "stopping")
+	_, _ = fmt.Fprintln(d.Out, "stopping")
 
 	return deployment.Stop()
 }
--- a/proxy/process/labproxy/wire.go
+++ b/proxy/process/labproxy/wire.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"expvar"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -104,11 +103,11 @@
 func (p *Proxy) publish() {
 	p.variables.Set("transport", p.transport.Variables())
 	p.variables.Set("agent", p.agent.Variables())
-	p.variables.Set("callers_open", expvar.Func(func() any { return p.front.Counters.Open.Load() }))
-	p.variables.Set("units", expvar.Func(func() any { return p.sessions.Counters.Units.Load() }))
-	p.variables.Set("replica_reads", expvar.Func(func() any { return p.sessions.Counters.ReplicaReads.Load() }))
-	p.variables.Set("not_run", expvar.Func(func() any { return p.sessions.Counters.NotRun.Load() }))
-	p.variables.Set("outcome_unknown", expvar.Func(func() any { return p.sessions.Counters.Unknown.Load() }))
-	p.variables.Set("late_answers", expvar.Func(func() any { return p.sessions.Counters.LateAnswers.Load() }))
-	p.variables.Set("retries", expvar.Func(func() any { return p.sessions.Counters.Retries.Load() }))
+	p.variables.Set("callers_open", &p.front.Counters.Open)
+	p.variables.Set("units", &p.sessions.Counters.Units)
+	p.variables.Set("replica_reads", &p.sessions.Counters.ReplicaReads)
+	p.variables.Set("not_run", &p.sessions.Counters.NotRun)
+	p.variables.Set("outcome_unknown", &p.sessions.Counters.Unknown)
+	p.variables.Set("late_answers", &p.sessions.Counters.LateAnswers)
+	p.variables.Set("retries", &p.sessions.Counters.Retries)
 }
