Tell silent members from slow ones in the gateway

Change: writes of an old term are ended early only when their own member is lost; after a failed probe the older idle connections are closed too; samples of the primary need the term in force; log lines for duties and ended transactions. Each guard was taken out, its test failed, and it was put back: a silent unit ends when its member is lost, a slow one does not, probe and liveness check before reuse, purge, drain waits and refuses, early end by member only, samples of the term in force. Conclusion: planned promotions let running writes finish under the old lease.

--- a/proxy/process/labgateway/failure_test.go
+++ b/proxy/process/labgateway/failure_test.go
@@ -25,6 +25,10 @@
 				return actCross
 			case strings.HasPrefix(sql, "INSERT silence"):
 				return actSilence
+			case strings.HasPrefix(sql, "INSERT late"):
+				return actLate
+			case strings.HasPrefix(sql, "INSERT leave"):
+				return actLeave
 			}
 
 			return actRun
@@ -51,6 +55,19 @@
 		wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonLost)
 		assert.Equal(t, b.primary.has("INSERT before"), 0)
 	})
+
+	for _, sql := range []string{"INSERT late", "INSERT leave"} {
+		t.Run(sql+" leaves the next answer alone", func(t *testing.T) {
+			for _, next := range []string{sql, "INSERT next to " + sql} {
+				_, answer, err := b.do(write(), query(next, false))
+				assert.NilError(t, err)
+				assert.Assert(t, !strings.Contains(answer, "LATE"))
+				assert.Equal(t, b.primary.has(next), 1)
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+
 	t.Run("before sending", func(t *testing.T) {
 		b.primary.set(func() {
 			for c := range b.primary.conns {
@@ -72,6 +89,41 @@
 	})
 }
 
+// Guards against waiting for a member that no longer answers, and against sending a unit on a dead connection.
+func TestSilentMember(t *testing.T) {
+	b := newBench(t)
+	done := b.holding(t, "HOLD INSERT frozen")
+	started := time.Now()
+	melt := b.primary.freeze()
+	wantOutcome(t, (<-done).err, lab.OutcomeUnknown, lab.ReasonLost)
+	assert.Assert(t, time.Since(started) < 1900*time.Millisecond, "waited for the deadline")
+	melt()
+	close(b.primary.hold)
+
+	t.Run("probe before reuse", func(t *testing.T) {
+		b := newBench(t)
+		b.gateway.duties[b.duty].pools["a"].probeAfter = 0
+
+		busy := []<-chan outcome{b.holding(t, "HOLD INSERT 1"), b.holding(t, "HOLD INSERT 2"), b.holding(t, "HOLD INSERT 3")}
+		close(b.primary.hold)
+		for _, done := range busy {
+			assert.NilError(t, (<-done).err)
+		}
+
+		// Only the open connections go silent.
+		b.primary.set(func() {
+			b.primary.frozen = make(chan struct{})
+			b.primary.unfrozen = b.primary.accepted
+		})
+		started := time.Now()
+		_, _, err := b.do(write(), query("INSERT after", false))
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(started) < 400*time.Millisecond, "each silent connection was waited for")
+		assert.Equal(t, b.primary.has("INSERT after"), 1)
+		b.primary.set(func() { close(b.primary.frozen) })
+	})
+}
+
 // Guards against acknowledging a commit that a failover could lose.
 func TestAcknowledge(t *testing.T) {
 	b := newBench(t)
--- a/proxy/process/labgateway/fake_test.go
+++ b/proxy/process/labgateway/fake_test.go
@@ -24,6 +24,8 @@
 	actDropAfter
 	actSilence
 	actCross // sends an answer of another statement first
+	actLate  // sends another answer after the end of this one
+	actLeave // closes the connection after the end of the answer
 )
 
 // fakeMember is a scripted upstream: it keeps what it committed and what it was asked.
@@ -44,6 +46,9 @@
 	hook      func(sql string) act
 	slowClose time.Duration // before a used connection and a cancel request's are closed
 	hold      chan struct{} // a statement that begins with HOLD waits for it
+	frozen    chan struct{} // connections with a number up to unfrozen wait for it, all if that is 0
+	unfrozen  int
+	accepted  int
 	open      int
 	peak      int
 	conns     map[net.Conn]struct{}
@@ -88,6 +93,27 @@
 	}
 }
 
+// freeze makes the member silent on old and new connections until the returned function is called.
+func (m *fakeMember) freeze() (melt func()) {
+	frozen := make(chan struct{})
+	m.set(func() { m.frozen = frozen })
+
+	return sync.OnceFunc(func() { m.set(func() { m.frozen = nil }); close(frozen) })
+}
+
+func (m *fakeMember) thaw(number int) {
+	m.mu.Lock()
+	frozen := m.frozen
+	if m.unfrozen > 0 && number > m.unfrozen {
+		frozen = nil
+	}
+	m.mu.Unlock()
+
+	if frozen != nil {
+		<-frozen
+	}
+}
+
 func (m *fakeMember) set(change func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -139,11 +165,13 @@
 		m.mu.Lock()
 		m.open++
 		m.peak = max(m.peak, m.open)
+		m.accepted++
+		number := m.accepted
 		m.conns[conn] = struct{}{}
 		m.mu.Unlock()
 
 		go func() {
-			s := &fakeSession{member: m, backend: pgproto3.NewBackend(conn, conn), status: 'I'}
+			s := &fakeSession{member: m, backend: pgproto3.NewBackend(conn, conn), status: 'I', number: number}
 			s.run()
 
 			if s.used {
@@ -203,6 +231,8 @@
 	writes  []string
 	parsed  string
 	used    bool
+	number  int
+	after   act // what is done after the position query behind the statement
 }
 
 var errDrop = errors.New("drop")
@@ -219,12 +249,15 @@
 		return
 	}
 
+	s.member.thaw(s.number)
 	s.backend.Send(&pgproto3.AuthenticationOk{})
 	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: 7, SecretKey: []byte{1, 2, 3, 4}})
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 
 	for s.backend.Flush() == nil {
 		message, err := s.backend.Receive()
+		s.member.thaw(s.number)
+
 		if err != nil || s.handle(message) != nil {
 			return
 		}
@@ -239,6 +272,10 @@
 		}
 
 		s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.status})
+
+		if m.String == lab.PositionQuery && s.after != actRun {
+			return s.afterwards()
+		}
 	case *pgproto3.Parse:
 		s.parsed = m.Query
 		s.backend.Send(&pgproto3.ParseComplete{})
@@ -255,6 +292,22 @@
 	return nil
 }
 
+// afterwards spoils the connection a little after the end of an answer.
+func (s *fakeSession) afterwards() error {
+	_ = s.backend.Flush()
+
+	if s.after == actLeave {
+		return errDrop
+	}
+
+	s.after = actRun
+
+	time.Sleep(10 * time.Millisecond)
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("LATE")})
+
+	return nil
+}
+
 func (s *fakeSession) statement(sql string) error {
 	m := s.member
 	if sql == lab.PositionQuery {
@@ -285,6 +338,8 @@
 	case actCross:
 		s.backend.Send(&pgproto3.CloseComplete{})
 	case actRun, actDropAfter:
+	case actLate, actLeave:
+		s.after = what
 	}
 
 	if strings.HasPrefix(sql, "HOLD") {
--- a/proxy/process/labgateway/follow.go
+++ b/proxy/process/labgateway/follow.go
@@ -1,6 +1,7 @@
 package labgateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -142,9 +143,9 @@
 	}
 
 	for _, h := range previous {
-		if now >= h.until || d.primaryLost() {
-			d.force(errSuperseded, func(t *transaction) bool { return t.grant == h.grant && !t.header.ReadOnly })
-		}
+		d.force(errSuperseded, func(t *transaction) bool {
+			return t.grant == h.grant && !t.header.ReadOnly && (now >= h.until || d.lost(t.pool.Load()))
+		})
 	}
 
 	d.force(errLeaving, d.overstays)
@@ -176,29 +177,27 @@
 
 // force ends the transactions that match.
 func (d *duty) force(cause error, match func(*transaction) bool) {
-	var ending []*transaction
-
 	d.mu.Lock()
-	for t := range d.transactions {
-		if match(t) {
-			ending = append(ending, t)
-		}
-	}
+	running := slices.Collect(maps.Keys(d.transactions))
 	d.mu.Unlock()
 
-	for _, t := range ending {
-		t.force(cause)
+	for _, t := range running {
+		if match(t) && t.force(cause) {
+			d.gateway.Logger.Warn().Str("database", d.key.Database).Uint64("request_id", t.header.RequestID).
+				Str("cause", cause.Error()).Msg("transaction ended")
+		}
 	}
 }
 
-func (d *duty) primaryLost() bool {
-	database, found := d.gateway.Routes.Database(d.key.Database)
-	if !found {
-		return true
+// lost reports whether the member of a pool is known not to answer. Its transactions can't end well then, and ending
+// them lets the next term start sooner.
+func (d *duty) lost(p *pool) bool {
+	if p == nil {
+		return false
 	}
 
 	for _, v := range d.gateway.Observer.Views(d.key.Database, nil) {
-		if v.Member.Member == database.Primary {
+		if v.Member.Member == p.member.Member {
 			return v.Lost
 		}
 	}
--- a/proxy/process/labgateway/gateway.go
+++ b/proxy/process/labgateway/gateway.go
@@ -87,6 +87,8 @@
 	}
 
 	for _, d := range started {
+		g.Logger.Info().Str("database", d.key.Database).Str("region", d.key.Region).
+			Uint64("epoch", d.current.grant.Epoch).Msg("duty taken over")
 		d.follow()
 	}
 }
--- a/proxy/process/labgateway/gateway_test.go
+++ b/proxy/process/labgateway/gateway_test.go
@@ -187,7 +187,14 @@
 		b := newBench(t)
 		_, _, err := b.do(write(), query("INSERT w0", false))
 		assert.NilError(t, err)
-		assert.NilError(t, b.gateway.Drain(context.Background()))
+
+		running := b.holding(t, "HOLD INSERT running")
+		drained := make(chan error, 1)
+		go func() { drained <- b.gateway.Drain(context.Background()) }()
+		time.Sleep(50 * time.Millisecond)
+		close(b.primary.hold)
+		assert.NilError(t, (<-running).err)
+		assert.NilError(t, <-drained)
 		wait(t, func() bool { return b.primary.connections() == 0 && b.replica.connections() == 0 })
 		assert.Equal(t, len(b.gateway.Held()), 0)
 
--- a/proxy/process/labgateway/pool.go
+++ b/proxy/process/labgateway/pool.go
@@ -69,6 +69,7 @@
 			}
 
 			p.discard(idle.conn, false, nil)
+			p.purge(idle.since)
 		case open:
 			return p.dial(ctx)
 		default:
@@ -120,6 +121,29 @@
 	p.peak = max(p.peak, p.open)
 }
 
+// purge closes the idle connections last used before one that failed: what cut off one usually cut off the older ones.
+func (p *pool) purge(before time.Duration) {
+	p.mu.Lock()
+	kept := make([]idleConn, 0, len(p.idle))
+
+	var older []idleConn
+
+	for _, i := range p.idle {
+		if i.since <= before {
+			older = append(older, i)
+		} else {
+			kept = append(kept, i)
+		}
+	}
+
+	p.idle = kept
+	p.mu.Unlock()
+
+	for _, o := range older {
+		p.discard(o.conn, false, nil)
+	}
+}
+
 func (p *pool) usable(ctx context.Context, idle idleConn) bool {
 	if !idle.conn.Idle() {
 		return false
--- a/proxy/process/labgateway/term_test.go
+++ b/proxy/process/labgateway/term_test.go
@@ -128,6 +128,8 @@
 		b := newBench(t)
 		done := b.holding(t, "HOLD INSERT finishes")
 		b.assign(time.Hour, lab.Grant{Duty: b.duty, Epoch: 1, Term: 2})
+		b.control.change(func(d *lab.Database) { d.Primary = "" })
+		time.Sleep(300 * time.Millisecond) // longer than the progress timeout
 		close(b.primary.hold)
 		assert.NilError(t, (<-done).err)
 	})
--- a/proxy/process/labgateway/transaction.go
+++ b/proxy/process/labgateway/transaction.go
@@ -403,13 +403,14 @@
 	p.cancel(conn)
 }
 
-// force ends the transaction for a reason: a running unit fails, an idle transaction is rolled back.
-func (t *transaction) force(cause error) {
+// force ends the transaction for a reason: a running unit fails, an idle transaction is rolled back. It returns false
+// when that was done before.
+func (t *transaction) force(cause error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	if t.forced != nil {
-		return
+		return false
 	}
 
 	t.forced = cause
@@ -417,13 +418,15 @@
 	if t.stop != nil {
 		t.stop(cause)
 
-		return
+		return true
 	}
 
 	if t.conn != nil {
 		t.pool.Load().discard(t.conn, false, nil)
 		t.conn = nil
 	}
+
+	return true
 }
 
 // Close ends the transaction; an unfinished one is rolled back by closing the connection.
--- a/proxy/process/labobserver/tracker.go
+++ b/proxy/process/labobserver/tracker.go
@@ -104,7 +104,7 @@
 	s.failing, s.lost = false, false
 
 	if member.Member == t.primary {
-		if !p.InRecovery {
+		if !p.InRecovery && p.Replayed.Term == t.term() {
 			t.sample(sent, p.Replayed)
 		}
 	} else {
@@ -114,6 +114,14 @@
 	return t.report(s, sent)
 }
 
+func (t *tracker) term() lab.Term {
+	if len(t.history) == 0 {
+		return 0
+	}
+
+	return t.history[len(t.history)-1].Term
+}
+
 // sample records the primary's position and the replicas that have reached it.
 func (t *tracker) sample(at time.Duration, position lab.Position) {
 	last := len(t.samples) - 1
--- a/proxy/process/labobserver/tracker_test.go
+++ b/proxy/process/labobserver/tracker_test.go
@@ -152,6 +152,11 @@
 		tr.read(a, 5*s, at(true, 2, 400))
 		want(5*s, s)
 	})
+	t.Run("a primary of another term is no measure", func(t *testing.T) {
+		tr.read(a, 5*s, at(false, 1, 400))
+		tr.read(a, 5*s, at(false, 3, 400))
+		want(5*s, s)
+	})
 	t.Run("a replica without a receiver keeps its term", func(t *testing.T) {
 		tr.read(b, 5*s, at(true, 0, 410))
 		for _, v := range tr.views(5*s, nil) {
