Read from another member when one refuses connections

Cause: a read failed when the chosen replica had just gone; a session reset ran outside the member's slots; closing a connection with a unit sent in part could complete a message. Change: reads try one other member, and members whose last new connection failed are not chosen; the slot is kept for the reset; Terminate is sent on intact connections only. Figures: with 12 callers that change their session, the primary ran at most 3 statements at once, its slots. The rule for Terminate has no test.

--- a/proxy/connection/labupstream/conn.go
+++ b/proxy/connection/labupstream/conn.go
@@ -161,11 +161,12 @@
 // Close ends the session and waits a short time for the upstream to close its side, so that the caller may count the
 // upstream's connection as free when Close returns.
 func (c *Conn) Close() {
-	c.Break()
+	broken := c.broken.Swap(true)
 
 	_ = c.net.SetDeadline(time.Now().Add(closeWait))
 
-	if terminate, err := (&pgproto3.Terminate{}).Encode(nil); err == nil {
+	// On a broken connection the bytes could complete a message that was sent in part.
+	if terminate, err := (&pgproto3.Terminate{}).Encode(nil); err == nil && !broken {
 		_, _ = c.net.Write(terminate)
 	}
 
--- a/proxy/process/labgateway/begin.go
+++ b/proxy/process/labgateway/begin.go
@@ -47,7 +47,8 @@
 	return t, nil
 }
 
-// begin binds the transaction to a member other than the excluded one. Writes wait for a primary that answers.
+// begin binds the transaction to a member other than the excluded one. Writes wait for a primary that answers, reads try
+// one other member.
 func (t *transaction) begin(ctx context.Context, excluded string) error {
 	for {
 		changed := t.duty.wait()
@@ -57,12 +58,23 @@
 			return nil
 		}
 
+		failed := t.memberName()
 		t.leave()
 
-		if t.header.ReadOnly || !awaitsPrimary(err) {
+		if !unreachable(err) {
 			return err
 		}
 
+		if t.header.ReadOnly {
+			if excluded != "" || failed == "" {
+				return err
+			}
+
+			excluded = failed
+
+			continue
+		}
+
 		if region, elsewhere := t.primaryElsewhere(); elsewhere {
 			return lab.NotRun(lab.ReasonMisrouted, errors.Newf("primary is in region %s", region))
 		}
@@ -101,8 +113,8 @@
 	return t.acquire(ctx, member)
 }
 
-// awaitsPrimary reports whether a write failed for a reason that a promotion ends.
-func awaitsPrimary(err error) bool {
+// unreachable reports whether an error is one of the member, which another member or a promotion can mend.
+func unreachable(err error) bool {
 	switch _, reason := lab.OutcomeOf(err); reason {
 	case lab.ReasonNoPrimary, lab.ReasonSuperseded, lab.ReasonLost:
 		return true
@@ -225,6 +237,15 @@
 	return false
 }
 
+// memberName returns the name of the member that the transaction is bound to, if any.
+func (t *transaction) memberName() string {
+	if p := t.pool.Load(); p != nil {
+		return p.member.Member
+	}
+
+	return ""
+}
+
 func (t *transaction) load(member string) (float64, bool) {
 	p, found := t.duty.pool(member)
 	if !found {
--- a/proxy/process/labgateway/choice.go
+++ b/proxy/process/labgateway/choice.go
@@ -37,7 +37,7 @@
 
 // eligible reports whether a replica may serve a read with a floor and an accepted age, 0 for none stated.
 func eligible(database *lab.Database, v labobserver.View, floor lab.Position, maxAge time.Duration) bool {
-	if !v.Known || v.Lost || v.Member.Leaving || !v.Status.InRecovery || v.Member.Member == database.Primary {
+	if !v.Known || v.Failing || v.Member.Leaving || !v.Status.InRecovery || v.Member.Member == database.Primary {
 		return false
 	}
 
--- a/proxy/process/labgateway/fake_test.go
+++ b/proxy/process/labgateway/fake_test.go
@@ -49,6 +49,8 @@
 	frozen    chan struct{} // connections with a number up to unfrozen wait for it, all if that is 0
 	unfrozen  int
 	accepted  int
+	running   int // statements
+	busiest   int
 	open      int
 	peak      int
 	conns     map[net.Conn]struct{}
@@ -321,8 +323,12 @@
 	m.mu.Lock()
 	m.asked = append(m.asked, sql)
 	hook, recovery := m.hook, m.recovery
+	m.running++
+	m.busiest = max(m.busiest, m.running)
 	m.mu.Unlock()
 
+	defer m.set(func() { m.running-- })
+
 	what := actRun
 	if hook != nil {
 		what = hook(sql)
--- a/proxy/process/labgateway/member_test.go
+++ b/proxy/process/labgateway/member_test.go
@@ -350,6 +350,27 @@
 		assert.NilError(t, <-done)
 		assert.Assert(t, conn.Broken())
 	})
+	t.Run("resets within the slots", func(t *testing.T) {
+		b := newBench(t)
+		b.primary.set(func() {
+			b.primary.hook = func(string) act { time.Sleep(5 * time.Millisecond); return actRun }
+		})
+
+		var work sync.WaitGroup
+
+		for range 12 {
+			work.Go(func() {
+				unit := query("SET x", false)
+				unit.Changes = true
+				_, _, err := b.do(write(), unit)
+				assert.Check(t, err)
+			})
+		}
+
+		work.Wait()
+		wait(t, func() bool { return b.primary.wasAsked("DISCARD ALL") })
+		b.primary.set(func() { assert.Check(t, b.primary.busiest <= 3, "%d statements at once", b.primary.busiest) })
+	})
 	t.Run("slot between units", func(t *testing.T) {
 		open := make([]lab.Transaction, 0, 4)
 
--- a/proxy/process/labgateway/pool.go
+++ b/proxy/process/labgateway/pool.go
@@ -198,8 +198,6 @@
 
 // discard closes a connection in the background, first cancelling what runs on it, and then calls done.
 func (p *pool) discard(conn *labupstream.Conn, running bool, done func()) {
-	conn.Break()
-
 	go func() {
 		if running {
 			p.cancel(conn)
--- a/proxy/process/labgateway/read_test.go
+++ b/proxy/process/labgateway/read_test.go
@@ -59,7 +59,7 @@
 	t.Run("age unknown", check(false, at(2, 300), time.Hour, func(v *labobserver.View) { v.AgeKnown = false }))
 	t.Run("no age stated", check(true, at(2, 300), 0, func(v *labobserver.View) { v.AgeKnown = false }))
 	t.Run("leaving", check(false, at(2, 1), 0, func(v *labobserver.View) { v.Member.Leaving = true }))
-	t.Run("lost", check(false, at(2, 1), 0, func(v *labobserver.View) { v.Lost = true }))
+	t.Run("failing", check(false, at(2, 1), 0, func(v *labobserver.View) { v.Failing = true }))
 	t.Run("unknown", check(false, lab.Position{}, 0, func(v *labobserver.View) { v.Known = false }))
 	t.Run("former primary", check(false, at(2, 1), 0, func(v *labobserver.View) { v.Status.InRecovery = false }))
 	t.Run("divergent", check(false, lab.Position{}, 0, func(v *labobserver.View) { v.Status.Replayed = at(1, 201) }))
@@ -167,6 +167,18 @@
 		})
 	}
 
+	t.Run("another replica when the first refuses connections", func(t *testing.T) {
+		b := newBench(t, time.Hour)
+		b.gateway.Observer.Unwatch("rota") // leaves the last views in force
+		b.gateway.Observer.Interval = time.Hour
+		b.control.change(func(*lab.Database) {})
+		b.gateway.duties[b.duty].follow()
+		for _, m := range []*fakeMember{b.primary, b.replica, b.replica2} {
+			b.reached(t, m)
+		}
+		b.replica2.kill()
+		served(t, b, read(), "SELECT refused", "b")
+	})
 	t.Run("divergent replica", func(t *testing.T) {
 		b := newBench(t)
 		b.control.change(func(d *lab.Database) { d.History = lab.History{{Term: 1}, {Term: 2, Offset: 90}} })
--- a/proxy/process/labgateway/transaction.go
+++ b/proxy/process/labgateway/transaction.go
@@ -176,7 +176,11 @@
 	}
 
 	t.first = false
-	t.free()
+
+	// A reset runs on the upstream like a unit, so the slot is kept for it.
+	if ended.Status != 'I' || !conn.NeedsReset() {
+		t.free()
+	}
 
 	if ended.Positioned {
 		g.Observer.Note(p.member, sent, ended.Position)
@@ -490,18 +494,23 @@
 		return
 	}
 
-	reset(p, conn)
-}
-
-// reset brings the connection back to its initial state and into the pool.
-func reset(p *pool, conn *labupstream.Conn) {
 	if !conn.NeedsReset() {
 		p.put(conn)
 
 		return
 	}
 
+	reset(p, conn, t.release)
+	t.release = nil
+}
+
+// reset brings the connection back to its initial state and into the pool, and then gives the slot back.
+func reset(p *pool, conn *labupstream.Conn, release func()) {
 	go func() {
+		if release != nil {
+			defer release()
+		}
+
 		ctx, cancel := context.WithTimeout(context.Background(), resetWait)
 		defer cancel()
 
--- a/proxy/process/labobserver/tracker.go
+++ b/proxy/process/labobserver/tracker.go
@@ -220,7 +220,7 @@
 func (t *tracker) views(now time.Duration, into []View) []View {
 	for _, s := range t.members {
 		into = append(into, View{
-			Member: s.member, Known: s.known, Lost: s.lost, Status: t.status(s, now),
+			Member: s.member, Known: s.known, Failing: s.failing, Lost: s.lost, Status: t.status(s, now),
 			LastTerm: s.term, AgeKnown: s.freshKnown, Age: now - s.freshAt,
 		})
 	}
--- a/proxy/process/labobserver/view.go
+++ b/proxy/process/labobserver/view.go
@@ -10,7 +10,8 @@
 type View struct {
 	Member   lab.Announcement
 	Known    bool // the position was read since the member started
-	Lost     bool // new connections to it fail
+	Failing  bool // the last new connection failed
+	Lost     bool // new connections to it have failed for a while
 	Status   lab.MemberStatus
 	LastTerm lab.Term // last term read; a replica without a running receiver tells none
 	AgeKnown bool
