--- a/proxy/process/labgateway/transaction.go
+++ b/proxy/process/labgateway/transaction.go
@@ -176,7 +176,11 @@
 	}
 
 	t.first = false
-	t.free()
+
+	// A reset runs on the upstream like a unit, so the slot is kept for it.
+	if ended.Status != 'I' || !conn.NeedsReset() {
+		t.free()
+	}
 
 	if ended.Positioned {
 		g.Observer.Note(p.member, sent, ended.Position)
@@ -403,13 +407,14 @@
 	p.cancel(conn)
 }
 
-// force ends the transaction for a reason: a running unit fails, an idle transaction is rolled back.
-func (t *transaction) force(cause error) {
+// force ends the transaction for a reason: a running unit fails, an idle transaction is rolled back. It returns false
+// when that was done before.
+func (t *transaction) force(cause error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	if t.forced != nil {
-		return
+		return false
 	}
 
 	t.forced = cause
@@ -417,13 +422,15 @@
 	if t.stop != nil {
 		t.stop(cause)
 
-		return
+		return true
 	}
 
 	if t.conn != nil {
 		t.pool.Load().discard(t.conn, false, nil)
 		t.conn = nil
 	}
+
+	return true
 }
 
 // Close ends the transaction; an unfinished one is rolled back by closing the connection.
@@ -487,18 +494,23 @@
 		return
 	}
 
-	reset(p, conn)
-}
-
-// reset brings the connection back to its initial state and into the pool.
-func reset(p *pool, conn *labupstream.Conn) {
 	if !conn.NeedsReset() {
 		p.put(conn)
 
 		return
 	}
 
+	reset(p, conn, t.release)
+	t.release = nil
+}
+
+// reset brings the connection back to its initial state and into the pool, and then gives the slot back.
+func reset(p *pool, conn *labupstream.Conn, release func()) {
 	go func() {
+		if release != nil {
+			defer release()
+		}
+
 		ctx, cancel := context.WithTimeout(context.Background(), resetWait)
 		defer cancel()
 
--- a/proxy/process/labobserver/tracker.go
+++ b/proxy/process/labobserver/tracker.go
@@ -104,7 +104,7 @@
 	s.failing, s.lost = false, false
 
 	if member.Member == t.primary {
-		if !p.InRecovery {
+		if !p.InRecovery && p.Replayed.Term == t.term() {
 			t.sample(sent, p.Replayed)
 		}
 	} else {
@@ -114,6 +114,14 @@
 	return t.report(s, sent)
 }
 
+func (t *tracker) term() lab.Term {
+	if len(t.history) == 0 {
+		return 0
+	}
+
+	return t.history[len(t.history)-1].Term
+}
+
 // sample records the primary's position and the replicas that have reached it.
 func (t *tracker) sample(at time.Duration, position lab.Position) {
 	last := len(t.samples) - 1
@@ -212,7 +220,7 @@
 func (t *tracker) views(now time.Duration, into []View) []View {
 	for _, s := range t.members {
 		into = append(into, View{
-			Member: s.member, Known: s.known, Lost: s.lost, Status: t.status(s, now),
+			Member: s.member, Known: s.known, Failing: s.failing, Lost: s.lost, Status: t.status(s, now),
 			LastTerm: s.term, AgeKnown: s.freshKnown, Age: now - s.freshAt,
 		})
 	}
