Keep requests waiting while a duty moves, and deliver last answers before a stop

While its duty moved, the next gateway had no lease yet and refused: 13 requests not run with no_lease. Ruled out: callers cut by the front, whose drain waits for transactions in progress. Change: the forwarder tries again while the duty moves and time is left; the transport drains before it closes.

--- a/bench/connection/labcaller/caller.go
+++ b/bench/connection/labcaller/caller.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	codeAdminShutdown = "57P01"
+
 	tokenParameter = "laburnumlock.token"
 	connectTimeout = 3 * time.Second
 	closeTimeout   = time.Second
@@ -183,10 +185,12 @@
 	}
 
 	switch p.Code {
-	case lab.CodeUnknown, "57P01": // a session that was ended in the middle of a request
+	case lab.CodeUnknown:
 		return lab.Unknown(lab.ReasonLost, err)
 	case lab.CodeNotRun:
 		return lab.NotRun(lab.ReasonOverload, err)
+	case codeAdminShutdown: // a proxy that drains ends sessions between requests only
+		return lab.NotRun(lab.ReasonDraining, err)
 	default:
 		return lab.NotRun(lab.ReasonRejected, err)
 	}
--- a/ctl/process/labdemo/check.go
+++ b/ctl/process/labdemo/check.go
@@ -72,7 +72,7 @@
 	var g errgroup.Group
 
 	g.Go(func() error { return l.Run(ctx, loadTime) })
-	g.Go(func() error { return d.disturb(ctx, deployment, r) })
+	g.Go(func() error { return d.disturb(ctx, deployment, l, r) })
 
 	if err := g.Wait(); err != nil {
 		return nil, err
@@ -84,13 +84,13 @@
 	r.Violations = labhistory.Check(operations, final)
 	aged, others := deployment.ReplicaShares(labload.AgedMark)
 	r.ReplicaShare = labdeployment.Share{Reads: aged.Reads + others.Reads, Replica: aged.Replica + others.Replica}.Ratio()
-	r.FailoverGapMS = labhistory.Gap(operations, Database, killAt).Milliseconds()
+	r.FailoverGapMS = labhistory.Gap(operations, Database, r.killed).Milliseconds()
 
 	return r, nil
 }
 
 // disturb changes the configuration, kills the primary, and restarts a proxy and a control instance, in this order.
-func (d *Demo) disturb(ctx context.Context, deployment *labdeployment.Deployment, r *Report) error {
+func (d *Demo) disturb(ctx context.Context, deployment *labdeployment.Deployment, l *labload.Load, r *Report) error {
 	begin := time.Now()
 
 	sleepUntil(ctx, begin.Add(changeAt))
@@ -108,6 +108,9 @@
 
 	sleepUntil(ctx, begin.Add(killAt))
 	deployment.Group(Database).Primary().Kill()
+
+	r.killed = l.Since()
+
 	sleepUntil(ctx, begin.Add(restartAt))
 
 	if err := deployment.RestartProxy(ctx, int(d.Seed%3)); err != nil {
--- a/ctl/process/labdemo/report.go
+++ b/ctl/process/labdemo/report.go
@@ -1,6 +1,10 @@
 package labdemo
 
-import "laburnumlock.dev/lab/bench/request/labhistory"
+import (
+	"time"
+
+	"laburnumlock.dev/lab/bench/request/labhistory"
+)
 
 // Report is the outcome of a check; its JSON is one line.
 type Report struct {
@@ -14,7 +18,11 @@
 	InForceMS     int64   `json:"in_force_ms"`     // from the acceptance of a change until every proxy has it in force
 	Reverted      int     `json:"reverted"`        // configuration changes that were gone after the restart
 
+	Reasons map[string]int `json:"reasons,omitempty"` // of requests that were not run or are of unknown outcome
+
 	labhistory.Violations
+
+	killed time.Duration // when the primary was lost, since the load began
 }
 
 // Passed reports whether every invariant held and the deployment came back within the targets.
@@ -30,7 +38,13 @@
 )
 
 func (r *Report) count(operations []labhistory.Operation) {
+	r.Reasons = map[string]int{}
+
 	for _, o := range operations {
+		if o.Result != labhistory.ResultDone {
+			r.Reasons[o.Reason]++
+		}
+
 		write := o.Kind == labhistory.KindWrite || o.Kind == labhistory.KindOnce
 
 		switch {
--- a/process/labtransport/transport.go
+++ b/process/labtransport/transport.go
@@ -23,6 +23,8 @@
 	keepAlivePeriod    = time.Second
 	maxIncomingStreams = 1 << 16 // one per transaction in progress from a peer
 	preambleTimeout    = 5 * time.Second
+	// lingerTime covers a retransmission over the region link with 24 ms per round trip.
+	lingerTime = 150 * time.Millisecond
 )
 
 // Transport implements lab.Peers and serves the requests of other processes.
@@ -37,6 +39,7 @@
 	listener *quic.Listener
 	ids      atomic.Uint64
 	traffic  traffic
+	serving  atomic.Int64 // streams of other processes in progress
 
 	mutex sync.Mutex
 	links map[string]*link
@@ -106,6 +109,32 @@
 	}
 }
 
+// Drain returns when no stream of another process is in progress and the last answers have had time to arrive, since
+// closing a connection discards what was not delivered. It returns the context's error when that ends first.
+func (t *Transport) Drain(ctx context.Context) error {
+	const poll = 10 * time.Millisecond
+
+	pause := func(d time.Duration) error {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+
+		select {
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return errors.Newf("drain transport with %d streams in progress: %w", t.serving.Load(), ctx.Err())
+		}
+	}
+
+	for t.serving.Load() > 0 {
+		if err := pause(poll); err != nil {
+			return err
+		}
+	}
+
+	return pause(lingerTime)
+}
+
 // Call sends a request and decodes the answer.
 func (t *Transport) Call(ctx context.Context, address string, method lab.Method, request, answer any) error {
 	l := t.link(address)
@@ -260,6 +289,9 @@
 }
 
 func (t *Transport) serveStream(ctx context.Context, from lab.InstanceID, s *stream) {
+	t.serving.Add(1)
+	defer t.serving.Add(-1)
+
 	_ = s.SetReadDeadline(time.Now().Add(preambleTimeout))
 
 	var p preamble
--- a/proxy/process/labforward/forwarder.go
+++ b/proxy/process/labforward/forwarder.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxHops is how often a transaction is sent on when the placement was stale.
-	maxHops = 2
+	// defaultRouteTime bounds the search for a gateway for requests without a deadline.
+	defaultRouteTime = 5 * time.Second
 	// catalogPause gives the catalog time to change when every known gateway refused.
 	catalogPause = 50 * time.Millisecond
 
--- a/proxy/process/labforward/transaction.go
+++ b/proxy/process/labforward/transaction.go
@@ -26,14 +26,6 @@
 // route binds the transaction to a gateway; refused is the error of the one before, nil for the first.
 func (t *transaction) route(ctx context.Context, refused error) error {
 	for {
-		if refused != nil {
-			if t.header.Hops >= maxHops {
-				return refused
-			}
-
-			t.header.Hops++
-		}
-
 		placement, err := t.next(ctx, refused)
 		if err != nil {
 			return err
@@ -41,7 +33,7 @@
 
 		header := t.header
 		if header.Deadline > 0 {
-			header.Deadline = max(header.Deadline-(t.forwarder.Clock.Now()-t.started), time.Millisecond)
+			header.Deadline = max(t.left(), time.Millisecond)
 		}
 
 		inner, err := t.forwarder.open(ctx, header, placement)
@@ -53,47 +45,58 @@
 			return nil
 		}
 
-		if !misrouted(err) {
+		if !moving(err) {
 			return err
 		}
 
 		refused = err
+		t.header.Hops++
 	}
 }
 
-// next returns a placement that was not tried, after a pause for the catalog to change when all were.
+// next returns a placement that was not tried. When all were, the duty is moving: it pauses and tries them again while
+// time is left, so that a change of gateway delays requests and does not fail them.
 func (t *transaction) next(ctx context.Context, refused error) (lab.Placement, error) {
-	placement, found, err := t.forwarder.place(t.header, t.tried)
-	if err != nil {
-		return lab.Placement{}, err
-	}
+	for {
+		placement, found, err := t.forwarder.place(t.header, t.tried)
+		if err != nil {
+			return lab.Placement{}, err
+		}
 
-	if !found && refused != nil {
-		if err = t.forwarder.Clock.Sleep(ctx, catalogPause); err != nil {
+		if found {
+			t.tried[placement.Instance] = true
+
+			return placement, nil
+		}
+
+		if refused == nil {
+			refused = lab.NotRun(lab.ReasonNoPrimary, errors.New("no gateway is known"))
+		}
+
+		if t.left() <= catalogPause || t.forwarder.Clock.Sleep(ctx, catalogPause) != nil {
 			return lab.Placement{}, refused
 		}
 
 		clear(t.tried)
-		placement, found, err = t.forwarder.place(t.header, t.tried)
-	}
-
-	if err != nil {
-		return lab.Placement{}, err
 	}
+}
 
-	if !found {
-		return lab.Placement{}, lab.NotRun(lab.ReasonNoPrimary, errors.New("no gateway is known"))
+// left returns the time until the request's deadline.
+func (t *transaction) left() time.Duration {
+	limit := t.header.Deadline
+	if limit <= 0 {
+		limit = defaultRouteTime
 	}
 
-	t.tried[placement.Instance] = true
-
-	return placement, nil
+	return limit - (t.forwarder.Clock.Now() - t.started)
 }
 
-func misrouted(err error) bool {
+// moving reports whether the gateway refused because it does not hold the duty, or not yet.
+func moving(err error) bool {
 	outcome, reason := lab.OutcomeOf(err)
 
-	return outcome == lab.OutcomeNotRun && reason == lab.ReasonMisrouted
+	return outcome == lab.OutcomeNotRun &&
+		(reason == lab.ReasonMisrouted || reason == lab.ReasonNoLease || reason == lab.ReasonDraining)
 }
 
 // Run executes one unit.
@@ -106,12 +109,14 @@
 			return result, nil
 		}
 
-		if !t.first || !misrouted(err) {
+		if !t.first || !moving(err) {
 			return result, err
 		}
 
 		t.bound().Close()
 
+		t.header.Hops++
+
 		if err = t.route(ctx, err); err != nil {
 			return lab.Result{}, err
 		}
--- a/proxy/process/labproxy/proxy.go
+++ b/proxy/process/labproxy/proxy.go
@@ -158,6 +158,10 @@
 	if err := p.gateway.Drain(ctx); err != nil {
 		p.Logger.Warn().Err(err).Msg("gateway_drain_incomplete")
 	}
+
+	if err := p.transport.Drain(ctx); err != nil {
+		p.Logger.Warn().Err(err).Msg("transport_drain_incomplete")
+	}
 }
 
 // handOver waits until control has moved every duty to another proxy and this one has released it.
