Warn of voters without their disk

Cause: an instance that lost its disk and starts again with the first voters has forgotten its vote. Change: the comment of Group.Voters says so; an unused lint directive is removed. Conclusion: replacing a disk needs a new identity, as TestLostDisk and TestRestartAndReplace do.

--- a/control/process/labconsensus/group.go
+++ b/control/process/labconsensus/group.go
@@ -27,9 +27,11 @@
 
 // Group is this instance's member of the consensus group; it implements lab.Log.
 type Group struct {
-	ID      lab.InstanceID
-	Voters  []lab.InstanceID // first voters of a new group, used while the journal is empty; empty on one that joins
-	Journal lab.Journal      // closed by the caller after Run
+	ID lab.InstanceID
+	// Voters are the first voters of a new group, used while the journal is empty. An instance that joins has none; nor
+	// may one that lost its disk start with them, since it forgot its vote.
+	Voters  []lab.InstanceID
+	Journal lab.Journal // closed by the caller after Run
 	Clock   lab.Clock
 	Random  lab.Random
 	Machine lab.StateMachine // called by Run's goroutine
--- a/control/process/labreplica/election.go
+++ b/control/process/labreplica/election.go
@@ -9,7 +9,7 @@
 func (r *Replica) resetDeadline() {
 	d := r.ElectionMin
 	if s := uint64(r.ElectionMax - r.ElectionMin); s > 0 {
-		d += time.Duration(r.Random.Uint64() % s) //nolint:gosec // below the election timeout
+		d += time.Duration(r.Random.Uint64() % s)
 	}
 
 	r.deadline = r.now + d
