Replace dead members of complete groups

Cause: a member that died and was replaced under a new name counted for ever among those that may have acknowledged writes, so a second loss right after the repair left 2 of 4 readable members and no promotion. Change: when three other members are readable, a member unreachable for 10 s (1 s if it announced that it leaves) is taken out of use (member_departed) and still counted until its gateway has confirmed that, and all other members have reached a position that the primary had afterwards (member_forgotten). Before: needed 3 of 4 readable members for ever. Conclusion: the property test of acknowledged writes does not cover departing members yet.

--- a/control/process/labcontrol/server.go
+++ b/control/process/labcontrol/server.go
@@ -97,6 +97,15 @@
 		Catalog: s.Catalog, Prober: s.Prober, Random: s.Random, Logger: s.Logger, Propose: s.propose,
 		WritesEnded: func(database string) bool { return l.table.WritesEnded(s.Clock.Now(), database) },
 	}
+	l.promoter.Confirmed = func(database string) uint64 {
+		w, ok := l.table.Writer(s.Clock.Now(), database)
+		c := l.contacts.last(w.Holder)
+		if !ok || c.incarnation != w.Incarnation {
+			return 0
+		}
+
+		return c.confirmed
+	}
 	for _, n := range s.Catalog.Databases() {
 		l.promoter.Suspect(n, labpromoter.ReachableWait) // losses known to the former leader may not be reported again
 	}
--- a/control/process/labcontrol/server_test.go
+++ b/control/process/labcontrol/server_test.go
@@ -271,6 +271,26 @@
 	})
 }
 
+// Guards against a replaced member that is never forgotten because control doesn't learn what its gateway confirmed.
+func TestReplacedMember(t *testing.T) {
+	w := newWorld(t)
+	w.run(7 * time.Second)
+	w.prober.lose(database + "/m-kotka")
+	at := lab.Position{Term: 1, Offset: 100}
+	w.prober.set(database+"/m-new", lab.MemberStatus{InRecovery: true, Received: at, Replayed: at})
+	h, _ := w.writer()
+	h.Statuses = []lab.MemberStatus{{Database: database, Member: "m-kotka", LostFor: time.Second}}
+	h.Announcements = []lab.Announcement{{Database: database, Member: "m-new", Address: "new:5432", Region: "gulf-coast", Incarnation: 1}}
+	took := w.until(20*time.Second, func() bool {
+		_, known := w.database().Member("m-kotka")
+
+		return !known && len(w.leader().Catalog.Departing(database)) == 0
+	})
+	t.Logf("dead member forgotten after %v", took)
+	assert.Assert(t, took < 15*time.Second)
+	assert.Equal(t, len(w.database().Members), 3)
+}
+
 // Guards against a drained proxy that keeps or gets duties.
 func TestDrain(t *testing.T) {
 	w := newWorld(t)
--- a/control/process/lablease/table.go
+++ b/control/process/lablease/table.go
@@ -208,6 +208,26 @@
 	return true
 }
 
+// Writer returns the right to write to a database when it is the only one that may be in use.
+func (t *Table) Writer(now time.Duration, database string) (Right, bool) {
+	if now < t.Quiet() {
+		return Right{}, false
+	}
+	s := t.shard(database)
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	var writer Right
+	count := 0
+	for _, r := range s.rights[database] {
+		if r.Until > now && r.Grant.Writable {
+			writer = r
+			count++
+		}
+	}
+
+	return writer, count == 1
+}
+
 // Rights returns the rights that may be in use, in any order.
 func (t *Table) Rights(now time.Duration) []Right {
 	var list []Right
--- a/control/process/labpromoter/choice.go
+++ b/control/process/labpromoter/choice.go
@@ -15,8 +15,8 @@
 
 // needed returns how many members must be readable: an acknowledged write is on the primary and one replica, so all
 // but one of the members, and at least two, always include it.
-func needed(d *lab.Database, oldPrimary string) int {
-	n := len(d.Members)
+func needed(d *lab.Database, oldPrimary string, departing int) int {
+	n := len(d.Members) + departing
 	if _, known := d.Member(oldPrimary); !known {
 		n++
 	}
@@ -46,9 +46,11 @@
 
 // choose picks the most advanced member by term and received position. patient makes it wait for a member that stays
 // when the most advanced one is leaving.
-func choose(d *lab.Database, p labcatalog.Promotion, readings []reading, patient bool) (reading, verdict) {
+func choose(
+	d *lab.Database, p labcatalog.Promotion, readings []reading, departing int, patient bool,
+) (reading, verdict) {
 	list := candidates(d, p, readings)
-	if len(list) < needed(d, p.OldPrimary) {
+	if len(list) < needed(d, p.OldPrimary, departing) {
 		return reading{}, verdictWait
 	}
 	best := list[0]
--- a/control/process/labpromoter/promoter.go
+++ b/control/process/labpromoter/promoter.go
@@ -44,6 +44,8 @@
 	Logger      zerolog.Logger
 	Propose     func(ctx context.Context, command *labcatalog.Command) (labcatalog.Result, error)
 	WritesEnded func(database string) bool // nobody can still hold a right to write
+	// Confirmed returns the log index in force at the only proxy that can write to a database, 0 when it is unknown.
+	Confirmed func(database string) uint64
 
 	once  sync.Once
 	slots chan struct{}
@@ -64,7 +66,7 @@
 	}
 	w := s.watches[database]
 	if w == nil {
-		w = &watch{losses: map[report]time.Duration{}, stream: map[string]lab.Position{}, statuses: map[string]lab.MemberStatus{}}
+		w = &watch{losses: map[report]time.Duration{}, stream: map[string]lab.Position{}, statuses: map[string]lab.MemberStatus{}, absent: map[string]time.Duration{}}
 		s.watches[database] = w
 	}
 
@@ -135,7 +137,7 @@
 		return true
 	}
 
-	return p.reason(now, d) != ""
+	return p.reason(now, d) != "" || p.tending(d)
 }
 
 // run takes steps until one doesn't make progress, and schedules the next try.
--- a/control/process/labpromoter/promoter_test.go
+++ b/control/process/labpromoter/promoter_test.go
@@ -272,6 +272,58 @@
 	})
 }
 
+// Guards against a dead member that counts for ever, so that the next loss right after its replacement stops
+// promotion, and against forgetting it while only it may have an acknowledged write.
+func TestReplacedMember(t *testing.T) {
+	replaced := func(t *testing.T, confirmed uint64, caughtUp bool) *world {
+		w := started(t)
+		w.promoter.Confirmed = func(string) uint64 { return confirmed }
+		w.fail("m2")
+		w.cluster.nodes["m4"] = &node{up: true, recovery: true, at: lab.Position{Term: 1, Offset: 50}}
+		w.announce(lab.Announcement{Database: database, Member: "m4", Address: "m4", Region: "gulf-coast", Incarnation: 1})
+		assert.NilError(t, w.step())
+		assert.Equal(t, len(w.database().Members), 4)
+		if caughtUp {
+			w.cluster.nodes["m4"].at.Offset = 100
+		}
+		w.now += labpromoter.DepartAfter
+		if err := w.step(); err != nil {
+			t.Log(err)
+		}
+		assert.Equal(t, len(w.database().Members), 3)
+
+		return w
+	}
+	waits := func(confirmed uint64, caughtUp bool) func(*testing.T) {
+		return func(t *testing.T) {
+			w := replaced(t, confirmed, caughtUp)
+			assert.Equal(t, len(w.catalog.Departing(database)), 1)
+			w.fail("m1")
+			assert.Assert(t, w.step() != nil)
+			assert.Equal(t, len(w.cluster.promoted), 0)
+		}
+	}
+	t.Run("gateway may still count on it", waits(1, true))
+	t.Run("others lack its writes", waits(1000, false))
+	t.Run("second loss right after the repair", func(t *testing.T) {
+		w := replaced(t, 1000, true)
+		assert.Equal(t, len(w.catalog.Departing(database)), 0)
+		w.fail("m1")
+		assert.NilError(t, w.step())
+		assert.Equal(t, w.database().Term(), lab.Term(2))
+	})
+	t.Run("returns", func(t *testing.T) {
+		w := replaced(t, 1, true)
+		old := lab.Announcement{Database: database, Member: "m2", Address: "m2", Region: "gulf-coast"}
+		w.announce(old)
+		assert.Equal(t, len(w.database().Members), 3)
+		old.Incarnation = 1
+		w.announce(old)
+		assert.Equal(t, len(w.database().Members), 4)
+		assert.Equal(t, len(w.catalog.Departing(database)), 0)
+	})
+}
+
 // Guards against a leaving primary's successor that hasn't caught up.
 func TestLeaving(t *testing.T) {
 	w := started(t)
--- a/control/process/labpromoter/steps.go
+++ b/control/process/labpromoter/steps.go
@@ -58,7 +58,7 @@
 	reason := p.reason(now, d)
 	switch reason {
 	case "":
-		return false, nil
+		return p.tend(ctx, now, d)
 	case reasonLost:
 		if !p.confirmed(ctx, now, d) {
 			return false, nil
@@ -68,7 +68,7 @@
 			return false, nil
 		}
 	case reasonLeaving:
-		if len(p.read(ctx, d)) < needed(d, d.Primary) {
+		if len(p.read(ctx, d)) < needed(d, d.Primary, len(p.Catalog.Departing(d.Name))) {
 			return false, errors.Newf("replace leaving primary of %s: %w", d.Name, errTooFew)
 		}
 	}
@@ -107,7 +107,7 @@
 		return false, nil
 	}
 	readings := p.read(ctx, d)
-	best, v := choose(d, r, readings, now-begun < CatchUpWait)
+	best, v := choose(d, r, readings, len(p.Catalog.Departing(d.Name)), now-begun < CatchUpWait)
 	switch v {
 	case verdictWait:
 		return false, errors.Newf("choose primary of %s, %d of %d members readable: %w",
--- a/control/process/labpromoter/watch.go
+++ b/control/process/labpromoter/watch.go
@@ -16,11 +16,12 @@
 	losses    map[report]time.Duration
 	stream    map[string]lab.Position // last position with a known term by member
 	statuses  map[string]lab.MemberStatus
-	missing   time.Duration // first failed attempt to reach the chosen member, 0 for none
-	started   time.Duration // when the running promotion was first worked on, 0 for none
-	resting   time.Duration // no new promotion starts before this time
-	suspected time.Duration // how long control's own probes of the primary must fail, 0 for no suspicion
-	refused   time.Duration // first failed probe of a suspected primary, 0 for none
+	missing   time.Duration            // first failed attempt to reach the chosen member, 0 for none
+	started   time.Duration            // when the running promotion was first worked on, 0 for none
+	absent    map[string]time.Duration // first failed probe of members other than the primary
+	resting   time.Duration            // no new promotion starts before this time
+	suspected time.Duration            // how long control's own probes of the primary must fail, 0 for no suspicion
+	refused   time.Duration            // first failed probe of a suspected primary, 0 for none
 }
 
 // report identifies who sees which member as unreachable.
@@ -47,6 +48,35 @@
 	}
 }
 
+// anyLost reports whether any gateway sees the member as unreachable.
+func (w *watch) anyLost(member string) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for k := range w.losses {
+		if k.member == member {
+			return true
+		}
+	}
+
+	return false
+}
+
+// absence takes in a probe of a member and returns for how long probes have failed.
+func (w *watch) absence(now time.Duration, member string, reachable bool) time.Duration {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if reachable {
+		delete(w.absent, member)
+
+		return 0
+	}
+	if _, known := w.absent[member]; !known {
+		w.absent[member] = now
+	}
+
+	return now - w.absent[member]
+}
+
 // trust ends a suspicion, because the primary's gateway reached it.
 func (w *watch) trust() {
 	w.lock.Lock()
--- a/control/version/labcatalog/catalog.go
+++ b/control/version/labcatalog/catalog.go
@@ -121,6 +121,12 @@
 	case m.Term != nil:
 		record.Action, record.Object = "term_started", m.Term.Database
 		err = c.termStarted(index, m.Term)
+	case m.Departed != nil:
+		record.Action, record.Object = "member_departed", m.Departed.Database+"/"+m.Departed.Member
+		err = c.memberDeparted(index, m.Departed)
+	case m.Forgotten != nil:
+		record.Action, record.Object = "member_forgotten", m.Forgotten.Database+"/"+m.Forgotten.Member
+		err = c.memberForgotten(index, m.Forgotten)
 	default:
 		return nil
 	}
--- a/control/version/labcatalog/command.go
+++ b/control/version/labcatalog/command.go
@@ -20,6 +20,8 @@
 	Chosen     *PromotionChosen   `msgpack:"h,omitempty"`
 	Cancelled  *PromotionCancel   `msgpack:"x,omitempty"`
 	Term       *TermStarted       `msgpack:"t,omitempty"`
+	Departed   *MemberDeparted    `msgpack:"d,omitempty"`
+	Forgotten  *MemberForgotten   `msgpack:"f,omitempty"`
 	Note       *Note              `msgpack:"n,omitempty"`
 	At         int64              `msgpack:"a,omitempty"` // proposer's calendar time in ms, for the audit trail only
 }
--- /dev/null
+++ b/control/version/labcatalog/departure.go
@@ -0,0 +1,85 @@
+package labcatalog
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+)
+
+// Departing is a member that is no longer used but still counts among those that may have acknowledged writes.
+type Departing struct {
+	Incarnation uint64 `json:"incarnation" msgpack:"i"`
+	Index       uint64 `json:"index"       msgpack:"x"` // log index from which gateways no longer count on it
+}
+
+// MemberDeparted takes a member that can't be reached out of use.
+type MemberDeparted struct {
+	Database  string `msgpack:"d"`
+	Member    string `msgpack:"m"`
+	BaseIndex uint64 `msgpack:"b"` // log index of the database's last change
+}
+
+// MemberForgotten ends the counting of a departing member, once the others have all it may have acknowledged.
+type MemberForgotten struct {
+	Database  string `msgpack:"d"`
+	Member    string `msgpack:"m"`
+	BaseIndex uint64 `msgpack:"b"` // log index of the database's last change
+}
+
+// Departing returns the departing members of a database by name.
+func (c *Catalog) Departing(database string) map[string]Departing {
+	g := c.group(database)
+	if g == nil {
+		return nil
+	}
+
+	return g.departing // replaced, never changed
+}
+
+func (c *Catalog) memberDeparted(index uint64, s *MemberDeparted) error {
+	return c.editDatabase(index, s.Database, func(g *group) error {
+		m, known := g.database.Member(s.Member)
+		if !known || g.database.Index != s.BaseIndex || g.promotion != nil || g.database.Primary == s.Member {
+			return errors.Newf("take %s of %s out of use: %w", s.Member, s.Database, ErrStep)
+		}
+		g.database.Members = slices.DeleteFunc(slices.Clone(g.database.Members), func(m lab.Announcement) bool {
+			return m.Member == s.Member
+		})
+		g.departing = clone(g.departing)
+		g.departing[s.Member] = Departing{Incarnation: m.Incarnation, Index: index}
+		delete(c.addresses, m.Address)
+
+		return nil
+	})
+}
+
+func (c *Catalog) memberForgotten(index uint64, s *MemberForgotten) error {
+	return c.editDatabase(index, s.Database, func(g *group) error {
+		d, departing := g.departing[s.Member]
+		if !departing || g.database.Index != s.BaseIndex || g.promotion != nil {
+			return errors.Newf("forget %s of %s: %w", s.Member, s.Database, ErrStep)
+		}
+		g.departing = clone(g.departing)
+		delete(g.departing, s.Member)
+		if d.Incarnation > 0 {
+			g.retired = maps.Clone(g.retired)
+			if g.retired == nil {
+				g.retired = map[string]uint64{}
+			}
+			g.retired[s.Member] = d.Incarnation - 1 // the same life may come back, an earlier one may not
+		}
+
+		return nil
+	})
+}
+
+func clone(m map[string]Departing) map[string]Departing {
+	if m == nil {
+		return map[string]Departing{}
+	}
+
+	return maps.Clone(m)
+}
--- a/control/version/labcatalog/group.go
+++ b/control/version/labcatalog/group.go
@@ -15,6 +15,7 @@
 type group struct {
 	database  lab.Database
 	promotion *Promotion
+	departing map[string]Departing
 	retired   map[string]uint64 // members whose address another process took over, with their last incarnation
 }
 
--- a/control/version/labcatalog/member.go
+++ b/control/version/labcatalog/member.go
@@ -20,6 +20,9 @@
 	if last, ok := g.retired[a.Member]; ok && a.Incarnation <= last {
 		return false
 	}
+	if d, departing := g.departing[a.Member]; departing {
+		return a.Incarnation >= d.Incarnation
+	}
 	old, known := g.database.Member(a.Member)
 
 	return !known || a.Incarnation > old.Incarnation || (a.Incarnation == old.Incarnation && a != old)
@@ -50,6 +53,8 @@
 		})
 		g.retired = maps.Clone(g.retired)
 		delete(g.retired, a.Member)
+		g.departing = clone(g.departing)
+		delete(g.departing, a.Member)
 
 		return nil
 	})
--- a/control/version/labcatalog/snapshot.go
+++ b/control/version/labcatalog/snapshot.go
@@ -25,9 +25,10 @@
 }
 
 type groupImage struct {
-	Database  lab.Database      `msgpack:"d"`
-	Promotion *Promotion        `msgpack:"p"`
-	Retired   map[string]uint64 `msgpack:"r"`
+	Database  lab.Database         `msgpack:"d"`
+	Promotion *Promotion           `msgpack:"p"`
+	Retired   map[string]uint64    `msgpack:"r"`
+	Departing map[string]Departing `msgpack:"e"`
 }
 
 // Snapshot encodes the whole catalog; it is called by the applying goroutine.
@@ -36,7 +37,9 @@
 	c.configuration.image(&m)
 	for _, n := range c.Databases() {
 		g := c.group(n)
-		m.Groups = append(m.Groups, groupImage{Database: g.database, Promotion: g.promotion, Retired: g.retired})
+		m.Groups = append(m.Groups, groupImage{
+			Database: g.database, Promotion: g.promotion, Retired: g.retired, Departing: g.departing,
+		})
 	}
 	c.fleet.lock.RLock()
 	for _, p := range c.fleet.proxies {
@@ -126,7 +129,9 @@
 	for _, g := range m.Groups {
 		s := c.shard(g.Database.Name)
 		s.lock.Lock()
-		s.groups[g.Database.Name] = &group{database: g.Database, promotion: g.Promotion, retired: maps.Clone(g.Retired)}
+		s.groups[g.Database.Name] = &group{
+			database: g.Database, promotion: g.Promotion, retired: maps.Clone(g.Retired), departing: g.Departing,
+		}
 		s.lock.Unlock()
 		for _, a := range g.Database.Members {
 			c.addresses[a.Address] = memberKey{database: g.Database.Name, member: a.Member}
