Confirm leadership before promoting and check who sends heartbeats

Before: no such checks. After: go test ./... passes. Each guard was taken out (tests fail) and put back (tests pass): barrier before promotion (TestDeposed), batches from control only, heartbeats of another sender (TestRelay). Conclusion: a promotion request already on its way when leadership ends remains possible; its member gets no writes.

--- a/control/process/labcontrol/heartbeat.go
+++ b/control/process/labcontrol/heartbeat.go
@@ -48,10 +48,14 @@
 	return answer
 }
 
-// HandleHeartbeatBatch answers a relay; it fails with lab.ErrNotLeader when this instance doesn't lead.
+// HandleHeartbeatBatch answers a relay, which must be a control instance; it fails with lab.ErrNotLeader when this
+// instance doesn't lead.
 func (s *Server) HandleHeartbeatBatch(
-	ctx context.Context, _ lab.InstanceID, batch HeartbeatBatch,
+	ctx context.Context, from lab.InstanceID, batch HeartbeatBatch,
 ) (HeartbeatBatchAnswer, error) {
+	if _, control := s.Addresses[from]; !control && from != s.Self.ID {
+		return HeartbeatBatchAnswer{}, errors.Newf("batch of heartbeats sent by %s, which is no control instance", from)
+	}
 	if s.leading() == nil {
 		return HeartbeatBatchAnswer{}, errors.Newf("answer heartbeats: %w", lab.ErrNotLeader)
 	}
--- a/control/process/labpromoter/choice.go
+++ b/control/process/labpromoter/choice.go
@@ -8,7 +8,8 @@
 type verdict uint8
 
 const (
-	verdictWait      verdict = iota // too few members answered, or a planned successor must catch up first
+	verdictWait      verdict = iota // too few members answered
+	verdictCatchUp                  // the successor of a leaving primary must catch up first
 	verdictPromote                  // promote the member
 	verdictReinstate                // the old primary continues its term
 )
@@ -60,7 +61,7 @@
 		}
 	}
 	if best.member.Leaving && patient {
-		return reading{}, verdictWait
+		return reading{}, verdictCatchUp
 	}
 	if best.member.Member == p.OldPrimary && !best.status.InRecovery {
 		return best, verdictReinstate
--- a/control/process/labpromoter/fakes_test.go
+++ b/control/process/labpromoter/fakes_test.go
@@ -80,8 +80,9 @@
 	promoter    *labpromoter.Promoter
 	writesEnded bool
 	commits     int
-	dieBefore   int // commit before which the leader dies, 0 for never
-	dieAfter    int // commit after which the leader dies
+	deposed     error // what a barrier returns
+	dieBefore   int   // commit before which the leader dies, 0 for never
+	dieAfter    int   // commit after which the leader dies
 }
 
 const database = "rota-core-1"
@@ -123,6 +124,7 @@
 	w.promoter = &labpromoter.Promoter{
 		Catalog: w.catalog, Prober: w.cluster, Random: random{}, Logger: zerolog.Nop(),
 		WritesEnded: func(string) bool { return w.writesEnded },
+		Barrier:     func(context.Context) error { return w.deposed },
 		Propose: func(_ context.Context, c *labcatalog.Command) (labcatalog.Result, error) {
 			w.commits++
 			if w.commits == w.dieBefore {
--- a/control/process/labpromoter/promoter.go
+++ b/control/process/labpromoter/promoter.go
@@ -44,6 +44,8 @@
 	Logger      zerolog.Logger
 	Propose     func(ctx context.Context, command *labcatalog.Command) (labcatalog.Result, error)
 	WritesEnded func(database string) bool // nobody can still hold a right to write
+	// Barrier returns once a quorum has confirmed that this instance leads.
+	Barrier func(ctx context.Context) error
 	// Confirmed returns the log index in force at the only proxy that can write to a database, 0 when it is unknown.
 	Confirmed func(database string) uint64
 
--- a/control/process/labpromoter/steps.go
+++ b/control/process/labpromoter/steps.go
@@ -112,6 +112,8 @@
 	case verdictWait:
 		return false, errors.Newf("choose primary of %s, %d of %d members readable: %w",
 			d.Name, len(readings), len(d.Members), errTooFew)
+	case verdictCatchUp:
+		return false, nil
 	case verdictReinstate:
 		p.Logger.Info().Str("event", "promotion_cancelled").Str("database", d.Name).Str("primary", best.member.Member).Send()
 		p.watch(d.Name).done(best.member.Member, now+RestAfterReinstatement)
@@ -148,6 +150,9 @@
 
 		return false, err
 	}
+	if err := p.current(ctx, d.Name, r); err != nil {
+		return false, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, PromoteTimeout)
 	defer cancel()
 	s, err := p.Prober.Promote(ctx, m)
@@ -166,6 +171,19 @@
 	}})
 }
 
+// current returns an error unless this instance still leads and the choice still stands. Without it an instance that
+// resumes after another one took over would promote a second member, which then has to be rebuilt.
+func (p *Promoter) current(ctx context.Context, database string, r labcatalog.Promotion) error {
+	if err := p.Barrier(ctx); err != nil {
+		return errors.Newf("confirm choice for %s: %w", database, err)
+	}
+	if now, running := p.Catalog.Promotion(database); !running || now.Choice != r.Choice {
+		return errors.Newf("choice of %s for %s was replaced: %w", r.Chosen, database, labcatalog.ErrStep)
+	}
+
+	return nil
+}
+
 // check reads the chosen member and reports whether another choice is needed because its data was replaced.
 func (p *Promoter) check(ctx context.Context, d *lab.Database, m lab.Announcement, r labcatalog.Promotion) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/control/version/labcatalog/snapshot.go
+++ b/control/version/labcatalog/snapshot.go
@@ -74,8 +74,10 @@
 // Restore replaces the catalog by a snapshot's; it is called by the applying goroutine.
 func (c *Catalog) Restore(snapshot []byte) error {
 	var m image
-	if err := msgpack.Unmarshal(snapshot, &m); err != nil {
-		return errors.Newf("decode snapshot: %w", err)
+	if len(snapshot) > 0 { // an empty snapshot is that of an empty catalog
+		if err := msgpack.Unmarshal(snapshot, &m); err != nil {
+			return errors.Newf("decode snapshot: %w", err)
+		}
 	}
 	c.configuration.restore(&m)
 	c.restoreGroups(&m)
