--- a/control/process/labpromoter/choice.go
+++ b/control/process/labpromoter/choice.go
@@ -8,15 +8,16 @@
 type verdict uint8
 
 const (
-	verdictWait      verdict = iota // too few members answered, or a planned successor must catch up first
+	verdictWait      verdict = iota // too few members answered
+	verdictCatchUp                  // the successor of a leaving primary must catch up first
 	verdictPromote                  // promote the member
 	verdictReinstate                // the old primary continues its term
 )
 
 // needed returns how many members must be readable: an acknowledged write is on the primary and one replica, so all
 // but one of the members, and at least two, always include it.
-func needed(d *lab.Database, oldPrimary string) int {
-	n := len(d.Members)
+func needed(d *lab.Database, oldPrimary string, departing int) int {
+	n := len(d.Members) + departing
 	if _, known := d.Member(oldPrimary); !known {
 		n++
 	}
@@ -46,9 +47,11 @@
 
 // choose picks the most advanced member by term and received position. patient makes it wait for a member that stays
 // when the most advanced one is leaving.
-func choose(d *lab.Database, p labcatalog.Promotion, readings []reading, patient bool) (reading, verdict) {
+func choose(
+	d *lab.Database, p labcatalog.Promotion, readings []reading, departing int, patient bool,
+) (reading, verdict) {
 	list := candidates(d, p, readings)
-	if len(list) < needed(d, p.OldPrimary) {
+	if len(list) < needed(d, p.OldPrimary, departing) {
 		return reading{}, verdictWait
 	}
 	best := list[0]
@@ -58,7 +61,7 @@
 		}
 	}
 	if best.member.Leaving && patient {
-		return reading{}, verdictWait
+		return reading{}, verdictCatchUp
 	}
 	if best.member.Member == p.OldPrimary && !best.status.InRecovery {
 		return best, verdictReinstate
