Compare sessions with an upstream over random message sequences

Cause: 150 random sequences found that a syntax error after BEGIN, COMMIT and more in one unit left the session in a failed block although the block had ended, and that a unit that starts with ROLLBACK was refused in a block that had failed before anything was sent.

Change: the answer notes whether the BEGIN that was sent along has run, and a ROLLBACK ends a block that is failed only in the session.

Conclusion: the rewriting of messages is covered beyond chosen examples.

--- a/proxy/connection/labsession/answer.go
+++ b/proxy/connection/labsession/answer.go
@@ -55,6 +55,7 @@
 	written bool   // something was written to the caller
 	failed  bool   // an ErrorResponse was passed on
 	code    string // its SQLSTATE
+	began   bool   // the first statement that the session added was run
 	rolled  bool   // a ROLLBACK ended a transaction
 	changes []change
 	commits bool // a COMMIT ended a transaction
@@ -241,6 +242,8 @@
 }
 
 func (a *answer) pop() {
+	a.began = a.began || a.steps[0].kind == stepHidden
+
 	if a.steps[0].parses {
 		a.confirmed = append(a.confirmed, a.steps[0].name)
 	}
--- a/proxy/connection/labsession/failure.go
+++ b/proxy/connection/labsession/failure.go
@@ -94,6 +94,10 @@
 		codeNotSupported, "set_config outside of a transaction block is not supported through the proxy",
 		"use SET, which the proxy remembers for the session",
 	}
+	errLateName = &failure{
+		codeNotInState, "a request name must be given with the first statement of a transaction",
+		"roll back and repeat the transaction",
+	}
 	errUnitTooLarge = &failure{
 		codeProgramLimit, "messages up to Sync are over the size limit",
 		"send Sync more often",
--- a/proxy/connection/labsession/run.go
+++ b/proxy/connection/labsession/run.go
@@ -199,7 +199,7 @@
 	}
 
 	// A syntax error in the first statement keeps the BEGIN that was sent with it from running.
-	if s.block.begin != "" && a.failed && status == statusIdle {
+	if s.block.begin != "" && a.failed && !a.began && status == statusIdle {
 		s.block.fail()
 
 		return
--- a/proxy/connection/labsession/session.go
+++ b/proxy/connection/labsession/session.go
@@ -51,6 +51,14 @@
 	return s.phase == nil
 }
 
+// Busy reports whether a worker handles messages of the caller.
+func (s *Session) Busy() bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+
+	return s.running
+}
+
 // Receive takes bytes from the caller. It does not block.
 func (s *Session) Receive(data []byte) {
 	s.lock.Lock()
--- /dev/null
+++ b/proxy/connection/labsession/session_fuzz_test.go
@@ -0,0 +1,142 @@
+package labsession_test
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/xdg-go/scram"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labscram"
+	"laburnumlock.dev/lab/proxy/connection/labsession"
+	"laburnumlock.dev/lab/proxy/connection/labtoken"
+	"laburnumlock.dev/lab/proxy/request/labframe"
+)
+
+// world is everything around a session; its gateway answers each unit with the same bytes.
+type world struct {
+	answer []byte
+	status byte
+	org    lab.Organisation
+
+	lock   sync.Mutex
+	sent   []byte
+	closed bool
+}
+
+func (w *world) Database(string) (*lab.Database, bool)         { return nil, false }
+func (w *world) Organisation(string) (*lab.Organisation, bool) { return &w.org, true }
+func (w *world) Version() (version, index uint64)              { return 0, 0 }
+func (w *world) Now() time.Duration                            { return 0 }
+func (w *world) Wall() time.Time                               { return time.Time{} }
+func (w *world) Sleep(context.Context, time.Duration) error    { return nil }
+func (w *world) Uint64() uint64                                { return 4 }
+func (w *world) Request()                                      {}
+func (w *world) Retry() bool                                   { return false }
+func (w *world) Cancel()                                       {}
+
+func (w *world) Begin(context.Context, lab.Header) (lab.Transaction, error) {
+	return transaction{w}, nil
+}
+
+func (w *world) Send(data []byte) { _ = w.Write(data) }
+
+func (w *world) Write(data []byte) error {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+
+	w.sent = append(w.sent, data...)
+
+	return nil
+}
+
+func (w *world) Close() {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+
+	w.closed = true
+}
+
+type transaction struct{ *world }
+
+func (t transaction) Close() {}
+
+func (t transaction) Run(_ context.Context, _ lab.Unit, answer io.Writer) (lab.Result, error) {
+	if _, err := answer.Write(t.answer); err != nil {
+		return lab.Result{}, lab.Unknown(lab.ReasonLost, err)
+	}
+
+	return lab.Result{Status: t.status}, nil
+}
+
+func (w *world) login(t *testing.T, s *labsession.Session) {
+	t.Helper()
+
+	client, err := scram.SHA256.NewClientUnprepped("", "p", "")
+	assert.NilError(t, err)
+
+	c := client.NewConversation()
+	first, err := c.Step("")
+	assert.NilError(t, err)
+
+	startup := append([]byte{0, 0, 0, 0, 0, 3, 0, 0}, "user\x00u\x00database\x00d\x00\x00"...)
+	binary.BigEndian.PutUint32(startup, uint32(len(startup)))
+	s.Receive(startup)
+
+	w.sent = nil
+	size := binary.BigEndian.AppendUint32(nil, uint32(len(first)))
+	s.Receive(labframe.Append(nil, 'p', []byte("SCRAM-SHA-256\x00"), size, []byte(first)))
+	assert.Assert(t, len(w.sent) > 9, "%q", w.sent)
+
+	proof, err := c.Step(string(w.sent[9:]))
+	assert.NilError(t, err)
+	s.Receive(labframe.Append(nil, 'p', []byte(proof)))
+	assert.Assert(t, s.Ready())
+}
+
+func idle(t *testing.T, s *labsession.Session) {
+	t.Helper()
+
+	for until := time.Now().Add(10 * time.Second); s.Busy(); runtime.Gosched() {
+		assert.Assert(t, time.Now().Before(until), "the worker does not end")
+	}
+}
+
+// Whatever a caller and an upstream send, the session must neither panic nor hang.
+func FuzzSession(f *testing.F) {
+	credential, err := labscram.Derive("p", []byte("0123456789abcdef"), 4096)
+	assert.NilError(f, err)
+
+	message := func(kind byte, body string) []byte { return labframe.Append(nil, kind, []byte(body)) }
+	f.Add(append(message('Q', "select 1\x00"), message('X', "")...), message('C', "SELECT 1\x00"), byte('I'))
+	f.Add(append(message('P', "a\x00begin\x00\x00\x00"), append(message('B', "\x00a\x00\x00\x00\x00\x00\x00\x00"),
+		append(message('E', "\x00\x00\x00\x00\x00"), message('S', "")...)...)...), message('2', ""), byte('T'))
+	f.Add(append(message('Q', "set a = 1\x00"), message('H', "")...), message('E', "C42601\x00P9\x00\x00"), byte('E'))
+	f.Add(append(message('D', "Sx\x00"), message('H', "")...), message('D', "12345"), byte('x'))
+
+	f.Fuzz(func(t *testing.T, caller, upstream []byte, status byte) {
+		w := &world{answer: upstream, status: status}
+		w.org = lab.Organisation{Name: "u", Databases: []string{"d"}, Credential: credential}
+		v := &labsession.Server{
+			Gateway: w, Routes: w, Clock: w, Random: w, Budget: w, Codec: &labtoken.Codec{Keys: [][]byte{{1}}},
+			Keys: &labsession.CancelKeys{}, Log: zerolog.Nop(), MessageLimit: 1 << 16,
+		}
+		s := v.Open(w)
+		w.login(t, s)
+
+		half := len(caller) / 2
+		s.Receive(caller[:half])
+		s.Receive(caller[half:])
+		idle(t, s)
+		s.Drain()
+		s.Closed()
+		idle(t, s)
+	})
+}
--- a/proxy/connection/labsession/simple.go
+++ b/proxy/connection/labsession/simple.go
@@ -58,24 +58,43 @@
 		return
 	}
 
-	switch {
-	case s.block.status() != statusFailed && u.setsOwn():
-		s.forget(u, nil)
-		s.refuse(errMixed)
-	case s.block.status() == statusIdle && u.setsConfig():
-		s.forget(u, nil)
-		s.refuse(errSetConfig)
-	case s.block.failed:
+	if s.block.failed && len(u.executes) > 0 && u.executes[0].Kind() == labstatement.Rollback {
+		s.block.end() // nothing is open upstream, where the ROLLBACK is without effect
+	}
+
+	if f := s.objection(u); f != nil {
 		s.forget(u, nil)
-		s.refuse(errFailedBlock)
-	case len(u.messages) == 0 && len(u.refers) == 0 && !u.simple:
+		s.refuse(f)
+
+		return
+	}
+
+	if len(u.messages) == 0 && len(u.refers) == 0 && !u.simple {
 		s.server.Counters.LocalUnits.Add(1)
 		s.ready(u.localAnswer(""))
+
+		return
+	}
+
+	s.run(u)
+}
+
+// objection returns why a unit can't be run in the session's present state.
+func (s *Session) objection(u *unit) *failure {
+	status := s.block.status()
+
+	switch {
+	case status != statusFailed && u.setsOwn():
+		return errMixed
+	case status == statusIdle && u.setsConfig():
+		return errSetConfig
+	case s.block.failed:
+		return errFailedBlock
 	case s.block.bound != nil && s.late(u):
-		s.refuse(&failure{codeNotInState, "a request name must be given with the first statement of a transaction", ""})
-	default:
-		s.run(u)
+		return errLateName
 	}
+
+	return nil
 }
 
 // setsOwn reports whether the unit sets one of the system's own parameters.
--- a/proxy/process/labfront/fake_test.go
+++ b/proxy/process/labfront/fake_test.go
@@ -280,7 +280,11 @@
 	case *pgproto3.Describe:
 		q := t.portals[m.Name].query
 		if m.ObjectType == 'S' {
-			q = t.prepared[m.Name]
+			var ok bool
+			if q, ok = t.prepared[m.Name]; !ok {
+				return t.fail("26000", "prepared statement does not exist")
+			}
+
 			oids := make([]uint32, strings.Count(q, "$"))
 			for i := range oids {
 				oids[i] = 25
@@ -293,6 +297,10 @@
 	case *pgproto3.Execute:
 		return t.execute(ctx, t.portals[m.Portal], false)
 	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(t.prepared, m.Name)
+		}
+
 		t.send(&pgproto3.CloseComplete{})
 	}
 
@@ -321,7 +329,7 @@
 	w := strings.Fields(strings.ToLower(p.query))
 
 	switch {
-	case w[0] == "begin":
+	case w[0] == "begin" && t.status != 'E':
 		t.status = 'T'
 	case w[0] == "commit" || w[0] == "rollback":
 		tag := strings.ToUpper(w[0])
--- /dev/null
+++ b/proxy/process/labfront/sequence_test.go
@@ -0,0 +1,128 @@
+package labfront_test
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+var sequenceQueries = []string{
+	"begin", "begin read only", "commit", "rollback", "select one", "select error", "insert one", "syntax", "set a = 1",
+	"select one", "insert one",
+}
+
+// group returns random messages up to the Sync or Query that ends them, with up to limit Execute messages; known are
+// the statements there are.
+func group(r *rand.Rand, limit int, known map[string]bool) []pgproto3.FrontendMessage {
+	query := func() string { return sequenceQueries[r.IntN(len(sequenceQueries))] }
+	if r.IntN(3) == 0 {
+		delete(known, "")
+
+		return []pgproto3.FrontendMessage{&pgproto3.Query{String: query()}}
+	}
+
+	var all []pgproto3.FrontendMessage
+
+	for range r.IntN(limit + 1) {
+		name := []string{"", "n"}[r.IntN(2)]
+
+		if !known[name] || r.IntN(4) > 0 {
+			known[name] = true
+
+			if name != "" {
+				all = append(all, &pgproto3.Close{ObjectType: 'S', Name: name})
+			}
+
+			all = append(all, &pgproto3.Parse{Name: name, Query: query()})
+		}
+
+		if r.IntN(4) == 0 {
+			all = append(all, &pgproto3.Describe{ObjectType: 'S', Name: name})
+		}
+
+		all = append(all, &pgproto3.Bind{PreparedStatement: name})
+		if r.IntN(2) == 0 {
+			all = append(all, &pgproto3.Describe{ObjectType: 'P'})
+		}
+
+		all = append(all, &pgproto3.Execute{})
+	}
+
+	return append(all, &pgproto3.Sync{})
+}
+
+// direct returns the types that an upstream answers to a group without a proxy.
+func direct(t *testing.T, upstream *fakeTransaction, messages []pgproto3.FrontendMessage) string {
+	t.Helper()
+
+	var u lab.Unit
+
+	var err error
+	for _, m := range messages {
+		u.Messages, err = m.Encode(u.Messages)
+		assert.NilError(t, err)
+
+		if _, ok := m.(*pgproto3.Query); ok {
+			delete(upstream.prepared, "")
+		}
+	}
+
+	var out bytes.Buffer
+
+	r, err := upstream.Run(context.Background(), u, &out)
+	assert.NilError(t, err)
+
+	types := ""
+
+	f := pgproto3.NewFrontend(&out, nil)
+	for m, err := f.Receive(); err == nil; m, err = f.Receive() {
+		types += string(kind(t, m))
+	}
+
+	return types + string(r.Status) + "Z"
+}
+
+// Guards against any sequence of messages that the session answers differently from an upstream. After an error only
+// the state is compared, since the session does not answer what came before an error that it finds itself.
+func TestSequences(t *testing.T) {
+	x := start(t, nil)
+
+	for seed := range uint64(150) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		c := x.login(t)
+		upstream := &fakeTransaction{gateway: &fakeGateway{}, prepared: map[string]string{}, status: 'I'}
+
+		log := make([]string, 0, 12)
+		known, limit := map[string]bool{}, 3
+
+		for range cap(log) {
+			g := group(r, limit, known)
+			want, got := direct(t, upstream, g), c.ask(t, 'Z', g...)
+			// A failed block that exists only in the session accepts one statement at a time.
+			limit = 3
+			if upstream.status == 'E' {
+				limit = 1
+			}
+
+			log = append(log, want+"/"+got)
+
+			if strings.Contains(want[:len(want)-2], "E") {
+				want = "E" + want[len(want)-2:]
+				got = got[strings.Index(got, "E"):]
+
+				clear(known)
+			}
+
+			assert.Equal(t, got, want, "seed %d: %v", seed, log)
+		}
+
+		assert.NilError(t, c.Close())
+	}
+}
--- a/proxy/process/labfront/statements_test.go
+++ b/proxy/process/labfront/statements_test.go
@@ -114,6 +114,10 @@
 	t.Run("unknown statement", is("EEZ", bind("none"), execute, sync))
 	t.Run("failed block", is("EEZ", parse("", "select 1"), bind(""), execute, sync))
 	t.Run("rollback", is("12CIZ", parse("", "rollback"), bind(""), execute, sync))
+	t.Run("begin again", is("CTZ", &pgproto3.Query{String: "begin"}))
+	t.Run("syntax error", is("EEZ", &pgproto3.Query{String: "syntax"}))
+	t.Run("rollback and more", is("12C12CIZ", parse("", "rollback"), bind(""), execute, parse("", "insert 1"), bind(""),
+		execute, sync))
 	t.Run("multiple statements", is("EIZ", parse("", "select 1; select 2"), sync))
 	t.Run("copy", is("EIZ", parse("", "copy t to stdout"), sync))
 	t.Run("empty", is("IIZ", &pgproto3.Query{String: " ; "}))
