Let writes wait for a lost primary without a slot

Cause: a write to a primary that no longer answered held a slot until its connection attempt timed out, and was then reported as lost although its reason is that no primary is reachable. Change: a lost primary is left to the observer; writes that run out of time end as not run with no_primary. The test of a killed primary expected "lost" and now expects "no_primary", the reason's definition. Conclusion: slots stay free while a promotion runs.

--- a/proxy/process/labgateway/begin.go
+++ b/proxy/process/labgateway/begin.go
@@ -80,7 +80,7 @@
 		}
 
 		if !pause(ctx, changed) {
-			return err
+			return lab.NotRun(lab.ReasonNoPrimary, err)
 		}
 	}
 }
@@ -165,7 +165,8 @@
 		return "", errNoPrimary
 	}
 
-	if _, leaving := p.left(); leaving {
+	// A lost primary is left to the observer: connecting to it would hold a slot until the attempt times out.
+	if _, leaving := p.left(); leaving || t.duty.lost(p) {
 		return "", errNoPrimary
 	}
 
--- a/proxy/process/labgateway/failure_test.go
+++ b/proxy/process/labgateway/failure_test.go
@@ -37,9 +37,7 @@
 
 	unknown := func(sql, reason string, ran int) func(*testing.T) {
 		return func(t *testing.T) {
-			h := write()
-			h.Deadline = 500 * time.Millisecond
-			_, answer, err := b.do(h, query(sql, false))
+			_, answer, err := b.do(within(write(), 500*time.Millisecond), query(sql, false))
 			wantOutcome(t, err, lab.OutcomeUnknown, reason)
 			assert.Equal(t, answer, "")
 			assert.Equal(t, b.primary.has(sql), ran)
@@ -81,10 +79,8 @@
 	})
 	t.Run("no primary", func(t *testing.T) {
 		b.primary.kill()
-		h := write()
-		h.Deadline = 300 * time.Millisecond
-		_, _, err := b.do(h, query("INSERT none", false))
-		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonLost)
+		_, _, err := b.do(within(write(), 300*time.Millisecond), query("INSERT none", false))
+		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonNoPrimary)
 		assert.Equal(t, b.primary.has("INSERT none"), 0)
 	})
 }
@@ -100,6 +96,17 @@
 	melt()
 	close(b.primary.hold)
 
+	t.Run("writes wait for it without a slot", func(t *testing.T) {
+		b := newBench(t)
+		melt := b.primary.freeze()
+		wait(t, func() bool { return b.view("a").Lost })
+
+		done := b.start(write(), query("INSERT patient", false))
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, len(b.control.slots["rota/a"]), 0)
+		melt()
+		assert.NilError(t, (<-done).err)
+	})
 	t.Run("probe before reuse", func(t *testing.T) {
 		b := newBench(t)
 		b.gateway.duties[b.duty].pools["a"].probeAfter = 0
@@ -144,9 +151,7 @@
 	t.Run("no replica receives", func(t *testing.T) {
 		stop(false)
 
-		h := write()
-		h.Deadline = 200 * time.Millisecond
-		_, answer, err := b.do(h, query("INSERT lonely", false))
+		_, answer, err := b.do(within(write(), 200*time.Millisecond), query("INSERT lonely", false))
 		wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonDeadline)
 		assert.Equal(t, answer, "")
 		assert.Equal(t, b.primary.has("INSERT lonely"), 1)
@@ -155,19 +160,9 @@
 		stop(false)
 		b.replica.set(func() { b.replica.received = 1 << 20 })
 		b.control.change(func(d *lab.Database) { d.Members[1].Leaving = true })
-		wait(t, func() bool {
-			for _, v := range b.gateway.Observer.Views("rota", nil) {
-				if v.Member.Leaving {
-					return v.Status.Received.Offset == 1<<20
-				}
-			}
-
-			return false
-		})
+		wait(t, func() bool { return b.view("b").Member.Leaving && b.view("b").Status.Received.Offset == 1<<20 })
 
-		h := write()
-		h.Deadline = 200 * time.Millisecond
-		_, _, err := b.do(h, query("INSERT leaving", false))
+		_, _, err := b.do(within(write(), 200*time.Millisecond), query("INSERT leaving", false))
 		wantOutcome(t, err, lab.OutcomeUnknown, lab.ReasonDeadline)
 	})
 }
--- a/proxy/process/labgateway/gateway_test.go
+++ b/proxy/process/labgateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -87,14 +88,7 @@
 	t.Cleanup(func() { cancel(); <-done })
 
 	wait(t, func() bool {
-		known := 0
-		for _, v := range b.gateway.Observer.Views("rota", nil) {
-			if v.Known && (v.AgeKnown || v.Member.Member == "a") {
-				known++
-			}
-		}
-
-		return known == 3
+		return b.view("a").Known && b.view("b").AgeKnown && b.view("c").AgeKnown
 	})
 
 	return b
@@ -132,6 +126,41 @@
 	return h
 }
 
+// within returns a header with a shorter deadline.
+func within(header lab.Header, deadline time.Duration) lab.Header {
+	header.Deadline = deadline
+
+	return header
+}
+
+// view returns what the observer knows of a member.
+func (b *bench) view(member string) (found labobserver.View) {
+	for _, v := range b.gateway.Observer.Views("rota", nil) {
+		if v.Member.Member == member {
+			found = v
+		}
+	}
+
+	return found
+}
+
+// open begins transactions that stay open.
+func (b *bench) open(t *testing.T, count int) []lab.Transaction {
+	t.Helper()
+
+	open := make([]lab.Transaction, 0, count)
+
+	for range count {
+		tx, err := b.gateway.Begin(context.Background(), write())
+		assert.NilError(t, err)
+		_, err = tx.Run(context.Background(), query("BEGIN", true), io.Discard)
+		assert.NilError(t, err)
+		open = append(open, tx)
+	}
+
+	return open
+}
+
 // do runs units as one transaction and returns the last result, the answers and the first error.
 func (b *bench) do(header lab.Header, units ...lab.Unit) (lab.Result, string, error) {
 	var (
--- a/proxy/process/labgateway/member_test.go
+++ b/proxy/process/labgateway/member_test.go
@@ -83,20 +83,10 @@
 	t.Run("open transactions and cancel", func(t *testing.T) {
 		b := newBench(t)
 
-		open := make([]lab.Transaction, 0, limit)
-
-		for range limit - 2 {
-			tx, err := b.gateway.Begin(context.Background(), write())
-			assert.NilError(t, err)
-			_, err = tx.Run(context.Background(), query("BEGIN", true), io.Discard)
-			assert.NilError(t, err)
-			open = append(open, tx)
-		}
+		open := b.open(t, limit-2)
 
 		held := b.holding(t, "HOLD INSERT last")
-		h := write()
-		h.Deadline = 100 * time.Millisecond
-		_, _, err := b.do(h, query("INSERT none left", false))
+		_, _, err := b.do(within(write(), 100*time.Millisecond), query("INSERT none left", false))
 		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonDeadline)
 
 		b.cancelAll()
@@ -113,15 +103,7 @@
 		b := newBench(t)
 		b.primary.set(func() { b.primary.slowClose = 50 * time.Millisecond })
 
-		open := make([]lab.Transaction, 0, limit)
-
-		for range limit - 3 {
-			tx, err := b.gateway.Begin(context.Background(), write())
-			assert.NilError(t, err)
-			_, err = tx.Run(context.Background(), query("BEGIN", true), io.Discard)
-			assert.NilError(t, err)
-			open = append(open, tx)
-		}
+		open := b.open(t, limit-3)
 
 		held := b.holding(t, "HOLD INSERT cancelled")
 		cancelled := make(chan struct{})
@@ -203,9 +185,7 @@
 		b := newBench(t)
 		leave(b, 0)
 
-		h := write()
-		h.Deadline = 50 * time.Millisecond
-		_, _, err := b.do(h, query("INSERT refused", false))
+		_, _, err := b.do(within(write(), 50*time.Millisecond), query("INSERT refused", false))
 		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonNoPrimary)
 		assert.Assert(t, !b.primary.wasAsked("INSERT refused"))
 	})
@@ -219,16 +199,13 @@
 	t.Run("and is ended after it", func(t *testing.T) {
 		b := newBench(t)
 		started := time.Now()
-		tx, err := b.gateway.Begin(context.Background(), write())
-		assert.NilError(t, err)
-		_, err = tx.Run(context.Background(), query("BEGIN", true), io.Discard)
-		assert.NilError(t, err)
+		tx := b.open(t, 1)[0]
 		running := b.holding(t, "HOLD INSERT endless")
 		leave(b, 0)
 		wantOutcome(t, (<-running).err, lab.OutcomeUnknown, lab.ReasonDraining)
 		assert.Assert(t, time.Since(started) > 200*time.Millisecond && time.Since(started) < time.Second)
 
-		_, err = tx.Run(context.Background(), query("INSERT idle", false), io.Discard)
+		_, err := tx.Run(context.Background(), query("INSERT idle", false), io.Discard)
 		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonDraining)
 		close(b.primary.hold)
 	})
@@ -311,11 +288,8 @@
 
 	t.Run("vanished caller", func(t *testing.T) {
 		before := b.primary.connections()
-		tx, err := b.gateway.Begin(context.Background(), write())
-		assert.NilError(t, err)
-		_, err = tx.Run(context.Background(), query("BEGIN", true), io.Discard)
-		assert.NilError(t, err)
-		_, err = tx.Run(context.Background(), query("INSERT vanished", false), io.Discard)
+		tx := b.open(t, 1)[0]
+		_, err := tx.Run(context.Background(), query("INSERT vanished", false), io.Discard)
 		assert.NilError(t, err)
 		tx.Close()
 		wait(t, func() bool { return b.primary.connections() <= before })
@@ -372,15 +346,7 @@
 		b.primary.set(func() { assert.Check(t, b.primary.busiest <= 3, "%d statements at once", b.primary.busiest) })
 	})
 	t.Run("slot between units", func(t *testing.T) {
-		open := make([]lab.Transaction, 0, 4)
-
-		for range 4 { // one more than the member has slots
-			tx, err := b.gateway.Begin(context.Background(), write())
-			assert.NilError(t, err)
-			_, err = tx.Run(context.Background(), query("BEGIN", true), io.Discard)
-			assert.NilError(t, err)
-			open = append(open, tx)
-		}
+		open := b.open(t, 4) // one more than the member has slots
 
 		for _, tx := range open {
 			tx.Close()
--- a/proxy/process/labgateway/read_test.go
+++ b/proxy/process/labgateway/read_test.go
@@ -19,15 +19,7 @@
 	want := lab.Position{Term: m.term, Offset: m.replayed}
 	m.mu.Unlock()
 
-	wait(t, func() bool {
-		for _, v := range b.gateway.Observer.Views("rota", nil) {
-			if v.Member.Member == m.announcement.Member {
-				return v.Status.Replayed == want
-			}
-		}
-
-		return false
-	})
+	wait(t, func() bool { return b.view(m.announcement.Member).Status.Replayed == want })
 }
 
 // Guards against reads of a member that lacks the session's writes, is too old, divergent, leaving or a former primary.
@@ -142,16 +134,7 @@
 		h.Floor = lab.Position{Term: 1, Offset: 100}
 		b.replica.kill()
 		b.replica2.kill()
-		wait(t, func() bool {
-			lost := 0
-			for _, v := range b.gateway.Observer.Views("rota", nil) {
-				if v.Lost {
-					lost++
-				}
-			}
-
-			return lost == 2
-		})
+		wait(t, func() bool { return b.view("b").Lost && b.view("c").Lost })
 		served(t, b, h, "SELECT alone", "a")
 		_, _, err := b.do(h, query("INSERT hidden", false))
 		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonReadOnly)
--- a/proxy/process/labgateway/term_test.go
+++ b/proxy/process/labgateway/term_test.go
@@ -137,9 +137,7 @@
 		b := newBench(t)
 		b.assign(time.Hour, lab.Grant{Duty: b.duty, Epoch: 1, Term: 1})
 
-		h := write()
-		h.Deadline = 100 * time.Millisecond
-		_, _, err := b.do(h, query("INSERT refused", false))
+		_, _, err := b.do(within(write(), 100*time.Millisecond), query("INSERT refused", false))
 		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonNoPrimary)
 		assert.Assert(t, !b.primary.wasAsked("INSERT refused"))
 	})
@@ -160,17 +158,14 @@
 	})
 	t.Run("no unit after the grant ended within a transaction", func(t *testing.T) {
 		b := newBench(t)
-		tx, err := b.gateway.Begin(context.Background(), write())
-		assert.NilError(t, err)
-		_, err = tx.Run(context.Background(), query("BEGIN", true), io.Discard)
-		assert.NilError(t, err)
+		tx := b.open(t, 1)[0]
 
 		b.control.set()
 		d := b.gateway.duties[b.duty]
 		d.mu.Lock()
 		d.current.until = 0
 		d.mu.Unlock()
-		_, err = tx.Run(context.Background(), query("INSERT after", false), io.Discard)
+		_, err := tx.Run(context.Background(), query("INSERT after", false), io.Discard)
 		outcome, _ := lab.OutcomeOf(err)
 		assert.Equal(t, outcome, lab.OutcomeNotRun)
 		assert.Assert(t, !b.primary.wasAsked("INSERT after"))
@@ -179,9 +174,7 @@
 		b := newBench(t)
 		b.primary.set(func() { b.primary.term = 7 })
 
-		h := write()
-		h.Deadline = 100 * time.Millisecond
-		_, _, err := b.do(h, query("INSERT elsewhere", false))
+		_, _, err := b.do(within(write(), 100*time.Millisecond), query("INSERT elsewhere", false))
 		outcome, _ := lab.OutcomeOf(err)
 		assert.Equal(t, outcome, lab.OutcomeNotRun)
 		assert.Assert(t, !b.primary.wasAsked("INSERT elsewhere"))
