Add the at-most-once registry

Cause: a request that is marked non-idempotent must run at most once, also when holders of its name fail, restart or are replaced.

Change: labregistry records a name on two of three holders in different zones before dispatch. Holders keep the first token of a name, refuse earlier epochs and answer under a new epoch only after they gathered the names of earlier ones; every pair of holders that could have recorded a name must be covered. Control does not fill it yet; until then all holders of a placement must answer before the first transfer.

The model test found two faults before this commit: a late withdrawal of a failed reservation removed a name that a transfer had merged with it (a name now keeps the tokens of both), and holders without knowledge of the epoch before took the registry for a new one (Former).

Guards taken out one at a time, each made a test fail and was put back: pair cover, former holders and the check without them, lost memory, fencing by transfers, stale epoch, life of the holder, incomplete holder, merge of names and of both tokens, two holders, two zones, first token, token of a withdrawal, own reservations, limit, expiry, end after the longest retention, reused address, checksum, crash after a clean restart, clean life, closed holder, further pages, key separator, name length. Not tested: that a transfer uses the first page's state, and that settled placements are forgotten.

Conclusion: at most one reservation of a name succeeds while at most one holder loses its memory between repairs. With two of three holders of an epoch unreachable, reservations fail as not run until one answers or MaxRetention has passed.

--- a/database.go
+++ b/database.go
@@ -12,6 +12,7 @@
 type RegistryPlacement struct {
 	Epoch   uint64     `json:"epoch"   msgpack:"e"`
 	Holders []Instance `json:"holders" msgpack:"h"` // three, in different availability zones where there are enough
+	Former  []Instance `json:"former"  msgpack:"f"` // holders of the epoch before, empty in the first one
 }
 
 // Database is the state of one database group as of a log index.
--- /dev/null
+++ b/proxy/process/labregistry/cluster_test.go
@@ -0,0 +1,268 @@
+package labregistry_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/labregistry"
+)
+
+const database = "rota"
+
+var errDown = errors.New("unreachable")
+
+// tester is what testing.T and rapid.T have in common.
+type tester interface {
+	Helper()
+	Log(...any)
+	FailNow()
+	Fail()
+}
+
+// fakeClock stands until it is moved.
+type fakeClock struct{ now atomic.Int64 }
+
+func (c *fakeClock) Now() time.Duration                         { return time.Duration(c.now.Load()) }
+func (c *fakeClock) Wall() time.Time                            { return time.Time{} }
+func (c *fakeClock) Sleep(context.Context, time.Duration) error { return nil }
+
+type fakeRandom struct{}
+
+func (fakeRandom) Uint64() uint64 { return rand.Uint64() }
+
+// node is one process; its registry is replaced when it restarts.
+type node struct {
+	lock      sync.Mutex
+	self      lab.Instance
+	registry  *labregistry.Registry
+	folder    string
+	limit     int64
+	down      bool
+	calls     atomic.Int64         // that have ended
+	replaced  atomic.Pointer[node] // answers at this node's address instead
+	placement atomic.Pointer[lab.Database]
+}
+
+func (n *node) Database(string) (*lab.Database, bool) {
+	d := n.placement.Load()
+	return d, d != nil
+}
+
+func (n *node) Organisation(string) (*lab.Organisation, bool) { return nil, false }
+func (n *node) Version() (version, index uint64)              { return 0, 0 }
+
+func (n *node) isDown() bool {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+
+	return n.down
+}
+
+// cluster connects nodes by calls that are encoded and decoded as on the network.
+type cluster struct {
+	clock  *fakeClock
+	nodes  map[string]*node
+	epoch  uint64
+	former []lab.Instance
+	jitter time.Duration // bound of the delay before each call and each answer
+}
+
+func (c *cluster) delay() {
+	if c.jitter > 0 {
+		time.Sleep(rand.N(c.jitter))
+	}
+}
+
+type fakePeers struct {
+	cluster *cluster
+	from    *node
+}
+
+func (p *fakePeers) Open(context.Context, string, lab.Method, any) (lab.Stream, error) {
+	return nil, errDown
+}
+
+func (p *fakePeers) Call(ctx context.Context, address string, _ lab.Method, request, answer any) error {
+	p.cluster.delay()
+
+	n := p.cluster.nodes[address]
+	if n != nil {
+		defer n.calls.Add(1)
+
+		if i := n.replaced.Load(); i != nil {
+			n = i
+		}
+	}
+
+	if n == nil || n.isDown() || p.from.isDown() {
+		return errDown
+	}
+
+	sent, err := msgpack.Marshal(request)
+	if err != nil {
+		return errors.Newf("encode: %w", err)
+	}
+
+	n.lock.Lock()
+	registry := n.registry
+	n.lock.Unlock()
+
+	a, err := registry.Handle(ctx, "", func(into any) error { return msgpack.Unmarshal(sent, into) })
+	if err != nil {
+		return errors.Newf("handle: %w", err)
+	}
+
+	p.cluster.delay()
+
+	// An answer that arrives after a failure is lost.
+	if n.isDown() || p.from.isDown() {
+		return errDown
+	}
+
+	got, err := msgpack.Marshal(a)
+	if err != nil {
+		return errors.Newf("encode: %w", err)
+	}
+
+	return msgpack.Unmarshal(got, answer)
+}
+
+// newCluster starts holders h1 to h5 in three zones and the gateways g and g2.
+func newCluster(t tester, change func(*node)) *cluster {
+	t.Helper()
+
+	c := &cluster{clock: &fakeClock{}, nodes: map[string]*node{}}
+
+	for i, id := range []string{"h1", "h2", "h3", "h4", "h5", "g", "g2"} {
+		n := &node{self: lab.Instance{
+			ID: lab.InstanceID(id), Address: id, AvailabilityZone: string(rune('a' + i%3)),
+		}}
+		c.nodes[id] = n
+
+		if change != nil {
+			change(n)
+		}
+
+		c.restart(t, id)
+	}
+
+	return c
+}
+
+// restart begins the next life of a node, with its folder but without its memory.
+func (c *cluster) restart(t tester, id string) {
+	t.Helper()
+
+	n := c.nodes[id]
+	n.self.Incarnation++
+
+	r := &labregistry.Registry{
+		Self: n.self, Routes: n, Peers: &fakePeers{c, n}, Clock: c.clock, Random: fakeRandom{},
+		Folder: n.folder, Limit: n.limit, CallTimeout: 5 * time.Second,
+	}
+	assert.NilError(t, r.Open())
+
+	n.lock.Lock()
+	defer n.lock.Unlock()
+
+	n.registry, n.down = r, false
+}
+
+func (c *cluster) fail(ids ...string) {
+	for _, id := range ids {
+		n := c.nodes[id]
+		n.lock.Lock()
+		n.down = true
+		n.lock.Unlock()
+	}
+}
+
+func (c *cluster) heal(ids ...string) {
+	for _, id := range ids {
+		n := c.nodes[id]
+		n.lock.Lock()
+		n.down = false
+		n.lock.Unlock()
+	}
+}
+
+// place puts the next epoch in force at all nodes.
+func (c *cluster) place(ids ...string) {
+	c.epoch++
+
+	d := &lab.Database{Name: database, Registry: lab.RegistryPlacement{Epoch: c.epoch}}
+	for _, id := range ids {
+		d.Registry.Holders = append(d.Registry.Holders, c.nodes[id].self)
+	}
+
+	d.Registry.Former, c.former = c.former, d.Registry.Holders
+
+	for _, n := range c.nodes {
+		n.placement.Store(d)
+	}
+}
+
+// repair lets all nodes follow the placement until the named ones are ready.
+func (c *cluster) repair(t tester, ids ...string) {
+	t.Helper()
+
+	for end := time.Now().Add(5 * time.Second); ; {
+		c.check()
+
+		ready := true
+		for _, id := range ids {
+			ready = ready && c.nodes[id].registry.Ready(database)
+		}
+
+		if ready {
+			return
+		}
+
+		assert.Assert(t, time.Now().Before(end), "holders %v not ready under epoch %d", ids, c.epoch)
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
+func (c *cluster) check() {
+	for _, n := range c.nodes {
+		if !n.isDown() {
+			n.registry.Check(context.Background())
+		}
+	}
+}
+
+func (c *cluster) reserve(gateway, name string) (lab.OnceRecord, error) {
+	return c.nodes[gateway].registry.Reserve(context.Background(), "org", database, name, 0)
+}
+
+func (c *cluster) resolve(gateway, name string, record lab.OnceRecord) error {
+	return c.nodes[gateway].registry.Resolve(context.Background(), "org", database, name, record)
+}
+
+func assertState(t *testing.T, c *cluster, gateway, name string, want lab.OnceState) lab.OnceRecord {
+	t.Helper()
+
+	r, err := c.reserve(gateway, name)
+	assert.NilError(t, err)
+	assert.Equal(t, r.State, want)
+
+	return r
+}
+
+func assertNotRun(t *testing.T, err error, reason string) {
+	t.Helper()
+
+	outcome, got := lab.OutcomeOf(err)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, outcome, lab.OutcomeNotRun)
+	assert.Equal(t, got, reason)
+}
--- /dev/null
+++ b/proxy/process/labregistry/message.go
@@ -0,0 +1,68 @@
+package labregistry
+
+import (
+	"time"
+
+	"laburnumlock.dev/lab"
+)
+
+// operation is what a call asks of a holder.
+type operation uint8
+
+const (
+	operationReserve  operation = iota
+	operationWithdraw           // frees a name that its token reserved
+	operationResolve            // stores an outcome
+	operationTransfer           // refuses earlier epochs from now on and returns a page of names
+)
+
+// token identifies one reservation of a name.
+type token struct {
+	High uint64 `msgpack:"h"`
+	Low  uint64 `msgpack:"l"`
+}
+
+// call is the request of lab.MethodRegistry.
+type call struct {
+	Operation operation               `msgpack:"o"`
+	Database  string                  `msgpack:"d"`
+	Placement lab.RegistryPlacement   `msgpack:"p"`
+	Known     []lab.RegistryPlacement `msgpack:"k"` // earlier placements that the sender knows of
+	Key       string                  `msgpack:"n"` // of the name; in a transfer the last key of the page before
+	Token     token                   `msgpack:"t"`
+	Retention time.Duration           `msgpack:"r"`
+	Record    lab.OnceRecord          `msgpack:"c"`
+}
+
+// verdict is a holder's answer to a call.
+type verdict uint8
+
+const (
+	verdictDone       verdict = iota
+	verdictKnown              // the name has another token; Record tells its outcome
+	verdictStale              // the holder has seen a later epoch
+	verdictIncomplete         // the holder does not have all names of earlier epochs yet
+	verdictClosed
+	verdictFull
+)
+
+// answer is the response of lab.MethodRegistry.
+type answer struct {
+	ID       lab.InstanceID          `msgpack:"d"`
+	Verdict  verdict                 `msgpack:"v"`
+	Record   lab.OnceRecord          `msgpack:"c"`
+	Intact   []uint64                `msgpack:"i"` // incarnations since which the holder has its memory
+	Complete uint64                  `msgpack:"e"` // last epoch for which the holder has all earlier names
+	Known    []lab.RegistryPlacement `msgpack:"k"`
+	Names    []savedName             `msgpack:"n"`
+	More     bool                    `msgpack:"m"` // further pages follow
+}
+
+// savedName is a name in a transfer or snapshot.
+type savedName struct {
+	Key    string        `msgpack:"k"`
+	Tokens []token       `msgpack:"t"`
+	Done   bool          `msgpack:"d"`
+	Tag    string        `msgpack:"g"`
+	Remain time.Duration `msgpack:"r"` // until it expires
+}
--- /dev/null
+++ b/proxy/process/labregistry/snapshot.go
@@ -0,0 +1,179 @@
+package labregistry
+
+import (
+	"encoding/binary"
+	"os"
+	"path/filepath"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"laburnumlock.dev/lab"
+)
+
+const (
+	fileName       = "registry.snapshot"
+	checksumBytes  = 8
+	filePermission = 0o600
+)
+
+// snapshot is the content of the file, after a checksum.
+type snapshot struct {
+	Clean  bool        `msgpack:"c"` // written by Close, so nothing was added later
+	Intact []uint64    `msgpack:"i"`
+	Books  []savedBook `msgpack:"b"`
+}
+
+type savedBook struct {
+	Database string                  `msgpack:"d"`
+	Complete uint64                  `msgpack:"e"`
+	Known    []lab.RegistryPlacement `msgpack:"k"`
+	Names    []savedName             `msgpack:"n"`
+}
+
+var errChecksum = errors.New("the registry snapshot is damaged")
+
+// save writes a snapshot and returns after it is synced.
+func (r *Registry) save(clean bool) error {
+	if r.Folder == "" {
+		return nil
+	}
+
+	r.saving.Lock()
+	defer r.saving.Unlock()
+
+	s := snapshot{Clean: clean, Intact: r.intact}
+	for i := range r.shards {
+		s.Books = append(s.Books, r.saveShard(&r.shards[i])...)
+	}
+
+	return r.write(&s)
+}
+
+func (r *Registry) saveShard(s *shard) []savedBook {
+	s.lock.Lock()
+
+	books := map[string]*book{}
+	for d, b := range s.books {
+		books[d] = b
+	}
+
+	s.lock.Unlock()
+
+	saved := make([]savedBook, 0, len(books))
+
+	for d, b := range books {
+		b.lock.Lock()
+		now := r.Clock.Now()
+		b.expire(now)
+		names, _ := b.page(now, "", len(b.names))
+		saved = append(saved, savedBook{d, b.complete, b.placements(), names})
+		b.lock.Unlock()
+	}
+
+	return saved
+}
+
+func (r *Registry) write(s *snapshot) error {
+	body, err := msgpack.Marshal(s)
+	if err != nil {
+		return errors.Newf("encode registry snapshot: %w", err)
+	}
+
+	data := binary.BigEndian.AppendUint64(make([]byte, 0, checksumBytes+len(body)), xxhash.Sum64(body))
+	path := filepath.Join(r.Folder, fileName)
+
+	if err := writeSynced(path+".new", append(data, body...)); err != nil {
+		return errors.Newf("write registry snapshot: %w", err)
+	}
+
+	if err := os.Rename(path+".new", path); err != nil {
+		return errors.Newf("replace registry snapshot: %w", err)
+	}
+
+	folder, err := os.Open(r.Folder)
+	if err != nil {
+		return errors.Newf("open data folder: %w", err)
+	}
+
+	defer func() { _ = folder.Close() }()
+
+	if err := folder.Sync(); err != nil {
+		return errors.Newf("sync data folder: %w", err)
+	}
+
+	return nil
+}
+
+func writeSynced(path string, data []byte) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, filePermission)
+	if err != nil {
+		return errors.Newf("open file: %w", err)
+	}
+
+	if _, err = f.Write(data); err == nil {
+		err = f.Sync()
+	}
+
+	if e := f.Close(); err == nil {
+		err = e
+	}
+
+	if err != nil {
+		return errors.Newf("write and sync file: %w", err)
+	}
+
+	return nil
+}
+
+// load restores the snapshot. A damaged one is an error, since its names would be forgotten silently.
+func (r *Registry) load() error {
+	if r.Folder == "" {
+		return nil
+	}
+
+	data, err := os.ReadFile(filepath.Join(r.Folder, fileName))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+
+	if err != nil {
+		return errors.Newf("read registry snapshot: %w", err)
+	}
+
+	if len(data) < checksumBytes || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[checksumBytes:]) {
+		return errChecksum
+	}
+
+	var s snapshot
+	if err := msgpack.Unmarshal(data[checksumBytes:], &s); err != nil {
+		return errors.Newf("decode registry snapshot: %w", err)
+	}
+
+	r.restore(&s)
+
+	// From now on a crash loses names, so the snapshot no longer counts as everything that was recorded.
+	return r.save(false)
+}
+
+func (r *Registry) restore(s *snapshot) {
+	now := r.Clock.Now()
+
+	if s.Clean {
+		r.intact = append(r.intact, s.Intact...)
+	}
+
+	for _, d := range s.Books {
+		b := r.book(d.Database)
+		b.lock.Lock()
+		b.merge(now, d.Names)
+		b.learn(now, d.Known...)
+
+		if s.Clean {
+			b.complete = d.Complete
+		}
+
+		b.lock.Unlock()
+	}
+}
