Run named requests at most once through the registry

Cause: the gateway had no registry; a named request could not be served. Change: labproxy opens, runs and closes the registry; demo and scenarios send named requests, and send them again while their outcome is unknown.

--- a/bench/process/labscenario/scenario.go
+++ b/bench/process/labscenario/scenario.go
@@ -128,7 +128,7 @@
 		Addresses: s.deployment.CallerAddresses(), Organisation: s.Settings.Organisation, Password: password,
 		Databases: s.Settings.Group.Databases, Sessions: int(w.CallerSessionCount), Seed: s.Seed,
 		Reads: float64(w.ReadsPerSecond) * factor, Writes: float64(w.WritesPerSecond) * factor,
-		AgedPct: uint64(w.ReadsAcceptAgePct), ReadClass: class, OncePct: 0, Deadline: steadyDeadline,
+		AgedPct: uint64(w.ReadsAcceptAgePct), ReadClass: class, OncePct: 30, Deadline: steadyDeadline,
 	}
 }
 
--- a/ctl/process/labdemo/check.go
+++ b/ctl/process/labdemo/check.go
@@ -59,7 +59,7 @@
 	l := &labload.Load{
 		Addresses: deployment.CallerAddresses(), Organisation: Organisation, Password: Password,
 		Databases: []string{Database}, Sessions: 12, Seed: d.Seed, Reads: 120, Writes: 30, AgedPct: 50,
-		ReadClass: readClass, OncePct: 0, MovePct: 5,
+		ReadClass: readClass, OncePct: 30, MovePct: 5,
 	}
 	if err := l.Prepare(ctx); err != nil {
 		return nil, errors.Newf("prepare load: %w", err)
--- a/proxy/process/labproxy/proxy.go
+++ b/proxy/process/labproxy/proxy.go
@@ -19,6 +19,7 @@
 	"laburnumlock.dev/lab/proxy/process/labfront"
 	"laburnumlock.dev/lab/proxy/process/labgateway"
 	"laburnumlock.dev/lab/proxy/process/labobserver"
+	"laburnumlock.dev/lab/proxy/process/labregistry"
 	"laburnumlock.dev/lab/proxy/version/labroute"
 	"laburnumlock.dev/lab/version/labsettings"
 )
@@ -38,6 +39,7 @@
 	agent     *labagent.Agent
 	observer  *labobserver.Observer
 	gateway   *labgateway.Gateway
+	registry  *labregistry.Registry
 	sessions  *labsession.Server
 	front     *labfront.Front
 	variables expvar.Map
@@ -99,13 +101,17 @@
 func (p *Proxy) Run(ctx context.Context) error {
 	p.agent.Control = p.Settings.Control
 
+	if err := p.registry.Open(); err != nil {
+		return errors.Newf("open registry: %w", err)
+	}
+
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 
 	g, work := errgroup.WithContext(work)
 
 	for _, run := range []func(context.Context) error{
-		p.transport.Run, p.announce.Run, p.metrics.Run, p.agent.Run, p.gateway.Run, p.front.Run,
+		p.transport.Run, p.announce.Run, p.metrics.Run, p.agent.Run, p.gateway.Run, p.front.Run, p.registry.Run,
 	} {
 		g.Go(func() error { return run(work) })
 	}
@@ -127,7 +133,7 @@
 
 	err := g.Wait()
 	p.observer.Close()
-
+	err = errors.CombineErrors(err, p.registry.Close())
 	if err != nil {
 		return errors.Newf("run proxy: %w", err)
 	}
--- a/proxy/process/labproxy/wire.go
+++ b/proxy/process/labproxy/wire.go
@@ -23,6 +23,7 @@
 	"laburnumlock.dev/lab/proxy/process/labfront"
 	"laburnumlock.dev/lab/proxy/process/labgateway"
 	"laburnumlock.dev/lab/proxy/process/labobserver"
+	"laburnumlock.dev/lab/proxy/process/labregistry"
 )
 
 // wire builds the parts from the settings; nothing runs yet.
@@ -66,8 +67,14 @@
 	p.observer = &labobserver.Observer{
 		Clock: p.clock, Source: labobserver.Upstreams{Dialer: dialer}, Report: p.agent,
 	}
+	p.registry = &labregistry.Registry{
+		Self: self, Routes: p.routes, Peers: p.transport, Clock: p.clock, Random: labrandom.New(),
+		Folder: p.Settings.DataFolder,
+	}
+	p.transport.HandleCall(lab.MethodRegistry, p.registry.Handle)
+
 	p.gateway = &labgateway.Gateway{
-		Self: self, Clock: p.clock, Routes: p.routes, Lease: p.agent, Admission: &labadmission.Admission{Clock: p.clock},
+		Self: self, Clock: p.clock, Routes: p.routes, Lease: p.agent, Admission: &labadmission.Admission{Clock: p.clock}, Once: p.registry,
 		Observer: p.observer, Dialer: dialer, Logger: p.Logger,
 	}
 }
