Count a history's outcomes in one place and give overload enough sessions

Cause: demo and scenarios counted outcomes twice. With 300 sessions an operation waited at its own busy session, so that callers gave up before the proxies' deadline and each gave-up connection cost a login.

--- a/bench/process/labload/session.go
+++ b/bench/process/labload/session.go
@@ -215,7 +215,7 @@
 
 	if err == nil {
 		h := s.load.reads
-		if o.Kind == labhistory.KindWrite || o.Kind == labhistory.KindOnce {
+		if o.Writes() {
 			h = s.load.writes
 		}
 
--- a/bench/process/labscenario/report.go
+++ b/bench/process/labscenario/report.go
@@ -21,10 +21,6 @@
 	Seconds         float64 `json:"seconds"`
 	OfferedPerS     float64 `json:"offered_per_s"`
 	GoodputPerS     float64 `json:"goodput_per_s"` // answered without an error within the deadline
-	Acknowledged    int     `json:"acknowledged"`  // writes
-	Reads           int     `json:"reads"`
-	NotRun          int     `json:"not_run"`
-	Unknown         int     `json:"outcome_unknown"`
 	ReadP50MS       float64 `json:"read_p50_ms"`
 	ReadP99MS       float64 `json:"read_p99_ms"`
 	WriteP50MS      float64 `json:"write_p50_ms"`
@@ -40,6 +36,7 @@
 	SlotLimit       int     `json:"slot_limit"`
 	ConnectionLimit int     `json:"connection_limit"`
 
+	labhistory.Counts
 	labhistory.Violations
 }
 
@@ -75,29 +72,17 @@
 	return nil
 }
 
-func (r *Report) count(operations []labhistory.Operation, deadline time.Duration) {
+// goodput returns the operations per second that were answered without an error within the deadline.
+func goodput(operations []labhistory.Operation, deadline time.Duration, seconds float64) float64 {
 	good := 0
 
 	for _, o := range operations {
-		write := o.Kind == labhistory.KindWrite || o.Kind == labhistory.KindOnce
-
-		switch {
-		case o.Result == labhistory.ResultNotRun:
-			r.NotRun++
-		case o.Result == labhistory.ResultUnknown:
-			r.Unknown++
-		case write:
-			r.Acknowledged++
-		default:
-			r.Reads++
-		}
-
 		if o.Result == labhistory.ResultDone && o.Ended-o.Due <= deadline {
 			good++
 		}
 	}
 
-	r.GoodputPerS = float64(good) / r.Seconds
+	return float64(good) / seconds
 }
 
 func milliseconds(h *hdrhistogram.Histogram, quantile float64) float64 {
--- a/bench/process/labscenario/scenario.go
+++ b/bench/process/labscenario/scenario.go
@@ -27,10 +27,11 @@
 	defaultTime  = 10 * time.Second
 	lossAfter    = 3 * time.Second
 	overDeadline = time.Second
-	// overAnswer is the deadline that the proxies know, with time left for the answer to reach the caller.
-	overAnswer   = 900 * time.Millisecond
-	overSessions = 300
+	overSessions = 600
 	overFactor   = 3
+	// overAnswer is the deadline that the proxies know, with time left for a session that is busy when an operation is due
+	// and for the answer to reach the caller.
+	overAnswer = 700 * time.Millisecond
 	// overStatement makes the members' slots the bottleneck: with shorter statements the load generator and the stand-ins
 	// would use up the processors that the measured instances share with them.
 	overStatement  = 50 * time.Millisecond
@@ -154,7 +155,8 @@
 		OfferedPerS: l.Reads + l.Writes, FailoverGapMS: -1, Violations: labhistory.Check(operations, final),
 		SlotLimit: int(s.Settings.Group.Slots), ConnectionLimit: int(s.Settings.Group.Connections),
 	}
-	r.count(operations, l.Deadline)
+	r.Counts = labhistory.Count(operations)
+	r.GoodputPerS = goodput(operations, l.Deadline, r.Seconds)
 
 	reads, writes := l.ReadLatency().Merged(), l.WriteLatency().Merged()
 	r.ReadP50MS, r.ReadP99MS = milliseconds(reads, 50), milliseconds(reads, 99)
@@ -181,8 +183,7 @@
 	r.FailoverGapMS = labhistory.Gap(operations, database, lossAfter).Milliseconds()
 
 	for _, o := range operations {
-		write := o.Kind == labhistory.KindWrite || o.Kind == labhistory.KindOnce
-		if write && o.Ended > lossAfter && o.Result != labhistory.ResultDone {
+		if o.Writes() && o.Ended > lossAfter && o.Result != labhistory.ResultDone {
 			r.FailoverErrors++
 		}
 	}
--- a/bench/request/labhistory/check.go
+++ b/bench/request/labhistory/check.go
@@ -61,7 +61,7 @@
 	written := map[rowKey]map[int64]Result{}
 
 	for _, o := range operations {
-		if o.Kind != KindWrite && o.Kind != KindOnce {
+		if !o.Writes() {
 			continue
 		}
 
@@ -123,8 +123,7 @@
 	first := time.Duration(-1)
 
 	for _, o := range operations {
-		write := o.Kind == KindWrite || o.Kind == KindOnce
-		if !write || o.Database != database || o.Result != ResultDone || o.Began < event {
+		if !o.Writes() || o.Database != database || o.Result != ResultDone || o.Began < event {
 			continue
 		}
 
--- a/ctl/process/labdemo/check.go
+++ b/ctl/process/labdemo/check.go
@@ -80,7 +80,7 @@
 
 	operations := l.History()
 	final := append(deployment.FinalRows(labload.Table), deployment.FinalRows(labload.OnceTable)...)
-	r.count(operations)
+	r.Counts = labhistory.Count(operations)
 	r.Violations = labhistory.Check(operations, final)
 	aged, others := deployment.ReplicaShares(labload.AgedMark)
 	r.ReplicaShare = labdeployment.Share{Reads: aged.Reads + others.Reads, Replica: aged.Replica + others.Replica}.Ratio()
--- a/ctl/process/labdemo/report.go
+++ b/ctl/process/labdemo/report.go
@@ -9,17 +9,12 @@
 // Report is the outcome of a check; its JSON is one line.
 type Report struct {
 	Seed          uint64  `json:"seed"`
-	Acknowledged  int     `json:"acknowledged"` // writes
-	Reads         int     `json:"reads"`        // answered
-	NotRun        int     `json:"not_run"`
-	Unknown       int     `json:"outcome_unknown"`
 	ReplicaShare  float64 `json:"replica_read_share"`
 	FailoverGapMS int64   `json:"failover_gap_ms"` // from the primary's loss to the first acknowledged write sent after it
 	InForceMS     int64   `json:"in_force_ms"`     // from the acceptance of a change until every proxy has it in force
 	Reverted      int     `json:"reverted"`        // configuration changes that were gone after the restart
 
-	Reasons map[string]int `json:"reasons,omitempty"` // of requests that were not run or are of unknown outcome
-
+	labhistory.Counts
 	labhistory.Violations
 
 	killed time.Duration // when the primary was lost, since the load began
@@ -36,26 +31,3 @@
 	gapLimitMS     = 10_000
 	inForceLimitMS = 10_000
 )
-
-func (r *Report) count(operations []labhistory.Operation) {
-	r.Reasons = map[string]int{}
-
-	for _, o := range operations {
-		if o.Result != labhistory.ResultDone {
-			r.Reasons[o.Reason]++
-		}
-
-		write := o.Kind == labhistory.KindWrite || o.Kind == labhistory.KindOnce
-
-		switch {
-		case o.Result == labhistory.ResultNotRun:
-			r.NotRun++
-		case o.Result == labhistory.ResultUnknown:
-			r.Unknown++
-		case write:
-			r.Acknowledged++
-		default:
-			r.Reads++
-		}
-	}
-}
