Apply ResultLimitBytes and recheck the organisation for each transaction

Cause: the organisation's limit of buffered answer bytes was not used, and a session kept access to a database that a configuration change took away.

Change: the limit applies to the connection from login; organisation and database are looked up again for each transaction.

Conclusion: configuration changes reach open sessions with their next transaction.

--- a/proxy/connection/labsession/begin.go
+++ b/proxy/connection/labsession/begin.go
@@ -42,6 +42,10 @@
 		return failed
 	}
 
+	if n := o.Parameters.ResultLimitBytes; n > 0 {
+		s.conn.Limit(int(n))
+	}
+
 	secret := s.secret(l.minor)
 
 	id, err := s.server.Keys.add(s, secret)
--- a/proxy/connection/labsession/header.go
+++ b/proxy/connection/labsession/header.go
@@ -1,6 +1,7 @@
 package labsession
 
 import (
+	"slices"
 	"time"
 
 	"laburnumlock.dev/lab"
@@ -21,6 +22,10 @@
 		return lab.Header{}, &failure{codeInvalidAuth, "organisation " + s.organisation + " no longer exists", ""}
 	}
 
+	if !slices.Contains(o.Databases, s.database) {
+		return lab.Header{}, &failure{codeNoDatabase, "database " + s.database + " is no longer one of the organisation's", ""}
+	}
+
 	h := lab.Header{
 		Organisation: s.organisation,
 		Database:     s.database,
--- a/proxy/connection/labsession/session_fuzz_test.go
+++ b/proxy/connection/labsession/session_fuzz_test.go
@@ -41,6 +41,7 @@
 func (w *world) Request()                                      {}
 func (w *world) Retry() bool                                   { return false }
 func (w *world) Cancel()                                       {}
+func (w *world) Limit(int)                                     {}
 
 func (w *world) Begin(context.Context, lab.Header) (lab.Transaction, error) {
 	return transaction{w}, nil
--- a/proxy/process/labfront/connection.go
+++ b/proxy/process/labfront/connection.go
@@ -41,6 +41,7 @@
 	until   time.Time // when a leaving connection is closed
 
 	lock     sync.Mutex
+	limit    int // bytes queued and buffered above which Write blocks
 	queued   int // bytes on the way to the event loop
 	buffered int // bytes that the event loop holds because the caller's socket is full
 	closed   bool
@@ -63,13 +64,21 @@
 		return err
 	}
 
-	if c.outstanding() <= c.front.OutboundLimit {
+	if outstanding, limit := c.outstanding(); outstanding <= limit {
 		return nil
 	}
 
 	return c.wait()
 }
 
+// Limit sets the bytes above which Write blocks.
+func (c *connection) Limit(bytes int) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+
+	c.limit = bytes
+}
+
 func (c *connection) queue(data []byte) error {
 	c.lock.Lock()
 	if c.closed {
@@ -104,16 +113,16 @@
 	return nil
 }
 
-func (c *connection) outstanding() int {
+func (c *connection) outstanding() (bytes, limit int) {
 	c.lock.Lock()
 	defer c.lock.Unlock()
 
-	return c.queued + c.buffered
+	return c.queued + c.buffered, c.limit
 }
 
 // wait blocks until half of the limit is free, or fails when the caller makes no progress.
 func (c *connection) wait() error {
-	least := c.outstanding()
+	least, limit := c.outstanding()
 	progress := time.Now()
 
 	for poll := firstPoll; ; poll = min(2*poll, pollLimit) {
@@ -127,7 +136,7 @@
 		switch {
 		case closed:
 			return errClosed
-		case now <= c.front.OutboundLimit/2:
+		case now <= limit/2:
 			return nil
 		case now < least:
 			least, progress = now, time.Now()
--- a/proxy/process/labfront/fake_test.go
+++ b/proxy/process/labfront/fake_test.go
@@ -19,6 +19,7 @@
 )
 
 type fakeRoutes struct {
+	lock          sync.Mutex
 	organisations map[string]*lab.Organisation
 	databases     map[string]*lab.Database
 }
@@ -29,7 +30,20 @@
 	return d, ok
 }
 
+// change replaces an organisation.
+func (r *fakeRoutes) change(name string, change func(*lab.Organisation)) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
+	o := *r.organisations[name]
+	change(&o)
+	r.organisations[name] = &o
+}
+
 func (r *fakeRoutes) Organisation(name string) (*lab.Organisation, bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
 	o, ok := r.organisations[name]
 
 	return o, ok
--- a/proxy/process/labfront/flow_test.go
+++ b/proxy/process/labfront/flow_test.go
@@ -16,6 +16,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
+	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/connection/labsession"
 	"laburnumlock.dev/lab/proxy/process/labfront"
 )
@@ -36,7 +37,7 @@
 	other := x.connect(t)
 	query := &pgproto3.Query{String: "select rows 20000 1000"}
 
-	t.Run("slow", func(t *testing.T) {
+	slow := func(t *testing.T) {
 		r := x.login(t)
 		r.Send(query)
 		assert.NilError(t, r.Flush())
@@ -61,6 +62,19 @@
 		}
 
 		assert.Equal(t, r.ask(t, 'Z'), "CIZ")
+	}
+
+	t.Run("slow", slow)
+	t.Run("limit of the organisation", func(t *testing.T) {
+		x.front.Counters.BytesOut.Set(0)
+		x.routes.change("hanko", func(o *lab.Organisation) { o.Parameters.ResultLimitBytes = rows * size })
+		r := x.login(t)
+		r.Send(query)
+		assert.NilError(t, r.Flush())
+		eventually(t, func() bool { return x.front.Counters.BytesOut.Value() > rows*size*9/10 })
+		assert.NilError(t, r.Close())
+		x.routes.change("hanko", func(o *lab.Organisation) { o.Parameters.ResultLimitBytes = 0 })
+		eventually(t, func() bool { return x.front.Counters.Open.Value() == 1 })
 	})
 	t.Run("stalled", func(t *testing.T) {
 		r := x.login(t)
--- a/proxy/process/labfront/front.go
+++ b/proxy/process/labfront/front.go
@@ -43,7 +43,7 @@
 	MaxConnections   int
 	StartupDeadline  time.Duration // from accept to the end of authentication
 	ProgressDeadline time.Duration // during which a caller must read a part of its answer
-	OutboundLimit    int           // bytes of answer held per connection
+	OutboundLimit    int           // bytes of answer held per connection whose organisation states no limit
 	KeepAlive        time.Duration // idle time before TCP keepalive probes
 
 	Counters Counters
--- a/proxy/process/labfront/front_test.go
+++ b/proxy/process/labfront/front_test.go
@@ -28,6 +28,7 @@
 	front   *labfront.Front
 	server  *labsession.Server
 	gateway *fakeGateway
+	routes  *fakeRoutes
 	stop    func()
 }
 
@@ -44,7 +45,7 @@
 		}},
 		databases: map[string]*lab.Database{"rota": {Name: "rota", History: lab.History{{Term: 1}}}},
 	}
-	x := &fixture{gateway: &fakeGateway{released: make(chan struct{})}}
+	x := &fixture{routes: routes, gateway: &fakeGateway{released: make(chan struct{})}}
 	x.server = &labsession.Server{
 		Gateway: x.gateway, Routes: routes, Clock: fakeClock{time.Now()}, Random: fakeRandom{}, Budget: fakeBudget{},
 		Codec: &labtoken.Codec{Keys: [][]byte{[]byte("deployment key")}}, Keys: &labsession.CancelKeys{Proxy: 7},
--- a/proxy/process/labfront/handler.go
+++ b/proxy/process/labfront/handler.go
@@ -50,7 +50,7 @@
 		return h.refuse("57P03", "the proxy is shutting down")
 	}
 
-	c := &connection{front: f, socket: s}
+	c := &connection{front: f, socket: s, limit: f.OutboundLimit}
 	c.session = f.Server.Open(c)
 	s.SetContext(c)
 	c.shard().add(c, time.Now())
--- a/proxy/process/labfront/startup_test.go
+++ b/proxy/process/labfront/startup_test.go
@@ -184,6 +184,25 @@
 	assert.ErrorIs(t, other.Drain(context.Background()), labfront.ErrNotRunning)
 }
 
+// Guards against serving what a configuration change has taken away while the session was open.
+func TestConfigurationChange(t *testing.T) {
+	ends := func(want string, change func(*lab.Organisation)) func(*testing.T) {
+		return func(t *testing.T) {
+			x := start(t, nil)
+			c := x.connect(t)
+			_, err := c.Exec(context.Background(), "insert 1")
+			assert.NilError(t, err)
+			x.routes.change("hanko", change)
+			_, err = c.Exec(context.Background(), "insert 2")
+			assert.Equal(t, code(t, err), want)
+			assert.Equal(t, count(x, "insert 2"), 0)
+		}
+	}
+
+	t.Run("organisation", ends("28000", func(o *lab.Organisation) { o.Deleted = true }))
+	t.Run("database", ends("3D000", func(o *lab.Organisation) { o.Databases = []string{"extra"} }))
+}
+
 // Guards against losing read-your-writes when a session moves to another proxy.
 func TestRoaming(t *testing.T) {
 	a, b := start(t, nil), start(t, nil)
