Keep request names of prepared and pipelined statements

Cause: drivers prepare a statement in a unit of its own; in a transaction that unit opened the transaction without the request name, and the execution was then refused. Of two names in one unit the second was lost.

Change: tags of statements that are only prepared count when a BEGIN is waiting to be sent. Two different names in one unit are refused.

Tests: both halves of the rule taken out fail TestHeader, so does the check for two names. go test -race passes.

Conclusion: named requests work through drivers that prepare.

--- a/proxy/connection/labsession/extended.go
+++ b/proxy/connection/labsession/extended.go
@@ -6,7 +6,6 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"laburnumlock.dev/lab/proxy/request/labframe"
-	"laburnumlock.dev/lab/proxy/request/labstatement"
 )
 
 var (
@@ -218,7 +217,12 @@
 	e := t.single()
 
 	if t != nil {
-		u.tag(t.text.Tags())
+		tags := t.text.Tags()
+		if tags.Once != "" && u.tags.Once != "" && tags.Once != u.tags.Once {
+			return errSeveralNames
+		}
+
+		u.tags.Add(tags)
 		u.executes = append(u.executes, t.text.Statements()...)
 		u.executed += len(t.text.Statements())
 	} else {
@@ -231,17 +235,6 @@
 	return nil
 }
 
-// tag adds the tags of a statement; of several request names the first counts, as the registry has one per transaction.
-func (u *unit) tag(t labstatement.Tags) {
-	if u.tags.Once == "" {
-		u.tags.Once = t.Once
-	}
-
-	if u.tags.Class == "" {
-		u.tags.Class = t.Class
-	}
-}
-
 // closeMessage forgets a statement. It stays prepared upstream, where other sessions may use it.
 func (s *Session) closeMessage(u *unit, f labframe.Frame) *failure {
 	kind, name, ok := target(f)
--- a/proxy/connection/labsession/failure.go
+++ b/proxy/connection/labsession/failure.go
@@ -98,6 +98,10 @@
 		codeNotInState, "a request name must be given with the first statement of a transaction",
 		"roll back and repeat the transaction",
 	}
+	errSeveralNames = &failure{
+		codeNotInState, "a transaction can have only one request name",
+		"send Sync between requests with different names",
+	}
 	errUnitTooLarge = &failure{
 		codeProgramLimit, "messages up to Sync are over the size limit",
 		"send Sync more often",
--- a/proxy/connection/labsession/header.go
+++ b/proxy/connection/labsession/header.go
@@ -33,7 +33,12 @@
 		Floor:        s.token.Floor(s.database),
 	}
 
-	once, class, readClass, f := s.choose(u.tags, o)
+	tags := u.tags
+	if s.block.begin != "" {
+		tags.Add(u.refTags) // drivers prepare a statement in a unit of its own before they execute it
+	}
+
+	once, class, readClass, f := s.choose(tags, o)
 	if f != nil {
 		return h, f
 	}
--- a/proxy/connection/labsession/unit.go
+++ b/proxy/connection/labsession/unit.go
@@ -24,8 +24,9 @@
 	portals  map[string]*statement
 	inline   map[string]string     // upstream names of statements parsed after an Execute of this unit
 	parsed   map[string]*statement // statements created by this unit, by the caller's name
-	tags     labstatement.Tags
-	fault    *failure // found before running; the unit is answered with it
+	tags     labstatement.Tags     // of executed statements
+	refTags  labstatement.Tags     // of all statements referred to
+	fault    *failure              // found before running; the unit is answered with it
 }
 
 // reads reports whether the unit runs nothing but reads, and SET, which the upstream only checks.
@@ -90,6 +91,8 @@
 
 // refer lists a statement that the unit uses.
 func (u *unit) refer(s *statement) {
+	u.refTags.Add(s.text.Tags())
+
 	for _, r := range u.refers {
 		if r.Name == s.name {
 			return
--- a/proxy/process/labfront/outcomes_test.go
+++ b/proxy/process/labfront/outcomes_test.go
@@ -206,6 +206,32 @@
 	t.Run("may wait", is(lab.Header{Class: lab.ClassMayWait}, "set laburnumlock.class = 'may_wait'", "insert 1"))
 	t.Run("reset", is(write, "reset laburnumlock.class", "insert 1"))
 
+	t.Run("once on a statement prepared in the transaction", func(t *testing.T) {
+		tx, err := c.Begin(ctx)
+		assert.NilError(t, err)
+		_, err = tx.Exec(ctx, "/* laburnumlock:once=n6 */ insert $1", "v")
+		assert.NilError(t, err)
+		assert.Equal(t, x.gateway.lastHeader().OnceName, "n6")
+		assert.NilError(t, tx.Commit(ctx))
+	})
+	t.Run("preparing alone uses up no name", func(t *testing.T) {
+		_, err := c.Prepare(ctx, "p", "/* laburnumlock:once=n7 */ insert $1, 2")
+		assert.NilError(t, err)
+		assert.Equal(t, x.gateway.lastHeader().OnceName, "")
+		_, err = c.Exec(ctx, "p", "v")
+		assert.NilError(t, err)
+		assert.Equal(t, x.gateway.lastHeader().OnceName, "n7")
+	})
+
+	t.Run("two names", func(t *testing.T) {
+		var b pgx.Batch
+
+		b.Queue("/* laburnumlock:once=n8 */ insert 8")
+		b.Queue("/* laburnumlock:once=n9 */ insert 9")
+		assert.Equal(t, code(t, c.SendBatch(ctx, &b).Close()), "55000")
+		assert.Equal(t, count(x, "/* laburnumlock:once=n8 */ insert 8"), 0)
+	})
+
 	t.Run("session once", refuses("22023", "set laburnumlock.once = 'n3'"))
 	t.Run("once outside of a transaction", refuses("25P01", "set local laburnumlock.once = 'n3'"))
 	t.Run("bad tag", refuses("22023", "/* laburnumlock:once=a b */ insert 1"))
--- a/proxy/request/labstatement/tags.go
+++ b/proxy/request/labstatement/tags.go
@@ -21,6 +21,17 @@
 	Class string // read class, or may_wait
 }
 
+// Add takes over tags that are not yet set.
+func (t *Tags) Add(other Tags) {
+	if t.Once == "" {
+		t.Once = other.Once
+	}
+
+	if t.Class == "" {
+		t.Class = other.Class
+	}
+}
+
 // read adds the tag of one comment, if it is one.
 func (t *Tags) read(body string) error {
 	body = strings.TrimSpace(body)
