Fuzz startup, and answer instead of panicking when a message does not encode

Cause: a message that does not encode ended the process with all sessions.

Change: such a message is replaced by an error of class XX000.

--- a/proxy/connection/labsession/failure.go
+++ b/proxy/connection/labsession/failure.go
@@ -48,9 +48,8 @@
 
 func encode(m pgproto3.BackendMessage) []byte {
 	out, err := m.Encode(nil)
-	if err != nil {
-		// Only a message over 1 GiB does not encode.
-		panic(err)
+	if err != nil { // a string holds a zero byte or is over 1 GiB
+		return labframe.Append(nil, typeErrorResponse, []byte("SERROR\x00CXX000\x00Manswer can't be encoded\x00\x00"))
 	}
 
 	return out
--- a/proxy/connection/labsession/session_fuzz_test.go
+++ b/proxy/connection/labsession/session_fuzz_test.go
@@ -102,6 +102,17 @@
 	assert.Assert(t, s.Ready())
 }
 
+func open(upstream []byte, status byte, credential lab.Credential) (*world, *labsession.Session) {
+	w := &world{answer: upstream, status: status}
+	w.org = lab.Organisation{Name: "u", Databases: []string{"d"}, Credential: credential}
+	v := &labsession.Server{
+		Gateway: w, Routes: w, Clock: w, Random: w, Budget: w, Codec: &labtoken.Codec{Keys: [][]byte{{1}}},
+		Keys: &labsession.CancelKeys{}, Log: zerolog.Nop(), MessageLimit: 1 << 16,
+	}
+
+	return w, v.Open(w)
+}
+
 func idle(t *testing.T, s *labsession.Session) {
 	t.Helper()
 
@@ -123,13 +134,7 @@
 	f.Add(append(message('D', "Sx\x00"), message('H', "")...), message('D', "12345"), byte('x'))
 
 	f.Fuzz(func(t *testing.T, caller, upstream []byte, status byte) {
-		w := &world{answer: upstream, status: status}
-		w.org = lab.Organisation{Name: "u", Databases: []string{"d"}, Credential: credential}
-		v := &labsession.Server{
-			Gateway: w, Routes: w, Clock: w, Random: w, Budget: w, Codec: &labtoken.Codec{Keys: [][]byte{{1}}},
-			Keys: &labsession.CancelKeys{}, Log: zerolog.Nop(), MessageLimit: 1 << 16,
-		}
-		s := v.Open(w)
+		w, s := open(upstream, status, credential)
 		w.login(t, s)
 
 		half := len(caller) / 2
@@ -141,3 +146,18 @@
 		idle(t, s)
 	})
 }
+
+// Whatever is sent before authentication, the session must not panic, become ready or answer at length.
+func FuzzStartup(f *testing.F) {
+	f.Add([]byte("\x00\x00\x00\x08\x04\xd2\x16\x2f\x00\x00\x00\x11\x00\x03\x00\x00user\x00u\x00\x00p\x00\x00\x00\x04"))
+	f.Add([]byte("\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x01\x00\x00\x00\x02"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		w, s := open(nil, 'I', lab.Credential{Iterations: 4096, Salt: []byte("s"), StoredKey: []byte("k"), ServerKey: []byte("v")})
+		for _, b := range data {
+			s.Receive([]byte{b})
+		}
+
+		assert.Assert(t, !s.Ready() && len(w.sent) < 4096+2*len(data))
+		s.Closed()
+	})
+}
