--- a/proxy/connection/labsession/failure.go
+++ b/proxy/connection/labsession/failure.go
@@ -48,9 +48,8 @@
 
 func encode(m pgproto3.BackendMessage) []byte {
 	out, err := m.Encode(nil)
-	if err != nil {
-		// Only a message over 1 GiB does not encode.
-		panic(err)
+	if err != nil { // a string holds a zero byte or is over 1 GiB
+		return labframe.Append(nil, typeErrorResponse, []byte("SERROR\x00CXX000\x00Manswer can't be encoded\x00\x00"))
 	}
 
 	return out
@@ -98,6 +97,10 @@
 		codeNotInState, "a request name must be given with the first statement of a transaction",
 		"roll back and repeat the transaction",
 	}
+	errSeveralNames = &failure{
+		codeNotInState, "a transaction can have only one request name",
+		"send Sync between requests with different names",
+	}
 	errUnitTooLarge = &failure{
 		codeProgramLimit, "messages up to Sync are over the size limit",
 		"send Sync more often",
