--- a/bench/process/labload/load.go
+++ b/bench/process/labload/load.go
@@ -26,6 +26,7 @@
 	Password     string
 	Databases    []string
 	Sessions     int
+	Pooled       bool   // any free session sends the next operation, as with a connection pool
 	Prefix       string // of the keys, so that several loads can run on one deployment
 	Seed         uint64
 	Reads        float64       // per second, all sessions together
@@ -95,6 +96,10 @@
 func (l *Load) Run(ctx context.Context, duration time.Duration) error {
 	l.start = time.Now()
 
+	if l.Pooled {
+		return l.runPooled(ctx, duration)
+	}
+
 	return l.each(len(l.sessions), func(s *session) error {
 		s.run(ctx, duration)
 
@@ -138,3 +143,27 @@
 
 	return failed
 }
+
+// runPooled hands the arrivals of one Poisson process to whichever session is free.
+func (l *Load) runPooled(ctx context.Context, duration time.Duration) error {
+	arrivals := make(chan time.Duration, int((l.Reads+l.Writes)*duration.Seconds())*2+1)
+	random := labrandom.Seeded(l.Seed)
+
+	go func() {
+		defer close(arrivals)
+
+		for due := interval(random, l.Reads+l.Writes); due < duration && ctx.Err() == nil; due += interval(random, l.Reads+l.Writes) {
+			time.Sleep(due - l.Since())
+
+			arrivals <- due
+		}
+	}()
+
+	return l.each(len(l.sessions), func(s *session) error {
+		for due := range arrivals {
+			s.serve(ctx, due)
+		}
+
+		return nil
+	})
+}
--- a/bench/process/labload/session.go
+++ b/bench/process/labload/session.go
@@ -56,7 +56,7 @@
 	due := time.Duration(0)
 
 	for {
-		due += s.interval(rate)
+		due += interval(s.random, rate)
 		if due > duration {
 			return
 		}
@@ -69,11 +69,16 @@
 			return
 		}
 
-		if s.load.Since()-due > s.load.Deadline {
-			s.expire(due)
-		} else {
-			s.step(ctx, due)
-		}
+		s.serve(ctx, due)
+	}
+}
+
+// serve sends one operation unless its deadline has passed before the session was free.
+func (s *session) serve(ctx context.Context, due time.Duration) {
+	if s.load.Since()-due > s.load.Deadline {
+		s.expire(due)
+	} else {
+		s.step(ctx, due)
 	}
 }
 
@@ -85,8 +90,8 @@
 }
 
 // interval draws the time to the next arrival of a Poisson process.
-func (s *session) interval(rate float64) time.Duration {
-	u := (float64(s.random.Uint64()>>11) + 1) / (1 << 53)
+func interval(random *labrandom.Random, rate float64) time.Duration {
+	u := (float64(random.Uint64()>>11) + 1) / (1 << 53)
 
 	return time.Duration(-math.Log(u) / rate * float64(time.Second))
 }
