--- a/control/process/labreplica/guard_test.go
+++ b/control/process/labreplica/guard_test.go
@@ -175,3 +175,22 @@
 	assert.Equal(t, votes(r.Output().Messages), 0)
 	assert.Equal(t, r.Term(), uint64(4))
 }
+
+// Guards against acknowledging entries that a crash before the sync would lose: both followers crash at the sync of an
+// entry, so it must not be committed.
+func TestAnswerFollowsSync(t *testing.T) {
+	w := newWorld(t, 41, 3, 0)
+	l := w.waitLeader()
+	before := w.committed
+	w.propose(l, 1)
+
+	for _, n := range w.nodes {
+		if n != l {
+			n.crashIn = 2 // after any message that is sent before the sync
+		}
+	}
+
+	w.run(100 * time.Millisecond)
+	assert.Equal(t, w.committed, before)
+	w.converge()
+}
