Reinstate an old primary that has everything

Cause: with replaced members in TestAcknowledgedWritesSurvive, groups waited for ever for a lost member although the old primary was back, out of recovery in its own term and ahead of every readable member. Change: two readings that follow the history are enough to reinstate such a primary, since it has all that was acknowledged in its term; choosing a replica still needs all members but one. Each guard was taken out (tests fail) and put back (tests pass): no member went further, two readings (TestReinstateOneOfFour).

--- a/control/process/labpromoter/choice.go
+++ b/control/process/labpromoter/choice.go
@@ -52,7 +52,7 @@
 ) (reading, verdict) {
 	list := candidates(d, p, readings)
 	if len(list) < needed(d, p.OldPrimary, departing) {
-		return reading{}, verdictWait
+		return reinstate(d, p, list)
 	}
 	best := list[0]
 	for _, r := range list[1:] {
@@ -70,6 +70,25 @@
 	return best, verdictPromote
 }
 
+// reinstate picks the old primary from too few readings for a promotion. It has everything that was acknowledged in
+// its own term, so two readings are enough to see that no other member went further.
+func reinstate(d *lab.Database, p labcatalog.Promotion, list []reading) (reading, verdict) {
+	for _, old := range list {
+		if len(list) < 2 || old.member.Member != p.OldPrimary || old.status.InRecovery {
+			continue
+		}
+		for _, r := range list {
+			if position(r.status).Offset > position(old.status).Offset || position(r.status).Term > d.Term() {
+				return reading{}, verdictWait
+			}
+		}
+
+		return old, verdictReinstate
+	}
+
+	return reading{}, verdictWait
+}
+
 // better orders candidates by position; of equally advanced ones a staying member, then a replica, then one in the old
 // primary's region wins. Candidates up to the term in force all lie on its history, where the offset alone tells who is
 // more advanced: a replica may already report a term whose switch point it hasn't received yet.
--- a/control/process/labpromoter/promoter_test.go
+++ b/control/process/labpromoter/promoter_test.go
@@ -173,6 +173,38 @@
 	w.primary("m1", 1)
 }
 
+// Guards against a group that waits for a lost member although the old primary, which has every write, is back, and
+// against reinstating one that a replica went past.
+func TestReinstateOneOfFour(t *testing.T) {
+	lost := func(t *testing.T, replica uint64) *world {
+		w := started(t)
+		w.cluster.nodes["m4"] = &node{recovery: true}
+		w.announce(lab.Announcement{Database: database, Member: "m4", Address: "m4", Region: "gulf-coast", Incarnation: 1})
+		w.cluster.nodes["m3"].up = false
+		w.fail("m1")
+		assert.Assert(t, w.step() != nil)
+		w.cluster.nodes["m1"].up, w.cluster.nodes["m2"].at.Offset = true, replica
+
+		return w
+	}
+	t.Run("most advanced", func(t *testing.T) {
+		w := lost(t, 100)
+		assert.NilError(t, w.step())
+		w.primary("m1", 1)
+	})
+	t.Run("alone", func(t *testing.T) {
+		w := lost(t, 100)
+		w.cluster.nodes["m2"].up = false
+		assert.Assert(t, w.step() != nil)
+		w.primary("", 1)
+	})
+	t.Run("behind a replica", func(t *testing.T) {
+		w := lost(t, 101)
+		assert.Assert(t, w.step() != nil)
+		w.primary("", 1)
+	})
+}
+
 // Guards against comparing positions by term first: a replica that streams term 2 but hasn't reached its switch point
 // has less than one that received term 1 up to it. Found by TestAcknowledgedWritesSurvive with seed 14.
 func TestReplicaBeforeSwitchPoint(t *testing.T) {
--- a/control/process/labpromoter/tend.go
+++ b/control/process/labpromoter/tend.go
@@ -105,7 +105,9 @@
 func (p *Promoter) caughtUp(ctx context.Context, d *lab.Database, at lab.Position) bool {
 	readings := p.read(ctx, d)
 	for _, r := range readings {
-		if have := position(r.status); have.Term != at.Term || have.Offset < at.Offset {
+		have := position(r.status)
+		follows := r.status.InRecovery || r.member.Member == d.Primary
+		if !follows || have.Term != at.Term || have.Offset < at.Offset {
 			return false
 		}
 	}
