Give up silent connections on the observer's evidence

Change: the observer tells when an open connection went silent while a new one worked; idle connections from before are closed, and units on such connections are given up after the progress timeout. The wait for a replica lasts at least 1 s. A cancel request closes an idle connection only at the limit. Connect timeout and idle time before a probe are 1 s. Without a registry named requests are refused. Guards taken out, tests failed, put back: evidence of silence and its age, purge by the observer, probe before reuse, purge after a failed probe, wait past the deadline, withheld answers, observer's notice, wide answers.

--- a/proxy/connection/labupstream/conn.go
+++ b/proxy/connection/labupstream/conn.go
@@ -26,6 +26,8 @@
 type Conn struct {
 	// Silent is asked when the upstream sent nothing for a multiple of the progress timeout; an error ends the unit.
 	Silent func(ctx context.Context, silent time.Duration) error
+	// Alive is kept by the owner: Clock.Now before the last exchange that the upstream answered.
+	Alive time.Duration
 
 	net            *framedConn
 	address        string
--- a/proxy/connection/labupstream/dialer.go
+++ b/proxy/connection/labupstream/dialer.go
@@ -13,7 +13,7 @@
 
 // Defaults of a Dialer's fields that are zero.
 const (
-	DefaultConnectTimeout  = 2 * time.Second
+	DefaultConnectTimeout  = time.Second
 	DefaultProgressTimeout = time.Second
 	DefaultMessageLimit    = 16 << 20 // bytes
 	DefaultStatementLimit  = 512
--- a/proxy/connection/labupstream/ended.go
+++ b/proxy/connection/labupstream/ended.go
@@ -7,7 +7,7 @@
 	Tag        string // tag of the last CommandComplete
 	Completed  int    // commands that completed
 	Committed  bool   // a command ended a transaction with COMMIT or PREPARE TRANSACTION
-	Held       []byte // end of the answer that was not passed on: of a write, or from an error that came first
+	Held       []byte // last part of the answer, not passed on
 	Positioned bool   // Position is set
 	Position   Position
 	Sent       bool // at least one byte of the unit was sent
--- a/proxy/connection/labupstream/run.go
+++ b/proxy/connection/labupstream/run.go
@@ -46,8 +46,8 @@
 }
 
 // Run sends a unit, and behind it the position query when positionToo is set, and passes the answer on up to but
-// without ReadyForQuery. Of a unit that may write, the part from the first CommandComplete on is returned in Held, so
-// that no caller takes it for done before it is acknowledged. After an error the connection is broken, unless nothing was sent.
+// without ReadyForQuery. The last part is returned in Held, so that it can be withheld when the position or the
+// acknowledgement is missing: of a unit that may write, all from the first CommandComplete on. After an error the connection is broken, unless nothing was sent.
 func (c *Conn) Run(ctx context.Context, unit lab.Unit, answer io.Writer, positionToo bool) (Ended, error) {
 	if c.Broken() {
 		return Ended{}, ErrBroken
@@ -66,7 +66,9 @@
 		}
 	}
 
-	err = e.guard(ctx, func() error { return e.run(ctx, unit, positionToo) })
+	if err = e.guard(ctx, func() error { return e.run(ctx, unit, positionToo) }); err == nil {
+		e.ended.Held = append(e.pending, e.ended.Held...)
+	}
 
 	return e.ended, err
 }
@@ -205,7 +207,7 @@
 
 	e.ended.Status = e.conn.status
 
-	return e.flush()
+	return nil
 }
 
 func (e *exchange) ready(raw []byte) error {
@@ -277,16 +279,10 @@
 	return e.pass(raw)
 }
 
-// fail notes an error; it is held back when nothing was passed on before, so that the caller can still decide to run
-// the unit elsewhere.
 func (e *exchange) fail(raw []byte) {
 	if e.ended.Code == "" {
 		e.ended.Code = errorField(raw[headerSize:], 'C')
 	}
-
-	if !e.ended.Passed && len(e.pending) == 0 {
-		e.holding = true
-	}
 }
 
 func (e *exchange) complete(raw []byte) {
@@ -318,7 +314,7 @@
 	return ""
 }
 
-// pass adds a message to the answer; small messages are passed on together.
+// pass adds a message to the answer, which is passed on in large parts.
 func (e *exchange) pass(raw []byte) error {
 	if e.holding && len(e.ended.Held) < holdLimit {
 		e.ended.Held = append(e.ended.Held, raw...)
@@ -329,7 +325,7 @@
 	e.pending = append(append(e.pending, e.ended.Held...), raw...)
 	e.ended.Held, e.holding, e.writes = nil, false, false
 
-	if len(e.pending) < bufferSize && e.conn.net.reader.Buffered() > 0 {
+	if len(e.pending) < bufferSize {
 		return nil
 	}
 
--- a/proxy/process/labgateway/fake_test.go
+++ b/proxy/process/labgateway/fake_test.go
@@ -103,6 +103,13 @@
 	return sync.OnceFunc(func() { m.set(func() { m.frozen = nil }); close(frozen) })
 }
 
+// silence makes the open connections silent for good; new ones work.
+func (m *fakeMember) silence(t *testing.T) {
+	frozen := make(chan struct{})
+	m.set(func() { m.frozen, m.unfrozen = frozen, m.accepted })
+	t.Cleanup(func() { close(frozen) })
+}
+
 func (m *fakeMember) thaw(number int) {
 	m.mu.Lock()
 	frozen := m.frozen
--- a/proxy/process/labgateway/follow.go
+++ b/proxy/process/labgateway/follow.go
@@ -149,11 +149,22 @@
 	}
 
 	d.force(errLeaving, d.overstays)
+	d.purge()
 	d.forget()
 
 	return d.empty()
 }
 
+// purge closes the idle connections of members whose observer found its open connection silent: others that were open
+// then are likely to be silent too.
+func (d *duty) purge() {
+	for _, v := range d.gateway.Observer.Views(d.key.Database, nil) {
+		if p, found := d.pool(v.Member.Member); found && v.SilentAt > 0 {
+			p.purge(v.SilentAt)
+		}
+	}
+}
+
 // overstays reports whether a transaction runs on a member that has been leaving for longer than the grace.
 func (d *duty) overstays(t *transaction) bool {
 	p := t.pool.Load()
--- a/proxy/process/labgateway/gateway.go
+++ b/proxy/process/labgateway/gateway.go
@@ -15,7 +15,7 @@
 
 const (
 	defaultTick       = 50 * time.Millisecond
-	defaultProbeAfter = 5 * time.Second
+	defaultProbeAfter = time.Second
 	defaultDeadline   = 30 * time.Second
 	defaultRetention  = 24 * time.Hour
 )
@@ -38,8 +38,8 @@
 	Clock      lab.Clock
 	Routes     lab.Routes
 	Lease      lab.Lease
-	Admission  lab.Admission // slots by "database/member"
-	Once       lab.OnceRegistry
+	Admission  lab.Admission    // slots by "database/member"
+	Once       lab.OnceRegistry // without one, named requests are refused
 	Observer   *labobserver.Observer
 	Dialer     *labupstream.Dialer
 	Logger     zerolog.Logger
--- a/proxy/process/labgateway/member_test.go
+++ b/proxy/process/labgateway/member_test.go
@@ -271,6 +271,12 @@
 	t.Run("rolled back", free("n5", query("BEGIN", true), query("INSERT n5", false), query("ROLLBACK", true)))
 	t.Run("abandoned", free("n6", query("BEGIN", true), query("INSERT n6", false)))
 	t.Run("malformed", free("n7", lab.Unit{Messages: []byte("x")}))
+	t.Run("no registry", func(t *testing.T) {
+		b := newBench(t)
+		b.gateway.Once = nil
+		_, _, err := b.do(named("n9"), query("INSERT n9", false))
+		wantOutcome(t, err, lab.OutcomeNotRun, lab.ReasonNoRegistry)
+	})
 	t.Run("not admitted", func(t *testing.T) {
 		h := named("n8")
 		h.Deadline = 50 * time.Millisecond
--- a/proxy/process/labgateway/once.go
+++ b/proxy/process/labgateway/once.go
@@ -16,6 +16,10 @@
 	}
 
 	g := t.duty.gateway
+	if g.Once == nil {
+		return nil, lab.NotRun(lab.ReasonNoRegistry, errors.New("no registry for request names"))
+	}
+
 	retention := defaultRetention
 
 	if o, found := g.Routes.Organisation(t.header.Organisation); found && o.Parameters.OnceRetentionMS > 0 {
--- a/proxy/process/labgateway/pool.go
+++ b/proxy/process/labgateway/pool.go
@@ -17,6 +17,9 @@
 // cancelWait bounds how long a cancel request waits for a free connection.
 const cancelWait = 500 * time.Millisecond
 
+// probeWait bounds the probe of an idle connection; a position query takes one round trip.
+const probeWait = 300 * time.Millisecond
+
 var (
 	errPoolClosed = errors.New("connection pool is closed")
 	errExhausted  = errors.New("all connections are in use")
@@ -93,6 +96,25 @@
 		return idleConn{}, false, nil, errPoolClosed
 	}
 
+	return p.next(mayWait)
+}
+
+// room is like take but prefers to open a connection.
+func (p *pool) room() (idle idleConn, open bool, wake chan struct{}, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.open < p.limit {
+		p.count()
+
+		return idleConn{}, true, nil, nil
+	}
+
+	return p.next(true)
+}
+
+// next decides for take; the caller holds the lock.
+func (p *pool) next(mayWait bool) (idle idleConn, open bool, wake chan struct{}, err error) {
 	if last := len(p.idle) - 1; last >= 0 {
 		idle = p.idle[last]
 		p.idle = p.idle[:last]
@@ -153,6 +175,9 @@
 		return true
 	}
 
+	ctx, cancel := context.WithTimeout(ctx, probeWait)
+	defer cancel()
+
 	_, err := idle.conn.Probe(ctx)
 
 	return err == nil
@@ -160,6 +185,8 @@
 
 // dial opens a connection that is already counted and checks that the member may serve.
 func (p *pool) dial(ctx context.Context) (*labupstream.Conn, error) {
+	opened := p.clock.Now()
+
 	conn, err := p.dialer.Dial(ctx, p.member.Address, p.member.Database)
 	if err != nil {
 		p.uncount()
@@ -167,6 +194,8 @@
 		return nil, err
 	}
 
+	conn.Alive = opened
+
 	position, err := conn.Probe(ctx)
 	if err == nil {
 		err = p.verify(position)
@@ -218,7 +247,7 @@
 	defer stop()
 
 	for {
-		idle, open, wake, err := p.take(true)
+		idle, open, wake, err := p.room()
 
 		switch {
 		case err != nil:
--- a/proxy/process/labgateway/transaction.go
+++ b/proxy/process/labgateway/transaction.go
@@ -19,6 +19,9 @@
 	rollbackTag  = "ROLLBACK"
 	resetWait    = time.Second
 	resolveWait  = time.Second
+
+	// acknowledgeWait is the least time for a replica to receive a write, whatever is left of the deadline.
+	acknowledgeWait = time.Second
 )
 
 // transaction is bound to one connection of one member.
@@ -33,10 +36,12 @@
 	first      bool   // no unit has run
 	wrote      bool   // a unit may have written
 	ended      bool
-	named      bool   // the request's name is reserved
-	tag        string // of the last command
-	rolledBack bool   // the last unit ended the transaction with an error
-	committed  bool   // a unit committed and began the next transaction
+	named      bool            // the request's name is reserved
+	tag        string          // of the last command
+	rolledBack bool            // the last unit ended the transaction with an error
+	unlimited  context.Context //nolint:containedctx // of the unit that runs, without its deadline
+	until      time.Duration   // deadline of the unit that runs
+	committed  bool            // a unit committed and began the next transaction
 
 	mu        sync.Mutex
 	conn      *labupstream.Conn
@@ -97,7 +102,10 @@
 		limit -= t.duty.gateway.Clock.Now() - t.started
 	}
 
+	t.until = t.duty.gateway.Clock.Now() + limit
+
 	ctx, stop := context.WithCancelCause(ctx)
+	t.unlimited = ctx
 	ctx, cancel := context.WithTimeout(ctx, limit)
 
 	t.mu.Lock()
@@ -176,6 +184,7 @@
 	}
 
 	t.first = false
+	conn.Alive = sent
 
 	// A reset runs on the upstream like a unit, so the slot is kept for it.
 	if ended.Status != 'I' || !conn.NeedsReset() {
@@ -190,7 +199,7 @@
 	t.rolledBack = ended.Code != "" && !ended.Committed && ended.Status == 'I'
 	result := lab.Result{Status: ended.Status, Replica: ended.Position.InRecovery, Member: p.member.Member}
 
-	if err = t.check(ctx, conn, unit, ended, &result); err != nil {
+	if err = t.check(conn, unit, ended, &result); err != nil {
 		return lab.Result{}, ended, err
 	}
 
@@ -250,7 +259,7 @@
 
 // check decides whether the answer may be given, and fills in its position.
 func (t *transaction) check(
-	ctx context.Context, conn *labupstream.Conn, unit lab.Unit, ended labupstream.Ended, result *lab.Result,
+	conn *labupstream.Conn, unit lab.Unit, ended labupstream.Ended, result *lab.Result,
 ) error {
 	if t.header.ReadOnly {
 		return t.checkRead(conn, ended, result)
@@ -274,7 +283,7 @@
 		t.unbind()
 	}
 
-	return t.acknowledge(ctx, ended.Position.Replayed)
+	return t.acknowledge(ended.Position.Replayed)
 }
 
 // checkPrimary refuses an answer of a member that is not the primary of the grant's term.
@@ -340,9 +349,13 @@
 }
 
 // acknowledge waits until a replica has received the position. The wait ends early when the grant does, by force.
-func (t *transaction) acknowledge(ctx context.Context, position lab.Position) error {
+// It may last longer than the request's deadline: the write has run, and only its acknowledgement is missing.
+func (t *transaction) acknowledge(position lab.Position) error {
 	g := t.duty.gateway
 
+	ctx, cancel := context.WithTimeout(t.unlimited, max(t.until-g.Clock.Now(), acknowledgeWait))
+	defer cancel()
+
 	err := g.Observer.Wait(ctx, t.header.Database, func(views []labobserver.View) bool {
 		return received(views, position)
 	})
@@ -372,17 +385,22 @@
 	return false
 }
 
-// silent decides about a connection that sent nothing for a while.
+// silent decides about a connection that sent nothing for a while. A dropped connection and a slow statement look the
+// same, so a statement is given up only when the member is lost or the observer found that connections open since
+// before went silent; a first read is run again elsewhere in any case.
 func (t *transaction) silent(_ context.Context, silent time.Duration) error {
 	p := t.pool.Load()
 
+	t.mu.Lock()
+	conn := t.conn
+	t.mu.Unlock()
+
 	for _, v := range t.duty.gateway.Observer.Views(t.header.Database, nil) {
-		if v.Member.Member == p.member.Member && v.Lost {
-			return errors.Newf("member %s is lost, silent for %s", p.member.Member, silent)
+		if v.Member.Member == p.member.Member && (v.Lost || conn != nil && v.SilentAt >= conn.Alive) {
+			return errors.Newf("member %s does not answer on this connection for %s", p.member.Member, silent)
 		}
 	}
 
-	// A first read is run again elsewhere: a dropped connection and a slow query look the same.
 	if t.first && t.header.ReadOnly {
 		return errors.Newf("member %s is silent for %s", p.member.Member, silent)
 	}
--- a/proxy/process/labobserver/observer_test.go
+++ b/proxy/process/labobserver/observer_test.go
@@ -143,6 +143,7 @@
 	until(t, func() bool { return o.Views("rota", nil)[0].Status.Replayed.Offset == 300 })
 	assert.Equal(t, lost(), 0)
 	assert.Equal(t, f.count(func() int { return f.opened["a"] }), 2)
+	until(t, func() bool { return o.Views("rota", nil)[0].SilentAt > 0 })
 	assert.Equal(t, f.count(func() int {
 		unreachable := 0
 		for _, st := range f.statuses {
--- a/proxy/process/labobserver/tracker.go
+++ b/proxy/process/labobserver/tracker.go
@@ -29,6 +29,7 @@
 	failing    bool          // the last new connection failed
 	failedAt   time.Duration // when the first of the failed attempts started
 	lost       bool          // failing for long enough
+	silentAt   time.Duration // when the open connection was last found silent while a new one worked
 	reportedAt time.Duration
 	reported   lab.MemberStatus
 	everSent   bool
@@ -161,6 +162,13 @@
 	}
 }
 
+// replaced records that an open connection, asked at a time, went silent while a new one works.
+func (t *tracker) replaced(member lab.Announcement, asked time.Duration) {
+	if s := t.find(member); s != nil {
+		s.silentAt = asked
+	}
+}
+
 // failed records that a new connection, begun at started, failed by now, and returns the statuses to report.
 func (t *tracker) failed(member lab.Announcement, started, now time.Duration) []lab.MemberStatus {
 	s := t.find(member)
@@ -220,7 +228,7 @@
 func (t *tracker) views(now time.Duration, into []View) []View {
 	for _, s := range t.members {
 		into = append(into, View{
-			Member: s.member, Known: s.known, Failing: s.failing, Lost: s.lost, Status: t.status(s, now),
+			Member: s.member, Known: s.known, Failing: s.failing, Lost: s.lost, SilentAt: s.silentAt, Status: t.status(s, now),
 			LastTerm: s.term, AgeKnown: s.freshKnown, Age: now - s.freshAt,
 		})
 	}
--- a/proxy/process/labobserver/view.go
+++ b/proxy/process/labobserver/view.go
@@ -9,9 +9,10 @@
 // View is what is known of one member.
 type View struct {
 	Member   lab.Announcement
-	Known    bool // the position was read since the member started
-	Failing  bool // the last new connection failed
-	Lost     bool // new connections to it have failed for a while
+	Known    bool          // the position was read since the member started
+	Failing  bool          // the last new connection failed
+	Lost     bool          // new connections to it have failed for a while
+	SilentAt time.Duration // when open connections were last found silent while a new one worked
 	Status   lab.MemberStatus
 	LastTerm lab.Term // last term read; a replica without a running receiver tells none
 	AgeKnown bool
--- a/proxy/process/labobserver/watch.go
+++ b/proxy/process/labobserver/watch.go
@@ -92,6 +92,8 @@
 // readOnce reads the position, over a new connection when there is none. A failure on an open connection proves
 // nothing about the member, so a new one is tried at once.
 func (w *watch) readOnce(ctx context.Context, p *poller, reader Reader) Reader {
+	silent, asked := reader != nil, w.observer.Clock.Now()
+
 	if reader != nil {
 		if w.probe(ctx, p, reader) {
 			return reader
@@ -112,6 +114,10 @@
 	reader, err := w.observer.Source.Open(open, p.member)
 	if err == nil {
 		if w.probe(ctx, p, reader) {
+			if silent {
+				w.replaced(p.member, asked)
+			}
+
 			return reader
 		}
 
@@ -154,6 +160,13 @@
 	w.observer.report(statuses)
 }
 
+func (w *watch) replaced(member lab.Announcement, asked time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.tracker.replaced(member, asked)
+}
+
 func (w *watch) failed(member lab.Announcement, started time.Duration) {
 	w.mu.Lock()
 	statuses := w.tracker.failed(member, started, w.observer.Clock.Now())
