Wait for the upstream to close failed logins and aborted connections

Cause: a connection whose login failed, or that the observer gave up, was counted as free before the upstream had closed its side, which allowed short excesses over the budget. Change: both give the upstream up to 50 ms to close first. Guards taken out, tests failed, put back: waiting on close, on abort and after a failed login.

--- a/proxy/connection/labupstream/conn.go
+++ b/proxy/connection/labupstream/conn.go
@@ -16,6 +16,8 @@
 const (
 	// closeWait bounds how long Close waits for the upstream to close its side.
 	closeWait = time.Second
+	// abortWait is closeWait for a connection that is known not to answer, or whose login failed.
+	abortWait = 50 * time.Millisecond
 	// writeWait bounds one write; an upstream that does not read for this long is taken for lost.
 	writeWait = 5 * time.Second
 	// inlineWrite is the largest unit written without reading at the same time; it fits the socket buffers.
@@ -154,10 +156,10 @@
 	return e.ended.Position, nil
 }
 
-// Abort closes the connection at once, for one that no longer answers.
+// Abort closes a connection that no longer answers.
 func (c *Conn) Abort() {
 	c.Break()
-	_ = c.net.Close()
+	c.net.drain(abortWait)
 }
 
 // Close ends the session and waits a short time for the upstream to close its side, so that the caller may count the
@@ -165,17 +167,11 @@
 func (c *Conn) Close() {
 	broken := c.broken.Swap(true)
 
-	_ = c.net.SetDeadline(time.Now().Add(closeWait))
-
 	// On a broken connection the bytes could complete a message that was sent in part.
 	if terminate, err := (&pgproto3.Terminate{}).Encode(nil); err == nil && !broken {
+		_ = c.net.SetWriteDeadline(time.Now().Add(closeWait))
 		_, _ = c.net.Write(terminate)
 	}
 
-	if half, ok := c.net.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
-		_, _ = io.Copy(io.Discard, c.net.Conn)
-	}
-
-	_ = c.net.Close()
+	c.net.drain(closeWait)
 }
--- a/proxy/connection/labupstream/conn_test.go
+++ b/proxy/connection/labupstream/conn_test.go
@@ -249,6 +249,25 @@
 	})
 }
 
+// Guards against counting a connection as free before the upstream does.
+func TestCloseWaits(t *testing.T) {
+	closes := func(end func(*testing.T, *fakeUpstream)) func(*testing.T) {
+		return func(t *testing.T) {
+			f := newFake(t)
+			end(t, f)
+			assert.Equal(t, f.closed.Load(), int32(1))
+		}
+	}
+
+	t.Run("close", closes(func(t *testing.T, f *fakeUpstream) { f.dial(t).Close() }))
+	t.Run("abort", closes(func(t *testing.T, f *fakeUpstream) { f.dial(t).Abort() }))
+	t.Run("failed login", closes(func(t *testing.T, f *fakeUpstream) {
+		f.mute = true
+		_, err := (&Dialer{User: "lab", ConnectTimeout: 30 * time.Millisecond}).Dial(context.Background(), f.address, "rota")
+		assert.Assert(t, err != nil)
+	}))
+}
+
 // Guards against cancel requests with a wrong key, and a unit larger than the socket buffers that blocks on its answer.
 func TestCancelAndLargeUnit(t *testing.T) {
 	f := newFake(t)
--- a/proxy/connection/labupstream/fake_test.go
+++ b/proxy/connection/labupstream/fake_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,9 @@
 	address string
 	script  map[string]func(b *pgproto3.Backend) // by SQL text; a nil function drops the connection
 
+	mute   bool // does not answer a login
+	closed atomic.Int32
+
 	mu        sync.Mutex
 	got       []string // message types and texts
 	cancelled []uint32
@@ -42,6 +46,8 @@
 
 			go func() {
 				defer conn.Close()
+				defer f.closed.Add(1)
+				defer time.Sleep(10 * time.Millisecond)
 				(&fakeBackend{fake: f, Backend: pgproto3.NewBackend(conn, conn), statements: map[string]string{}}).serve()
 			}()
 		}
@@ -88,6 +94,12 @@
 		return
 	}
 
+	if b.fake.mute {
+		_, _ = b.Receive()
+
+		return
+	}
+
 	b.Send(&pgproto3.AuthenticationCleartextPassword{})
 
 	if b.Flush() != nil || b.SetAuthType(pgproto3.AuthTypeCleartextPassword) != nil {
--- a/proxy/connection/labupstream/framed.go
+++ b/proxy/connection/labupstream/framed.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"io"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -50,3 +52,22 @@
 
 	return n, err
 }
+
+// Close ends a login that failed.
+func (f *framedConn) Close() error {
+	f.drain(abortWait)
+
+	return nil
+}
+
+// drain closes the connection, after giving the upstream some time to close its side first: until then it counts the
+// connection against its limit.
+func (f *framedConn) drain(wait time.Duration) {
+	_ = f.SetDeadline(time.Now().Add(wait))
+
+	if half, ok := f.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, f.Conn)
+	}
+
+	_ = f.Conn.Close()
+}
