Test the deployed shape: separate processes, killed and frozen

Cause: everything so far ran inside one process. A consensus message is now accepted only from the instance it names.

--- /dev/null
+++ b/bench/processes_test.go
@@ -0,0 +1,411 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/bench/connection/labcaller"
+	"laburnumlock.dev/lab/bench/process/labload"
+	"laburnumlock.dev/lab/bench/request/labhistory"
+	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/proxy/connection/labscram"
+	"laburnumlock.dev/lab/request/laboperator"
+	"laburnumlock.dev/lab/version/labsettings"
+)
+
+const (
+	organisation = "rantavahti"
+	password     = "secret"
+	database     = "rota-core-1"
+	sampleFile   = "../samples/rantavahti.json"
+	zoneCount    = 3
+)
+
+var (
+	zones   = []string{"hanko", "kotka", "oulu"}
+	regions = []string{"gulf-coast", "gulf-coast", "bothnia"}
+)
+
+// site is a deployment of separate processes.
+type site struct {
+	t        *testing.T
+	folder   string
+	programs map[string]string // built binaries by module
+	ports    []int
+	controls []*process
+	proxies  []*process
+	standin  *process
+	operator *laboperator.Client
+}
+
+// process is one started program.
+type process struct {
+	t       *testing.T
+	name    string
+	command func() *exec.Cmd
+	running *exec.Cmd
+	output  bytes.Buffer
+}
+
+func (p *process) start() {
+	p.t.Helper()
+
+	p.running = p.command()
+	p.running.Stdout, p.running.Stderr = &p.output, &p.output
+	assert.NilError(p.t, p.running.Start(), p.name)
+}
+
+// end sends a signal and waits for the process.
+func (p *process) end(signal syscall.Signal) error {
+	if p.running == nil {
+		return nil
+	}
+
+	_ = p.running.Process.Signal(signal)
+	err := p.running.Wait()
+	p.running = nil
+
+	return err
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	p.t.Helper()
+	assert.NilError(p.t, p.running.Process.Signal(signal), p.name)
+}
+
+// freePorts reserves distinct loopback ports that were free a moment ago.
+func freePorts(t *testing.T, count int) []int {
+	t.Helper()
+
+	var ports []int
+
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		defer func() { _ = l.Close() }()
+	}
+
+	return ports
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+
+	s := &site{t: t, folder: t.TempDir(), programs: map[string]string{}}
+	for _, m := range []string{"proxy", "control", "bench"} {
+		s.programs[m] = filepath.Join(s.folder, "laburnumlock-"+m)
+		out, err := exec.Command("go", "build", "-o", s.programs[m], "../"+m).CombinedOutput()
+		assert.NilError(t, err, string(out))
+	}
+
+	s.ports = freePorts(t, 7*zoneCount)
+	s.makeKeys()
+
+	for i := range zoneCount {
+		s.controls = append(s.controls, s.daemon("control", i, s.controlSettings(i)))
+		s.proxies = append(s.proxies, s.daemon("proxy", i, s.proxySettings(i)))
+	}
+
+	s.standin = &process{t: t, name: "standin", command: func() *exec.Cmd {
+		arguments := []string{"standin", "--deployment", sampleFile, "--database", database, "--password", "upstream"}
+		for i := range zoneCount {
+			arguments = append(arguments, "--announce", "http://"+s.address(6, i))
+		}
+
+		return exec.Command(s.programs["bench"], arguments...)
+	}}
+	t.Cleanup(s.stop)
+
+	return s
+}
+
+func (s *site) address(kind, number int) string {
+	return fmt.Sprintf("127.0.0.1:%d", s.ports[kind*zoneCount+number])
+}
+
+func (s *site) makeKeys() {
+	a := &labkeys.Authority{Folder: filepath.Join(s.folder, "keys")}
+	assert.NilError(s.t, a.Init())
+	assert.NilError(s.t, a.Issue("operator", labkeys.RoleOperator))
+
+	for i := range zoneCount {
+		assert.NilError(s.t, a.Issue(fmt.Sprintf("control-%d", i), labkeys.RoleInstance))
+		assert.NilError(s.t, a.Issue(fmt.Sprintf("proxy-%d", i), labkeys.RoleInstance))
+	}
+
+	assert.NilError(s.t, os.WriteFile(filepath.Join(s.folder, "password"), []byte("upstream\n"), 0o600))
+}
+
+func (s *site) common(role string, number, process, announce int) labsettings.Common {
+	return labsettings.Common{
+		Instance: fmt.Sprintf("%s-%d", role, number), Region: regions[number], AvailabilityZone: zones[number],
+		ProcessAddress: s.address(process, number), AnnounceAddress: s.address(announce, number),
+		KeysFolder: filepath.Join(s.folder, "keys"), UpstreamUser: "laburnumlock",
+		UpstreamPasswordFile: filepath.Join(s.folder, "password"), LogLevel: "info", MetricsAddress: "127.0.0.1:0",
+	}
+}
+
+func (s *site) controlSettings(number int) any {
+	c := labsettings.Control{
+		Common: s.common("control", number, 0, 1), OperatorAddress: s.address(2, number),
+		DataFolder: filepath.Join(s.folder, fmt.Sprintf("control-%d", number)), SnapshotEntries: 1000, LeaseMS: 3000,
+	}
+	for i := range zoneCount {
+		c.Peers = append(c.Peers, labsettings.Peer{
+			Instance: fmt.Sprintf("control-%d", i), ProcessAddress: s.address(0, i), OperatorAddress: s.address(2, i),
+		})
+	}
+
+	return c
+}
+
+func (s *site) proxySettings(number int) any {
+	p := labsettings.Proxy{
+		Common: s.common("proxy", number, 3, 6), CallerAddress: s.address(4, number),
+		DataFolder: filepath.Join(s.folder, fmt.Sprintf("proxy-%d", number)),
+	}
+	for i := range zoneCount {
+		p.Control = append(p.Control, s.address(0, i))
+	}
+
+	return p
+}
+
+func (s *site) daemon(role string, number int, settings any) *process {
+	file := filepath.Join(s.folder, fmt.Sprintf("%s-%d.json", role, number))
+	b, err := json.Marshal(settings)
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, os.WriteFile(file, b, 0o600))
+
+	return &process{t: s.t, name: fmt.Sprintf("%s-%d", role, number), command: func() *exec.Cmd {
+		return exec.Command(s.programs[role], "--settings", file, "run")
+	}}
+}
+
+func (s *site) all() []*process {
+	return append(append([]*process{s.standin}, s.controls...), s.proxies...)
+}
+
+func (s *site) start() {
+	s.t.Helper()
+
+	for _, p := range s.all() {
+		p.start()
+	}
+
+	s.operator = &laboperator.Client{
+		Identity: &labkeys.Identity{Folder: filepath.Join(s.folder, "keys"), Name: "operator"}, Rounds: 50,
+	}
+	for i := range zoneCount {
+		s.operator.Addresses = append(s.operator.Addresses, s.address(2, i))
+	}
+
+	s.configure()
+}
+
+func (s *site) configure() {
+	s.t.Helper()
+
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+
+	credential, err := labscram.NewCredential(password)
+	assert.NilError(s.t, err)
+
+	put := func(kind laboperator.Kind, name string, document any) {
+		b, err := json.Marshal(document)
+		assert.NilError(s.t, err)
+
+		_, err = s.operator.Put(ctx, kind, name, laboperator.Change{ID: laboperator.NewChangeID(), Document: b})
+		assert.NilError(s.t, err)
+	}
+
+	sample, err := labsettings.LoadDeployment(sampleFile)
+	assert.NilError(s.t, err)
+	put(laboperator.KindTemplate, "rota", map[string]any{"parameters": sample.Parameters})
+	put(laboperator.KindOrganisation, organisation, map[string]any{
+		"template": "rota", "databases": []string{database}, "credential": credential, "parameters": lab.Parameters{},
+	})
+}
+
+// stop ends what still runs; processes that were frozen are continued first.
+func (s *site) stop() {
+	for _, p := range s.all() {
+		if p.running != nil {
+			_ = p.running.Process.Signal(syscall.SIGCONT)
+			_ = p.end(syscall.SIGKILL)
+		}
+
+		if s.t.Failed() {
+			s.t.Logf("%s:\n%s", p.name, tail(p.output.String()))
+		}
+	}
+}
+
+func tail(s string) string {
+	return s[max(0, len(s)-3000):]
+}
+
+func (s *site) load(seed uint64) *labload.Load {
+	s.t.Helper()
+
+	l := &labload.Load{
+		Organisation: organisation, Password: password, Databases: []string{database}, Sessions: 12, Seed: seed,
+		Reads: 100, Writes: 30, AgedPct: 50, ReadClass: "rota_board", OncePct: 30, MovePct: 5,
+	}
+	for i := range zoneCount {
+		l.Addresses = append(l.Addresses, s.address(4, i))
+	}
+
+	ready := time.Now().Add(20 * time.Second)
+
+	for {
+		c := &labcaller.Caller{
+			Addresses: l.Addresses, Organisation: organisation, Password: password, Database: database,
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		_, err := c.Exec(ctx, fmt.Sprintf("INSERT INTO ready (key, value) VALUES ('%d', 'x')", time.Now().UnixNano()))
+
+		cancel()
+		c.Close()
+
+		if err == nil {
+			break
+		}
+
+		assert.Assert(s.t, time.Now().Before(ready), "%v", err)
+		time.Sleep(100 * time.Millisecond)
+	}
+
+	assert.NilError(s.t, l.Prepare(context.Background()))
+	s.t.Cleanup(l.Close)
+
+	return l
+}
+
+// final reads all rows through a proxy from the primary, in a transaction that may write.
+func (s *site) final(l *labload.Load, table string) []labhistory.FinalRow {
+	s.t.Helper()
+
+	c := &labcaller.Caller{Addresses: l.Addresses, Organisation: organisation, Password: password, Database: database}
+	defer c.Close()
+
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+
+	_, err := c.Exec(ctx, "BEGIN")
+	assert.NilError(s.t, err)
+	a, err := c.Exec(ctx, "SELECT key, value FROM "+table)
+	assert.NilError(s.t, err)
+	_, err = c.Exec(ctx, "COMMIT")
+	assert.NilError(s.t, err)
+
+	var rows []labhistory.FinalRow
+
+	for _, r := range a.Rows {
+		var n int64
+
+		_, err := fmt.Sscanf(r[1][len(r[0]):], ":%d", &n)
+		assert.NilError(s.t, err)
+
+		rows = append(rows, labhistory.FinalRow{Database: database, Key: r[0], Sequence: n})
+	}
+
+	return rows
+}
+
+// Guards against a part that works only inside one process: programs with settings files on loopback serve requests
+// while a control instance and a proxy are killed and frozen, the primary is lost and the stand-ins stand still.
+func TestProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+
+	s := newSite(t)
+	s.start()
+	l := s.load(1)
+
+	disturbed := make(chan struct{})
+	began := time.Now()
+
+	go func() {
+		defer close(disturbed)
+		s.disturb(began)
+	}()
+
+	const duration = 22 * time.Second
+
+	assert.NilError(t, l.Run(context.Background(), duration))
+	<-disturbed
+
+	h := l.History()
+	final := append(s.final(l, labload.Table), s.final(l, labload.OnceTable)...)
+	assert.Equal(t, labhistory.Check(h, final), labhistory.Violations{})
+
+	c := labhistory.Count(h)
+	t.Logf("%d writes, %d reads, %d not run, %d unknown", c.Acknowledged, c.Reads, c.NotRun, c.Unknown)
+	assert.Assert(t, c.Acknowledged > 100 && c.Reads > 400)
+	s.assertServedAtEnd(h, duration)
+	assert.Assert(t, labhistory.Gap(h, database, primaryLostAt) < 10*time.Second)
+
+	for _, p := range append(s.proxies, s.controls...) {
+		assert.NilError(t, p.end(syscall.SIGTERM), p.name)
+	}
+}
+
+const primaryLostAt = 15 * time.Second
+
+// disturb kills and freezes processes at set times since began.
+func (s *site) disturb(began time.Time) {
+	at := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
+
+	at(time.Second)
+	_ = s.controls[0].end(syscall.SIGKILL)
+	at(3 * time.Second)
+	s.controls[0].start()
+	s.proxies[1].signal(syscall.SIGSTOP)
+	at(8 * time.Second) // past its lease
+	s.proxies[1].signal(syscall.SIGCONT)
+	at(9 * time.Second)
+	s.controls[1].signal(syscall.SIGSTOP)
+	at(11 * time.Second)
+	s.controls[1].signal(syscall.SIGCONT)
+	_ = s.proxies[0].end(syscall.SIGKILL)
+	at(12 * time.Second)
+	s.standin.signal(syscall.SIGSTOP)
+	at(12500 * time.Millisecond)
+	s.standin.signal(syscall.SIGCONT)
+	s.proxies[0].start()
+	at(primaryLostAt)
+	s.standin.signal(syscall.SIGUSR1)
+}
+
+// assertServedAtEnd checks that writes are acknowledged again in the last seconds.
+func (s *site) assertServedAtEnd(h []labhistory.Operation, duration time.Duration) {
+	s.t.Helper()
+
+	served := 0
+
+	for _, o := range h {
+		if o.Writes() && o.Result == labhistory.ResultDone && o.Began > duration-2*time.Second {
+			served++
+		}
+	}
+
+	assert.Assert(s.t, served > 10, "%d writes in the last 2 s", served)
+}
--- a/control/process/labinstance/instance.go
+++ b/control/process/labinstance/instance.go
@@ -221,6 +221,10 @@
 	}
 
 	for _, m := range b.Messages {
+		if m.From != from {
+			return nil, errors.Newf("%s sent a consensus message of %s", from, m.From)
+		}
+
 		i.group.Deliver(m)
 	}
 
--- a/proxy/process/labproxy/proxy.go
+++ b/proxy/process/labproxy/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,8 @@
 	"laburnumlock.dev/lab/version/labsettings"
 )
 
+const dataMode = 0o750
+
 // Proxy is one proxy process. Settings.Control may still be changed between Listen and Run, so that a deployment on
 // free ports can be started in one process.
 type Proxy struct {
@@ -54,6 +57,12 @@
 		return errors.Newf("load identity: %w", err)
 	}
 
+	if s.DataFolder != "" {
+		if err := os.MkdirAll(s.DataFolder, dataMode); err != nil {
+			return errors.Newf("create data folder: %w", err)
+		}
+	}
+
 	p.clock, p.routes = labclock.New(), labroute.New()
 	p.transport = &labtransport.Transport{Address: s.ProcessAddress, Identity: p.identity, Log: p.Logger}
 
