Test the server with proxies, members and leaders failing at random

Cause: failures were tested one at a time, and two users of a duty were looked for only at the end of a time step. Change: TestDisorder stops, starts and drains proxies, loses and restores members and changes the leader by seed; two users of a duty, or two writers, are looked for after every answer, and a proxy that was cut off counts until its lease ends. Before: no such test. The race run found that the tests' random numbers were not safe for concurrent use, which lab.Random has to be for the promoter.

--- /dev/null
+++ b/control/process/labcontrol/chaos_test.go
@@ -0,0 +1,104 @@
+package labcontrol_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+// disorder stops and starts parts of a world at random; its decisions follow from a seed.
+type disorder struct {
+	*world
+	random *rand.Rand
+	lost   string // member that is unreachable
+}
+
+func (d *disorder) act() {
+	switch d.random.IntN(7) {
+	case 0:
+		if len(d.proxies) > 1 {
+			d.stop(d.proxies[d.random.IntN(len(d.proxies))])
+		}
+	case 1:
+		d.restart()
+	case 2:
+		d.log.elect([]lab.InstanceID{"control-1", "control-2"}[d.random.IntN(2)], d.clock.Now())
+	case 3:
+		if m := "m-" + []string{"hanko", "kotka", "oulu"}[d.random.IntN(3)]; d.lost == "" {
+			d.lost = m
+			d.prober.lose(database + "/" + m)
+		}
+	case 4:
+		d.restore()
+	case 5, 6:
+		d.proxies[d.random.IntN(len(d.proxies))].Draining = true
+	}
+	d.report()
+}
+
+// restart starts a stopped proxy at its old address.
+func (d *disorder) restart() {
+	if len(d.silent) > 0 {
+		h := d.silent[0]
+		d.silent = d.silent[1:]
+		h.Instance.Incarnation++
+		h.RequestID, h.Held, h.Confirmed, h.Draining = 0, nil, 0, false
+		d.proxies = append(d.proxies, h)
+	}
+}
+
+// restore brings the lost member back, as it was while it is the primary, else rewound to a replica.
+func (d *disorder) restore() {
+	if d.lost == "" {
+		return
+	}
+	g := d.database()
+	at := lab.Position{Term: max(1, g.Term()), Offset: 100}
+	d.prober.set(database+"/"+d.lost, lab.MemberStatus{InRecovery: g.Primary != d.lost, Received: at, Replayed: at})
+	d.lost = ""
+}
+
+// report lets every proxy tell how it sees the primary.
+func (d *disorder) report() {
+	for _, h := range d.proxies {
+		s := lab.MemberStatus{Database: database, Member: d.database().Primary, Reachable: true}
+		if s.Member != "" && s.Member == d.lost {
+			s.Reachable, s.LostFor = false, time.Second
+		}
+		h.Statuses = []lab.MemberStatus{s}
+	}
+}
+
+// Guards against two writers, or two users of a duty, and against writes that never come back, when proxies, members and
+// leaders fail and return in any order.
+func TestDisorder(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			d := &disorder{world: newWorld(t), random: rand.New(rand.NewPCG(seed, 0))}
+			d.run(7 * time.Second)
+			for range 25 {
+				d.act()
+				d.run(time.Duration(1+d.random.IntN(20)) * 100 * time.Millisecond)
+			}
+			d.restore()
+			for _, h := range d.proxies {
+				if h.Draining {
+					d.stop(h)
+				}
+			}
+			for len(d.silent) > 0 {
+				d.restart()
+			}
+			d.report()
+			took := d.until(40*time.Second, d.writes)
+			t.Logf("term %d; writes possible %v after the last fault", d.database().Term(), took)
+			assert.Assert(t, d.writes())
+		})
+	}
+}
--- a/control/process/labcontrol/fakes_test.go
+++ b/control/process/labcontrol/fakes_test.go
@@ -115,9 +115,14 @@
 }
 
 // random is a fixed sequence.
-type random struct{ n uint64 }
+type random struct {
+	lock sync.Mutex
+	n    uint64
+}
 
 func (r *random) Uint64() uint64 {
+	r.lock.Lock()
+	defer r.lock.Unlock()
 	r.n = r.n*6364136223846793005 + 1442695040888963407
 
 	return r.n >> 11
--- a/control/process/labcontrol/server.go
+++ b/control/process/labcontrol/server.go
@@ -32,7 +32,7 @@
 	Log       lab.Log
 	Catalog   *labcatalog.Catalog
 	Clock     lab.Clock
-	Random    lab.Random
+	Random    lab.Random // safe for concurrent use
 	Prober    lab.Prober
 	Peers     lab.Peers
 	Self      lab.Instance
--- a/control/process/labcontrol/server_test.go
+++ b/control/process/labcontrol/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 	prober  *prober
 	servers map[lab.InstanceID]*labcontrol.Server
 	proxies []*lab.Heartbeat
+	silent  []*lab.Heartbeat                 // proxies that are cut off from control
 	leases  map[lab.InstanceID]time.Duration // when a proxy's grants end
 	calls   int                              // messages between control instances
 	eager   bool                             // proxies send additional heartbeats while something is in transition
@@ -102,6 +104,7 @@
 	h.Held, h.Announcements, h.Statuses = a.Grants, nil, nil
 	h.Confirmed = max(h.Confirmed, a.Delta.Index)
 	w.leases[h.Instance.ID] = w.clock.Now() + a.TTL
+	w.exclusive()
 
 	return a, nil
 }
@@ -148,7 +151,7 @@
 func (w *world) exclusive() {
 	w.t.Helper()
 	duties, writers := map[lab.Duty]lab.InstanceID{}, 0
-	for _, h := range w.proxies {
+	for _, h := range slices.Concat(w.proxies, w.silent) {
 		for _, g := range h.Held {
 			if w.leases[h.Instance.ID] <= w.clock.Now() {
 				continue
@@ -178,8 +181,9 @@
 
 func (w *world) writes() bool { h, _ := w.writer(); return h != nil }
 
-// stop removes a proxy without a farewell.
+// stop cuts a proxy off; it may go on using its grants until its lease ends.
 func (w *world) stop(h *lab.Heartbeat) {
+	w.silent = append(w.silent, h)
 	for i, p := range w.proxies {
 		if p == h {
 			w.proxies = append(w.proxies[:i:i], w.proxies[i+1:]...)
--- a/control/process/labpromoter/promoter.go
+++ b/control/process/labpromoter/promoter.go
@@ -42,7 +42,7 @@
 	Catalog     *labcatalog.Catalog
 	Prober      lab.Prober
 	Clock       lab.Clock
-	Random      lab.Random
+	Random      lab.Random // safe for concurrent use
 	Logger      zerolog.Logger
 	Propose     func(ctx context.Context, command *labcatalog.Command) (labcatalog.Result, error)
 	WritesEnded func(database string) bool // nobody can still hold a right to write
