--- a/proxy/process/labgateway/duty.go
+++ b/proxy/process/labgateway/duty.go
@@ -60,7 +60,7 @@
 // writers reports whether transactions that may write run under a grant; the caller holds the lock.
 func (d *duty) writers(g lab.Grant) bool {
 	for t := range d.transactions {
-		if t.grant == g && !t.header.ReadOnly {
+		if t.grant == g && t.writes() {
 			return true
 		}
 	}
--- a/proxy/process/labgateway/follow.go
+++ b/proxy/process/labgateway/follow.go
@@ -144,7 +144,7 @@
 
 	for _, h := range previous {
 		d.force(errSuperseded, func(t *transaction) bool {
-			return t.grant == h.grant && !t.header.ReadOnly && (now >= h.until || d.lost(t.pool.Load()))
+			return t.grant == h.grant && t.writes() && (now >= h.until || d.lost(t.pool.Load()))
 		})
 	}
 
--- a/proxy/process/labgateway/transaction.go
+++ b/proxy/process/labgateway/transaction.go
@@ -32,9 +32,10 @@
 	started    time.Duration
 	limit      time.Duration // for the first unit from Begin on, and for each later one
 	pool       atomic.Pointer[pool]
-	release    func() // gives the slot back, nil when none is held
-	first      bool   // no unit has run
-	wrote      bool   // a unit may have written
+	promoted   atomic.Bool // a read-only transaction on the primary follows the rules of writes
+	release    func()      // gives the slot back, nil when none is held
+	first      bool        // no unit has run
+	wrote      bool        // a unit may have written
 	ended      bool
 	named      bool            // the request's name is reserved
 	tag        string          // of the last command
@@ -224,18 +225,28 @@
 		return nil, notRun(forced)
 	}
 
-	if !t.duty.valid(t.grant, !t.header.ReadOnly) {
-		return nil, notRun(errSuperseded)
+	// Units that are not known to be reads follow the rules of writes wherever they could write. Among them are the
+	// start and end of read-only transaction blocks.
+	if t.header.ReadOnly && !unit.Reads && t.onPrimary() {
+		if !t.grant.Writable {
+			return nil, notRun(errNoPrimary)
+		}
+
+		t.promoted.Store(true)
 	}
 
-	// A unit that is not known to be a read must not reach a primary without the checks made for writes.
-	if t.header.ReadOnly && !unit.Reads && t.onPrimary() {
-		return nil, lab.NotRun(lab.ReasonReadOnly, errors.New("a write in a read-only transaction"))
+	if !t.duty.valid(t.grant, t.writes()) {
+		return nil, notRun(errSuperseded)
 	}
 
 	return conn, nil
 }
 
+// writes reports whether the transaction follows the rules of writes.
+func (t *transaction) writes() bool {
+	return !t.header.ReadOnly || t.promoted.Load()
+}
+
 func (t *transaction) onPrimary() bool {
 	database, found := t.duty.gateway.Routes.Database(t.header.Database)
 
@@ -261,7 +272,7 @@
 func (t *transaction) check(
 	conn *labupstream.Conn, unit lab.Unit, ended labupstream.Ended, result *lab.Result,
 ) error {
-	if t.header.ReadOnly {
+	if !t.writes() {
 		return t.checkRead(conn, ended, result)
 	}
 
