Do not let an older member cover a floor of a term that is not known yet

Cause: History.Covers compared offsets when the floor's term was newer than the history, so a divergent old primary with a larger offset counted as covering it. The gateway guarded itself; the root function did not. Change: such a floor is covered only by a position of the same term. Shown failing first: 'floor of an unknown term, older member' fails without the condition and passes with it.

--- a/position.go
+++ b/position.go
@@ -55,13 +55,18 @@
 	return p
 }
 
-// Covers reports whether a member at position have contains everything up to floor.
+// Covers reports whether a member at position have contains everything up to floor. A floor of a term that the history
+// does not have yet is covered only by a position of that same term, since any older member may have a divergent tail.
 func (h History) Covers(have, floor Position) bool {
 	floor = h.Clamp(floor)
 	if have.Term >= floor.Term {
 		return have.Offset >= floor.Offset
 	}
 
+	if len(h) == 0 || floor.Term > h[len(h)-1].Term {
+		return false
+	}
+
 	return h.Clamp(have) == have && have.Offset >= floor.Offset
 }
 
--- a/position_test.go
+++ b/position_test.go
@@ -26,6 +26,8 @@
 	t.Run("member in older term below switch", covers(lab.Position{Term: 1, Offset: 80}, lab.Position{Term: 1, Offset: 80}, true))
 	t.Run("member in older term, newer floor", covers(lab.Position{Term: 1, Offset: 100}, lab.Position{Term: 2, Offset: 101}, false))
 	t.Run("divergent member", covers(lab.Position{Term: 1, Offset: 500}, lab.Position{Term: 2, Offset: 120}, false))
+	t.Run("floor of an unknown term, older member", covers(lab.Position{Term: 3, Offset: 900}, lab.Position{Term: 4, Offset: 300}, false))
+	t.Run("floor of an unknown term, same term", covers(lab.Position{Term: 4, Offset: 300}, lab.Position{Term: 4, Offset: 300}, true))
 	t.Run("divergent tail does not fit", func(t *testing.T) {
 		assert.Equal(t, h.Fits(lab.Position{Term: 1, Offset: 101}), false)
 		assert.Equal(t, h.Fits(lab.Position{Term: 2, Offset: 250}), true)
