--- a/bench/process/labload/load.go
+++ b/bench/process/labload/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumlock.dev/lab/bench/connection/labcaller"
@@ -37,6 +38,10 @@
 	MovePct      uint64        // percent of the operations before which a session moves to another proxy
 	Deadline     time.Duration // for one operation, 20 s when zero
 
+	Event   func()        // called once at EventAt, such as a fault; may be nil
+	EventAt time.Duration // since Run began
+
+	event    atomic.Int64 // when Event was called, in nanoseconds since Run began
 	history  labhistory.History
 	reads    *labmetrics.Histogram
 	writes   *labmetrics.Histogram
@@ -59,6 +64,11 @@
 	return l.writes
 }
 
+// EventTime returns when Event was called on the scale of the history's times, 0 before.
+func (l *Load) EventTime() time.Duration {
+	return time.Duration(l.event.Load())
+}
+
 // Since returns the time since Run began, the scale of the history's times.
 func (l *Load) Since() time.Duration {
 	return time.Since(l.start)
@@ -96,6 +106,14 @@
 func (l *Load) Run(ctx context.Context, duration time.Duration) error {
 	l.start = time.Now()
 
+	if l.Event != nil {
+		t := time.AfterFunc(l.EventAt, func() {
+			l.event.Store(int64(l.Since()))
+			l.Event()
+		})
+		defer t.Stop()
+	}
+
 	if l.Pooled {
 		return l.runPooled(ctx, duration)
 	}
--- a/bench/process/labscenario/scenario.go
+++ b/bench/process/labscenario/scenario.go
@@ -110,8 +110,7 @@
 	if s.Name == PrimaryLost {
 		g := s.deployment.Group(s.Settings.Group.Databases[0])
 
-		t := time.AfterFunc(lossAfter, func() { g.Primary().Kill() })
-		defer t.Stop()
+		l.Event, l.EventAt = func() { g.Primary().Kill() }, lossAfter
 	}
 
 	return s.apply(ctx, l)
@@ -173,17 +172,17 @@
 	}
 
 	if s.Name == PrimaryLost {
-		r.failover(operations, s.Settings.Group.Databases[0])
+		r.failover(operations, s.Settings.Group.Databases[0], l.EventTime())
 	}
 
 	return r, s.save(operations, final, r.Violations)
 }
 
-func (r *Report) failover(operations []labhistory.Operation, database string) {
-	r.FailoverGapMS = labhistory.Gap(operations, database, lossAfter).Milliseconds()
+func (r *Report) failover(operations []labhistory.Operation, database string, lost time.Duration) {
+	r.FailoverGapMS = labhistory.Gap(operations, database, lost).Milliseconds()
 
 	for _, o := range operations {
-		if o.Writes() && o.Ended > lossAfter && o.Result != labhistory.ResultDone {
+		if o.Writes() && o.Ended > lost && o.Result != labhistory.ResultDone {
 			r.FailoverErrors++
 		}
 	}
