Tell new registry holders of four earlier epochs

With two placement changes in a row, a new holder that had heard only of the epoch before, whose holders were all new too, took the registry for empty.

Change: lab.RegistryPlacement.Former lists the holders of up to lab.FormerEpochs (4) earlier epochs. While no holder that answered is complete, all holders of the target must answer. A holder answers a call within half of CallTimeout, so that no name is recorded after its caller withdrew it.

Conclusion: holds for up to four placement changes between two complete transfers; control has to fill Former.

--- a/database.go
+++ b/database.go
@@ -10,11 +10,15 @@
 
 // RegistryPlacement names the holders of a database's at-most-once registry.
 type RegistryPlacement struct {
-	Epoch   uint64     `json:"epoch"   msgpack:"e"`
-	Holders []Instance `json:"holders" msgpack:"h"` // three, in different availability zones where there are enough
-	Former  []Instance `json:"former"  msgpack:"f"` // holders of the epoch before, empty in the first one
+	Epoch   uint64       `json:"epoch"   msgpack:"e"`
+	Holders []Instance   `json:"holders" msgpack:"h"` // three, in different availability zones where there are enough
+	Former  [][]Instance `json:"former"  msgpack:"f"` // holders of up to FormerEpochs earlier epochs, the latest first
 }
 
+// FormerEpochs is how many earlier epochs a registry placement tells the holders of, so that new holders find the names
+// when placements change several times before the names have been transferred.
+const FormerEpochs = 4
+
 // Database is the state of one database group as of a log index.
 type Database struct {
 	Name       string            `json:"name"       msgpack:"n"`
--- a/proxy/process/labregistry/book.go
+++ b/proxy/process/labregistry/book.go
@@ -75,8 +75,8 @@
 // learn notes placements and moves to the latest.
 func (b *book) learn(now time.Duration, placements ...lab.RegistryPlacement) {
 	for _, p := range placements {
-		if len(p.Former) > 0 {
-			b.note(lab.RegistryPlacement{Epoch: p.Epoch - 1, Holders: p.Former})
+		for i, holders := range p.Former {
+			b.note(lab.RegistryPlacement{Epoch: p.Epoch - uint64(i) - 1, Holders: holders})
 		}
 
 		b.note(p)
@@ -91,7 +91,7 @@
 	}
 }
 
-// note keeps a placement that may matter for a transfer. The one that names its former holders is preferred.
+// note keeps a placement that may matter for a transfer. One that names its former holders is preferred.
 func (b *book) note(p lab.RegistryPlacement) {
 	if p.Epoch < max(b.complete, b.settled) || p.Epoch == 0 {
 		return
--- a/proxy/process/labregistry/book_test.go
+++ b/proxy/process/labregistry/book_test.go
@@ -9,6 +9,18 @@
 	"laburnumlock.dev/lab"
 )
 
+// Guards against a list of earlier placements that every reservation carries and that grows for ever.
+func TestSettledPlacements(t *testing.T) {
+	b := newBook(&atomic.Int64{})
+	for e := range uint64(10) {
+		b.learn(0, lab.RegistryPlacement{Epoch: e + 1, Holders: []lab.Instance{{ID: "a"}}})
+	}
+
+	b.settle(10)
+	b.learn(0, lab.RegistryPlacement{Epoch: 9})
+	assert.Equal(t, len(b.placements()), 1)
+}
+
 // Guards against a failed reservation that is withdrawn late and takes the name of a request that ran with it, when a
 // transfer brought the two together.
 func TestTokensOfOneName(t *testing.T) {
--- a/proxy/process/labregistry/fill.go
+++ b/proxy/process/labregistry/fill.go
@@ -189,15 +189,15 @@
 
 // covered reports whether no name of an earlier epoch can be missing that still exists anywhere: the names before the
 // latest complete epoch that was heard of came from the holder that is complete, and of each epoch since, every pair of
-// holders is covered. When no holder is complete and the placement does not tell the former holders, all holders of the
-// target must answer, since any of them may know the former ones.
+// holders is covered. When no holder that answered is complete, all holders of the target must answer, since any of them
+// may be complete or know of earlier epochs that the placement does not tell.
 func (t *transfer) covered(placements []lab.RegistryPlacement) bool {
 	var base uint64
 	for _, a := range t.heard {
 		base = max(base, a.Complete)
 	}
 
-	if base == 0 && len(t.target.Former) == 0 && t.target.Epoch > 1 && !t.heardAll() {
+	if base == 0 && t.target.Epoch > 1 && !t.heardAll() {
 		return false
 	}
 
--- a/proxy/process/labregistry/registry_test.go
+++ b/proxy/process/labregistry/registry_test.go
@@ -1,6 +1,7 @@
 package labregistry_test
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -368,6 +369,29 @@
 		c.repair(t, holders...)
 		assert.Equal(t, assertState(t, c, "g", "n", lab.OnceDone).Tag, "UPDATE 1")
 	})
+	t.Run("all crash after a snapshot", func(t *testing.T) {
+		c := withDisk(t)
+
+		for _, h := range holders {
+			ctx, cancel := context.WithCancel(t.Context())
+			path := filepath.Join(c.nodes[h].folder, "registry.snapshot")
+
+			go func() {
+				defer cancel()
+
+				for _, err := os.Stat(path); err != nil && ctx.Err() == nil; _, err = os.Stat(path) {
+					time.Sleep(time.Millisecond)
+				}
+			}()
+
+			assert.NilError(t, c.nodes[h].registry.Run(ctx))
+			c.restart(t, h)
+		}
+
+		c.place(holders...)
+		c.repair(t, holders...)
+		assertState(t, c, "g", "n", lab.OnceDone)
+	})
 	t.Run("closed holder counts as intact", func(t *testing.T) {
 		c := withDisk(t)
 		assert.NilError(t, c.nodes["h1"].registry.Close())
--- a/proxy/process/labregistry/serve.go
+++ b/proxy/process/labregistry/serve.go
@@ -19,6 +19,10 @@
 		return nil, errors.Newf("decode registry call: %w", err)
 	}
 
+	// Answering well before the caller gives up keeps a name from being recorded after it was withdrawn.
+	ctx, cancel := context.WithTimeout(ctx, r.CallTimeout/2)
+	defer cancel()
+
 	a := r.serve(ctx, &c)
 
 	return &a, nil
