--- a/proxy/process/labregistry/registry.go
+++ b/proxy/process/labregistry/registry.go
@@ -39,6 +39,7 @@
 	Limit            int64         // names held at most; 400,000 when zero
 	CallTimeout      time.Duration // of each call to a holder; 1 s when zero
 	SnapshotInterval time.Duration // 30 s when zero
+	Failed           func(error)   // told of a periodic snapshot that was not written; may be nil
 
 	count  atomic.Int64
 	closed atomic.Bool
@@ -111,8 +112,9 @@
 
 		written = r.Clock.Now()
 
-		if err := r.save(false); err != nil {
-			return err
+		// A full disk does not stop the registry; the next interval tries again.
+		if err := r.save(false); err != nil && r.Failed != nil {
+			r.Failed(err)
 		}
 	}
 
--- a/proxy/process/labregistry/registry_test.go
+++ b/proxy/process/labregistry/registry_test.go
@@ -392,6 +392,22 @@
 		c.repair(t, holders...)
 		assertState(t, c, "g", "n", lab.OnceDone)
 	})
+	t.Run("no space for a snapshot", func(t *testing.T) {
+		c := withDisk(t)
+		r := c.nodes["h1"].registry
+		r.Folder = filepath.Join(r.Folder, "missing")
+
+		ctx, cancel := context.WithCancel(t.Context())
+		failures := 0
+		r.Failed = func(error) {
+			if failures++; failures == 2 {
+				cancel()
+			}
+		}
+
+		assert.NilError(t, r.Run(ctx))
+		assert.Equal(t, failures, 2)
+	})
 	t.Run("closed holder counts as intact", func(t *testing.T) {
 		c := withDisk(t)
 		assert.NilError(t, c.nodes["h1"].registry.Close())
