--- a/control/version/labcatalog/placement.go
+++ b/control/version/labcatalog/placement.go
@@ -38,6 +38,11 @@
 			return errStale
 		}
 		r := lab.RegistryPlacement{Epoch: s.BaseEpoch + 1}
+		// New holders ask those of earlier epochs for their names; without them they would take the registry for empty.
+		if old := g.database.Registry; old.Epoch > 0 {
+			r.Former = append([][]lab.Instance{old.Holders}, old.Former...)
+			r.Former = r.Former[:min(len(r.Former), lab.FormerEpochs)]
+		}
 		for _, id := range s.Holders {
 			i, _ := c.Instance(id)
 			r.Holders = append(r.Holders, i)
