--- /dev/null
+++ b/control/version/labcatalog/placement_test.go
@@ -0,0 +1,39 @@
+package labcatalog
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+// Guards against new registry holders that do not know whom to ask for the names of earlier epochs.
+func TestFormerRegistryHolders(t *testing.T) {
+	c := New()
+	apply := func(index uint64, m *Command) {
+		data, err := m.Encode()
+		assert.NilError(t, err)
+		c.Apply(index, data)
+	}
+	apply(1, &Command{
+		Joined:  []lab.Instance{{ID: "p1", Incarnation: 1}, {ID: "p2", Incarnation: 1}},
+		Members: []lab.Announcement{{Database: "d", Member: "m", Address: "127.0.0.1:1", Region: "r", Incarnation: 1}},
+	})
+
+	for i := range uint64(lab.FormerEpochs + 2) {
+		holder := lab.InstanceID("p1")
+		if i%2 == 1 {
+			holder = "p2"
+		}
+
+		apply(2+i, &Command{Registries: []RegistrySet{{Database: "d", BaseEpoch: i, Holders: []lab.InstanceID{holder}}}})
+	}
+
+	d, ok := c.Database("d")
+	assert.Assert(t, ok)
+	assert.Equal(t, d.Registry.Epoch, uint64(lab.FormerEpochs+2))
+	assert.Equal(t, len(d.Registry.Former), lab.FormerEpochs)
+	assert.Equal(t, d.Registry.Former[0][0].ID, lab.InstanceID("p1"))
+	assert.Equal(t, d.Registry.Former[1][0].ID, lab.InstanceID("p2"))
+}
