Add slope measurements for capacity planning to the bench

Cause: the targets in two years (830 nodes, 1,500 databases, 5 million callers) can only be planned from what one more caller, proxy, database, change or session costs.

Change: "laburnumbench slope NAME [--points a,b,c]" measures callers, heartbeats, changes, restart, statements or routes at several sizes and prints a table, a least-squares line for each column with its largest residual, and one JSON line. Package labslope holds the measurements. The measurement of callers starts the bench again as the client side, so that the clients' memory is not counted.

Figures: there was no such command before.

--- a/bench/process/labcommand/command.go
+++ b/bench/process/labcommand/command.go
@@ -30,6 +30,8 @@
 
 	c.addRun(a)
 	c.addStandin(a)
+	c.addSlope(a)
+	c.addSlopeCallers(a)
 
 	name, err := a.Parse(arguments)
 	if err != nil {
--- /dev/null
+++ b/bench/process/labcommand/slope.go
@@ -0,0 +1,61 @@
+package labcommand
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab/bench/process/labslope"
+)
+
+func (c *Command) addSlope(a *kingpin.Application) {
+	k := a.Command("slope", "Measures one cost at several sizes and prints a table with the fitted line and one JSON line.")
+	name := k.Arg("name", strings.Join(labslope.Names(), ", ")+".").Required().Enum(labslope.Names()...)
+	points := k.Flag("points", "Sizes, separated by commas.").String()
+
+	c.actions[k.FullCommand()] = func(ctx context.Context) error {
+		sizes, err := parsePoints(*points)
+		if err != nil {
+			return err
+		}
+
+		r, err := (&labslope.Measurement{Name: *name, Points: sizes}).Run(ctx)
+		if err != nil {
+			return err
+		}
+
+		return r.Print(c.Out)
+	}
+}
+
+func (c *Command) addSlopeCallers(a *kingpin.Application) {
+	k := a.Command(labslope.ClientCommand, "Opens the connections that \"slope callers\" measures.").Hidden()
+	address := k.Flag("address", "Address for callers.").Required().String()
+
+	c.actions[k.FullCommand()] = func(ctx context.Context) error {
+		return (&labslope.Clients{Address: *address, In: os.Stdin, Out: c.Out}).Run(ctx)
+	}
+}
+
+func parsePoints(text string) ([]int, error) {
+	var points []int
+
+	for p := range strings.SplitSeq(text, ",") {
+		if p = strings.TrimSpace(p); p == "" {
+			continue
+		}
+
+		n, err := strconv.Atoi(p)
+		if err != nil {
+			return nil, errors.Newf("parse point: %w", err)
+		}
+
+		points = append(points, n)
+	}
+
+	return points, nil
+}
--- /dev/null
+++ b/bench/process/labslope/callers.go
@@ -0,0 +1,188 @@
+package labslope
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/process/labrandom"
+	"laburnumlock.dev/lab/proxy/connection/labscram"
+	"laburnumlock.dev/lab/proxy/connection/labsession"
+	"laburnumlock.dev/lab/proxy/connection/labtoken"
+	"laburnumlock.dev/lab/proxy/process/labbudget"
+	"laburnumlock.dev/lab/proxy/process/labfront"
+	"laburnumlock.dev/lab/proxy/version/labroute"
+)
+
+// ClientCommand is the hidden command that runs the caller side of the measurement of callers.
+const ClientCommand = "slope-callers"
+
+const (
+	callerOrganisation = "rantavahti"
+	callerDatabase     = "rota-core-1"
+	callerPassword     = "secret"
+	settleTime         = time.Second // after the last login, for buffers of the login to become garbage
+)
+
+// noGateway refuses every transaction; idle callers begin none.
+type noGateway struct{}
+
+func (noGateway) Begin(context.Context, lab.Header) (lab.Transaction, error) {
+	return nil, lab.NotRun(lab.ReasonRejected, errors.New("there is no gateway"))
+}
+
+func newFront() (*labfront.Front, error) {
+	credential, err := labscram.NewCredential(callerPassword)
+	if err != nil {
+		return nil, errors.Newf("make credential: %w", err)
+	}
+
+	routes := labroute.New()
+
+	err = routes.Apply(lab.Delta{
+		Index: 1, Version: 1,
+		Organisations: []lab.Organisation{{Name: callerOrganisation, Databases: []string{callerDatabase}, Credential: credential}},
+		Databases:     []lab.Database{{Name: callerDatabase, History: lab.History{{Term: 1}}}},
+	})
+	if err != nil {
+		return nil, errors.Newf("fill route table: %w", err)
+	}
+
+	clock := labclock.New()
+
+	return &labfront.Front{
+		Listen: "127.0.0.1:0", Log: zerolog.Nop(), StartupDeadline: time.Minute, EventLoops: 2,
+		Server: &labsession.Server{
+			Gateway: noGateway{}, Routes: routes, Clock: clock, Random: labrandom.Secure{},
+			Codec:  &labtoken.Codec{Keys: [][]byte{[]byte("measurement key")}},
+			Budget: &labbudget.RetryBudget{Clock: clock}, Keys: &labsession.CancelKeys{Proxy: 1},
+			Secret: []byte("secret"), Log: zerolog.Nop(),
+		},
+	}, nil
+}
+
+func measureCallers(ctx context.Context, points []int, r *Report) error {
+	f, err := newFront()
+	if err != nil {
+		return err
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan error, 1)
+
+	go func() { done <- f.Run(ctx) }()
+
+	for f.Address() == "" {
+		select {
+		case err := <-done:
+			cancel()
+
+			return errors.Newf("run front: %w", err)
+		case <-time.After(time.Millisecond):
+		}
+	}
+
+	err = withClients(ctx, f, points, r)
+
+	cancel()
+
+	return errors.CombineErrors(err, <-done)
+}
+
+// withClients starts this program again as the callers, so that their memory is not counted here.
+func withClients(ctx context.Context, f *labfront.Front, points []int, r *Report) error {
+	program, err := os.Executable()
+	if err != nil {
+		return errors.Newf("find own program: %w", err)
+	}
+
+	c := exec.CommandContext(ctx, program, ClientCommand, "--address", f.Address())
+	c.Stderr = os.Stderr
+
+	in, err := c.StdinPipe()
+	if err != nil {
+		return errors.Newf("open clients' input: %w", err)
+	}
+
+	out, err := c.StdoutPipe()
+	if err != nil {
+		return errors.Newf("open clients' output: %w", err)
+	}
+
+	if err := c.Start(); err != nil {
+		return errors.Newf("start clients: %w", err)
+	}
+
+	err = countCallers(f, points, r, in, bufio.NewReader(out))
+
+	return errors.CombineErrors(err, errors.CombineErrors(in.Close(), c.Wait()))
+}
+
+func countCallers(f *labfront.Front, points []int, r *Report, in io.Writer, out *bufio.Reader) error {
+	r.Unit = "connections"
+	r.Columns = []string{"heap B", "stacks B", "RSS B", "RSS B after return", "goroutines"}
+	r.note("RSS after return: idle heap memory was returned to the system first. Kernel socket buffers are not included.")
+
+	if err := sampleCallers(0, r); err != nil {
+		return err
+	}
+
+	for _, n := range points {
+		if _, err := fmt.Fprintln(in, n); err != nil {
+			return errors.Newf("ask clients for %d connections: %w", n, err)
+		}
+
+		if l, err := out.ReadString('\n'); err != nil || strings.TrimSpace(l) != fmt.Sprint(n) {
+			return errors.Newf("clients did not open %d connections: %q, %v", n, l, err)
+		}
+
+		time.Sleep(settleTime)
+
+		if open := f.Counters.Open.Value(); open != int64(n) {
+			return errors.Newf("%d connections are open instead of %d", open, n)
+		}
+
+		if err := sampleCallers(n, r); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func sampleCallers(size int, r *Report) error {
+	runtime.GC()
+	runtime.GC() // the second one frees what finalizers and pools kept in the first
+
+	var m runtime.MemStats
+
+	runtime.ReadMemStats(&m)
+
+	used, err := residentBytes()
+	if err != nil {
+		return err
+	}
+
+	debug.FreeOSMemory()
+
+	returned, err := residentBytes()
+	if err != nil {
+		return err
+	}
+
+	r.add(size, float64(m.HeapAlloc), float64(m.StackInuse), used, returned, float64(runtime.NumGoroutine()))
+
+	return nil
+}
--- /dev/null
+++ b/bench/process/labslope/log.go
@@ -0,0 +1,28 @@
+package labslope
+
+import (
+	"context"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+)
+
+const controlID lab.InstanceID = "control"
+
+// localLog applies each command at once and always leads; it stands for a consensus group without faults.
+type localLog struct {
+	catalog *labcatalog.Catalog
+	index   uint64
+}
+
+func (l *localLog) Propose(_ context.Context, command []byte) (any, error) {
+	l.index++
+
+	return l.catalog.Apply(l.index, command), nil
+}
+
+func (l *localLog) Barrier(context.Context) error { return nil }
+
+func (l *localLog) Leadership() lab.Leadership {
+	return lab.Leadership{Leader: controlID, Self: true, Term: 1}
+}
--- /dev/null
+++ b/bench/process/labslope/measurement.go
@@ -0,0 +1,71 @@
+package labslope
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Measurement is one named measurement; exported fields are set before Run.
+type Measurement struct {
+	Name   string
+	Points []int // sizes in ascending order; the measurement's own when empty
+}
+
+type kind struct {
+	points []int
+	run    func(ctx context.Context, points []int, r *Report) error
+}
+
+func kinds() map[string]kind {
+	return map[string]kind{
+		"callers":    {[]int{500, 2000, 5000, 10000}, measureCallers},
+		"heartbeats": {[]int{10, 50, 200, 830}, measureHeartbeats},
+		"changes":    {[]int{10, 50, 200, 830}, measureChanges},
+		"restart":    {[]int{700, 3000, 10000}, measureRestart},
+		"statements": {[]int{8, 16, 32}, measureStatements},
+		"routes":     {[]int{100, 500, 1500}, measureRoutes},
+	}
+}
+
+// Names returns the names of all measurements.
+func Names() []string {
+	var names []string
+	for n := range kinds() {
+		names = append(names, n)
+	}
+
+	slices.Sort(names)
+
+	return names
+}
+
+// Run measures at every point and fits the lines.
+func (m *Measurement) Run(ctx context.Context) (*Report, error) {
+	k, ok := kinds()[m.Name]
+	if !ok {
+		return nil, errors.Newf("no measurement is named %q", m.Name)
+	}
+
+	points := slices.Clone(m.Points)
+	if len(points) == 0 {
+		points = k.points
+	}
+
+	slices.Sort(points)
+
+	if points[0] <= 0 {
+		return nil, errors.Newf("point %d is not positive", points[0])
+	}
+
+	r := &Report{Name: m.Name, LoadBefore: loadAverage()}
+	if err := k.run(ctx, points, r); err != nil {
+		return nil, errors.Newf("measure %s: %w", m.Name, err)
+	}
+
+	r.LoadAfter = loadAverage()
+	r.fit()
+
+	return r, nil
+}
--- /dev/null
+++ b/bench/process/labslope/restart.go
@@ -0,0 +1,229 @@
+package labslope
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labconsensus"
+	"laburnumlock.dev/lab/control/process/labjournal"
+	"laburnumlock.dev/lab/control/process/labreplica"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/process/labrandom"
+)
+
+const (
+	proposalsAtOnce = 64 // share a sync of the journal
+	leadPoll        = time.Millisecond
+	leadTimeout     = 10 * time.Second
+)
+
+// instance is the consensus part of a control instance that is its group's only voter.
+type instance struct {
+	catalog *labcatalog.Catalog
+	journal *labjournal.Journal
+	group   *labconsensus.Group
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+func startInstance(ctx context.Context, folder string) (*instance, error) {
+	i := &instance{catalog: labcatalog.New(), journal: &labjournal.Journal{Folder: folder}, done: make(chan error, 1)}
+	i.group = &labconsensus.Group{
+		ID: controlID, Voters: []lab.InstanceID{controlID}, Journal: i.journal, Clock: labclock.New(),
+		Random: labrandom.New(), Machine: i.catalog, Send: func(lab.InstanceID, labreplica.Message) {},
+	}
+
+	ctx, i.cancel = context.WithCancel(ctx)
+
+	go func() { i.done <- i.group.Run(ctx) }()
+
+	until := time.Now().Add(leadTimeout)
+
+	for !i.group.Leadership().Self {
+		if time.Now().After(until) {
+			return nil, errors.CombineErrors(errors.New("instance does not lead in time"), i.stop())
+		}
+
+		time.Sleep(leadPoll)
+	}
+
+	if err := i.group.Barrier(ctx); err != nil {
+		return nil, errors.CombineErrors(err, i.stop())
+	}
+
+	return i, nil
+}
+
+func (i *instance) stop() error {
+	i.cancel()
+
+	return errors.CombineErrors(<-i.done, i.journal.Close())
+}
+
+func measureRestart(ctx context.Context, points []int, r *Report) error {
+	r.Unit = "changes"
+	r.Columns = []string{"ms to rebuild", "ms to lead", "journal B", "ms per change written"}
+	r.note("%d organisations of one database, changed in turn; one voter, a snapshot every %d entries.", fleetOrganisations, labconsensus.DefaultSnapshotEvery)
+	r.note("rebuild: load the journal, restore the snapshot, apply the entries after it. lead: from the start of the group to a barrier, with the election timeout.")
+
+	r.note("The journal is in the folder for temporary files, whose file system decides what a sync takes.")
+
+	for _, n := range points {
+		if err := measureInstance(ctx, n, r); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func measureInstance(ctx context.Context, changes int, r *Report) error {
+	folder, err := os.MkdirTemp("", "labslope")
+	if err != nil {
+		return errors.Newf("make folder: %w", err)
+	}
+
+	defer func() { _ = os.RemoveAll(folder) }()
+
+	begin := time.Now()
+
+	if err := writeChanges(ctx, folder, changes); err != nil {
+		return err
+	}
+
+	written := time.Since(begin)
+
+	size, err := folderBytes(folder)
+	if err != nil {
+		return err
+	}
+
+	rebuilt, err := rebuild(folder, changes)
+	if err != nil {
+		return err
+	}
+
+	begin = time.Now()
+
+	i, err := startInstance(ctx, folder)
+	if err != nil {
+		return err
+	}
+
+	lead := time.Since(begin)
+
+	if v := i.catalog.Version(); v != uint64(changes) {
+		err = errors.Newf("restarted at version %d instead of %d", v, changes)
+	}
+
+	const thousand = 1000
+
+	r.add(changes, rebuilt.Seconds()*thousand, lead.Seconds()*thousand, size, written.Seconds()*thousand/float64(changes))
+
+	return errors.CombineErrors(err, i.stop())
+}
+
+// writeChanges commits changes in a new journal; each organisation's changes follow one another.
+func writeChanges(ctx context.Context, folder string, changes int) error {
+	i, err := startInstance(ctx, folder)
+	if err != nil {
+		return err
+	}
+
+	var g errgroup.Group
+
+	g.SetLimit(proposalsAtOnce)
+
+	for o := range fleetOrganisations {
+		g.Go(func() error {
+			var base uint64
+
+			for n := o; n < changes; n += fleetOrganisations {
+				if base, err = i.change(ctx, n, o, base); err != nil {
+					return err
+				}
+			}
+
+			return nil
+		})
+	}
+
+	return errors.CombineErrors(g.Wait(), i.stop())
+}
+
+func (i *instance) change(ctx context.Context, number, organisation int, base uint64) (uint64, error) {
+	data, err := organisationChange(number, organisation, base).Encode()
+	if err != nil {
+		return 0, err
+	}
+
+	a, err := i.group.Propose(ctx, data)
+	if err != nil {
+		return 0, errors.Newf("propose change %d: %w", number, err)
+	}
+
+	result, ok := a.(labcatalog.Result)
+	if !ok || result.Answer == nil || result.Answer.Outcome != labcatalog.OutcomeAccepted {
+		return 0, errors.Newf("change %d was not accepted: %+v", number, a)
+	}
+
+	return result.Answer.Version, nil
+}
+
+// rebuild makes the catalog from the journal as a starting instance does, without an election.
+func rebuild(folder string, changes int) (time.Duration, error) {
+	begin := time.Now()
+	j, c := &labjournal.Journal{Folder: folder}, labcatalog.New()
+
+	_, snapshot, entries, err := j.Load()
+	if err != nil {
+		return 0, errors.Newf("load journal: %w", err)
+	}
+
+	if len(snapshot.Data) > 0 {
+		if err := c.Restore(snapshot.Data); err != nil {
+			return 0, errors.CombineErrors(err, j.Close())
+		}
+	}
+
+	for _, e := range entries {
+		if command, ok := labreplica.Command(e); ok && e.Index > snapshot.Index {
+			c.Apply(e.Index, command)
+		}
+	}
+
+	took := time.Since(begin)
+
+	if c.Version() != uint64(changes) {
+		return 0, errors.CombineErrors(errors.Newf("rebuilt version %d instead of %d", c.Version(), changes), j.Close())
+	}
+
+	return took, errors.Wrap(j.Close(), "close journal")
+}
+
+func folderBytes(folder string) (float64, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return 0, errors.Newf("list journal: %w", err)
+	}
+
+	var total int64
+
+	for _, e := range entries {
+		i, err := os.Stat(filepath.Join(folder, e.Name()))
+		if err != nil {
+			return 0, errors.Newf("read size: %w", err)
+		}
+
+		total += i.Size()
+	}
+
+	return float64(total), nil
+}
--- /dev/null
+++ b/bench/process/labslope/routes.go
@@ -0,0 +1,108 @@
+package labslope
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/version/labroute"
+)
+
+const applyRounds = 2000
+
+func measureRoutes(ctx context.Context, points []int, r *Report) error {
+	r.Unit = "databases"
+	r.Columns = []string{"heap B", "encoded B", "us to apply one"}
+	r.note("Databases of %d members with placements among %d proxies, no organisations; the time is the mean of %d deltas of one database, without decoding.",
+		databaseMembers, fleetProxies, applyRounds)
+
+	for _, n := range points {
+		if err := measureTable(ctx, n, r); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func measureTable(ctx context.Context, databases int, r *Report) error {
+	f, err := newFleet(ctx, fleetProxies, databases, 0)
+	if err != nil {
+		return err
+	}
+
+	data, err := msgpack.Marshal(f.server.Catalog.Delta(0))
+	if err != nil {
+		return errors.Newf("encode catalog: %w", err)
+	}
+
+	before := heapBytes()
+	table := labroute.New()
+
+	if err := applyEncoded(table, data); err != nil {
+		return err
+	}
+
+	heap := heapBytes() - before
+
+	runtime.KeepAlive(data) // is counted before the table was filled, so it must be counted after it too
+
+	took, err := applyOne(table)
+	if err != nil {
+		return err
+	}
+
+	if _, ok := table.Database(databaseName(databases - 1)); !ok {
+		return errors.Newf("table has no database %s", databaseName(databases-1))
+	}
+
+	r.add(databases, heap, float64(len(data)), float64(took.Nanoseconds())/1000/applyRounds)
+
+	return nil
+}
+
+// applyEncoded decodes a delta as it arrives at a proxy, so that its strings are counted with the table.
+func applyEncoded(table *labroute.Table, data []byte) error {
+	var d lab.Delta
+	if err := msgpack.Unmarshal(data, &d); err != nil {
+		return errors.Newf("decode catalog: %w", err)
+	}
+
+	return table.Apply(d)
+}
+
+func applyOne(table *labroute.Table) (time.Duration, error) {
+	d, ok := table.Database(databaseName(0))
+	if !ok {
+		return 0, errors.New("table has no database")
+	}
+
+	version, index := table.Version()
+	begin := time.Now()
+
+	for range applyRounds {
+		delta := lab.Delta{Since: index, Index: index + 1, Version: version, Databases: []lab.Database{*d}}
+		if err := table.Apply(delta); err != nil {
+			return 0, err
+		}
+
+		index++
+	}
+
+	return time.Since(begin), nil
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+
+	var m runtime.MemStats
+
+	runtime.ReadMemStats(&m)
+
+	return float64(m.HeapAlloc)
+}
