Poll members of idle databases at a quarter of the rate

Cause: 1,500 databases are polled ten times a second whether they have work or not. Change: a database without work for 5 s is polled every 400 ms; a member that fails to answer is polled at the full rate at once, so that its loss is still reported after 1 s of failures. TestInterval states the rates; removing the idle case makes it fail.

--- a/proxy/process/labgateway/begin.go
+++ b/proxy/process/labgateway/begin.go
@@ -26,6 +26,8 @@
 		return nil, err
 	}
 
+	g.Observer.Used(header.Database)
+
 	t := &transaction{duty: d, header: header, started: g.Clock.Now(), limit: header.Deadline, first: true}
 	if t.limit <= 0 {
 		t.limit = defaultDeadline
--- /dev/null
+++ b/proxy/process/labobserver/interval_test.go
@@ -0,0 +1,32 @@
+package labobserver
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against idle databases being polled at the full rate, and against a slow poll of one that is in use, waits for
+// commits or has a failing member.
+func TestInterval(t *testing.T) {
+	const normal = 100 * time.Millisecond
+
+	state := &memberState{}
+	w := &watch{observer: &Observer{Interval: normal}, tracker: &tracker{members: map[string]*memberState{"m": state}}}
+	at := func(now, want time.Duration) {
+		t.Helper()
+		assert.Equal(t, w.interval(now), want)
+	}
+
+	w.used = time.Minute
+	at(time.Minute+idleAfter, normal)
+	at(time.Minute+idleAfter+1, normal*idleFactor)
+
+	state.failing = true
+	at(2*time.Minute, normal)
+
+	state.failing = false
+	w.waiters = 1
+	at(2*time.Minute, waitingInterval)
+}
--- a/proxy/process/labobserver/observer.go
+++ b/proxy/process/labobserver/observer.go
@@ -20,6 +20,11 @@
 
 	// waitingInterval is the pause between polls while commits wait; a poll takes one round trip in addition.
 	waitingInterval = 2 * time.Millisecond
+
+	// A database unused for idleAfter is polled idleFactor times less often, so that polls of 1,500 databases stay small; a
+	// member that fails to answer is polled at the full rate at once, and its loss is still reported within LostAfter.
+	idleAfter  = 5 * time.Second
+	idleFactor = 4
 )
 
 var errUnwatched = errors.New("database is no longer observed")
@@ -110,6 +115,16 @@
 	}
 }
 
+// Used tells that a database has work, so that its members are polled at the full rate.
+func (o *Observer) Used(database string) {
+	if w := o.find(database); w != nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+
+		w.used = o.Clock.Now()
+	}
+}
+
 // Poll reads the positions of a database's members soon.
 func (o *Observer) Poll(database string) {
 	if w := o.find(database); w != nil {
--- a/proxy/process/labobserver/tracker.go
+++ b/proxy/process/labobserver/tracker.go
@@ -235,3 +235,14 @@
 
 	return into
 }
+
+// anyFailing reports whether a member did not answer its last poll.
+func (t *tracker) anyFailing() bool {
+	for _, s := range t.members {
+		if s.failing {
+			return true
+		}
+	}
+
+	return false
+}
--- a/proxy/process/labobserver/watch.go
+++ b/proxy/process/labobserver/watch.go
@@ -20,6 +20,7 @@
 	tracker *tracker
 	pollers map[string]*poller
 	waiters int
+	used    time.Duration // when the database last had work
 	changed chan struct{} // closed at each read of a replica
 }
 
@@ -178,11 +179,7 @@
 // pause waits until the next poll is due, which is soon while commits wait.
 func (w *watch) pause(ctx context.Context, p *poller) {
 	w.mu.Lock()
-	interval := w.observer.interval()
-
-	if w.waiters > 0 {
-		interval = waitingInterval
-	}
+	interval := w.interval(w.observer.Clock.Now())
 	w.mu.Unlock()
 
 	timer := time.NewTimer(interval)
@@ -195,6 +192,19 @@
 	}
 }
 
+// interval returns the time until the next poll: short while commits wait, long for a database that nobody has used for a
+// while and whose members all answer. The caller holds the lock.
+func (w *watch) interval(now time.Duration) time.Duration {
+	switch {
+	case w.waiters > 0:
+		return waitingInterval
+	case now-w.used > idleAfter && !w.tracker.anyFailing():
+		return w.observer.interval() * idleFactor
+	default:
+		return w.observer.interval()
+	}
+}
+
 // wait polls until the views satisfy a condition.
 func (w *watch) wait(ctx context.Context, satisfied func([]View) bool) error {
 	w.mu.Lock()
