Publish latencies and region link bytes, fuzz the transport's frames

Cause: the proxy published no latencies, and the frame decoder between processes had no fuzz target. Change: HdrHistogram latencies of reads and writes, bytes to other regions by kind, duties, lease and registry size as expvar; the metrics address is logged; FuzzFrame and a test of false lengths. Conclusion: an operator sees latencies without a load generator.

--- a/bench/process/labcommand/slope.go
+++ b/bench/process/labcommand/slope.go
@@ -15,6 +15,7 @@
 func (c *Command) addSlope(a *kingpin.Application) {
 	k := a.Command("slope", "Measures one cost at several sizes and prints a table with the fitted line and one JSON line.")
 	name := k.Arg("name", strings.Join(labslope.Names(), ", ")+".").Required().Enum(labslope.Names()...)
+	profile := k.Flag("cpu-profile", "File for a processor profile of the run.").String()
 	points := k.Flag("points", "Sizes, separated by commas.").String()
 
 	c.actions[k.FullCommand()] = func(ctx context.Context) error {
@@ -23,6 +24,13 @@
 			return err
 		}
 
+		stop, err := startProfile(*profile)
+		if err != nil {
+			return err
+		}
+
+		defer stop()
+
 		r, err := (&labslope.Measurement{Name: *name, Points: sizes}).Run(ctx)
 		if err != nil {
 			return err
--- a/control/process/labinstance/instance.go
+++ b/control/process/labinstance/instance.go
@@ -130,7 +130,7 @@
 	}
 
 	i.Logger.Info().Str("process_address", i.ProcessAddress()).Str("operator_address", i.OperatorAddress()).
-		Str("announce_address", i.AnnounceAddress()).Msg("control_started")
+		Str("announce_address", i.AnnounceAddress()).Str("metrics_address", i.MetricsAddress()).Msg("control_started")
 
 	if err := g.Wait(); err != nil {
 		return errors.Newf("run control instance: %w", err)
--- /dev/null
+++ b/process/labtransport/frame_test.go
@@ -0,0 +1,36 @@
+package labtransport
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a false length reserving memory that never arrives.
+func TestFalseLength(t *testing.T) {
+	allocated := testing.AllocsPerRun(1, func() {
+		_, err := readFrame(bytes.NewReader([]byte{0x03, 0xFF, 0xFF, 0xFF, 1}))
+		assert.ErrorContains(t, err, "read frame body")
+	})
+	assert.Assert(t, allocated < 100)
+
+	_, err := readFrame(bytes.NewReader([]byte{0xFF, 0xFF, 0xFF, 0xFF}))
+	assert.ErrorContains(t, err, "exceeds the limit")
+}
+
+// Guards against bytes of a peer that crash the process.
+func FuzzFrame(f *testing.F) {
+	b, err := appendFrame(nil, preamble{Method: "ping", RequestID: 7})
+	assert.NilError(f, err)
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		var (
+			p preamble
+			s status
+		)
+
+		_ = decodeFrame(bytes.NewReader(b), &p)
+		_ = decodeFrame(bytes.NewReader(b), &s)
+	})
+}
--- a/proxy/connection/labsession/run.go
+++ b/proxy/connection/labsession/run.go
@@ -17,6 +17,11 @@
 
 	s.server.Counters.Units.Add(1)
 
+	if s.server.Latency != nil {
+		began := s.server.Clock.Now()
+		defer func() { s.server.Latency(u.reads(), s.server.Clock.Now()-began) }()
+	}
+
 	if s.block.bound != nil {
 		a := &answer{session: s, steps: u.steps}
 		r, err := s.attempt(ctx, u.wire(false), a)
--- a/proxy/connection/labsession/server.go
+++ b/proxy/connection/labsession/server.go
@@ -41,6 +41,9 @@
 
 	Counters Counters
 
+	// Latency is told how long each unit took, from its arrival at a worker to its last answer; nil drops it.
+	Latency func(reads bool, latency time.Duration)
+
 	shared sharedStatements
 }
 
--- a/proxy/process/labproxy/proxy.go
+++ b/proxy/process/labproxy/proxy.go
@@ -138,6 +138,7 @@
 	})
 
 	p.Logger.Info().Str("process_address", p.ProcessAddress()).Str("announce_address", p.AnnounceAddress()).
+		Str("metrics_address", p.MetricsAddress()).
 		Msg("proxy_started")
 
 	err := g.Wait()
--- a/proxy/process/labproxy/wire.go
+++ b/proxy/process/labproxy/wire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"expvar"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,7 @@
 	"laburnumlock.dev/lab/process/labannounce"
 	"laburnumlock.dev/lab/process/labhttp"
 	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/process/labmetrics"
 	"laburnumlock.dev/lab/process/labpassword"
 	"laburnumlock.dev/lab/process/labrandom"
 	"laburnumlock.dev/lab/proxy/connection/labsession"
@@ -98,7 +100,17 @@
 		Listen: s.CallerAddress, Server: p.sessions, Log: p.Logger, EventLoops: int(s.EventLoops),
 		MaxConnections: int(s.MaxCallers), StartupDeadline: time.Duration(s.StartupDeadlineMS) * time.Millisecond,
 	}
-	p.publish()
+	reads, writes := labmetrics.NewHistogram(), labmetrics.NewHistogram()
+	p.sessions.Latency = func(isRead bool, latency time.Duration) {
+		if isRead {
+			reads.Record(latency)
+		} else {
+			writes.Record(latency)
+		}
+	}
+	p.variables.Set("read_latency", reads)
+	p.variables.Set("write_latency", writes)
+	p.publish(forwarder.Link)
 }
 
 // proxyNumber derives the number in cancel keys from the instance's name; two proxies may share one, and then the
@@ -107,7 +119,15 @@
 	return uint32(xxhash.Sum64String(string(id)) % (labsession.MaxProxy + 1))
 }
 
-func (p *Proxy) publish() {
+func (p *Proxy) publish(link *labforward.Link) {
+	p.variables.Set("region_link_bytes", expvar.Func(func() any {
+		control, writes, reads := link.Counts()
+
+		return map[string]int64{"control": control, "write": writes, "read": reads}
+	}))
+	p.variables.Set("held_duties", expvar.Func(func() any { return len(p.gateway.Held()) }))
+	p.variables.Set("lease_alive", expvar.Func(func() any { return p.agent.Alive() }))
+	p.variables.Set("registry_names", expvar.Func(func() any { return p.registry.Names() }))
 	p.variables.Set("transport", p.transport.Variables())
 	p.variables.Set("agent", p.agent.Variables())
 	p.variables.Set("callers_open", &p.front.Counters.Open)
