Pass cancel requests on to the proxy that has the session

Cause: behind a load balancer a cancel request usually reaches another proxy than its session, which dropped it.

Change: the catalog's deltas carry the live proxies, whole and only when the set changed. labcancel calls lab.MethodCancel on every other proxy whose number matches the key; the secret is compared there. The number is labsession.ProxyNumber. A key of the own number without a session here is passed on as well, because two proxies may share one of the 4,096 numbers.

It is tried once: one that arrives before a new proxy is in the catalog in force is lost, as PostgreSQL allows.

--- a/control/version/labcatalog/catalog.go
+++ b/control/version/labcatalog/catalog.go
@@ -86,13 +86,13 @@
 
 func (c *Catalog) applyFleet(index uint64, m *Command) {
 	for _, i := range m.Joined {
-		c.joined(i)
+		c.joined(index, i)
 	}
 	for _, i := range m.Draining {
 		c.draining(i)
 	}
 	for _, d := range m.Left {
-		c.left(d)
+		c.left(index, d)
 	}
 	for _, a := range m.Members {
 		c.announce(index, a)
--- a/control/version/labcatalog/catalog_test.go
+++ b/control/version/labcatalog/catalog_test.go
@@ -201,6 +201,35 @@
 	assert.Assert(t, live, "a departure of an earlier life")
 }
 
+// Guards against proxies that never learn of others, and against sending the whole set with every change.
+func TestProxiesInDelta(t *testing.T) {
+	a := newApplier(t)
+	one := lab.Instance{ID: "proxy-1", Incarnation: 1, Address: "10.0.0.1:1"}
+	two := lab.Instance{ID: "proxy-2", Incarnation: 1, Address: "10.0.0.2:1"}
+	has := func(since uint64, want ...lab.Instance) {
+		t.Helper()
+		assert.DeepEqual(t, a.Delta(since).Proxies, want)
+	}
+	a.apply(labcatalog.Command{Joined: []lab.Instance{one}})
+	a.apply(labcatalog.Command{Joined: []lab.Instance{two}})
+	has(0, one, two)
+	has(1, one, two)
+	has(2)
+	a.apply(labcatalog.Command{Draining: []lab.InstanceID{"proxy-1"}, Joined: []lab.Instance{two}})
+	has(2)
+	a.apply(labcatalog.Command{Left: []labcatalog.Departure{{Instance: "proxy-1", Incarnation: 1}}})
+	has(3, two)
+	data, err := a.Snapshot()
+	assert.NilError(t, err)
+	assert.NilError(t, a.Restore(data))
+	has(4)
+	has(3, two)
+	moved := two
+	moved.Incarnation, moved.Address = 2, "10.0.0.3:1"
+	a.apply(labcatalog.Command{Joined: []lab.Instance{moved}})
+	has(4, moved)
+}
+
 // Guards against placements decided on an outdated epoch.
 func TestPlacement(t *testing.T) {
 	a := newApplier(t)
--- a/control/version/labcatalog/delta.go
+++ b/control/version/labcatalog/delta.go
@@ -7,6 +7,11 @@
 func (c *Catalog) Delta(since uint64) lab.Delta {
 	delta := lab.Delta{Since: since, Index: c.Index(), Version: c.Version()}
 	changes, kept := c.journal.since(since)
+	if !kept || c.fleet.changedAfter(since) {
+		for _, p := range c.Proxies() {
+			delta.Proxies = append(delta.Proxies, p.Instance)
+		}
+	}
 	if !kept {
 		delta.Since = 0
 		c.full(&delta)
--- a/control/version/labcatalog/fleet.go
+++ b/control/version/labcatalog/fleet.go
@@ -18,6 +18,7 @@
 type fleet struct {
 	lock    sync.RWMutex
 	proxies map[lab.InstanceID]proxy
+	changed uint64 // log index of the last change of the set of live proxies
 	duties  map[lab.InstanceID]map[lab.Duty]bool
 }
 
@@ -57,6 +58,14 @@
 	return list
 }
 
+// changedAfter reports whether the set of live proxies changed after a log index.
+func (f *fleet) changedAfter(index uint64) bool {
+	f.lock.RLock()
+	defer f.lock.RUnlock()
+
+	return f.changed > index
+}
+
 // Duties returns the duties placed on an instance in any order.
 func (c *Catalog) Duties(id lab.InstanceID) []lab.Duty {
 	c.fleet.lock.RLock()
@@ -69,7 +78,7 @@
 	return list
 }
 
-func (c *Catalog) joined(i lab.Instance) {
+func (c *Catalog) joined(index uint64, i lab.Instance) {
 	c.fleet.lock.Lock()
 	defer c.fleet.lock.Unlock()
 	old, known := c.fleet.proxies[i.ID]
@@ -83,9 +92,12 @@
 		if known && i.Incarnation == old.Instance.Incarnation {
 			return // a late heartbeat of a process whose address another one uses now
 		}
-		p.Live = false // another process listens at its address, so this one has ended
+		p.Live, c.fleet.changed = false, index // another process listens at its address, so this one has ended
 		c.fleet.proxies[id] = p
 	}
+	if !old.Live || old.Instance != i {
+		c.fleet.changed = index
+	}
 	draining := known && old.Draining && old.Instance.Incarnation == i.Incarnation
 	c.fleet.proxies[i.ID] = proxy{Instance: i, Live: true, Draining: draining}
 }
@@ -99,11 +111,11 @@
 	}
 }
 
-func (c *Catalog) left(d Departure) {
+func (c *Catalog) left(index uint64, d Departure) {
 	c.fleet.lock.Lock()
 	defer c.fleet.lock.Unlock()
-	if p, known := c.fleet.proxies[d.Instance]; known && p.Instance.Incarnation == d.Incarnation {
-		p.Live = false
+	if p := c.fleet.proxies[d.Instance]; p.Live && p.Instance.Incarnation == d.Incarnation {
+		p.Live, c.fleet.changed = false, index
 		c.fleet.proxies[d.Instance] = p
 	}
 }
--- a/control/version/labcatalog/snapshot.go
+++ b/control/version/labcatalog/snapshot.go
@@ -83,6 +83,7 @@
 	c.restoreGroups(&m)
 	c.fleet.lock.Lock()
 	c.fleet.proxies = make(map[lab.InstanceID]proxy, len(m.Proxies))
+	c.fleet.changed = m.Index
 	for _, p := range m.Proxies {
 		c.fleet.proxies[p.Instance.ID] = p
 	}
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -45,4 +45,5 @@
 	Version       uint64         `msgpack:"v"` // configuration version at that index
 	Organisations []Organisation `msgpack:"o"`
 	Databases     []Database     `msgpack:"d"`
+	Proxies       []Instance     `msgpack:"p"` // all live proxies by id when the set changed after Since, else empty
 }
--- a/proxy/connection/labsession/begin.go
+++ b/proxy/connection/labsession/begin.go
@@ -207,15 +207,12 @@
 	return all, nil
 }
 
-// cancel handles a cancel request.
+// cancel handles a cancel request. A key of this proxy's number that finds no session here may be one of another proxy
+// with the same number.
 func (v *Server) cancel(key CancelKey) {
 	switch {
-	case key.Proxy() == v.Keys.Proxy:
-		if v.Keys.Cancel(key) {
-			v.Counters.Cancels.Add(1)
-		} else {
-			v.Counters.CancelsLost.Add(1)
-		}
+	case key.Proxy() == v.Keys.Proxy && v.Keys.Cancel(key):
+		v.Counters.Cancels.Add(1)
 	case v.Forward != nil:
 		ctx, done := context.WithTimeout(context.Background(), forwardTimeout)
 		defer done()
--- a/proxy/connection/labsession/key.go
+++ b/proxy/connection/labsession/key.go
@@ -5,7 +5,10 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
 )
 
 // Layout of a cancel key's process id: 12 bits for the proxy, 19 bits for the session; the sign bit stays clear
@@ -19,6 +22,12 @@
 // MaxProxy is the highest proxy number that fits into a cancel key.
 const MaxProxy = 1<<proxyBits - 1
 
+// ProxyNumber derives a proxy's number in cancel keys from the instance's name. Two proxies may share a number, and then
+// the secret of a key tells them apart.
+func ProxyNumber(id lab.InstanceID) uint32 {
+	return uint32(xxhash.Sum64String(string(id)) % (MaxProxy + 1))
+}
+
 // ErrKeysExhausted is returned when a proxy has more sessions than cancel keys.
 var ErrKeysExhausted = errors.New("no free cancel key")
 
@@ -35,7 +44,7 @@
 
 // CancelKeys finds the sessions of one proxy by their cancel keys.
 type CancelKeys struct {
-	// Proxy is this proxy's number, at most MaxProxy and unique among the running proxies.
+	// Proxy is this proxy's number, at most MaxProxy; other proxies may have the same one.
 	Proxy uint32
 
 	next   atomic.Uint32
--- a/proxy/connection/labsession/server.go
+++ b/proxy/connection/labsession/server.go
@@ -23,7 +23,7 @@
 	Secret  []byte // keys the decoy salts of unknown users; the same on all proxies
 	Log     zerolog.Logger
 
-	// Forward passes on a cancel request whose key belongs to another proxy; nil drops such requests.
+	// Forward passes on a cancel request whose key belongs to no session of this proxy; nil drops such requests.
 	Forward func(ctx context.Context, proxy uint32, key CancelKey)
 
 	// Parameters are the ParameterStatus values reported at startup in addition to and in place of the defaults. They
--- /dev/null
+++ b/proxy/process/labcancel/cancels_test.go
@@ -0,0 +1,67 @@
+package labcancel_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labsession"
+	"laburnumlock.dev/lab/proxy/process/labcancel"
+)
+
+// recorder is a lab.Peers that notes the addresses called.
+type recorder struct {
+	lab.Peers
+	lock   sync.Mutex
+	called []string
+}
+
+func (r *recorder) Call(_ context.Context, address string, _ lab.Method, _, _ any) error {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+
+	r.called = append(r.called, address)
+
+	return nil
+}
+
+// sharing returns two proxies with the same number, and one with another number.
+func sharing() []lab.Instance {
+	seen := map[uint32]lab.Instance{}
+
+	for n := 0; ; n++ {
+		id := lab.InstanceID(fmt.Sprint("proxy-", n))
+		i := lab.Instance{ID: id, Address: string(id)}
+
+		if j, taken := seen[labsession.ProxyNumber(id)]; taken {
+			return []lab.Instance{j, i, {ID: id + "x", Address: "other"}}
+		}
+
+		seen[labsession.ProxyNumber(id)] = i
+	}
+}
+
+// Guards against a cancel request that is lost because two proxies share a number, or that is sent to all proxies.
+func TestForward(t *testing.T) {
+	list := sharing()
+	number := labsession.ProxyNumber(list[0].ID)
+
+	forwards := func(self lab.Instance, want ...string) func(*testing.T) {
+		return func(t *testing.T) {
+			r := &recorder{}
+			c := &labcancel.Cancels{Self: self, Proxies: func() []lab.Instance { return list }, Peers: r}
+			c.Forward(t.Context(), number, labsession.CancelKey{})
+			slices.Sort(r.called)
+			slices.Sort(want)
+			assert.DeepEqual(t, r.called, want)
+		}
+	}
+
+	t.Run("from another number", forwards(list[2], list[0].Address, list[1].Address))
+	t.Run("from the same number", forwards(list[0], list[1].Address))
+}
--- /dev/null
+++ b/proxy/process/labcancel/doc.go
@@ -0,0 +1,2 @@
+// Package labcancel passes cancel requests on to the proxy that has the session.
+package labcancel
--- a/proxy/process/labproxy/proxy.go
+++ b/proxy/process/labproxy/proxy.go
@@ -17,6 +17,7 @@
 	"laburnumlock.dev/lab/process/labtransport"
 	"laburnumlock.dev/lab/proxy/connection/labsession"
 	"laburnumlock.dev/lab/proxy/process/labagent"
+	"laburnumlock.dev/lab/proxy/process/labcancel"
 	"laburnumlock.dev/lab/proxy/process/labfront"
 	"laburnumlock.dev/lab/proxy/process/labgateway"
 	"laburnumlock.dev/lab/proxy/process/labobserver"
@@ -44,6 +45,7 @@
 	gateway   *labgateway.Gateway
 	registry  *labregistry.Registry
 	sessions  *labsession.Server
+	cancels   *labcancel.Cancels
 	front     *labfront.Front
 	variables expvar.Map
 }
--- a/proxy/process/labproxy/wire.go
+++ b/proxy/process/labproxy/wire.go
@@ -5,8 +5,6 @@
 	"crypto/sha256"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labannounce"
 	"laburnumlock.dev/lab/process/labhttp"
@@ -19,6 +17,7 @@
 	"laburnumlock.dev/lab/proxy/process/labadmission"
 	"laburnumlock.dev/lab/proxy/process/labagent"
 	"laburnumlock.dev/lab/proxy/process/labbudget"
+	"laburnumlock.dev/lab/proxy/process/labcancel"
 	"laburnumlock.dev/lab/proxy/process/labforward"
 	"laburnumlock.dev/lab/proxy/process/labfront"
 	"laburnumlock.dev/lab/proxy/process/labgateway"
@@ -88,10 +87,14 @@
 	p.transport.HandleStream(lab.MethodTransaction, forwarder.Serve)
 
 	secret := sha256.Sum256(append([]byte("unknown users"), tokenKeys[0]...))
+	keys := &labsession.CancelKeys{Proxy: labsession.ProxyNumber(self.ID)}
+	p.cancels = &labcancel.Cancels{Self: self, Proxies: p.routes.Proxies, Peers: p.transport, Keys: keys, Log: p.Logger}
+	p.transport.HandleCall(lab.MethodCancel, p.cancels.Handle)
+
 	p.sessions = &labsession.Server{
 		Gateway: forwarder, Routes: p.routes, Clock: p.clock, Random: labrandom.Secure{},
 		Codec: &labtoken.Codec{Keys: tokenKeys}, Budget: &labbudget.RetryBudget{Clock: p.clock},
-		Keys:   &labsession.CancelKeys{Proxy: proxyNumber(self.ID)},
+		Keys: keys, Forward: p.cancels.Forward,
 		Secret: secret[:], Log: p.Logger, MessageLimit: int(s.MaxMessageBytes),
 	}
 	p.front = &labfront.Front{
@@ -101,12 +104,6 @@
 	p.publish()
 }
 
-// proxyNumber derives the number in cancel keys from the instance's name; two proxies may share one, and then the
-// secret of the key tells them apart.
-func proxyNumber(id lab.InstanceID) uint32 {
-	return uint32(xxhash.Sum64String(string(id)) % (labsession.MaxProxy + 1))
-}
-
 func (p *Proxy) publish() {
 	p.variables.Set("transport", p.transport.Variables())
 	p.variables.Set("agent", p.agent.Variables())
@@ -116,5 +113,7 @@
 	p.variables.Set("not_run", &p.sessions.Counters.NotRun)
 	p.variables.Set("outcome_unknown", &p.sessions.Counters.Unknown)
 	p.variables.Set("late_answers", &p.sessions.Counters.LateAnswers)
+	p.variables.Set("cancels_lost", &p.sessions.Counters.CancelsLost)
+	p.variables.Set("forwarded_cancels_lost", &p.cancels.Lost)
 	p.variables.Set("retries", &p.sessions.Counters.Retries)
 }
--- a/proxy/version/labroute/table.go
+++ b/proxy/version/labroute/table.go
@@ -22,6 +22,7 @@
 	index         uint64
 	databases     map[string]*lab.Database
 	organisations map[string]*lab.Organisation
+	proxies       []lab.Instance
 }
 
 // New returns an empty table.
@@ -53,6 +54,11 @@
 	return s.version, s.index
 }
 
+// Proxies returns the live proxies in order of their ids; the caller must not change them.
+func (t *Table) Proxies() []lab.Instance {
+	return t.current.Load().proxies
+}
+
 // DatabaseNames returns the names of all databases in no particular order.
 func (t *Table) DatabaseNames() []string {
 	s := t.current.Load()
@@ -88,10 +94,12 @@
 }
 
 func (s *state) with(delta lab.Delta) *state {
-	n := &state{version: delta.Version, index: delta.Index, databases: s.databases, organisations: s.organisations}
+	n := &state{
+		version: delta.Version, index: delta.Index, databases: s.databases, organisations: s.organisations, proxies: s.proxies,
+	}
 
 	if delta.Since == 0 && delta.Index > 0 {
-		n.databases, n.organisations = nil, nil
+		n.databases, n.organisations, n.proxies = nil, nil, nil
 	}
 
 	if len(delta.Databases) > 0 || n.databases == nil {
@@ -102,6 +110,10 @@
 		n.organisations = cloneOrganisations(n.organisations, delta.Organisations)
 	}
 
+	if len(delta.Proxies) > 0 {
+		n.proxies = delta.Proxies
+	}
+
 	return n
 }
 
--- a/proxy/version/labroute/table_test.go
+++ b/proxy/version/labroute/table_test.go
@@ -57,6 +57,15 @@
 		has(t, r, "a", false)
 	})
 
+	t.Run("proxies stay until a delta carries them", func(t *testing.T) {
+		r := labroute.New()
+		d := delta(0, 5, 1)
+		d.Proxies = []lab.Instance{{ID: "p"}}
+		assert.NilError(t, r.Apply(d))
+		assert.NilError(t, r.Apply(delta(5, 6, 1, "a")))
+		assert.DeepEqual(t, r.Proxies(), d.Proxies)
+	})
+
 	t.Run("deletion", func(t *testing.T) {
 		r := labroute.New()
 		assert.NilError(t, r.Apply(delta(0, 5, 1, "a")))
