Keep floors of sessions known by name

Cause: a caller that cannot carry the token lost read-your-writes when it moved to another proxy.

Change: a session that gives laburnumlock.session (at least 16 characters, else the login is refused) and no token recalls its floor after login, before its first message is handled; the login itself runs on an event loop and must not wait. The floor of a write is kept at two proxies before the answer ends, that of a read in the background. While the floor is not known, reads go to the primary, whose position in an answer makes it known. A write waits up to 1 s for its floor; if that fails it is answered, reads go to the primary until the floor is kept, and later writes wait 200 ms. Names are scoped by organisation. lab.FloorStore is the interface; labfloor.Recalled became lab.RecalledFloor. labdeployment gets KillProxy and exports WaitReady for the test.

A wait of 5 s instead of 1 s was tried first and did not help, since control replaces a silent peer only after 5 s.

Conclusion: read-your-writes holds at another proxy without a token while one peer of the session can be reached. Not covered: when a write's floor could be kept at neither peer and both, not restarted, still answer another proxy with an earlier floor, that proxy can read less than was written.

--- a/bench/process/labdeployment/deployment.go
+++ b/bench/process/labdeployment/deployment.go
@@ -67,7 +67,7 @@
 		return err
 	}
 
-	return d.waitReady(ctx)
+	return d.WaitReady(ctx)
 }
 
 // Stop ends proxies gracefully, then control and the stand-ins.
@@ -110,6 +110,14 @@
 	return d.proxies[number].restart(ctx)
 }
 
+// KillProxy ends a proxy at once: sessions and transactions are cut and duties are not handed over.
+func (d *Deployment) KillProxy(number int) error {
+	n := d.proxies[number]
+	n.proxy.Settings.DrainSeconds = 0
+
+	return n.stop()
+}
+
 // RestartControl stops a control instance and starts it again from its journal.
 func (d *Deployment) RestartControl(ctx context.Context, number int) error {
 	return d.controls[number].restart(ctx)
@@ -167,8 +175,8 @@
 	return names
 }
 
-// waitReady polls until an upstream of each database takes writes through each proxy.
-func (d *Deployment) waitReady(ctx context.Context) error {
+// WaitReady polls until an upstream of each database takes writes through each proxy.
+func (d *Deployment) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 
--- a/proxy/connection/labsession/begin.go
+++ b/proxy/connection/labsession/begin.go
@@ -55,6 +55,7 @@
 
 	s.processID = id
 	s.phase = nil
+	s.roaming.start()
 	s.server.Counters.Logins.Add(1)
 	s.conn.Send(s.greeting(l.parameters, secret))
 
@@ -108,6 +109,10 @@
 
 	s.token = labtoken.New(parameters[parameterSession])
 
+	if failed := s.roam(parameters); failed != nil {
+		return failed
+	}
+
 	if text := parameters[parameterToken]; text != "" {
 		t, err := s.server.Codec.Decode(text)
 		if err != nil {
--- a/proxy/connection/labsession/counters.go
+++ b/proxy/connection/labsession/counters.go
@@ -15,6 +15,7 @@
 	LateAnswers  expvar.Int // answers dropped because their caller had left
 	Cancels      expvar.Int // cancel requests that found their session
 	CancelsLost  expvar.Int // cancel requests without a session
+	FloorsUnkept expvar.Int // writes answered before their floor was kept
 	Violations   expvar.Int // sessions closed for breaking the protocol
 	Drained      expvar.Int // sessions closed by a graceful stop
 }
--- a/proxy/connection/labsession/header.go
+++ b/proxy/connection/labsession/header.go
@@ -53,6 +53,8 @@
 		}
 	}
 
+	h.ReadOnly = h.ReadOnly && !s.roaming.primaryOnly()
+
 	if class == classMayWait {
 		h.Class = lab.ClassMayWait
 	}
--- a/proxy/connection/labsession/run.go
+++ b/proxy/connection/labsession/run.go
@@ -178,6 +178,7 @@
 	}
 
 	s.token, s.tokenChanged = s.raise(r.Position)
+	s.keepFloor(u, r)
 	s.ready(a.buffer)
 }
 
--- a/proxy/connection/labsession/server.go
+++ b/proxy/connection/labsession/server.go
@@ -20,7 +20,8 @@
 	Codec   *labtoken.Codec
 	Budget  RetryBudget
 	Keys    *CancelKeys
-	Secret  []byte // keys the decoy salts of unknown users; the same on all proxies
+	Floors  lab.FloorStore // of sessions that are known by name; nil keeps none
+	Secret  []byte         // keys the decoy salts of unknown users; the same on all proxies
 	Log     zerolog.Logger
 
 	// Forward passes on a cancel request whose key belongs to no session of this proxy; nil drops such requests.
@@ -39,6 +40,9 @@
 	WriteDeadline   time.Duration // 10 s
 	MayWaitDeadline time.Duration // 60 s
 
+	// FloorTimeout bounds how long the answer to a write waits until its floor is kept; 1 s when zero.
+	FloorTimeout time.Duration
+
 	Counters Counters
 
 	shared sharedStatements
--- a/proxy/connection/labsession/session.go
+++ b/proxy/connection/labsession/session.go
@@ -35,8 +35,9 @@
 	settings   settings
 	options    options
 	block      block
-	open       *unit // extended messages collected so far
-	skipping   bool  // the open unit has failed; messages up to Sync are ignored
+	roaming    *roaming // nil unless the session is known by name and carries no token
+	open       *unit    // extended messages collected so far
+	skipping   bool     // the open unit has failed; messages up to Sync are ignored
 
 	tokenChanged bool // a floor was raised since the token was last reported
 	flushing     bool // an answer without ReadyForQuery is being written
--- a/proxy/connection/labsession/work.go
+++ b/proxy/connection/labsession/work.go
@@ -29,6 +29,7 @@
 			return
 		}
 
+		s.recall()
 		s.handle(f)
 	}
 }
--- a/proxy/process/labfloor/floors.go
+++ b/proxy/process/labfloor/floors.go
@@ -19,13 +19,7 @@
 	maxSessionBytes    = 256
 )
 
-// Recalled is what is known of a session's floor.
-type Recalled struct {
-	Floor   lab.Position
-	Primary bool // the floor is not known, so the session must read from the primary
-}
-
-// Floors keeps and recalls floors of sessions, and holds floors for other proxies. Its Handle method is the
+// Floors implements lab.FloorStore, and holds floors for other proxies. Its Handle method is the
 // lab.CallHandler of lab.MethodFloor. Exported fields are set before use.
 type Floors struct {
 	Self        lab.Instance
@@ -102,17 +96,17 @@
 }
 
 // Recall returns a session's floor from its two peers.
-func (f *Floors) Recall(ctx context.Context, session, database string) Recalled {
+func (f *Floors) Recall(ctx context.Context, session, database string) lab.RecalledFloor {
 	peers := choose(f.Candidates(), session)
 	if peers == nil || session == "" {
-		return Recalled{Primary: true}
+		return lab.RecalledFloor{Primary: true}
 	}
 
 	var latest lab.Position
 
 	for _, r := range f.ask(ctx, peers, &call{Key: keyOf(session, database)}) {
 		if r.err != nil || !r.answer.Found {
-			return Recalled{Primary: true}
+			return lab.RecalledFloor{Primary: true}
 		}
 
 		if r.answer.Floor.Later(latest) {
@@ -120,7 +114,7 @@
 		}
 	}
 
-	return Recalled{Floor: latest}
+	return lab.RecalledFloor{Floor: latest}
 }
 
 // keyOf joins session and database without ambiguity.
--- a/proxy/process/labfloor/floors_test.go
+++ b/proxy/process/labfloor/floors_test.go
@@ -123,7 +123,7 @@
 	assert.NilError(t, n.proxies[proxy].Keep(t.Context(), "s", "rota", at(offset)))
 }
 
-func assertRecalled(t *testing.T, n *network, want labfloor.Recalled) {
+func assertRecalled(t *testing.T, n *network, want lab.RecalledFloor) {
 	t.Helper()
 
 	for _, i := range n.list {
@@ -135,12 +135,12 @@
 
 // Guards against a session that reads less than it wrote after it moved without a token.
 func TestFloors(t *testing.T) {
-	primary := labfloor.Recalled{Primary: true}
+	primary := lab.RecalledFloor{Primary: true}
 
 	t.Run("recalled everywhere", func(t *testing.T) {
 		n := connected()
 		keep(t, n, "p0", 10)
-		assertRecalled(t, n, labfloor.Recalled{Floor: at(10)})
+		assertRecalled(t, n, lab.RecalledFloor{Floor: at(10)})
 	})
 	t.Run("two zones", func(t *testing.T) {
 		n := connected()
@@ -157,7 +157,7 @@
 		n := connected()
 		keep(t, n, "p0", 20)
 		keep(t, n, "p1", 10)
-		assertRecalled(t, n, labfloor.Recalled{Floor: at(20)})
+		assertRecalled(t, n, lab.RecalledFloor{Floor: at(20)})
 	})
 	t.Run("unknown session", func(t *testing.T) {
 		assertRecalled(t, connected(), primary)
@@ -174,7 +174,7 @@
 		n.restart(n.holders("s")[1].Address)
 		assertRecalled(t, n, primary)
 		keep(t, n, "p0", 10)
-		assertRecalled(t, n, labfloor.Recalled{Floor: at(10)})
+		assertRecalled(t, n, lab.RecalledFloor{Floor: at(10)})
 	})
 	t.Run("one peer replaced", func(t *testing.T) {
 		n := connected()
@@ -187,7 +187,7 @@
 
 		// A proxy with the old list asks the peer that both lists name.
 		n.list = whole
-		assertRecalled(t, n, labfloor.Recalled{Floor: at(20)})
+		assertRecalled(t, n, lab.RecalledFloor{Floor: at(20)})
 	})
 	t.Run("kept only at both", func(t *testing.T) {
 		n := connected()
@@ -210,7 +210,7 @@
 		}
 
 		keep(t, n, n.survivor(lost), 20)
-		assertRecalled(t, n, labfloor.Recalled{Floor: at(20)})
+		assertRecalled(t, n, lab.RecalledFloor{Floor: at(20)})
 	})
 	t.Run("list changes while a floor is kept", func(t *testing.T) {
 		n := connected()
@@ -232,7 +232,7 @@
 			return first
 		}
 		assert.NilError(t, writer.Keep(t.Context(), "s", "rota", at(20)))
-		assertRecalled(t, n, labfloor.Recalled{Floor: at(20)})
+		assertRecalled(t, n, lab.RecalledFloor{Floor: at(20)})
 	})
 	t.Run("another instance at the address of a peer", func(t *testing.T) {
 		n := connected()
@@ -275,8 +275,8 @@
 		n := connected()
 		keep(t, n, "p0", 10)
 		n.clock.now.Store(int64(59 * time.Minute))
-		assertRecalled(t, n, labfloor.Recalled{Floor: at(10)})
+		assertRecalled(t, n, lab.RecalledFloor{Floor: at(10)})
 		n.clock.now.Store(int64(3 * time.Hour))
-		assertRecalled(t, n, labfloor.Recalled{Primary: true})
+		assertRecalled(t, n, lab.RecalledFloor{Primary: true})
 	})
 }
--- a/proxy/process/labproxy/wire.go
+++ b/proxy/process/labproxy/wire.go
@@ -18,6 +18,7 @@
 	"laburnumlock.dev/lab/proxy/process/labagent"
 	"laburnumlock.dev/lab/proxy/process/labbudget"
 	"laburnumlock.dev/lab/proxy/process/labcancel"
+	"laburnumlock.dev/lab/proxy/process/labfloor"
 	"laburnumlock.dev/lab/proxy/process/labforward"
 	"laburnumlock.dev/lab/proxy/process/labfront"
 	"laburnumlock.dev/lab/proxy/process/labgateway"
@@ -91,10 +92,13 @@
 	p.cancels = &labcancel.Cancels{Self: self, Proxies: p.routes.Proxies, Peers: p.transport, Keys: keys, Log: p.Logger}
 	p.transport.HandleCall(lab.MethodCancel, p.cancels.Handle)
 
+	floors := &labfloor.Floors{Self: self, Candidates: p.routes.Proxies, Peers: p.transport, Clock: p.clock}
+	p.transport.HandleCall(lab.MethodFloor, floors.Handle)
+
 	p.sessions = &labsession.Server{
 		Gateway: forwarder, Routes: p.routes, Clock: p.clock, Random: labrandom.Secure{},
 		Codec: &labtoken.Codec{Keys: tokenKeys}, Budget: &labbudget.RetryBudget{Clock: p.clock},
-		Keys: keys, Forward: p.cancels.Forward,
+		Floors: floors, Keys: keys, Forward: p.cancels.Forward,
 		Secret: secret[:], Log: p.Logger, MessageLimit: int(s.MaxMessageBytes),
 	}
 	p.front = &labfront.Front{
@@ -115,5 +119,6 @@
 	p.variables.Set("late_answers", &p.sessions.Counters.LateAnswers)
 	p.variables.Set("cancels_lost", &p.sessions.Counters.CancelsLost)
 	p.variables.Set("forwarded_cancels_lost", &p.cancels.Lost)
+	p.variables.Set("floors_unkept", &p.sessions.Counters.FloorsUnkept)
 	p.variables.Set("retries", &p.sessions.Counters.Retries)
 }
