--- a/proxy/connection/labsession/begin.go
+++ b/proxy/connection/labsession/begin.go
@@ -55,6 +55,7 @@
 
 	s.processID = id
 	s.phase = nil
+	s.roaming.start()
 	s.server.Counters.Logins.Add(1)
 	s.conn.Send(s.greeting(l.parameters, secret))
 
@@ -108,6 +109,10 @@
 
 	s.token = labtoken.New(parameters[parameterSession])
 
+	if failed := s.roam(parameters); failed != nil {
+		return failed
+	}
+
 	if text := parameters[parameterToken]; text != "" {
 		t, err := s.server.Codec.Decode(text)
 		if err != nil {
@@ -207,15 +212,12 @@
 	return all, nil
 }
 
-// cancel handles a cancel request.
+// cancel handles a cancel request. A key of this proxy's number that finds no session here may be one of another proxy
+// with the same number.
 func (v *Server) cancel(key CancelKey) {
 	switch {
-	case key.Proxy() == v.Keys.Proxy:
-		if v.Keys.Cancel(key) {
-			v.Counters.Cancels.Add(1)
-		} else {
-			v.Counters.CancelsLost.Add(1)
-		}
+	case key.Proxy() == v.Keys.Proxy && v.Keys.Cancel(key):
+		v.Counters.Cancels.Add(1)
 	case v.Forward != nil:
 		ctx, done := context.WithTimeout(context.Background(), forwardTimeout)
 		defer done()
--- a/proxy/connection/labsession/server.go
+++ b/proxy/connection/labsession/server.go
@@ -20,10 +20,11 @@
 	Codec   *labtoken.Codec
 	Budget  RetryBudget
 	Keys    *CancelKeys
-	Secret  []byte // keys the decoy salts of unknown users; the same on all proxies
+	Floors  lab.FloorStore // of sessions that are known by name; nil keeps none
+	Secret  []byte         // keys the decoy salts of unknown users; the same on all proxies
 	Log     zerolog.Logger
 
-	// Forward passes on a cancel request whose key belongs to another proxy; nil drops such requests.
+	// Forward passes on a cancel request whose key belongs to no session of this proxy; nil drops such requests.
 	Forward func(ctx context.Context, proxy uint32, key CancelKey)
 
 	// Parameters are the ParameterStatus values reported at startup in addition to and in place of the defaults. They
@@ -39,6 +40,9 @@
 	WriteDeadline   time.Duration // 10 s
 	MayWaitDeadline time.Duration // 60 s
 
+	// FloorTimeout bounds how long the answer to a write waits until its floor is kept; 1 s when zero.
+	FloorTimeout time.Duration
+
 	Counters Counters
 
 	// Latency is told how long each unit took, from its arrival at a worker to its last answer; nil drops it.
