Refuse logins with 57P03 until the proxy has its catalog

Cause: a proxy that had just started knew no organisation and answered 28P01, which callers take for a wrong password. Change: 57P03 (cannot connect now) until the first catalog has arrived. TestLoginBeforeCatalog fails without the check and passes with it; the fuzz test's fake routes now have a catalog. Conclusion: pools retry instead of giving up.

--- a/proxy/connection/labsession/failure.go
+++ b/proxy/connection/labsession/failure.go
@@ -27,6 +27,7 @@
 	codeCancelled          = "57014"
 	codeShutdown           = "57P01"
 	codeTooMany            = "53300"
+	codeCannotConnectNow   = "57P03"
 )
 
 // failure is an error reported to the caller.
@@ -60,6 +61,10 @@
 		codeShutdown, "terminating connection due to administrator command",
 		"connect again to reach another proxy; nothing of this session was in progress",
 	}
+	errNoCatalog = &failure{
+		codeCannotConnectNow, "the proxy has not received its configuration yet",
+		"try again, or connect to another proxy",
+	}
 	errTooMuchPending = &failure{
 		codeProgramLimit, "too much data sent ahead of the answers",
 		"read answers before sending more requests",
--- a/proxy/connection/labsession/login.go
+++ b/proxy/connection/labsession/login.go
@@ -149,6 +149,11 @@
 		}))
 	}
 
+	// Without a catalog every user would look unknown, and callers take 28P01 for a final answer.
+	if _, index := s.server.Routes.Version(); index == 0 {
+		return errNoCatalog
+	}
+
 	user := l.parameters["user"]
 	if user == "" {
 		return &failure{codeInvalidAuth, "no PostgreSQL user name specified in startup packet", "the user is the organisation"}
--- a/proxy/connection/labsession/session_fuzz_test.go
+++ b/proxy/connection/labsession/session_fuzz_test.go
@@ -33,7 +33,7 @@
 
 func (w *world) Database(string) (*lab.Database, bool)         { return nil, false }
 func (w *world) Organisation(string) (*lab.Organisation, bool) { return &w.org, true }
-func (w *world) Version() (version, index uint64)              { return 0, 0 }
+func (w *world) Version() (version, index uint64)              { return 1, 1 }
 func (w *world) Now() time.Duration                            { return 0 }
 func (w *world) Wall() time.Time                               { return time.Time{} }
 func (w *world) Sleep(context.Context, time.Duration) error    { return nil }
--- a/proxy/process/labfront/fake_test.go
+++ b/proxy/process/labfront/fake_test.go
@@ -22,6 +22,7 @@
 	lock          sync.Mutex
 	organisations map[string]*lab.Organisation
 	databases     map[string]*lab.Database
+	empty         bool // no catalog has arrived yet
 }
 
 func (r *fakeRoutes) Database(name string) (*lab.Database, bool) {
@@ -50,6 +51,10 @@
 }
 
 func (r *fakeRoutes) Version() (version, index uint64) {
+	if r.empty {
+		return 0, 0
+	}
+
 	return 1, 1
 }
 
--- a/proxy/process/labfront/startup_test.go
+++ b/proxy/process/labfront/startup_test.go
@@ -19,6 +19,14 @@
 	"laburnumlock.dev/lab/proxy/process/labfront"
 )
 
+// Guards against callers taking a proxy that has just started for one that does not know them.
+func TestLoginBeforeCatalog(t *testing.T) {
+	x := start(t, func(f *labfront.Front) { f.Server.Routes.(*fakeRoutes).empty = true })
+
+	_, err := pgx.Connect(context.Background(), x.url(""))
+	assert.Equal(t, code(t, err), "57P03")
+}
+
 // Guards against letting callers in that must not get in, and against unclear refusals.
 func TestLogin(t *testing.T) {
 	x := start(t, nil)
