--- a/control/process/labconsensus/cluster_test.go
+++ b/control/process/labconsensus/cluster_test.go
@@ -16,23 +16,9 @@
 	"laburnumlock.dev/lab/control/process/labconsensus"
 	"laburnumlock.dev/lab/control/process/labjournal"
 	"laburnumlock.dev/lab/control/process/labreplica"
+	"laburnumlock.dev/lab/process/labclock"
 )
 
-// realClock is monotonic time since the test began.
-type realClock struct{ start time.Time }
-
-func (c realClock) Now() time.Duration { return time.Since(c.start) }
-func (c realClock) Wall() time.Time    { return time.Now() }
-
-func (c realClock) Sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // adder sums the commands it applies.
 type adder struct{ sum uint64 }
 
@@ -54,7 +40,7 @@
 
 func newGroup(id lab.InstanceID, journal lab.Journal, voters ...lab.InstanceID) *labconsensus.Group {
 	return &labconsensus.Group{
-		ID: id, Voters: voters, Journal: journal, Clock: realClock{time.Now()},
+		ID: id, Voters: voters, Journal: journal, Clock: labclock.New(),
 		Random: rand.NewPCG(uint64(id[0]), 1), Machine: &adder{}, SnapshotEvery: 50, Trailing: 10,
 		Send: func(lab.InstanceID, labreplica.Message) {},
 	}
--- a/proxy/process/labadmission/admission_test.go
+++ b/proxy/process/labadmission/admission_test.go
@@ -8,30 +8,15 @@
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
 	"laburnumlock.dev/lab/proxy/process/labadmission"
 )
 
-// wallClock is the real clock.
-type wallClock struct{ start time.Time }
-
-func (c wallClock) Now() time.Duration { return time.Since(c.start) }
-func (c wallClock) Wall() time.Time    { return time.Now() }
-
-func (c wallClock) Sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return errors.Newf("sleep: %w", ctx.Err())
-	}
-}
-
 func admission() *labadmission.Admission {
-	return &labadmission.Admission{Clock: wallClock{time.Now()}}
+	return &labadmission.Admission{Clock: labclock.New()}
 }
 
 func within(a *labadmission.Admission, patience time.Duration) lab.AdmissionRequest {
--- a/proxy/process/labforward/fake_test.go
+++ b/proxy/process/labforward/fake_test.go
@@ -12,21 +12,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
 )
 
-type wallClock struct{ start time.Time }
-
-func (c wallClock) Now() time.Duration { return time.Since(c.start) }
-func (c wallClock) Wall() time.Time    { return time.Now() }
-func (c wallClock) Sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // fakeGateway runs units by a function and records what it ran.
 type fakeGateway struct {
 	refuse func(lab.Header) error
@@ -181,7 +169,7 @@
 func newSite(t *testing.T) *site {
 	t.Helper()
 
-	clock := wallClock{start: time.Now()}
+	clock := labclock.New()
 	s := &site{
 		near: &fakeGateway{}, far: &fakeGateway{},
 		routes: &fakeRoutes{database: lab.Database{
--- a/proxy/process/labfront/fake_test.go
+++ b/proxy/process/labfront/fake_test.go
@@ -11,7 +11,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -58,21 +57,6 @@
 	return 1, 1
 }
 
-type fakeClock struct{ start time.Time }
-
-func (c fakeClock) Now() time.Duration { return time.Since(c.start) }
-
-func (c fakeClock) Wall() time.Time { return time.Now() }
-
-func (c fakeClock) Sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 type fakeRandom struct{}
 
 func (fakeRandom) Uint64() uint64 { return rand.Uint64() }
--- a/proxy/process/labfront/front_test.go
+++ b/proxy/process/labfront/front_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
 	"laburnumlock.dev/lab/proxy/connection/labscram"
 	"laburnumlock.dev/lab/proxy/connection/labsession"
 	"laburnumlock.dev/lab/proxy/connection/labtoken"
@@ -47,7 +48,7 @@
 	}
 	x := &fixture{routes: routes, gateway: &fakeGateway{released: make(chan struct{})}}
 	x.server = &labsession.Server{
-		Gateway: x.gateway, Routes: routes, Clock: fakeClock{time.Now()}, Random: fakeRandom{}, Budget: fakeBudget{},
+		Gateway: x.gateway, Routes: routes, Clock: labclock.New(), Random: fakeRandom{}, Budget: fakeBudget{},
 		Codec: &labtoken.Codec{Keys: [][]byte{[]byte("deployment key")}}, Keys: &labsession.CancelKeys{Proxy: 7},
 		Secret: []byte("secret"), Log: zerolog.Nop(),
 	}
--- a/proxy/process/labgateway/gateway_test.go
+++ b/proxy/process/labgateway/gateway_test.go
@@ -11,24 +11,11 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
 	"laburnumlock.dev/lab/proxy/connection/labupstream"
 	"laburnumlock.dev/lab/proxy/process/labobserver"
 )
 
-// wallClock is real time.
-type wallClock struct{ start time.Time }
-
-func (c wallClock) Now() time.Duration { return time.Since(c.start) }
-func (c wallClock) Wall() time.Time    { return time.Now() }
-func (c wallClock) Sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // bench is a gateway in front of a fake primary and two fake replicas.
 type bench struct {
 	gateway  *Gateway
@@ -61,7 +48,7 @@
 		grants: map[lab.Duty]lab.Grant{b.duty: b.grant}, slots: map[string]chan struct{}{},
 	}
 
-	clock := wallClock{start: time.Now()}
+	clock := labclock.New()
 	dialer := &labupstream.Dialer{User: "lab", Password: "lab", ProgressTimeout: 200 * time.Millisecond}
 	b.gateway = &Gateway{
 		Self: lab.Instance{ID: "p1", Region: "coast", AvailabilityZone: "hanko"}, Clock: clock, Routes: b.control,
--- a/proxy/process/labobserver/observer_test.go
+++ b/proxy/process/labobserver/observer_test.go
@@ -10,17 +10,10 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
 	"laburnumlock.dev/lab/proxy/connection/labupstream"
 )
 
-type wallClock struct{ start time.Time }
-
-func (c wallClock) Now() time.Duration { return time.Since(c.start) }
-func (c wallClock) Wall() time.Time    { return time.Now() }
-func (c wallClock) Sleep(context.Context, time.Duration) error {
-	return nil
-}
-
 // fakeSource counts connections and answers with one position.
 type fakeSource struct {
 	mu       sync.Mutex
@@ -91,7 +84,7 @@
 
 	f := &fakeSource{opened: map[string]int{}, offset: 200}
 	o := &Observer{
-		Clock: wallClock{start: time.Now()}, Source: f, Report: f, Interval: 10 * ms, LostAfter: 150 * ms, ProbeTimeout: 30 * ms,
+		Clock: labclock.New(), Source: f, Report: f, Interval: 10 * ms, LostAfter: 150 * ms, ProbeTimeout: 30 * ms,
 	}
 	o.Watch(database(), region)
 	t.Cleanup(o.Close)
@@ -164,7 +157,7 @@
 // Guards against commits that wait for the next regular poll.
 func TestWait(t *testing.T) {
 	f := &fakeSource{opened: map[string]int{}, offset: 200}
-	o := &Observer{Clock: wallClock{start: time.Now()}, Source: f, Interval: time.Hour}
+	o := &Observer{Clock: labclock.New(), Source: f, Interval: time.Hour}
 	o.Watch(database(), "coast")
 	t.Cleanup(o.Close)
 	until(t, func() bool { return len(o.Views("rota", nil)) == 3 && o.Views("rota", nil)[0].Known })
