Wait for a cancelled connection to be closed in its test

The connection is out of the pool before the answer, so that it cannot be reused meanwhile. Change: the test waits, with the bound of its other waits, until the connection is closed.

--- a/proxy/process/labgateway/member_test.go
+++ b/proxy/process/labgateway/member_test.go
@@ -328,7 +328,7 @@
 		tx.Cancel()
 		close(b.primary.hold)
 		assert.NilError(t, <-done)
-		assert.Assert(t, conn.Broken())
+		wait(t, conn.Broken)
 	})
 	t.Run("resets within the slots", func(t *testing.T) {
 		b := newBench(t)
