Tell peers at a planned stop that unanswered requests were not run

Its connections were dropped without a word, so that callers of other proxies waited for the progress timeout. Change: a draining transport serves no further streams, ends what it serves and then closes its connections with a code of its own; a stream that ends with it was not run and is routed again. Connections are remembered until they end, not until Run's context does: otherwise the stop raced with their removal (TestStoppedPeer failed in 1 of 5 runs). TestSilentConnectionIsReplaced told connections apart by one byte of their id and failed when two were equal; it now uses all four bytes.

--- a/bench/process/labscenario/scenario.go
+++ b/bench/process/labscenario/scenario.go
@@ -175,7 +175,9 @@
 		r.failover(operations, s.Settings.Group.Databases[0], l.EventTime())
 	}
 
-	return r, s.save(operations, final, r.Violations)
+	t := &labhistory.Trace{Operations: operations, Final: final, Stated: r.Violations}
+
+	return r, t.SaveFile(s.Trace)
 }
 
 func (r *Report) failover(operations []labhistory.Operation, database string, lost time.Duration) {
@@ -188,24 +190,6 @@
 	}
 }
 
-func (s *Scenario) save(operations []labhistory.Operation, final []labhistory.FinalRow, v labhistory.Violations) error {
-	if s.Trace == "" {
-		return nil
-	}
-
-	f, err := os.Create(s.Trace)
-	if err != nil {
-		return errors.Newf("create trace: %w", err)
-	}
-
-	t := &labhistory.Trace{Operations: operations, Final: final, Stated: v}
-	if err := errors.CombineErrors(t.Save(f), f.Close()); err != nil {
-		return errors.Newf("save trace: %w", err)
-	}
-
-	return nil
-}
-
 // overload measures goodput at the load that the slots of the members can just carry, and at three times that load.
 func (s *Scenario) overload(ctx context.Context) (*Report, error) {
 	w := s.Settings.Workload
--- a/bench/request/labhistory/history.go
+++ b/bench/request/labhistory/history.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"os"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,24 @@
 	Stated     Violations  `json:"stated"`
 }
 
+// SaveFile writes a trace to a file; an empty name does nothing.
+func (t *Trace) SaveFile(name string) error {
+	if name == "" {
+		return nil
+	}
+
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Newf("create trace: %w", err)
+	}
+
+	if err := errors.CombineErrors(t.Save(f), f.Close()); err != nil {
+		return errors.Newf("save trace: %w", err)
+	}
+
+	return nil
+}
+
 // Save writes a trace as JSON.
 func (t *Trace) Save(w io.Writer) error {
 	e := json.NewEncoder(w)
--- a/ctl/process/labcommand/demo.go
+++ b/ctl/process/labcommand/demo.go
@@ -14,6 +14,7 @@
 	check := k.Flag("check", "Drive the deployment through failures under load, print one JSON line and exit.").Bool()
 	seed := k.Flag("seed", "Seed of the check's load.").Default("1").Uint64()
 	folder := k.Flag("data-folder", "Folder for keys and journals; each run uses a fresh folder below it.").Default("data").String()
+	trace := k.Flag("trace", "File for the recorded history of the check.").String()
 	level := k.Flag("log-level", "debug, info, warn or error.").Default("error").String()
 
 	c.add(k, func(ctx context.Context) error {
@@ -22,7 +23,7 @@
 			return err
 		}
 
-		d := &labdemo.Demo{Out: c.Out, Folder: *folder, Seed: *seed, Logger: l}
+		d := &labdemo.Demo{Out: c.Out, Folder: *folder, Seed: *seed, Trace: *trace, Logger: l}
 		if *check {
 			return d.Check(ctx)
 		}
--- a/ctl/process/labdemo/check.go
+++ b/ctl/process/labdemo/check.go
@@ -86,7 +86,9 @@
 	r.ReplicaShare = labdeployment.Share{Reads: aged.Reads + others.Reads, Replica: aged.Replica + others.Replica}.Ratio()
 	r.FailoverGapMS = labhistory.Gap(operations, Database, r.killed).Milliseconds()
 
-	return r, nil
+	t := &labhistory.Trace{Operations: operations, Final: final, Stated: r.Violations}
+
+	return r, t.SaveFile(d.Trace)
 }
 
 // disturb changes the configuration, kills the primary, and restarts a proxy and a control instance, in this order.
--- a/ctl/process/labdemo/demo.go
+++ b/ctl/process/labdemo/demo.go
@@ -35,6 +35,7 @@
 	Out    io.Writer
 	Folder string // data folder; a temporary one that is removed at the end when empty
 	Seed   uint64
+	Trace  string // file for the recorded history of a check, empty for none
 	Logger zerolog.Logger
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -107,6 +107,10 @@
 	return OutcomeUnknown, ReasonLost
 }
 
+// ErrPeerStopped is returned when a process of the system ended everything it had begun and stopped: a request that it
+// left without an answer was not run.
+var ErrPeerStopped = errors.New("the peer has stopped")
+
 // Errors of the control plane.
 var (
 	// ErrNotLeader is returned by an instance that does not lead the consensus group.
--- a/process/labtransport/drain.go
+++ b/process/labtransport/drain.go
@@ -7,8 +7,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Drain returns when no stream of another process is in progress and the last answers have had time to arrive, since
-// closing a connection discards what was not delivered. It returns the context's error when that ends first.
+// Drain serves no further streams and returns when none is in progress and the last answers have had time to arrive,
+// since closing a connection discards what was not delivered. Peers learn when Run ends that what was not answered was
+// not run. It returns the context's error when that ends first; peers then learn nothing.
 func (t *Transport) Drain(ctx context.Context) error {
 	const poll = 10 * time.Millisecond
 
@@ -24,11 +25,19 @@
 		}
 	}
 
+	t.draining.Store(true)
+
 	for t.serving.Load() > 0 {
 		if err := pause(poll); err != nil {
 			return err
 		}
 	}
 
-	return pause(lingerTime)
+	if err := pause(lingerTime); err != nil {
+		return err
+	}
+
+	t.drained.Store(true)
+
+	return nil
 }
--- a/process/labtransport/serve.go
+++ b/process/labtransport/serve.go
@@ -20,6 +20,9 @@
 		return
 	}
 
+	t.keep(c, true)
+	context.AfterFunc(c.Context(), func() { t.keep(c, false) }) // not when ctx ends: close must find the connection
+
 	for {
 		s, err := c.AcceptStream(ctx)
 		if err != nil {
@@ -34,6 +37,11 @@
 	t.serving.Add(1)
 	defer t.serving.Add(-1)
 
+	// Left without an answer, so that the peer learns from the connection's end that nothing ran.
+	if t.draining.Load() {
+		return
+	}
+
 	_ = s.SetReadDeadline(time.Now().Add(preambleTimeout))
 
 	var p preamble
@@ -120,3 +128,15 @@
 	t.traffic.sent(p.Method, len(b))
 	_, _ = s.Write(b) // a peer that has gone sees its own timeout
 }
+
+// keep notes an accepted connection, or forgets it.
+func (t *Transport) keep(c *quic.Conn, open bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	if open {
+		t.accepted[c] = struct{}{}
+	} else {
+		delete(t.accepted, c)
+	}
+}
--- a/process/labtransport/stream.go
+++ b/process/labtransport/stream.go
@@ -1,17 +1,46 @@
 package labtransport
 
 import (
+	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
+
+	"laburnumlock.dev/lab"
 )
 
 const codeCancelled quic.StreamErrorCode = 1
 
+// codeStopped closes the connections of a process that has served everything it accepted.
+const codeStopped quic.ApplicationErrorCode = 2
+
 // stream adapts a QUIC stream to lab.Stream.
 type stream struct {
 	*quic.Stream
 	done func()
 }
 
+// Read reads what the peer sent; it fails with lab.ErrPeerStopped after the peer has stopped gracefully.
+func (s *stream) Read(p []byte) (int, error) {
+	n, err := s.Stream.Read(p)
+
+	return n, peerError(err)
+}
+
+// Write sends to the peer; it fails with lab.ErrPeerStopped after the peer has stopped gracefully.
+func (s *stream) Write(p []byte) (int, error) {
+	n, err := s.Stream.Write(p)
+
+	return n, peerError(err)
+}
+
+func peerError(err error) error {
+	var a *quic.ApplicationError
+	if errors.As(err, &a) && a.Remote && a.ErrorCode == codeStopped {
+		return errors.Mark(err, lab.ErrPeerStopped)
+	}
+
+	return err
+}
+
 // CloseWrite ends the sending side.
 func (s *stream) CloseWrite() error {
 	return s.Stream.Close()
--- a/process/labtransport/transport.go
+++ b/process/labtransport/transport.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +26,8 @@
 	preambleTimeout    = 5 * time.Second
 	// lingerTime covers a retransmission over the region link with 24 ms per round trip.
 	lingerTime = 150 * time.Millisecond
+	// closeTime lets the packets that close connections leave before the socket is closed.
+	closeTime = 20 * time.Millisecond
 )
 
 // Transport implements lab.Peers and serves the requests of other processes.
@@ -39,9 +43,12 @@
 	ids      atomic.Uint64
 	traffic  traffic
 	serving  atomic.Int64 // streams of other processes in progress
+	draining atomic.Bool  // streams that arrive from now on are not served
+	drained  atomic.Bool  // everything that was served has ended
 
-	mutex sync.Mutex
-	links map[string]*link
+	mutex    sync.Mutex
+	links    map[string]*link
+	accepted map[*quic.Conn]struct{}
 }
 
 // HandleCall registers the handler of a method; it must be called before Run.
@@ -74,7 +81,7 @@
 		return errors.Newf("listen for processes: %w", err)
 	}
 
-	t.links = map[string]*link{}
+	t.links, t.accepted = map[string]*link{}, map[*quic.Conn]struct{}{}
 	t.quic = &quic.Transport{Conn: c}
 
 	t.listener, err = t.quic.Listen(t.Identity.TLS(protocolName), settings())
@@ -139,6 +146,19 @@
 }
 
 func (t *Transport) close() {
+	code := quic.ApplicationErrorCode(0)
+	if t.drained.Load() {
+		code = codeStopped
+	}
+
+	t.mutex.Lock()
+	accepted := slices.Collect(maps.Keys(t.accepted))
+	t.mutex.Unlock()
+
+	for _, c := range accepted {
+		_ = c.CloseWithError(code, "stopped")
+	}
+
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 
@@ -146,6 +166,8 @@
 		l.close()
 	}
 
+	time.Sleep(closeTime)
+
 	_ = t.listener.Close()
 	_ = t.quic.Close()
 	_ = t.quic.Conn.Close()
--- a/process/labtransport/transport_test.go
+++ b/process/labtransport/transport_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
@@ -35,6 +36,15 @@
 func start(t *testing.T, folder, name string) *labtransport.Transport {
 	t.Helper()
 
+	tr, _ := startStoppable(t, folder, name)
+
+	return tr
+}
+
+// startStoppable also returns a function that ends Run and waits for it.
+func startStoppable(t *testing.T, folder, name string) (*labtransport.Transport, func()) {
+	t.Helper()
+
 	tr := &labtransport.Transport{
 		Address:  "127.0.0.1:0",
 		Identity: &labkeys.Identity{Folder: folder, Name: name},
@@ -70,9 +80,10 @@
 
 	go func() { _ = tr.Run(ctx); close(done) }()
 
-	t.Cleanup(func() { cancel(); <-done })
+	stop := func() { cancel(); <-done }
+	t.Cleanup(stop)
 
-	return tr
+	return tr, stop
 }
 
 func within(t *testing.T, d time.Duration) context.Context {
@@ -170,8 +181,8 @@
 
 func (r *relay) run(cut <-chan struct{}) {
 	back := map[string]*net.UDPConn{}
-	dropped := map[byte]bool{}
-	seen := map[byte]bool{}
+	dropped := map[string]bool{}
+	seen := map[string]bool{}
 	b := make([]byte, 4096)
 
 	for {
@@ -189,14 +200,15 @@
 		}
 
 		// Connections of one client share a socket; long header packets (a new handshake) pass, short ones are told
-		// apart by the first byte of the connection id.
+		// apart by the connection id, which has four bytes.
 		long := b[0]&0x80 != 0
 		if !long {
-			if dropped[b[1]] {
+			id := string(b[1:5])
+			if dropped[id] {
 				continue
 			}
 
-			seen[b[1]] = true
+			seen[id] = true
 		}
 
 		r.pass(back, from, b[:n])
@@ -254,3 +266,52 @@
 	err := a.Call(within(t, 3*time.Second), b.Bound(), lab.MethodPing, echo{Text: "x"}, &got)
 	assert.ErrorContains(t, err, "not an instance's")
 }
+
+// Guards against a planned stop leaving requests in doubt that the stopping process never began.
+func TestStoppedPeer(t *testing.T) {
+	folder := authority(t, "a", "b")
+
+	unanswered := func(drain bool) error {
+		a := start(t, folder, "a")
+		b, stop := startStoppable(t, folder, "b")
+
+		var got echo
+		assert.NilError(t, a.Call(within(t, 5*time.Second), b.Bound(), lab.MethodPing, echo{}, &got))
+
+		if drain {
+			assert.NilError(t, b.Drain(within(t, 5*time.Second)))
+		}
+
+		s, err := a.Open(within(t, 5*time.Second), b.Bound(), lab.MethodTransaction, echo{})
+		assert.NilError(t, err)
+		time.AfterFunc(100*time.Millisecond, stop)
+
+		_, err = s.Read(make([]byte, 1))
+
+		return err
+	}
+
+	t.Run("drained", func(t *testing.T) {
+		assert.Assert(t, errors.Is(unanswered(true), lab.ErrPeerStopped))
+	})
+	t.Run("not drained", func(t *testing.T) {
+		err := unanswered(false)
+		assert.Assert(t, err != nil && !errors.Is(err, lab.ErrPeerStopped))
+	})
+}
+
+// Guards against a stop that cuts off what is being served.
+func TestDrainWaits(t *testing.T) {
+	folder := authority(t, "a", "b")
+	a, b := start(t, folder, "a"), start(t, folder, "b")
+
+	s, err := a.Open(within(t, 5*time.Second), b.Bound(), lab.MethodTransaction, echo{})
+	assert.NilError(t, err)
+	_, err = s.Write([]byte("x"))
+	assert.NilError(t, err)
+	_, err = io.ReadFull(s, make([]byte, 1))
+	assert.NilError(t, err)
+	assert.ErrorContains(t, b.Drain(within(t, 300*time.Millisecond)), "1 streams in progress")
+	assert.NilError(t, s.CloseWrite())
+	assert.NilError(t, b.Drain(within(t, 5*time.Second)))
+}
--- a/proxy/process/labforward/remote.go
+++ b/proxy/process/labforward/remote.go
@@ -75,6 +75,10 @@
 	defer stop()
 
 	received, err := w.send(ctx, frame{Kind: kindUnit, Unit: &unit})
+	if errors.Is(err, lab.ErrPeerStopped) {
+		return lab.Result{}, lab.NotRun(lab.ReasonDraining, errors.Newf("send unit: %w", err))
+	}
+
 	if err != nil && !received {
 		return lab.Result{}, lab.NotRun(failureReason(ctx), errors.Newf("send unit: %w", err))
 	}
@@ -85,6 +89,10 @@
 
 	for {
 		f, err := r.receive(w)
+		if errors.Is(err, lab.ErrPeerStopped) {
+			return lab.Result{}, lab.NotRun(lab.ReasonDraining, errors.Newf("read answer: %w", err))
+		}
+
 		if err != nil {
 			return lab.Result{}, lab.Unknown(failureReason(ctx), errors.Newf("read answer: %w", err))
 		}
