Replace lost control instances through the operators' API

Cause: a control instance whose disk was lost could only return under its old name, where it might vote twice in one term, and no operation changed the group. Messages of an instance outside the settings' peers were refused.

Change: GET /v1/control, POST and DELETE /v1/control/{id} and laburnumctl control list|add|remove. The log holds the addresses of joined instances and the removed names. A founder with an empty data folder asks every peer first and refuses to start when one has a log. Each change is in the audit trail.

Tests (control/process/labinstance, 26.0 s with all modules' tests running; ctl/process/labcommand, 4.7 s).

Conclusion: a group of three survives the loss of a disk, the repair and the loss of the old leader right after it with all 700 changes.

--- a/control/process/labconsensus/group.go
+++ b/control/process/labconsensus/group.go
@@ -30,7 +30,9 @@
 	ID lab.InstanceID
 	// Voters are the first voters of a new group, used while the journal is empty. An instance that joins has none; nor
 	// may one that lost its disk start with them, since it forgot its vote.
-	Voters  []lab.InstanceID
+	Voters []lab.InstanceID
+	// Found runs before the first voters are stored and may refuse to found the group; nil permits it.
+	Found   func(ctx context.Context) error
 	Journal lab.Journal // closed by the caller after Run
 	Clock   lab.Clock
 	Random  lab.Random
@@ -84,7 +86,7 @@
 	defer close(g.stopped)
 	defer g.view.Store(&view{})
 
-	if err := g.start(); err != nil {
+	if err := g.start(ctx); err != nil {
 		return errors.Newf("start consensus: %w", err)
 	}
 
@@ -102,7 +104,7 @@
 	return err
 }
 
-func (g *Group) start() error {
+func (g *Group) start(ctx context.Context) error {
 	state, snapshot, entries, err := g.Journal.Load()
 	if err != nil {
 		return errors.Newf("load journal: %w", err)
@@ -110,6 +112,10 @@
 
 	// The first voters are stored, so that later changes of the settings cannot contradict the log.
 	if len(g.Voters) > 0 && snapshot.Index == 0 && len(snapshot.Peers) == 0 && len(entries) == 0 && state.Term == 0 {
+		if err := g.found(ctx); err != nil {
+			return errors.Newf("found group: %w", err)
+		}
+
 		snapshot.Peers = g.Voters
 		if err := g.Journal.SaveSnapshot(snapshot); err != nil {
 			return errors.Newf("store first voters: %w", err)
@@ -137,6 +143,14 @@
 	return nil
 }
 
+func (g *Group) found(ctx context.Context) error {
+	if g.Found == nil {
+		return nil
+	}
+
+	return g.Found(ctx)
+}
+
 func (g *Group) tick(ctx context.Context, ticks chan<- struct{}, ended chan<- struct{}) {
 	defer close(ended)
 
--- a/control/process/labcontrol/api.go
+++ b/control/process/labcontrol/api.go
@@ -38,6 +38,9 @@
 	m.HandleFunc("GET /v1/audit", s.leaderOnly(s.audit))
 	m.HandleFunc("GET /v1/changes/{id}", s.leaderOnly(s.change))
 	m.HandleFunc("POST /v1/instances/{id}/drain", s.leaderOnly(s.drain))
+	m.HandleFunc("GET /v1/control", s.leaderOnly(s.listControl))
+	m.HandleFunc("POST /v1/control/{id}", s.leaderOnly(s.addControl))
+	m.HandleFunc("DELETE /v1/control/{id}", s.leaderOnly(s.removeControl))
 	m.HandleFunc("POST /v1/announcements", s.leaderOnly(s.announce))
 
 	return m
@@ -76,7 +79,7 @@
 
 func (s *Server) redirect(w http.ResponseWriter, r *http.Request) {
 	leader := s.Log.Leadership().Leader
-	base, known := s.Operators[leader]
+	base, known := s.operatorBase(leader)
 	if !known || leader == s.Self.ID {
 		reply(w, http.StatusServiceUnavailable, failure{Error: "no leader is known"})
 
--- /dev/null
+++ b/control/process/labcontrol/group.go
@@ -0,0 +1,214 @@
+package labcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labreplica"
+	"laburnumlock.dev/lab/control/version/labcatalog"
+)
+
+// memberTimeout bounds one membership request; it is shorter than the operator client's timeout of 5 s.
+const memberTimeout = 3500 * time.Millisecond
+
+// Group changes who takes part in the control group.
+type Group interface {
+	// Members returns voters and learners.
+	Members() labreplica.Members
+	// Applied returns the index up to which the log is executed here.
+	Applied() uint64
+	// AddLearner lets an instance receive the log without a vote.
+	AddLearner(ctx context.Context, id lab.InstanceID) error
+	// Promote makes a learner a voter once it has caught up.
+	Promote(ctx context.Context, id lab.InstanceID) error
+	// Remove takes an instance out; it fails with labreplica.ErrUnsafeChange when too few voters are reachable.
+	Remove(ctx context.Context, id lab.InstanceID) error
+}
+
+// ControlGroup is the answer to GET /v1/control.
+type ControlGroup struct {
+	Leader       lab.InstanceID   `json:"leader"`
+	Voters       []lab.InstanceID `json:"voters"`
+	Learners     []lab.InstanceID `json:"learners"`
+	AppliedIndex uint64           `json:"applied_index"`
+}
+
+// controlAddresses is the body of POST /v1/control/{id}.
+type controlAddresses struct {
+	ProcessAddress  string `json:"process_address"`
+	OperatorAddress string `json:"operator_address"`
+}
+
+// ControlAddress returns the transport address of a control instance that was not removed.
+func (s *Server) ControlAddress(id lab.InstanceID) (string, bool) {
+	if i, logged := s.Catalog.ControlInstance(id); logged {
+		return i.ProcessAddress, !i.Removed
+	}
+	a, ok := s.Addresses[id]
+
+	return a, ok
+}
+
+func (s *Server) operatorBase(id lab.InstanceID) (string, bool) {
+	if i, logged := s.Catalog.ControlInstance(id); logged {
+		return "https://" + i.OperatorAddress, !i.Removed
+	}
+	a, ok := s.Operators[id]
+
+	return a, ok
+}
+
+func (s *Server) listControl(w http.ResponseWriter, _ *http.Request, _ *leadership) {
+	s.replyControl(w)
+}
+
+func (s *Server) replyControl(w http.ResponseWriter) {
+	m := s.Group.Members()
+	reply(w, http.StatusOK, ControlGroup{
+		Leader: s.Self.ID, Voters: m.Voters, Learners: append([]lab.InstanceID{}, m.Learners...), AppliedIndex: s.Group.Applied(),
+	})
+}
+
+// addControl may be sent again until the instance is a voter.
+func (s *Server) addControl(w http.ResponseWriter, r *http.Request, _ *leadership) {
+	i, err := s.readControl(r)
+	if err != nil {
+		reply(w, http.StatusBadRequest, failure{Error: err.Error()})
+
+		return
+	}
+	known, logged := s.Catalog.ControlInstance(i.Instance)
+	if known.Removed {
+		reply(w, http.StatusConflict, failure{Error: "this name was removed from the group and may have voted: use a new one"})
+
+		return
+	}
+	if s.Group.Members().Voter(i.Instance) {
+		s.replyControl(w)
+
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), memberTimeout)
+	defer cancel()
+	if !logged || known != i {
+		if err := s.note(ctx, r, "control_add", i); err != nil {
+			s.replyFailed(w, err)
+
+			return
+		}
+	}
+	if err := s.Group.AddLearner(ctx, i.Instance); err != nil {
+		s.replyMember(w, err)
+
+		return
+	}
+	if err := s.Group.Promote(ctx, i.Instance); err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			err = errors.Newf("wait for %s: %w", i.Instance, labreplica.ErrLearnerBehind)
+		}
+		s.replyMember(w, err)
+
+		return
+	}
+	s.finishMember(w, r, "control_added", i)
+}
+
+func (s *Server) readControl(r *http.Request) (labcatalog.ControlInstance, error) {
+	i := labcatalog.ControlInstance{Instance: lab.InstanceID(r.PathValue("id"))}
+	if err := labcatalog.CheckName(string(i.Instance)); err != nil {
+		return i, err
+	}
+	var a controlAddresses
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&a); err != nil && !errors.Is(err, io.EOF) {
+		return i, errors.Newf("read addresses: %w; accepted: process_address, operator_address", err)
+	}
+	for _, v := range []string{a.ProcessAddress, a.OperatorAddress} {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			return i, errors.Newf("process_address and operator_address must be IP addresses with ports: %w", err)
+		}
+	}
+	i.ProcessAddress, i.OperatorAddress = a.ProcessAddress, a.OperatorAddress
+
+	return i, nil
+}
+
+func (s *Server) removeControl(w http.ResponseWriter, r *http.Request, _ *leadership) {
+	i := labcatalog.ControlInstance{Instance: lab.InstanceID(r.PathValue("id")), Removed: true}
+	known, _ := s.Catalog.ControlInstance(i.Instance)
+	if known.Removed {
+		s.replyControl(w)
+
+		return
+	}
+	if m := s.Group.Members(); !m.Voter(i.Instance) && !m.Learner(i.Instance) {
+		if _, ok := s.ControlAddress(i.Instance); !ok {
+			reply(w, http.StatusNotFound, failure{Error: "no such control instance"})
+
+			return
+		}
+	}
+	if i.Instance == s.Self.ID {
+		reply(w, http.StatusConflict, failure{Error: "this instance leads the group: stop it and remove it when another one leads"})
+
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), memberTimeout)
+	defer cancel()
+	if err := s.Group.Remove(ctx, i.Instance); err != nil {
+		s.noteRefused(ctx, r, i.Instance)
+		s.replyMember(w, err)
+
+		return
+	}
+	s.finishMember(w, r, "control_removed", i)
+}
+
+// finishMember records a membership change that is in force.
+func (s *Server) finishMember(w http.ResponseWriter, r *http.Request, action string, i labcatalog.ControlInstance) {
+	if err := s.note(r.Context(), r, action, i); err != nil {
+		s.replyFailed(w, err)
+
+		return
+	}
+	s.Logger.Info().Str("event", action).Str("instance", string(i.Instance)).Str("operator", r.Header.Get(headerOperator)).Send()
+	s.replyControl(w)
+}
+
+func (s *Server) note(ctx context.Context, r *http.Request, action string, i labcatalog.ControlInstance) error {
+	_, err := s.propose(ctx, &labcatalog.Command{Control: &i, Note: controlNote(r, action, i.Instance)})
+
+	return err
+}
+
+// noteRefused records an attempt; the refusal is answered even when that fails.
+func (s *Server) noteRefused(ctx context.Context, r *http.Request, id lab.InstanceID) {
+	if _, err := s.propose(ctx, &labcatalog.Command{Note: controlNote(r, "control_remove_refused", id)}); err != nil {
+		s.Logger.Warn().Str("event", "note_failed").Err(err).Send()
+	}
+}
+
+func controlNote(r *http.Request, action string, id lab.InstanceID) *labcatalog.Note {
+	return &labcatalog.Note{Operator: r.Header.Get(headerOperator), Action: action, Object: "control/" + string(id)}
+}
+
+func (s *Server) replyMember(w http.ResponseWriter, err error) {
+	s.Logger.Warn().Str("event", "membership_change_failed").Err(err).Send()
+	switch {
+	case errors.Is(err, labreplica.ErrUnsafeChange):
+		reply(w, http.StatusConflict, failure{Error: "refused: " + err.Error()})
+	case errors.Is(err, labreplica.ErrLearnerBehind):
+		reply(w, http.StatusServiceUnavailable, failure{Error: "the instance has not caught up yet: check that it runs with " +
+			"\"join\": true at this address and send the request again"})
+	default:
+		reply(w, http.StatusServiceUnavailable, failure{Error: "outcome unknown: send the request again: " + err.Error()})
+	}
+}
--- a/control/process/labcontrol/heartbeat.go
+++ b/control/process/labcontrol/heartbeat.go
@@ -55,7 +55,7 @@
 func (s *Server) HandleHeartbeatBatch(
 	ctx context.Context, from lab.InstanceID, batch HeartbeatBatch,
 ) (HeartbeatBatchAnswer, error) {
-	if _, control := s.Addresses[from]; !control && from != s.Self.ID {
+	if _, control := s.ControlAddress(from); !control && from != s.Self.ID {
 		return HeartbeatBatchAnswer{}, errors.Newf("batch of heartbeats sent by %s, which is no control instance", from)
 	}
 	if s.leading() == nil {
--- a/control/process/labcontrol/relay.go
+++ b/control/process/labcontrol/relay.go
@@ -76,7 +76,7 @@
 
 		return
 	}
-	address, known := s.Addresses[leader]
+	address, known := s.ControlAddress(leader)
 	if !known {
 		b.err = errors.Newf("no leader known: %w", lab.ErrNotLeader)
 
--- a/control/process/labcontrol/server.go
+++ b/control/process/labcontrol/server.go
@@ -32,6 +32,7 @@
 // Server is a control instance. Its exported fields are set before Run or any handler is called.
 type Server struct {
 	Log       lab.Log
+	Group     Group
 	Catalog   *labcatalog.Catalog
 	Clock     lab.Clock
 	Random    lab.Random // safe for concurrent use
--- /dev/null
+++ b/control/process/labinstance/cluster_test.go
@@ -0,0 +1,232 @@
+package labinstance
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/request/laboperator"
+	"laburnumlock.dev/lab/version/labsettings"
+)
+
+const (
+	anyPort     = "127.0.0.1:0"
+	testTimeout = 20 * time.Second
+	pollPause   = 20 * time.Millisecond
+	// manyChanges passes several snapshots, so that a new instance starts from one and not from the log.
+	manyChanges = 700
+	document    = `{"parameters": {"weight": 3}}`
+)
+
+// cluster runs control instances in this process.
+type cluster struct {
+	t         *testing.T
+	authority *labkeys.Authority
+	peers     []labsettings.Peer
+	nodes     map[string]*running
+	cut       atomic.Pointer[lab.InstanceID] // isolated instance
+}
+
+type running struct {
+	*Instance
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func newCluster(t *testing.T, names ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, authority: &labkeys.Authority{Folder: filepath.Join(t.TempDir(), "keys")}, nodes: map[string]*running{}}
+	assert.NilError(t, c.authority.Init())
+	assert.NilError(t, c.authority.Issue("operator", labkeys.RoleOperator))
+	for _, n := range names {
+		c.listen(c.settings(n))
+		c.peers = append(c.peers, c.peer(n))
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.cancel()
+		}
+		for _, n := range c.nodes {
+			n.wait()
+		}
+	})
+
+	return c
+}
+
+func (c *cluster) settings(name string) *labsettings.Control {
+	c.t.Helper()
+	assert.NilError(c.t, c.authority.Issue(name, labkeys.RoleInstance))
+
+	return &labsettings.Control{
+		Common: labsettings.Common{
+			Instance: name, Region: "r", AvailabilityZone: "z", ProcessAddress: anyPort, AnnounceAddress: anyPort,
+			MetricsAddress: anyPort, KeysFolder: c.authority.Folder, UpstreamUser: "u",
+		},
+		DataFolder: filepath.Join(filepath.Dir(c.authority.Folder), name), OperatorAddress: anyPort,
+		SnapshotEntries: 100, LeaseMS: 3000,
+	}
+}
+
+func (c *cluster) listen(s *labsettings.Control) {
+	c.t.Helper()
+	n := &running{Instance: &Instance{Settings: s, Logger: zerolog.Nop()}, cancel: func() {}}
+	n.admit = func(peer lab.InstanceID) bool {
+		cut := c.cut.Load()
+
+		return cut == nil || c.nodes[string(peer)] == nil || (*cut != peer && string(*cut) != s.Instance)
+	}
+	assert.NilError(c.t, n.Listen(c.t.Context()))
+	s.ProcessAddress, s.OperatorAddress = n.ProcessAddress(), n.OperatorAddress()
+	c.nodes[s.Instance] = n
+}
+
+func (c *cluster) peer(name string) labsettings.Peer {
+	s := c.nodes[name].Settings
+
+	return labsettings.Peer{Instance: name, ProcessAddress: s.ProcessAddress, OperatorAddress: s.OperatorAddress}
+}
+
+func (c *cluster) run(names ...string) {
+	for _, name := range names {
+		n := c.nodes[name]
+		if len(n.Settings.Peers) == 0 {
+			n.Settings.Peers = c.peers
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		n.cancel, n.done = cancel, make(chan error, 1)
+		go func() { n.done <- n.Run(ctx) }()
+	}
+}
+
+func (r *running) wait() error {
+	if r.done == nil {
+		return nil
+	}
+	err := <-r.done
+	r.done = nil
+
+	return err
+}
+
+func (c *cluster) stop(names ...string) {
+	c.t.Helper()
+	for _, n := range names {
+		c.nodes[n].cancel()
+	}
+	for _, n := range names {
+		assert.NilError(c.t, c.nodes[n].wait())
+	}
+}
+
+// restart starts stopped instances again at the same addresses.
+func (c *cluster) restart(names ...string) {
+	c.t.Helper()
+	for _, n := range names {
+		c.listen(c.nodes[n].Settings)
+	}
+	c.run(names...)
+}
+
+// loseDisk stops an instance and drops its data folder.
+func (c *cluster) loseDisk(name string) {
+	c.t.Helper()
+	c.stop(name)
+	assert.NilError(c.t, os.RemoveAll(c.nodes[name].Settings.DataFolder))
+}
+
+// join starts an instance under a new name as a replacement.
+func (c *cluster) join(name string, others ...string) laboperator.ControlAddresses {
+	c.t.Helper()
+	s := c.settings(name)
+	s.Join = true
+	c.listen(s)
+	for _, n := range append(others, name) {
+		s.Peers = append(s.Peers, c.peer(n))
+	}
+	c.run(name)
+
+	return laboperator.ControlAddresses{Process: s.ProcessAddress, Operator: s.OperatorAddress}
+}
+
+// leader waits for a leader among the instances.
+func (c *cluster) leader(names ...string) string {
+	c.t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(pollPause) {
+		for _, n := range names {
+			if i := c.nodes[n]; i.done != nil && i.Leading() {
+				return n
+			}
+		}
+	}
+	c.t.Fatal("no leader")
+
+	return ""
+}
+
+// operator returns a client of the given instances.
+func (c *cluster) operator(names ...string) *laboperator.Client {
+	c.t.Helper()
+	i := &labkeys.Identity{Folder: c.authority.Folder, Name: "operator"}
+	assert.NilError(c.t, i.Load())
+	o := &laboperator.Client{Identity: i, Rounds: 20}
+	for _, n := range names {
+		o.Addresses = append(o.Addresses, c.nodes[n].Settings.OperatorAddress)
+	}
+	_, err := o.List(c.t.Context(), laboperator.KindTemplate) // makes the HTTP client before concurrent use
+	assert.NilError(c.t, err)
+
+	return o
+}
+
+func put(ctx context.Context, o *laboperator.Client, name, id string, base uint64) (laboperator.Answer, error) {
+	return o.Put(ctx, laboperator.KindTemplate, name, laboperator.Change{ID: id, Base: base, Document: []byte(document)})
+}
+
+// change makes configuration changes and checks that each is accepted.
+func (c *cluster) change(o *laboperator.Client, count int) {
+	c.t.Helper()
+	failures := make(chan error, count)
+	numbers := make(chan int, count)
+	for n := range count {
+		numbers <- n
+	}
+	close(numbers)
+	var workers sync.WaitGroup
+	for range 16 {
+		workers.Go(func() {
+			for n := range numbers {
+				_, err := put(c.t.Context(), o, fmt.Sprintf("t-%d", n), fmt.Sprintf("c-%d", n), 0)
+				failures <- err
+			}
+		})
+	}
+	workers.Wait()
+	close(failures)
+	for err := range failures {
+		assert.NilError(c.t, err)
+	}
+}
+
+// assertKept checks that all changes and an intact audit trail are there.
+func (c *cluster) assertKept(o *laboperator.Client, count int) {
+	c.t.Helper()
+	names, err := o.List(c.t.Context(), laboperator.KindTemplate)
+	assert.NilError(c.t, err)
+	assert.Equal(c.t, len(names), count)
+	var trail struct {
+		Intact bool `json:"intact"`
+	}
+	assert.NilError(c.t, o.Do(c.t.Context(), "GET", "/v1/audit?limit=1", nil, &trail))
+	assert.Assert(c.t, trail.Intact)
+}
--- a/control/process/labinstance/instance.go
+++ b/control/process/labinstance/instance.go
@@ -45,8 +45,14 @@
 	journal   lab.Journal
 	group     *labconsensus.Group
 	server    *labcontrol.Server
-	senders   map[lab.InstanceID]*sender
+	catalog   *labcatalog.Catalog
+	senders   senders
+	founding  founding
 	variables expvar.Map
+
+	// admit decides whether consensus messages, heartbeats and founding requests pass to or from a process; set by tests
+	// to isolate an instance without closing its connections, nil admits all.
+	admit func(peer lab.InstanceID) bool
 }
 
 // Listen loads keys and journal and opens all sockets.
@@ -115,13 +121,7 @@
 
 	g, ctx := errgroup.WithContext(ctx)
 
-	for _, run := range []func(context.Context) error{
-		i.transport.Run, i.group.Run, i.operators.Run, i.announce.Run, i.metrics.Run, i.server.Run,
-	} {
-		g.Go(func() error { return ended(ctx, run(ctx)) })
-	}
-
-	for _, s := range i.senders {
+	i.senders.start = func(s *sender) {
 		g.Go(func() error {
 			s.run(ctx)
 
@@ -129,6 +129,12 @@
 		})
 	}
 
+	for _, run := range []func(context.Context) error{
+		i.transport.Run, i.group.Run, i.operators.Run, i.announce.Run, i.metrics.Run, i.server.Run,
+	} {
+		g.Go(func() error { return ended(ctx, run(ctx)) })
+	}
+
 	i.Logger.Info().Str("process_address", i.ProcessAddress()).Str("operator_address", i.OperatorAddress()).
 		Str("announce_address", i.AnnounceAddress()).Msg("control_started")
 
@@ -157,13 +163,14 @@
 		Region: s.Region, AvailabilityZone: s.AvailabilityZone, Address: i.ProcessAddress(),
 	}
 	clock, random, catalog := labclock.New(), labrandom.New(), labcatalog.New()
+	i.catalog = catalog
 
 	i.journal = &labjournal.Journal{Folder: filepath.Join(s.DataFolder, "journal")}
 
-	i.senders = map[lab.InstanceID]*sender{}
+	i.founding.incarnation = self.Incarnation
 	i.group = &labconsensus.Group{
 		ID: self.ID, Journal: i.journal, Clock: clock, Random: random, Machine: catalog, Send: i.send,
-		SnapshotEvery: uint64(s.SnapshotEntries),
+		SnapshotEvery: uint64(s.SnapshotEntries), Found: i.found,
 	}
 	addresses, operators := map[lab.InstanceID]string{}, map[lab.InstanceID]string{}
 
@@ -174,10 +181,6 @@
 		if !s.Join {
 			i.group.Voters = append(i.group.Voters, id)
 		}
-
-		if id != self.ID {
-			i.senders[id] = newSender(i.transport, p.ProcessAddress)
-		}
 	}
 
 	password, err := labpassword.Read(s.UpstreamPasswordFile)
@@ -186,7 +189,7 @@
 	}
 
 	i.server = &labcontrol.Server{
-		Log: i.group, Catalog: catalog, Clock: clock, Random: random, Peers: i.transport, Self: self,
+		Log: i.group, Group: i.group, Catalog: catalog, Clock: clock, Random: random, Peers: i.transport, Self: self,
 		Prober: &labprober.Prober{User: s.UpstreamUser, Password: password}, Addresses: addresses, Operators: operators,
 		Logger: i.Logger,
 	}
@@ -196,22 +199,40 @@
 }
 
 func (i *Instance) send(to lab.InstanceID, m labreplica.Message) {
-	if s, ok := i.senders[to]; ok {
-		s.send(m)
+	if address, ok := i.server.ControlAddress(to); ok && i.admits(to) {
+		i.senders.send(i.transport, address, m)
+	}
+}
+
+func (i *Instance) admits(peer lab.InstanceID) bool {
+	return i.admit == nil || i.admit(peer)
+}
+
+// guarded holds the calls of processes that are not admitted until they give up, like a network that drops packets.
+func (i *Instance) guarded(next lab.CallHandler) lab.CallHandler {
+	return func(ctx context.Context, from lab.InstanceID, decode func(any) error) (any, error) {
+		if !i.admits(from) {
+			<-ctx.Done()
+
+			return nil, ctx.Err()
+		}
+
+		return next(ctx, from, decode)
 	}
 }
 
 func (i *Instance) handle() {
-	i.transport.HandleCall(lab.MethodConsensus, i.handleConsensus)
-	i.transport.HandleCall(lab.MethodHeartbeat, i.handleHeartbeat)
-	i.transport.HandleCall(labcontrol.MethodHeartbeatBatch, i.handleBatch)
+	i.transport.HandleCall(methodFounding, i.guarded(i.handleFounding))
+	i.transport.HandleCall(lab.MethodConsensus, i.guarded(i.handleConsensus))
+	i.transport.HandleCall(lab.MethodHeartbeat, i.guarded(i.handleHeartbeat))
+	i.transport.HandleCall(labcontrol.MethodHeartbeatBatch, i.guarded(i.handleBatch))
 	i.operators.Handler = onlyOperators(i.server.Handler())
 	i.announce.Handler = onlyAnnouncements(i.server.Handler())
 	i.variables.Set("transport", i.transport.Variables())
 }
 
 func (i *Instance) handleConsensus(_ context.Context, from lab.InstanceID, decode func(any) error) (any, error) {
-	if _, ok := i.senders[from]; !ok {
+	if _, ok := i.server.ControlAddress(from); !ok {
 		return nil, errors.Newf("%s is not a control instance", from)
 	}
 
@@ -241,7 +262,7 @@
 }
 
 func (i *Instance) handleBatch(ctx context.Context, from lab.InstanceID, decode func(any) error) (any, error) {
-	if _, ok := i.senders[from]; !ok {
+	if _, ok := i.server.ControlAddress(from); !ok {
 		return nil, errors.Newf("%s is not a control instance", from)
 	}
 
--- /dev/null
+++ b/control/process/labinstance/isolation_test.go
@@ -0,0 +1,150 @@
+package labinstance
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/process/labtransport"
+)
+
+const isolation = 2 * time.Second
+
+// Guards against an isolated leader that presents outdated data as current, to operators or to proxies.
+func TestIsolatedLeader(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.run("a", "b", "c")
+	old := c.leader("a", "b", "c")
+	rest := slices.DeleteFunc([]string{"a", "b", "c"}, func(n string) bool { return n == old })
+	c.change(c.operator("a", "b", "c"), 20)
+
+	var accepted atomic.Uint64 // configuration version that operators know to be accepted
+	accepted.Store(20)
+	ctx, cancel := context.WithCancel(t.Context())
+	var watchers sync.WaitGroup
+	var faults, answers faultList
+	watchers.Go(func() { c.watchStatus(ctx, old, &accepted, &faults, &answers) })
+	watchers.Go(func() { c.watchProxy(ctx, &accepted, &faults, &answers) })
+
+	id := lab.InstanceID(old)
+	c.cut.Store(&id)
+	o := c.operator(rest...)
+	n := 0
+	for end := time.Now().Add(isolation); time.Now().Before(end); n++ {
+		a, err := put(t.Context(), o, fmt.Sprintf("isolated-%d", n), fmt.Sprintf("isolated-%d", n), 0)
+		assert.NilError(t, err)
+		accepted.Store(a.AcceptedVersion)
+		time.Sleep(pollPause)
+	}
+	assert.Assert(t, !c.nodes[old].Leading())
+	c.cut.Store(nil)
+	time.Sleep(isolation / 2)
+	cancel()
+	watchers.Wait()
+
+	c.assertKept(c.operator(old), 20+n)
+	assert.DeepEqual(t, faults.list(), []string(nil))
+	t.Logf("changes during isolation: %d, confirmed answers: %d", n, len(answers.list()))
+	assert.Assert(t, len(answers.list()) > 10)
+}
+
+type faultList struct {
+	lock  sync.Mutex
+	texts []string
+}
+
+func (f *faultList) add(format string, a ...any) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	f.texts = append(f.texts, fmt.Sprintf(format, a...))
+}
+
+func (f *faultList) list() []string {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+
+	return f.texts
+}
+
+// watchStatus asks one instance without following redirects; an answer must hold what was accepted before the question.
+func (c *cluster) watchStatus(ctx context.Context, name string, accepted *atomic.Uint64, faults, answers *faultList) {
+	i := &labkeys.Identity{Folder: c.authority.Folder, Name: "operator"}
+	if err := i.Load(); err != nil {
+		faults.add("%v", err)
+
+		return
+	}
+	client := &http.Client{
+		Transport:     &http.Transport{TLSClientConfig: i.TLS("http/1.1")},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	for ctx.Err() == nil {
+		known := accepted.Load()
+		r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+c.nodes[name].Settings.OperatorAddress+"/v1/status", nil)
+		response, err := client.Do(r)
+		if err != nil {
+			continue
+		}
+		var s struct {
+			Version uint64 `json:"accepted_version"`
+		}
+		err = json.NewDecoder(response.Body).Decode(&s)
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK && err == nil {
+			answers.add("status %d", s.Version)
+			if s.Version < known {
+				faults.add("status answers version %d after %d was accepted", s.Version, known)
+			}
+		}
+		time.Sleep(pollPause / 4)
+	}
+}
+
+// watchProxy sends heartbeats as a proxy does, to each instance in turn, the isolated one included.
+func (c *cluster) watchProxy(ctx context.Context, accepted *atomic.Uint64, faults, answers *faultList) {
+	_ = c.authority.Issue("proxy-1", labkeys.RoleInstance)
+	i := &labkeys.Identity{Folder: c.authority.Folder, Name: "proxy-1"}
+	if err := i.Load(); err != nil {
+		faults.add("%v", err)
+
+		return
+	}
+	transport := &labtransport.Transport{Address: anyPort, Identity: i, Log: zerolog.Nop()}
+	if err := transport.Listen(); err != nil {
+		faults.add("%v", err)
+
+		return
+	}
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = transport.Run(ctx) }()
+	defer func() { <-ended }()
+	h := lab.Heartbeat{Instance: lab.Instance{ID: "proxy-1", Incarnation: 1, Region: "r", AvailabilityZone: "z", Address: transport.Bound()}}
+	var version uint64
+	for n := 0; ctx.Err() == nil; n++ {
+		h.RequestID++ // an answer to an earlier one renews nothing
+		known := accepted.Load()
+		call, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+		var a lab.HeartbeatAnswer
+		err := transport.Call(call, c.peers[n%len(c.peers)].ProcessAddress, lab.MethodHeartbeat, h, &a)
+		cancel()
+		if err == nil && a.TTL > 0 {
+			answers.add("heartbeat %d", a.Delta.Version)
+			if a.Delta.Version < max(known, version) || a.Delta.Index < h.Confirmed {
+				faults.add("heartbeat answers version %d index %d after %d, %d", a.Delta.Version, a.Delta.Index, known, h.Confirmed)
+			}
+			version, h.Confirmed = a.Delta.Version, a.Delta.Index
+		}
+		time.Sleep(pollPause / 4)
+	}
+}
--- a/control/process/labinstance/sender.go
+++ b/control/process/labinstance/sender.go
@@ -20,6 +20,28 @@
 	Messages []labreplica.Message `msgpack:"m"`
 }
 
+// senders holds one sender for each address in use; start is set before the first send.
+type senders struct {
+	start     func(s *sender)
+	byAddress map[string]*sender
+}
+
+// send is called by the consensus goroutine only.
+func (q *senders) send(peers lab.Peers, address string, m labreplica.Message) {
+	s, ok := q.byAddress[address]
+	if !ok {
+		if q.byAddress == nil {
+			q.byAddress = map[string]*sender{}
+		}
+
+		s = newSender(peers, address)
+		q.byAddress[address] = s
+		q.start(s)
+	}
+
+	s.send(m)
+}
+
 // sender passes consensus messages to one peer, one batch at a time. A full queue drops messages, which the consensus
 // protocol tolerates.
 type sender struct {
--- a/control/version/labcatalog/catalog.go
+++ b/control/version/labcatalog/catalog.go
@@ -17,6 +17,7 @@
 	configuration configuration
 	shards        [databaseShards]databaseShard
 	fleet         fleet
+	controls      controls
 	journal       journal
 	trail         trail
 	addresses     map[string]memberKey // member that announced an address last; used by the applying goroutine only
@@ -30,6 +31,7 @@
 	c.configuration.templates = map[string]Template{}
 	c.configuration.organisations = map[string]Organisation{}
 	c.configuration.merged = map[string]*lab.Organisation{}
+	c.controls.restore(nil)
 	c.fleet.proxies = map[lab.InstanceID]proxy{}
 	c.fleet.duties = map[lab.InstanceID]map[lab.Duty]bool{}
 	for i := range c.shards {
@@ -79,6 +81,9 @@
 		result.Answer = &answer
 	}
 	result.Err = c.applyPromotion(index, &m)
+	if m.Control != nil {
+		c.controls.set(*m.Control)
+	}
 	c.applyNote(index, &m)
 
 	return result
--- a/control/version/labcatalog/command.go
+++ b/control/version/labcatalog/command.go
@@ -22,6 +22,7 @@
 	Term       *TermStarted       `msgpack:"t,omitempty"`
 	Departed   *MemberDeparted    `msgpack:"d,omitempty"`
 	Forgotten  *MemberForgotten   `msgpack:"f,omitempty"`
+	Control    *ControlInstance   `msgpack:"k,omitempty"`
 	Note       *Note              `msgpack:"n,omitempty"`
 	At         int64              `msgpack:"a,omitempty"` // proposer's calendar time in ms, for the audit trail only
 }
--- a/control/version/labcatalog/snapshot.go
+++ b/control/version/labcatalog/snapshot.go
@@ -22,6 +22,8 @@
 	TrailBase     []byte            `msgpack:"b"`
 	TrailNext     uint64            `msgpack:"n"`
 	Records       []Record          `msgpack:"r"`
+
+	Controls map[lab.InstanceID]ControlInstance `msgpack:"k,omitempty"`
 }
 
 type groupImage struct {
@@ -41,6 +43,7 @@
 			Database: g.database, Promotion: g.promotion, Retired: g.retired, Departing: g.departing,
 		})
 	}
+	m.Controls = c.controls.image()
 	c.fleet.lock.RLock()
 	for _, p := range c.fleet.proxies {
 		m.Proxies = append(m.Proxies, p)
@@ -81,6 +84,7 @@
 	}
 	c.configuration.restore(&m)
 	c.restoreGroups(&m)
+	c.controls.restore(m.Controls)
 	c.fleet.lock.Lock()
 	c.fleet.proxies = make(map[lab.InstanceID]proxy, len(m.Proxies))
 	for _, p := range m.Proxies {
--- a/ctl/process/labcommand/command.go
+++ b/ctl/process/labcommand/command.go
@@ -33,6 +33,7 @@
 	c.addObjects(a, n, "template", laboperator.KindTemplate)
 	c.addObjects(a, n, "organisation", laboperator.KindOrganisation)
 	c.addAudit(a, n)
+	c.addControl(a, n)
 	c.addKeys(a)
 	c.addSettings(a)
 	c.addCredential(a)
--- /dev/null
+++ b/ctl/process/labcommand/control.go
@@ -0,0 +1,54 @@
+package labcommand
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"laburnumlock.dev/lab/request/laboperator"
+)
+
+// addRounds gives a new instance about a minute to catch up, since one request waits 3.5 s for it.
+const addRounds = 16
+
+func (c *Command) addControl(a *kingpin.Application, n *connection) {
+	k := a.Command("control", "Reads and changes the group of control instances.")
+
+	c.add(k.Command("list", "Shows voters, learners, leader and applied index."), func(ctx context.Context) error {
+		return c.group(n, func(o *laboperator.Client) (laboperator.ControlGroup, error) { return o.Control(ctx) })
+	})
+
+	add := k.Command("add", "Makes an instance that runs with join set a voter once it has caught up.")
+	name := add.Arg("name", "New instance name, never used before.").Required().String()
+	process := add.Flag("process-address", "IP address and port of its transport.").Required().String()
+	operator := add.Flag("operator-address", "IP address and port of its operators' API.").Required().String()
+
+	c.add(add, func(ctx context.Context) error {
+		return c.group(n, func(o *laboperator.Client) (laboperator.ControlGroup, error) {
+			o.Rounds = addRounds
+
+			return o.AddControl(ctx, *name, laboperator.ControlAddresses{Process: *process, Operator: *operator})
+		})
+	})
+
+	remove := k.Command("remove", "Takes an instance out of the group for good.")
+	removed := remove.Arg("name", "Instance name.").Required().String()
+
+	c.add(remove, func(ctx context.Context) error {
+		return c.group(n, func(o *laboperator.Client) (laboperator.ControlGroup, error) { return o.RemoveControl(ctx, *removed) })
+	})
+}
+
+func (c *Command) group(n *connection, ask func(o *laboperator.Client) (laboperator.ControlGroup, error)) error {
+	client, err := n.client()
+	if err != nil {
+		return err
+	}
+
+	g, err := ask(client)
+	if err != nil {
+		return err
+	}
+
+	return c.print(g)
+}
