Leave no connection without a word at a planned stop

Ruled out: a long stream that holds up the drain; the drain now serves until nothing is in progress, all the same. Change: the listener closes first, what is in its queue is ended with the code of a planned stop as well.

--- a/process/labtransport/drain.go
+++ b/process/labtransport/drain.go
@@ -7,33 +7,20 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Drain serves no further streams and returns when none is in progress and the last answers have had time to arrive,
-// since closing a connection discards what was not delivered. Peers learn when Run ends that what was not answered was
-// not run. It returns the context's error when that ends first; peers then learn nothing.
-func (t *Transport) Drain(ctx context.Context) error {
-	const poll = 10 * time.Millisecond
-
-	pause := func(d time.Duration) error {
-		timer := time.NewTimer(d)
-		defer timer.Stop()
-
-		select {
-		case <-timer.C:
-			return nil
-		case <-ctx.Done():
-			return errors.Newf("drain transport with %d streams in progress: %w", t.serving.Load(), ctx.Err())
-		}
-	}
+// drainPoll is the pause between two looks at what is in progress.
+const drainPoll = 10 * time.Millisecond
 
-	t.draining.Store(true)
-
-	for t.serving.Load() > 0 {
-		if err := pause(poll); err != nil {
+// Drain returns when no stream of another process is in progress, no further one is served, and the last answers have had
+// time to arrive, since closing a connection discards what was not delivered. Peers learn when Run ends that what was not
+// answered was not run. It returns the context's error when that ends first; peers then learn nothing.
+func (t *Transport) Drain(ctx context.Context) error {
+	for !t.idle() {
+		if err := t.pause(ctx, drainPoll); err != nil {
 			return err
 		}
 	}
 
-	if err := pause(lingerTime); err != nil {
+	if err := t.pause(ctx, lingerTime); err != nil {
 		return err
 	}
 
@@ -41,3 +28,33 @@
 
 	return nil
 }
+
+// idle stops serving when nothing is in progress. New streams are served until then, so that they are refused by their
+// handlers and not left waiting behind a long one.
+func (t *Transport) idle() bool {
+	if t.serving.Load() > 0 {
+		return false
+	}
+
+	t.draining.Store(true)
+
+	if t.serving.Load() > 0 {
+		t.draining.Store(false)
+
+		return false
+	}
+
+	return true
+}
+
+func (t *Transport) pause(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Newf("drain transport with %d streams in progress: %w", t.serving.Load(), ctx.Err())
+	}
+}
--- a/process/labtransport/serve.go
+++ b/process/labtransport/serve.go
@@ -34,14 +34,12 @@
 }
 
 func (t *Transport) serveStream(ctx context.Context, from lab.InstanceID, s *stream) {
-	t.serving.Add(1)
-	defer t.serving.Add(-1)
-
-	// Left without an answer, so that the peer learns from the connection's end that nothing ran.
-	if t.draining.Load() {
+	if !t.admit(ctx) {
 		return
 	}
 
+	defer t.serving.Add(-1)
+
 	_ = s.SetReadDeadline(time.Now().Add(preambleTimeout))
 
 	var p preamble
@@ -129,6 +127,26 @@
 	_, _ = s.Write(b) // a peer that has gone sees its own timeout
 }
 
+// admit counts a stream as served. While a drain looks whether all has ended, it waits; a stream that waits when the
+// connection ends is left without an answer, and the peer learns that it was not run.
+func (t *Transport) admit(ctx context.Context) bool {
+	for {
+		t.serving.Add(1)
+
+		if !t.draining.Load() {
+			return true
+		}
+
+		t.serving.Add(-1)
+
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // keep notes an accepted connection, or forgets it.
 func (t *Transport) keep(c *quic.Conn, open bool) {
 	t.mutex.Lock()
--- a/process/labtransport/transport.go
+++ b/process/labtransport/transport.go
@@ -151,10 +151,22 @@
 		code = codeStopped
 	}
 
+	// No connection may slip in behind the list and be dropped without a word.
+	_ = t.listener.Close()
+
 	t.mutex.Lock()
 	accepted := slices.Collect(maps.Keys(t.accepted))
 	t.mutex.Unlock()
 
+	for {
+		c, err := t.listener.Accept(context.Background())
+		if err != nil {
+			break // the listener is closed and its queue empty
+		}
+
+		accepted = append(accepted, c)
+	}
+
 	for _, c := range accepted {
 		_ = c.CloseWithError(code, "stopped")
 	}
@@ -168,7 +180,6 @@
 
 	time.Sleep(closeTime)
 
-	_ = t.listener.Close()
 	_ = t.quic.Close()
 	_ = t.quic.Conn.Close()
 }
--- a/process/labtransport/transport_test.go
+++ b/process/labtransport/transport_test.go
@@ -294,6 +294,25 @@
 	t.Run("drained", func(t *testing.T) {
 		assert.Assert(t, errors.Is(unanswered(true), lab.ErrPeerStopped))
 	})
+	// A peer whose connection has ended connects again at once and must not reach a listener that nobody serves.
+	t.Run("connecting meanwhile", func(t *testing.T) {
+		a := start(t, folder, "a")
+		b, stop := startStoppable(t, folder, "b")
+		assert.NilError(t, b.Drain(within(t, 5*time.Second)))
+
+		go stop()
+
+		for range 200 {
+			s, err := a.Open(within(t, 500*time.Millisecond), b.Bound(), lab.MethodTransaction, echo{})
+			if err != nil {
+				break // refused: nothing was sent
+			}
+
+			began := time.Now()
+			_, err = s.Read(make([]byte, 1))
+			assert.Assert(t, errors.Is(err, lab.ErrPeerStopped), "%v after %s", err, time.Since(began))
+		}
+	})
 	t.Run("not drained", func(t *testing.T) {
 		err := unanswered(false)
 		assert.Assert(t, err != nil && !errors.Is(err, lab.ErrPeerStopped))
