Let requests wait for a database that is not in the catalog yet

Change: the forwarder waits for the database within the request's deadline; the session has checked before that the organisation has it. Shown failing first: 'database not in the catalog yet' fails without the change and passes with it. Conclusion: the start of a deployment delays requests and does not refuse them.

--- a/proxy/process/labforward/fake_test.go
+++ b/proxy/process/labforward/fake_test.go
@@ -143,11 +143,17 @@
 type fakeRoutes struct {
 	mu       sync.Mutex
 	database lab.Database
+	missing  int // how often the database is not there yet
 }
 
 func (r *fakeRoutes) Database(string) (*lab.Database, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+
+	if r.missing--; r.missing >= 0 {
+		return nil, false
+	}
+
 	d := r.database
 
 	return &d, true
--- a/proxy/process/labforward/forwarder.go
+++ b/proxy/process/labforward/forwarder.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"laburnumlock.dev/lab"
 )
 
@@ -58,10 +56,11 @@
 
 // place finds the gateway among those not tried yet: of the primary's region for writes; for reads of the own region,
 // then of the primary's, then of any other.
-func (f *Forwarder) place(header lab.Header, tried map[lab.InstanceID]bool) (lab.Placement, bool, error) {
+func (f *Forwarder) place(header lab.Header, tried map[lab.InstanceID]bool) (lab.Placement, bool) {
 	database, found := f.Routes.Database(header.Database)
 	if !found {
-		return lab.Placement{}, false, lab.NotRun(lab.ReasonRejected, errors.Newf("no database %q", header.Database))
+		// The session has checked that the organisation has the database; its members are not in the catalog yet.
+		return lab.Placement{}, false
 	}
 
 	primary, _ := database.Member(database.Primary)
@@ -84,11 +83,11 @@
 
 	for _, r := range regions {
 		if p, placed := database.Placement(r); placed && !tried[p.Instance] {
-			return p, true, nil
+			return p, true
 		}
 	}
 
-	return lab.Placement{}, false, nil
+	return lab.Placement{}, false
 }
 
 func (f *Forwarder) progressTimeout() time.Duration {
--- a/proxy/process/labforward/forwarder_test.go
+++ b/proxy/process/labforward/forwarder_test.go
@@ -100,6 +100,13 @@
 		assert.Equal(t, answer, "answer to w2")
 		assert.Equal(t, len(s.far.ran), 1)
 	})
+	t.Run("database not in the catalog yet", func(t *testing.T) {
+		s := newSite(t)
+		s.routes.missing = 4
+		_, answer, err := s.do(t, lab.Header{Deadline: 2 * time.Second}, "w5")
+		assert.NilError(t, err)
+		assert.Equal(t, answer, "answer to w5")
+	})
 	t.Run("refused until the deadline", func(t *testing.T) {
 		const deadline = 300 * time.Millisecond
 
--- a/proxy/process/labforward/transaction.go
+++ b/proxy/process/labforward/transaction.go
@@ -58,11 +58,7 @@
 // time is left, so that a change of gateway delays requests and does not fail them.
 func (t *transaction) next(ctx context.Context, refused error) (lab.Placement, error) {
 	for {
-		placement, found, err := t.forwarder.place(t.header, t.tried)
-		if err != nil {
-			return lab.Placement{}, err
-		}
-
+		placement, found := t.forwarder.place(t.header, t.tried)
 		if found {
 			t.tried[placement.Instance] = true
 
