Drop the lease_ms setting, which nothing read

Cause: the lease time is a constant of the protocol between control and proxies; the setting was checked and ignored. Change: the setting is gone; a file that has it is now refused as having an unknown field.

--- a/bench/process/labdeployment/start.go
+++ b/bench/process/labdeployment/start.go
@@ -43,7 +43,7 @@
 	for i, name := range d.names("control", d.Settings.ControlZones) {
 		c := d.common(name, d.Settings.ControlZones[i])
 		s := &labsettings.Control{
-			Common: c, DataFolder: filepath.Join(d.Folder, name), OperatorAddress: anyPort, SnapshotEntries: 1000, LeaseMS: 3000,
+			Common: c, DataFolder: filepath.Join(d.Folder, name), OperatorAddress: anyPort, SnapshotEntries: 1000,
 		}
 		n := d.controlNode(name, s)
 
--- a/bench/processes_test.go
+++ b/bench/processes_test.go
@@ -163,7 +163,7 @@
 func (s *site) controlSettings(number int) any {
 	c := labsettings.Control{
 		Common: s.common("control", number, 0, 1), OperatorAddress: s.address(2, number),
-		DataFolder: filepath.Join(s.folder, fmt.Sprintf("control-%d", number)), SnapshotEntries: 1000, LeaseMS: 3000,
+		DataFolder: filepath.Join(s.folder, fmt.Sprintf("control-%d", number)), SnapshotEntries: 1000,
 	}
 	for i := range zoneCount {
 		c.Peers = append(c.Peers, labsettings.Peer{
--- a/control/process/labinstance/cluster_test.go
+++ b/control/process/labinstance/cluster_test.go
@@ -75,7 +75,7 @@
 			MetricsAddress: anyPort, KeysFolder: c.authority.Folder, UpstreamUser: "u",
 		},
 		DataFolder: filepath.Join(filepath.Dir(c.authority.Folder), name), OperatorAddress: anyPort,
-		SnapshotEntries: 100, LeaseMS: 3000,
+		SnapshotEntries: 100,
 	}
 }
 
--- a/ctl/process/labcommand/command_test.go
+++ b/ctl/process/labcommand/command_test.go
@@ -48,7 +48,7 @@
 			Instance: "control-1", Region: "r", AvailabilityZone: "z", ProcessAddress: anyPort, AnnounceAddress: anyPort,
 			MetricsAddress: anyPort, KeysFolder: d.keys, UpstreamUser: "u",
 		},
-		DataFolder: filepath.Join(d.folder, "control-1"), OperatorAddress: anyPort, SnapshotEntries: 1000, LeaseMS: 3000,
+		DataFolder: filepath.Join(d.folder, "control-1"), OperatorAddress: anyPort, SnapshotEntries: 1000,
 	}
 	i := &labinstance.Instance{Settings: s, Logger: zerolog.Nop()}
 	assert.NilError(d.t, i.Listen(d.t.Context()))
--- a/version/labsettings/control.go
+++ b/version/labsettings/control.go
@@ -23,12 +23,10 @@
 	Peers           []Peer `json:"peers"`            // all control instances, this one included: 1, 3, 5 or 7
 	Join            bool   `json:"join,omitempty"`   // joins a running group as a replacement instead of founding one
 	SnapshotEntries int64  `json:"snapshot_entries,omitempty"`
-	LeaseMS         int64  `json:"lease_ms,omitempty"` // milliseconds, 3000 when left out
 }
 
 const (
 	defaultSnapshotEntries = 1000
-	defaultLeaseMS         = 3000
 )
 
 // LoadControl reads and checks a control instance's settings file.
@@ -43,7 +41,7 @@
 
 // ParseControl reads and checks a control instance's settings; name is used in errors.
 func ParseControl(name string, text []byte) (*Control, error) {
-	s := &Control{SnapshotEntries: defaultSnapshotEntries, LeaseMS: defaultLeaseMS}
+	s := &Control{SnapshotEntries: defaultSnapshotEntries}
 
 	d, err := parse(name, text, s)
 	if err != nil {
@@ -63,7 +61,6 @@
 	c.required("/data_folder", s.DataFolder)
 	c.address("/operator_address", s.OperatorAddress)
 	c.between("/snapshot_entries", s.SnapshotEntries, 10, 1_000_000)
-	c.between("/lease_ms", s.LeaseMS, 500, 8000)
 
 	switch len(s.Peers) {
 	case 1, 3, 5, 7:
