--- a/proxy/process/labobserver/observer.go
+++ b/proxy/process/labobserver/observer.go
@@ -125,15 +125,6 @@
 	}
 }
 
-// Poll reads the positions of a database's members soon.
-func (o *Observer) Poll(database string) {
-	if w := o.find(database); w != nil {
-		w.mu.Lock()
-		w.kick()
-		w.mu.Unlock()
-	}
-}
-
 // Wait polls a database's members until the views satisfy a condition or the context ends. All who wait share polls.
 func (o *Observer) Wait(ctx context.Context, database string, satisfied func([]View) bool) error {
 	w := o.find(database)
--- a/proxy/version/labroute/table.go
+++ b/proxy/version/labroute/table.go
@@ -59,18 +59,6 @@
 	return t.current.Load().proxies
 }
 
-// DatabaseNames returns the names of all databases in no particular order.
-func (t *Table) DatabaseNames() []string {
-	s := t.current.Load()
-	names := make([]string, 0, len(s.databases))
-
-	for n := range s.databases {
-		names = append(names, n)
-	}
-
-	return names
-}
-
 // Apply brings a delta into force. A delta that would go back, or that builds on an index not reached here, is an
 // error and changes nothing.
 func (t *Table) Apply(delta lab.Delta) error {
