--- /dev/null
+++ b/control/process/labkeeper/documents.go
@@ -0,0 +1,129 @@
+package labkeeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labvoters"
+	"laburnumlock.dev/lab/control/version/labrecord"
+)
+
+// forwardTimeout bounds a call to the leader. Operators and members ask another instance after a second.
+const forwardTimeout = 800 * time.Millisecond
+
+// ErrInvalid is returned for a document that cannot be in force.
+var ErrInvalid = errors.New("document is invalid")
+
+// Put makes a document durable and returns nil once it, or one with a version not lower, is the newest one accepted.
+func (k *Keeper) Put(ctx context.Context, source []byte) error {
+	d, err := k.Documents.Read(source)
+	if err != nil {
+		k.Log.Info().Err(err).Int("bytes", len(source)).Msg("document_refused")
+
+		return errors.Mark(errors.Newf("read document: %w", err), ErrInvalid)
+	}
+
+	if k.Leading() {
+		return k.put(ctx, d.Version, source)
+	}
+
+	l, ok := k.leader()
+	if !ok {
+		return lab.ErrNotLeader
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+
+	err = k.Transport.Call(ctx, labvoters.Address(l), methodPut, putRequest{Version: d.Version, Source: source}, nil)
+
+	return errors.Wrap(err, "forward document")
+}
+
+func (k *Keeper) put(ctx context.Context, version uint64, source []byte) error {
+	// A version that is not newer changes nothing, but its acknowledgement must not come from a deposed leader that
+	// only believes to hold the newest.
+	if k.record.Document().Version >= version {
+		return errors.Wrap(k.group.Load().Barrier(ctx), "confirm held version")
+	}
+
+	effect, err := k.propose(ctx, labrecord.Command{Document: &labrecord.Document{Version: version, Source: source}})
+	if err != nil {
+		return err
+	}
+
+	if taken, ok := effect.(bool); ok && taken {
+		k.Counters.Documents.Add(1)
+	}
+
+	k.Log.Info().Uint64("version", version).Interface("in_force", effect).Msg("document_accepted")
+
+	return nil
+}
+
+func (k *Keeper) propose(ctx context.Context, c labrecord.Command) (any, error) {
+	b, err := c.Encode()
+	if err != nil {
+		return nil, err
+	}
+
+	return k.group.Load().Propose(ctx, b)
+}
+
+func (k *Keeper) handlePut(ctx context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
+	var r putRequest
+	if err := decode(&r); err != nil {
+		return nil, err
+	}
+
+	if !k.Leading() {
+		return nil, lab.ErrNotLeader
+	}
+
+	return struct{}{}, k.put(ctx, r.Version, r.Source)
+}
+
+// Get returns the newest document and its version; it fails where the newest cannot be known.
+func (k *Keeper) Get(ctx context.Context) (source []byte, version uint64, err error) {
+	if k.Leading() {
+		return k.get(ctx)
+	}
+
+	l, ok := k.leader()
+	if !ok {
+		return nil, 0, lab.ErrNotLeader
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+
+	var a getAnswer
+	if err := k.Transport.Call(ctx, labvoters.Address(l), methodGet, struct{}{}, &a); err != nil {
+		return nil, 0, errors.Newf("ask leader for document: %w", err)
+	}
+
+	return a.Source, a.Version, nil
+}
+
+func (k *Keeper) get(ctx context.Context) ([]byte, uint64, error) {
+	if err := k.group.Load().Barrier(ctx); err != nil {
+		return nil, 0, errors.Newf("confirm newest document: %w", err)
+	}
+
+	d := k.record.Document()
+
+	return d.Source, d.Version, nil
+}
+
+func (k *Keeper) handleGet(ctx context.Context, _ lab.InstanceID, _ func(any) error) (any, error) {
+	if !k.Leading() {
+		return nil, lab.ErrNotLeader
+	}
+
+	s, v, err := k.get(ctx)
+
+	return getAnswer{Version: v, Source: s}, err
+}
--- /dev/null
+++ b/control/process/labkeeper/identity.go
@@ -0,0 +1,117 @@
+package labkeeper
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labjournal"
+	"laburnumlock.dev/lab/control/process/labvoters"
+)
+
+const (
+	identityFile = "identity"
+	journalName  = "journal"
+	folderMode   = 0o700
+	fileMode     = 0o600
+)
+
+// identity is the name under which an instance votes. It lives beside the journal, so that an instance that lost its
+// disk returns under another name and cannot vote twice.
+type identity struct {
+	folder  string
+	id      lab.InstanceID
+	founder bool // one of the first voters
+	fresh   bool // created by this start
+}
+
+// openIdentity reads the identity of a data folder or creates one. A founder's name is its address alone, so that all
+// founders know each other's names.
+func openIdentity(folder, address string, founding bool, random lab.Random) (*identity, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, errors.Newf("create data folder: %w", err)
+	}
+
+	i := &identity{folder: folder}
+
+	b, err := os.ReadFile(filepath.Join(folder, identityFile))
+	if err == nil {
+		i.id = lab.InstanceID(strings.TrimSpace(string(b)))
+		i.founder = i.id == lab.InstanceID(address)
+
+		return i, nil
+	}
+
+	if !errors.Is(err, os.ErrNotExist) {
+		return nil, errors.Newf("read identity: %w", err)
+	}
+
+	i.fresh, i.founder, i.id = true, founding, lab.InstanceID(address)
+
+	if !founding {
+		var suffix [8]byte
+
+		binary.BigEndian.PutUint64(suffix[:], random.Uint64())
+		i.id += lab.InstanceID(labvoters.Separator + hex.EncodeToString(suffix[:]))
+	}
+
+	return i, i.store()
+}
+
+func (i *identity) store() error {
+	temporary := filepath.Join(i.folder, identityFile+".new")
+
+	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return errors.Newf("create identity: %w", err)
+	}
+
+	if _, err := f.WriteString(string(i.id) + "\n"); err != nil {
+		return errors.Newf("write identity: %w", errors.Join(err, f.Close()))
+	}
+
+	if err := errors.Join(f.Sync(), f.Close()); err != nil {
+		return errors.Newf("sync identity: %w", err)
+	}
+
+	if err := os.Rename(temporary, filepath.Join(i.folder, identityFile)); err != nil {
+		return errors.Newf("rename identity: %w", err)
+	}
+
+	return syncFolder(i.folder)
+}
+
+// discard removes identity and journal of an instance that is no longer a member.
+func (i *identity) discard() error {
+	if err := os.RemoveAll(i.journalFolder()); err != nil {
+		return errors.Newf("remove journal: %w", err)
+	}
+
+	if err := os.Remove(filepath.Join(i.folder, identityFile)); err != nil {
+		return errors.Newf("remove identity: %w", err)
+	}
+
+	return syncFolder(i.folder)
+}
+
+func (i *identity) journalFolder() string {
+	return filepath.Join(i.folder, journalName)
+}
+
+func (i *identity) journal() *labjournal.Journal {
+	return &labjournal.Journal{Folder: i.journalFolder()}
+}
+
+func syncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return errors.Newf("open folder: %w", err)
+	}
+
+	return errors.Wrap(errors.Join(f.Sync(), f.Close()), "sync folder")
+}
--- /dev/null
+++ b/control/process/labkeeper/keeper.go
@@ -0,0 +1,238 @@
+package labkeeper
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labconsensus"
+	"laburnumlock.dev/lab/control/process/labreplica"
+	"laburnumlock.dev/lab/control/process/labroster"
+	"laburnumlock.dev/lab/control/version/labrecord"
+	"laburnumlock.dev/lab/process/labtransport"
+)
+
+// Timing of the consensus group. Instances have a fraction of a core and may be 12 ms apart, so elections take longer
+// than the product's defaults.
+const (
+	electionMin     = 700 * time.Millisecond
+	electionMax     = 1400 * time.Millisecond
+	heartbeat       = 120 * time.Millisecond
+	groupTick       = 20 * time.Millisecond
+	snapshotEvery   = 200 // applied entries; a document is up to 256 KiB, so the journal stays well below a small disk
+	trailingEntries = 8   // documents kept in memory for members slightly behind
+)
+
+// Keeper is one control process; exported fields are set before Run.
+type Keeper struct {
+	Zone    string
+	Region  string
+	Regions map[string]string // by availability zone
+
+	Address    string          // host:port of the transport between processes
+	Seeds      func() []string // process addresses of some control instances, as of now
+	Founding   bool            // the deployment starts for the first time
+	Losses     int             // control instances that may be lost at the same time
+	DataFolder string
+
+	Transport *labtransport.Transport
+	Clock     lab.Clock
+	Random    lab.Random
+	Documents lab.DocumentReader
+	Dialer    lab.MemberDialer
+	Caller    lab.PromotionCaller
+	Log       zerolog.Logger
+	Counters  Counters
+
+	identity *identity
+	record   *labrecord.Record
+	roster   *labroster.Roster
+	group    atomic.Pointer[labconsensus.Group]
+	senders  senders
+	boot     uint64
+	started  time.Duration
+	watchers watchers
+	missing  map[string]time.Duration // when a service was first seen without a primary
+
+	mutex     sync.Mutex
+	heard     map[lab.InstanceID]time.Duration // last message of each control instance
+	reporting map[lab.InstanceID]time.Duration // last join request of each control instance
+	replacing map[string]bool                  // services whose primary is being replaced
+	removed   chan struct{}                    // the identity has been removed from the group
+	changed   chan struct{}                    // closed and replaced after each change of roster or record
+}
+
+// Run takes part in the control group until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+
+
+	for ctx.Err() == nil {
+		if err := k.takePart(ctx); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// Prepare registers the methods of the transport; it is called once, before all other methods.
+func (k *Keeper) Prepare() {
+	k.boot, k.started = k.Random.Uint64(), k.Clock.Now()
+	k.changed = make(chan struct{})
+	k.heard, k.reporting = map[lab.InstanceID]time.Duration{}, map[lab.InstanceID]time.Duration{}
+	k.replacing, k.missing = map[string]bool{}, map[string]time.Duration{}
+	k.roster = &labroster.Roster{Clock: k.Clock, Changed: k.wake}
+	k.watchers.clock = k.Clock
+
+	k.Transport.HandleCall(lab.MethodConsensus, k.handleConsensus)
+	k.Transport.HandleCall(lab.MethodWatch, k.handleWatch)
+	k.Transport.HandleCall(methodJoin, k.handleJoin)
+	k.Transport.HandleCall(methodPut, k.handlePut)
+	k.Transport.HandleCall(methodGet, k.handleGet)
+	k.Transport.HandleCall(methodAnnounce, k.handleAnnounce)
+	k.Transport.HandleCall(methodSpread, k.handleSpread)
+}
+
+// takePart runs under one identity until the context ends or the identity was removed from the group.
+func (k *Keeper) takePart(ctx context.Context) error {
+	var err error
+	if k.identity, err = openIdentity(k.DataFolder, k.Address, k.Founding && slices.Contains(k.Seeds(), k.Address), k.Random); err != nil {
+		return errors.Newf("open identity: %w", err)
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	k.removed = make(chan struct{})
+	k.record = &labrecord.Record{Changed: k.wake}
+	k.senders = senders{peers: k.Transport, context: ctx}
+
+	journal := k.identity.journal()
+	defer func() {
+		if err := journal.Close(); err != nil {
+			k.Log.Error().Err(err).Msg("journal_close_failed")
+		}
+	}()
+
+	g := &labconsensus.Group{
+		ID: k.identity.id, Voters: k.founders(), Journal: journal, Clock: k.Clock, Random: k.Random, Machine: k.record,
+		Send: k.send, ElectionMin: electionMin, ElectionMax: electionMax, Heartbeat: heartbeat,
+		TickInterval: groupTick, SnapshotEvery: snapshotEvery, Trailing: trailingEntries,
+	}
+	k.group.Store(g)
+	k.Log.Info().Str("identity", string(k.identity.id)).Bool("founder", k.identity.founder).
+		Bool("fresh", k.identity.fresh).Msg("control_started")
+
+	e, ctx := errgroup.WithContext(ctx)
+	e.Go(func() error { return g.Run(ctx) })
+	e.Go(func() error { return k.tend(ctx) })
+	e.Go(func() error { return k.join(ctx) })
+	e.Go(func() error { return k.spread(ctx) })
+	e.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-k.removed:
+			return errRemoved
+		}
+	})
+
+	err = e.Wait()
+	if errors.Is(err, errRemoved) {
+		k.Log.Warn().Str("identity", string(k.identity.id)).Msg("identity_removed")
+
+		return k.identity.discard()
+	}
+
+	return err
+}
+
+var errRemoved = errors.New("identity was removed from the control group")
+
+// founders returns the first voters of a new group: the seeds, which every founder was told alike.
+func (k *Keeper) founders() []lab.InstanceID {
+	if !k.identity.founder {
+		return nil
+	}
+
+	var out []lab.InstanceID
+	for _, s := range k.Seeds() {
+		out = append(out, lab.InstanceID(s))
+	}
+
+	slices.Sort(out)
+
+	return slices.Compact(out)
+}
+
+func (k *Keeper) handleConsensus(_ context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
+	var b batch
+	if err := decode(&b); err != nil {
+		return nil, err
+	}
+
+	g := k.group.Load()
+	if g == nil {
+		return nil, lab.ErrNotLeader
+	}
+
+	for _, m := range b.Messages {
+		k.hear(m.From)
+		g.Deliver(m)
+	}
+
+	return struct{}{}, nil
+}
+
+func (k *Keeper) hear(id lab.InstanceID) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	k.heard[id] = k.Clock.Now()
+}
+
+func (k *Keeper) send(to lab.InstanceID, m labreplica.Message) {
+	k.senders.send(to, m)
+}
+
+// wake ends the waits for a change.
+func (k *Keeper) wake() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+func (k *Keeper) change() <-chan struct{} {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	return k.changed
+}
+
+// Leading reports whether this instance leads and has recently heard from a quorum.
+func (k *Keeper) Leading() bool {
+	g := k.group.Load()
+
+	return g != nil && g.Leadership().Self
+}
+
+// leader returns the known leader when it is another instance.
+func (k *Keeper) leader() (lab.InstanceID, bool) {
+	g := k.group.Load()
+	if g == nil {
+		return "", false
+	}
+
+	l := g.Leadership().Leader
+
+	return l, l != "" && l != k.identity.id
+}
--- /dev/null
+++ b/control/process/labkeeper/message.go
@@ -0,0 +1,54 @@
+package labkeeper
+
+import (
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labreplica"
+)
+
+// The methods between control instances.
+const (
+	methodJoin     lab.Method = "keeper_join"
+	methodPut      lab.Method = "keeper_put"
+	methodGet      lab.Method = "keeper_get"
+	methodAnnounce lab.Method = "keeper_announce"
+	methodSpread   lab.Method = "keeper_spread"
+)
+
+// batch carries consensus messages of one sender in order.
+type batch struct {
+	Messages []labreplica.Message `msgpack:"m"`
+}
+
+// joinRequest is sent periodically by each instance.
+type joinRequest struct {
+	ID    lab.InstanceID `msgpack:"i"`
+	Fresh bool           `msgpack:"f"` // has never been a member
+}
+
+type joinAnswer struct {
+	Leader  lab.InstanceID   `msgpack:"l"`
+	Members []lab.InstanceID `msgpack:"m"`
+	Removed bool             `msgpack:"r"` // the identity was a member and is no longer
+}
+
+type putRequest struct {
+	Version uint64 `msgpack:"v"`
+	Source  []byte `msgpack:"s"`
+}
+
+type getAnswer struct {
+	Version uint64 `msgpack:"v"`
+	Source  []byte `msgpack:"s"`
+}
+
+// sighting is an announcement and how long ago the member made it.
+type sighting struct {
+	Announcement lab.Announcement `msgpack:"a"`
+	Age          time.Duration    `msgpack:"t"`
+}
+
+type spreadRequest struct {
+	Sightings []sighting `msgpack:"s"`
+}
--- /dev/null
+++ b/control/process/labkeeper/watch.go
@@ -0,0 +1,213 @@
+package labkeeper
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labsuccession"
+	"laburnumlock.dev/lab/control/process/labvoters"
+)
+
+const (
+	// watchLimit bounds the wait of a watch.
+	watchLimit = time.Second
+	// proxyAge is how long a proxy counts after its last watch.
+	proxyAge = 5 * time.Second
+	// settleTime is how long an instance must have run to have heard every member, three announcements' intervals.
+	settleTime = 4 * time.Second
+)
+
+// watchers holds the newest reports of the proxies.
+type watchers struct {
+	clock lab.Clock
+
+	mutex   sync.Mutex
+	proxies map[lab.InstanceID]*watcher
+}
+
+type watcher struct {
+	heard   time.Duration
+	reports []lab.PrimaryReport
+}
+
+func (w *watchers) note(r lab.WatchRequest) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	if w.proxies == nil {
+		w.proxies = map[lab.InstanceID]*watcher{}
+	}
+
+	if r.Draining {
+		delete(w.proxies, r.Proxy)
+
+		return
+	}
+
+	w.proxies[r.Proxy] = &watcher{heard: w.clock.Now(), reports: r.Primaries}
+}
+
+// count returns how many proxies there are.
+func (w *watchers) count() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	now, n := w.clock.Now(), 0
+
+	for id, p := range w.proxies {
+		if now-p.heard > proxyAge {
+			delete(w.proxies, id)
+
+			continue
+		}
+
+		n++
+	}
+
+	return n
+}
+
+// votes counts the proxies that recently failed to reach a member and those that reached it.
+func (w *watchers) votes(service, member string) (failing, reaching int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	for _, p := range w.proxies {
+		if w.clock.Now()-p.heard > labsuccession.ReportAge {
+			continue
+		}
+
+		for _, r := range p.reports {
+			switch {
+			case r.Service != service || r.Member != member:
+			case r.Failing > 0:
+				failing++
+			default:
+				reaching++
+			}
+		}
+	}
+
+	return failing, reaching
+}
+
+func (k *Keeper) handleWatch(ctx context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
+	var r lab.WatchRequest
+	if err := decode(&r); err != nil {
+		return nil, err
+	}
+
+	if !k.Leading() {
+		l, ok := k.leader()
+		if !ok {
+			return nil, lab.ErrNotLeader
+		}
+
+		return lab.WatchAnswer{Leader: lab.InstanceID(labvoters.Address(l))}, nil
+	}
+
+	k.watchers.note(r)
+	k.Counters.Watches.Add(1)
+
+	timer := time.NewTimer(min(r.Wait, watchLimit))
+	defer timer.Stop()
+
+	for {
+		c := k.change()
+		if k.news(r) {
+			break
+		}
+
+		select {
+		case <-c:
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+
+		break
+	}
+
+	if !k.Leading() {
+		return nil, lab.ErrNotLeader
+	}
+
+	return k.answer(r), nil
+}
+
+func (k *Keeper) news(r lab.WatchRequest) bool {
+	return r.Boot != k.epoch() || r.Revision != k.revision() || r.Version < k.record.Document().Version
+}
+
+// epoch distinguishes the revisions of different reigns.
+func (k *Keeper) epoch() uint64 {
+	return k.boot + k.group.Load().Leadership().Term
+}
+
+func (k *Keeper) revision() uint64 {
+	r := k.roster.Revision()<<1 | uint64(btoi(k.complete()))
+
+	for _, s := range k.services() {
+		if p, ok := k.record.Promotion(s); ok && p.Done {
+			r += p.Token << 20 // far above the roster's changes between two promotions
+		}
+	}
+
+	return r
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+
+	return 0
+}
+
+func (k *Keeper) answer(r lab.WatchRequest) lab.WatchAnswer {
+	a := lab.WatchAnswer{Boot: k.epoch(), Revision: k.revision(), Complete: k.complete(), Proxies: k.watchers.count()}
+
+	if d := k.record.Document(); d.Version > r.Version {
+		a.Source = d.Source
+	}
+
+	if r.Boot != a.Boot || r.Revision != a.Revision {
+		a.Members, a.Primaries = k.members(), k.primaries()
+	}
+
+	for _, m := range k.group.Load().Members().All() {
+		a.Controls = append(a.Controls, labvoters.Address(m))
+	}
+
+	return a
+}
+
+// complete reports whether this instance has run long enough to have heard every member.
+func (k *Keeper) complete() bool {
+	return k.Clock.Now()-k.started > settleTime
+}
+
+func (k *Keeper) members() []lab.Announcement {
+	var out []lab.Announcement
+
+	for _, e := range k.roster.Entries() {
+		out = append(out, e.Announcement)
+	}
+
+	return out
+}
+
+func (k *Keeper) services() []string {
+	var out []string
+
+	for _, e := range k.roster.Entries() {
+		out = append(out, e.Announcement.Database)
+	}
+
+	slices.Sort(out)
+
+	return slices.Compact(out)
+}
--- /dev/null
+++ b/control/process/labroster/roster.go
@@ -0,0 +1,176 @@
+package labroster
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"laburnumlock.dev/lab"
+)
+
+// ForgetAfter is how long a silent member is kept. It is far above the outages of members that return with their log,
+// because a forgotten replica no longer holds up a promotion.
+const ForgetAfter = 60 * time.Second
+
+// Entry is the newest announcement of a member.
+type Entry struct {
+	Announcement lab.Announcement
+	Heard        time.Duration // on the roster's clock, when it was received from the member itself
+	RoleSince    time.Duration // when its announced role last changed
+}
+
+// Roster holds the members' entries.
+type Roster struct {
+	Clock lab.Clock
+	// Changed is called after a change that proxies must learn; it must not block.
+	Changed func()
+
+	mutex    sync.Mutex
+	entries  map[string]*Entry
+	revision uint64
+}
+
+// Apply takes over an announcement that its sender received age ago. It reports whether the announcement is news, and
+// whether it changes more than the sequence.
+func (r *Roster) Apply(a lab.Announcement, age time.Duration) (news, material bool) {
+	r.mutex.Lock()
+	news, material = r.apply(a, r.Clock.Now()-age)
+	r.mutex.Unlock()
+
+	if material && r.Changed != nil {
+		r.Changed()
+	}
+
+	return news, material
+}
+
+func (r *Roster) apply(a lab.Announcement, heard time.Duration) (news, material bool) {
+	if r.entries == nil {
+		r.entries = map[string]*Entry{}
+	}
+
+	old, known := r.entries[a.Member]
+	if known && !supersedes(a, old.Announcement) {
+		return false, false
+	}
+
+	if !a.Gone && r.addressTaken(a) {
+		return false, false
+	}
+
+	e := &Entry{Announcement: a, Heard: heard, RoleSince: heard}
+	if known && old.Announcement.Primary == a.Primary && old.Announcement.Incarnation == a.Incarnation {
+		e.RoleSince = old.RoleSince
+	}
+
+	if known && a.Gone && a.Incarnation == 0 {
+		e.Announcement = old.Announcement
+		e.Announcement.Gone = true
+	}
+
+	r.entries[a.Member] = e
+	r.retireAddress(e.Announcement)
+
+	if known && same(old.Announcement, e.Announcement) {
+		return true, false
+	}
+
+	r.revision++
+
+	return true, true
+}
+
+// supersedes reports whether a is newer than b. A departure without an incarnation ends the known one.
+func supersedes(a, b lab.Announcement) bool {
+	if a.Gone && a.Incarnation == 0 {
+		return !b.Gone
+	}
+
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+
+	if b.Gone {
+		return false
+	}
+
+	return a.Gone || a.Sequence > b.Sequence
+}
+
+// addressTaken reports whether a younger member has registered at the address.
+func (r *Roster) addressTaken(a lab.Announcement) bool {
+	for _, e := range r.entries {
+		o := e.Announcement
+		if o.Member != a.Member && o.Address == a.Address && !o.Gone && o.Incarnation > a.Incarnation {
+			return true
+		}
+	}
+
+	return false
+}
+
+// retireAddress marks older members at the address of a new one as gone.
+func (r *Roster) retireAddress(a lab.Announcement) {
+	if a.Gone {
+		return
+	}
+
+	for _, e := range r.entries {
+		o := &e.Announcement
+		if o.Member != a.Member && o.Address == a.Address && !o.Gone {
+			o.Gone = true
+		}
+	}
+}
+
+// same reports whether proxies would treat both announcements alike.
+func same(a, b lab.Announcement) bool {
+	a.Sequence = b.Sequence
+
+	return a == b
+}
+
+// Sweep forgets members that have been silent for ForgetAfter.
+func (r *Roster) Sweep() {
+	r.mutex.Lock()
+	now, before := r.Clock.Now(), r.revision
+
+	for id, e := range r.entries {
+		if now-e.Heard > ForgetAfter {
+			delete(r.entries, id)
+
+			r.revision++
+		}
+	}
+
+	changed := r.revision != before
+	r.mutex.Unlock()
+
+	if changed && r.Changed != nil {
+		r.Changed()
+	}
+}
+
+// Entries returns copies of all entries, also of members that are gone, by member.
+func (r *Roster) Entries() []Entry {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	out := make([]Entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		out = append(out, *e)
+	}
+
+	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Announcement.Member, b.Announcement.Member) })
+
+	return out
+}
+
+// Revision grows with each change that proxies must learn.
+func (r *Roster) Revision() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return r.revision
+}
--- /dev/null
+++ b/control/process/labsuccession/choice.go
@@ -0,0 +1,99 @@
+package labsuccession
+
+import "laburnumlock.dev/lab"
+
+// Standing is what one replica was seen to hold.
+type Standing struct {
+	Member   lab.Announcement
+	Readable bool
+	Received lab.LogPosition
+	Excused  bool // may be left unread: it stopped long before the primary did
+}
+
+// Choose returns the replica to promote. It must have received at least as much as every other replica; an unreadable
+// one could alone hold an acknowledged commit, so nothing is chosen until it is readable or excused. Among equals one
+// that stays and is in the region preferred by the caller wins.
+func Choose(standings []Standing, region string) (lab.Announcement, bool) {
+	best := -1
+
+	for i, s := range standings {
+		if !s.Readable {
+			if s.Excused {
+				continue
+			}
+
+			return lab.Announcement{}, false
+		}
+
+		if best < 0 || better(s, standings[best], region) {
+			best = i
+		}
+	}
+
+	if best < 0 {
+		return lab.Announcement{}, false
+	}
+
+	return standings[best].Member, true
+}
+
+func better(a, b Standing, region string) bool {
+	if a.Received != b.Received {
+		return b.Received.Before(a.Received)
+	}
+
+	if a.Member.Leaving != b.Member.Leaving {
+		return !a.Member.Leaving
+	}
+
+	return a.Member.Region == region && b.Member.Region != region
+}
+
+// Preferred returns the replica that a planned replacement aims at while the primary still serves, and can bring any
+// replica up to date: one that stays, in the preferred region, with the newest log.
+func Preferred(standings []Standing, region string) (lab.Announcement, bool) {
+	best := -1
+
+	for i, s := range standings {
+		if !s.Readable || s.Member.Leaving {
+			continue
+		}
+
+		if best < 0 || preferred(s, standings[best], region) {
+			best = i
+		}
+	}
+
+	if best < 0 {
+		return lab.Announcement{}, false
+	}
+
+	return standings[best].Member, true
+}
+
+func preferred(a, b Standing, region string) bool {
+	if (a.Member.Region == region) != (b.Member.Region == region) {
+		return a.Member.Region == region
+	}
+
+	return b.Received.Before(a.Received)
+}
+
+// Covers reports whether the candidate has received everything that the other replicas have.
+func Covers(standings []Standing, candidate string) bool {
+	var have lab.LogPosition
+
+	for _, s := range standings {
+		if s.Member.Member == candidate {
+			have = s.Received
+		}
+	}
+
+	for _, s := range standings {
+		if s.Readable && have.Before(s.Received) {
+			return false
+		}
+	}
+
+	return !have.IsZero()
+}
--- a/member.go
+++ b/member.go
@@ -13,6 +13,12 @@
 	Slots            int    `json:"slots"             msgpack:"s"` // statements it runs at once
 	Connections      int    `json:"connections"       msgpack:"c"` // connections it accepts from the system
 	Leaving          bool   `json:"leaving"           msgpack:"l"`
+	// Primary is the member's own view of its role, where it announces one.
+	Primary bool `json:"primary,omitempty" msgpack:"p,omitempty"`
+	// Sequence grows with each announcement of one incarnation, where the member numbers them.
+	Sequence uint64 `json:"sequence,omitempty" msgpack:"q,omitempty"`
+	// Gone marks a member that has ended for good.
+	Gone bool `json:"gone,omitempty" msgpack:"g,omitempty"`
 }
 
 // MemberStatus is one observation of a member, read over its own protocol.
--- /dev/null
+++ b/operation.go
@@ -0,0 +1,131 @@
+package lab
+
+import "fmt"
+
+// OperationKind is the type of a statement, independent of the protocol that carried it.
+type OperationKind uint8
+
+// The kinds of statements.
+const (
+	OperationBegin OperationKind = iota + 1
+	OperationCommit
+	OperationRollback
+	OperationRead
+	OperationWrite
+	OperationSet
+	OperationPrepare
+	OperationExecute
+	OperationDeallocate
+	OperationReset  // clears session values and prepared statements; sent by the system only
+	OperationStatus // reads a member's MemberState; sent by the system only
+	OperationPause  // stops a replica from receiving; sent by the system only
+	OperationResume // ends a pause; sent by the system only
+)
+
+// Operation is one statement of a caller or of the system itself.
+type Operation struct {
+	Kind     OperationKind
+	ID       string // the caller's request id; empty for a statement of the system itself
+	Text     string // a read, write or commit as the caller sent it, passed on unchanged
+	ReadOnly bool   // of a Begin: the transaction may run on a replica
+	Writes   bool   // of a Prepare: the statement stores
+	Name     string // of a session value or prepared statement
+	Argument string // the value, the prepared shape, or the arguments of an Execute
+	Term     uint64 // of a Pause: the term above which receiving stops
+	After    LogPosition
+}
+
+// LogPosition is a commit's place in the log of a service whose members number their commits; zero means none.
+type LogPosition struct {
+	Term   uint64 `json:"term"   msgpack:"t"`
+	Number uint64 `json:"number" msgpack:"n"`
+}
+
+// IsZero reports whether the position is unset.
+func (p LogPosition) IsZero() bool {
+	return p == LogPosition{}
+}
+
+// Before reports whether p precedes q, by term and then number.
+func (p LogPosition) Before(q LogPosition) bool {
+	if p.Term != q.Term {
+		return p.Term < q.Term
+	}
+
+	return p.Number < q.Number
+}
+
+// String formats the position as term.number.
+func (p LogPosition) String() string {
+	if p.IsZero() {
+		return "-"
+	}
+
+	return fmt.Sprintf("%d.%d", p.Term, p.Number)
+}
+
+// Fault is the reason of a failed operation, independent of the protocol that carried it.
+type Fault uint8
+
+// The faults. Those up to FaultUnprepared promise that the operation has not run.
+const (
+	FaultNone Fault = iota
+	FaultBusy
+	FaultLagging     // the log lacks the requested position
+	FaultReadOnly    // the member is not the primary
+	FaultMisrouted   // another member or service answers at the address
+	FaultTooMany     // the member has no connection left
+	FaultAborted     // the transaction was rolled back
+	FaultUnprepared  // the prepared statement does not exist
+	FaultFailed      // it ran and failed
+	FaultTimeout     // it may still run
+	FaultUnknown     // it may have run
+	FaultMalformed   // the operation cannot be read or does not fit the session's state
+	FaultNoDatabase  // no route has the database's name
+	FaultUnavailable // the process is stopping
+)
+
+// NotRun reports whether the fault promises that the operation has not run.
+func (f Fault) NotRun() bool {
+	return f >= FaultBusy && f <= FaultUnprepared
+}
+
+// String names the fault for logs.
+func (f Fault) String() string {
+	names := [...]string{
+		"none", "busy", "lagging", "read_only", "misrouted", "too_many", "aborted", "unprepared", "failed", "timeout",
+		"unknown", "malformed", "no_database", "unavailable",
+	}
+	if int(f) < len(names) {
+		return names[f]
+	}
+
+	return "unnamed"
+}
+
+// SessionState is the state of a session between operations.
+type SessionState byte
+
+// The states of a session.
+const (
+	StateIdle        SessionState = 'I'
+	StateTransaction SessionState = 'T'
+	StateFailed      SessionState = 'E' // the transaction failed and can only be ended
+)
+
+// OperationResult tells how an operation ended at a member or for a caller.
+type OperationResult struct {
+	Rows     []string
+	Proof    string // opaque evidence of the member that it ran the operation
+	Fault    Fault
+	Detail   string // explains the fault
+	State    SessionState
+	Position LogPosition // newest position of the member's log
+}
+
+// MemberState is what a member tells about itself over its own protocol.
+type MemberState struct {
+	Primary  bool
+	Term     uint64      // newest term the member knows
+	Received LogPosition // newest commit in its log
+}
--- a/process/labtransport/transport.go
+++ b/process/labtransport/transport.go
@@ -14,7 +14,6 @@
 	"github.com/rs/zerolog"
 
 	"laburnumlock.dev/lab"
-	"laburnumlock.dev/lab/process/labkeys"
 )
 
 const (
@@ -33,7 +32,7 @@
 // Transport implements lab.Peers and serves the requests of other processes.
 type Transport struct {
 	Address  string // host:port to listen on; port 0 picks one
-	Identity *labkeys.Identity
+	Identity lab.Credentials
 	Log      zerolog.Logger
 
 	calls    map[lab.Method]lab.CallHandler
--- /dev/null
+++ b/proxy/connection/labbackend/pool.go
@@ -0,0 +1,324 @@
+package labbackend
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+)
+
+const (
+	// overflow is how many times its share a proxy may use for a short time, while other proxies use less than theirs.
+	overflow = 2
+	// overflowIdle is how long an unused connection beyond the share is kept.
+	overflowIdle = 2 * time.Second
+	// fullPause is how long nothing beyond the share is opened after the member had no connection left.
+	fullPause = time.Second
+	// checkAfter is the idle time after which a connection is looked at before it is used.
+	checkAfter = 20 * time.Millisecond
+	// dialTimeout bounds a dial, above the 12 ms of a new connection, a queue before it and a round trip between
+	// regions.
+	dialTimeout = 600 * time.Millisecond
+	// Pauses after failed dials, so that a member that is down isn't asked for each request.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
+)
+
+// ErrNoConnection is returned when none became free before the deadline.
+var ErrNoConnection = errors.New("no connection to the member is free")
+
+// Pool holds the connections to one incarnation of a member; exported fields are set before use.
+type Pool struct {
+	Member lab.Announcement
+	Dialer lab.MemberDialer
+	Share  func() int // connections that this proxy may keep
+	// Dialed is told of each dial's outcome.
+	Dialed func(member lab.Announcement, err error)
+
+	mutex   sync.Mutex
+	idle    []*Conn // the most recently used last
+	open    int     // including those in use and those being dialled
+	inUse   int
+	named   uint64
+	waiters []chan *Conn
+	closed  bool
+	full    time.Time // until when nothing beyond the share is opened
+	down    time.Time // until when no dial is tried
+	retry   time.Duration
+}
+
+// Acquire returns a connection, waiting in order of arrival until the deadline.
+func (p *Pool) Acquire(ctx context.Context) (*Conn, error) {
+	for {
+		c, wait, err := p.take()
+		if err != nil {
+			return nil, err
+		}
+
+		if c != nil {
+			return c, nil
+		}
+
+		select {
+		case c := <-wait:
+			if c != nil {
+				return c, nil
+			}
+		case <-ctx.Done():
+			p.leave(wait)
+
+			return nil, errors.Newf("%w: %w", ErrNoConnection, ctx.Err())
+		}
+	}
+}
+
+// take returns an idle connection or a place in the queue, and dials when another connection is allowed.
+func (p *Pool) take() (*Conn, chan *Conn, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	if p.closed {
+		return nil, nil, errors.Newf("%w: pool is closed", ErrNoConnection)
+	}
+
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+
+		if c.Idle() > checkAfter && !c.link.Alive() {
+			p.open--
+
+			c.link.Close()
+
+			continue
+		}
+
+		p.inUse++
+
+		return c, nil, nil
+	}
+
+	if p.open == 0 && time.Now().Before(p.down) {
+		return nil, nil, errors.Newf("%w: member is down", ErrNoConnection)
+	}
+
+	w := make(chan *Conn, 1)
+	p.waiters = append(p.waiters, w)
+	p.inUse++
+	p.growLocked()
+
+	return nil, w, nil
+}
+
+// leave gives a place in the queue up; a connection that arrived meanwhile goes to the next.
+func (p *Pool) leave(w chan *Conn) {
+	p.mutex.Lock()
+
+	p.inUse--
+
+	for i, o := range p.waiters {
+		if o == w {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+
+			break
+		}
+	}
+
+	p.mutex.Unlock()
+
+	select {
+	case c := <-w:
+		if c != nil {
+			p.mutex.Lock()
+			p.inUse++
+			p.mutex.Unlock()
+			p.release(c)
+		}
+	default:
+	}
+}
+
+func (p *Pool) limitLocked() int {
+	n := max(1, p.Share())
+	if time.Now().Before(p.full) {
+		return n
+	}
+
+	return n * overflow
+}
+
+func (p *Pool) growLocked() {
+	if p.open >= p.limitLocked() || time.Now().Before(p.down) {
+		return
+	}
+
+	p.open++
+
+	go p.dial()
+}
+
+func (p *Pool) dial() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+
+	l, err := p.Dialer.Dial(ctx, p.Member)
+	p.Dialed(p.Member, err)
+
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	if err != nil {
+		p.open--
+		p.failLocked(err)
+
+		return
+	}
+
+	if p.closed {
+		p.open--
+
+		l.Close()
+
+		return
+	}
+
+	p.retry = 0
+	p.handLocked(&Conn{pool: p, link: l, used: time.Now()})
+}
+
+// failLocked makes waiters look for another member unless a connection in use will come back.
+func (p *Pool) failLocked(err error) {
+	var o *lab.OutcomeError
+	if errors.As(err, &o) && o.Reason == lab.ReasonOverload {
+		p.full = time.Now().Add(fullPause)
+	}
+
+	p.retry = min(max(firstRetry, 2*p.retry), lastRetry)
+	p.down = time.Now().Add(p.retry)
+
+	if p.open > 0 {
+		return
+	}
+
+	p.inUse -= len(p.waiters)
+
+	for _, w := range p.waiters {
+		w <- nil
+	}
+
+	p.waiters = nil
+}
+
+// handLocked passes a connection that nobody uses to the first waiter or keeps it.
+func (p *Pool) handLocked(c *Conn) {
+	if len(p.waiters) > 0 {
+		p.waiters[0] <- c
+		p.waiters = p.waiters[1:]
+
+		return
+	}
+
+	p.idle = append(p.idle, c)
+}
+
+func (p *Pool) release(c *Conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	p.inUse--
+
+	if p.closed || (p.open > max(1, p.Share()) && len(p.waiters) == 0 && time.Now().Before(p.full)) {
+		p.open--
+
+		c.link.Close()
+
+		return
+	}
+
+	p.handLocked(c)
+}
+
+func (p *Pool) discard() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	p.inUse--
+	p.open--
+
+	if len(p.waiters) > 0 {
+		p.growLocked()
+	}
+}
+
+// Warm opens a first connection, so that the first request needn't wait for it, and closes unused ones beyond the
+// share; it is called from time to time.
+func (p *Pool) Warm() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	if p.closed {
+		return
+	}
+
+	if p.open == 0 || len(p.waiters) > 0 {
+		p.growLocked()
+	}
+
+	for p.open > max(1, p.Share()) && len(p.idle) > 0 && p.idle[0].Idle() > overflowIdle {
+		p.idle[0].link.Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
+// Oldest returns the connection that has been idle longest, for a check, and false when none has been idle for that
+// long.
+func (p *Pool) Oldest(idle time.Duration) (*Conn, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	if len(p.idle) == 0 || p.idle[0].Idle() < idle {
+		return nil, false
+	}
+
+	c := p.idle[0]
+	p.idle = p.idle[1:]
+	p.inUse++
+
+	return c, true
+}
+
+// Load returns how many requests use or await a connection, and whether one could have a connection at once.
+func (p *Pool) Load() (inProgress int, free, up bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	down := time.Now().Before(p.down)
+
+	return p.inUse, len(p.idle) > 0 || (p.open < p.limitLocked() && !down), p.open > 0 || !down
+}
+
+// Close closes the idle connections now and the others when they come back.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	p.closed = true
+
+	for _, c := range p.idle {
+		c.link.Close()
+	}
+
+	p.open -= len(p.idle)
+	p.idle = nil
+	p.inUse -= len(p.waiters)
+
+	for _, w := range p.waiters {
+		w <- nil
+	}
+
+	p.waiters = nil
+}
--- /dev/null
+++ b/proxy/connection/labdialogue/attempt.go
@@ -0,0 +1,442 @@
+package labdialogue
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labbackend"
+)
+
+const (
+	// retryPause is the time before a member that refused is asked again; half of a statement's usual work.
+	retryPause = 10 * time.Millisecond
+	// silenceShare of the time limit is how long a read may go without an answer before another connection is tried:
+	// an open connection may have gone silent while new ones work.
+	silenceShare = 2
+	// setupTimeout bounds operations that need no slot: a round trip between regions takes 24 ms, and a busy instance
+	// may not run for a tenth of a second.
+	setupTimeout = 300 * time.Millisecond
+	// testAfter is the idle time after which a connection is tested before something that cannot be repeated is sent
+	// on it.
+	testAfter = 1500 * time.Millisecond
+)
+
+// attempt is one statement on its way to a result.
+type attempt struct {
+	session  *Session
+	route    lab.Route
+	started  time.Duration // on the session's clock
+	deadline time.Time
+	tried    map[string]bool
+	last     lab.OperationResult // newest refusal
+	rounds   int
+}
+
+var errSetup = errors.New("member refused session values")
+
+func (a *attempt) expired() bool {
+	return !time.Now().Before(a.deadline)
+}
+
+// refused is the result when time runs out and nothing has run.
+func (a *attempt) refused() lab.OperationResult {
+	if a.last.Fault.NotRun() {
+		return fault(lab.FaultBusy, a.last.Fault.String())
+	}
+
+	return fault(lab.FaultBusy, "no member is available")
+}
+
+// pause waits before the next round, but not beyond the deadline; a change of the directory ends it.
+func (a *attempt) pause(d time.Duration) {
+	t := time.NewTimer(min(d, time.Until(a.deadline)))
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+	case <-a.session.Directory.Changed():
+	}
+}
+
+// write runs a single write at the primary, at most once.
+func (a *attempt) write(o lab.Operation) lab.OperationResult {
+	for !a.expired() {
+		c, ok := a.primary()
+		if !ok {
+			continue
+		}
+
+		if !a.adopt(c) || !a.test(c) {
+			continue
+		}
+
+		asked := a.session.Clock.Now()
+
+		r, err := a.execute(c, a.deadline, o)
+		if err != nil {
+			c.Discard()
+			a.session.Directory.Unreached(c.Member())
+
+			return a.lost(err)
+		}
+
+		a.session.Directory.Reached(c.Member())
+
+		if r.Fault.NotRun() {
+			a.refuse(c, r)
+
+			continue
+		}
+
+		c.Release()
+
+		if r.Fault == lab.FaultNone {
+			a.committed(c.Member(), asked, r.Position)
+		}
+
+		return r
+	}
+
+	return a.refused()
+}
+
+// lost is the result when a statement that cannot be repeated got no answer.
+func (a *attempt) lost(err error) lab.OperationResult {
+	if a.expired() {
+		return fault(lab.FaultTimeout, "no answer from the member")
+	}
+
+	return fault(lab.FaultUnknown, err.Error())
+}
+
+func (a *attempt) committed(m lab.Announcement, asked time.Duration, p lab.LogPosition) {
+	a.session.Directory.Frontier(m.Database).Note(asked, p)
+
+	if a.session.floor.Before(p) {
+		a.session.floor = p
+	}
+}
+
+// readPrimary runs a read inside a transaction of the system's own: a member that lost the lead refuses it there,
+// while it would answer a plain read with what it has.
+func (a *attempt) readPrimary(o lab.Operation) lab.OperationResult {
+	for !a.expired() {
+		c, ok := a.primary()
+		if !ok {
+			continue
+		}
+
+		if !a.open(c, lab.Operation{Kind: lab.OperationBegin}) {
+			continue
+		}
+
+		r, err := a.execute(c, a.patience(), o, lab.Operation{Kind: lab.OperationRollback})
+		if err != nil {
+			a.silent(c, err)
+
+			continue
+		}
+
+		a.session.Directory.Reached(c.Member())
+
+		if r.Fault.NotRun() {
+			a.refuse(c, r)
+
+			continue
+		}
+
+		c.Release()
+
+		return r
+	}
+
+	return a.refused()
+}
+
+// readReplica runs a read at the member that suits best, on a log that has what the caller must see.
+func (a *attempt) readReplica(o lab.Operation) lab.OperationResult {
+	for !a.expired() {
+		c, after, primary, ok := a.reader()
+		if !ok {
+			continue
+		}
+
+		if primary {
+			if r, done := a.readAt(c, o); done {
+				return r
+			}
+
+			continue
+		}
+
+		if !a.adopt(c) {
+			continue
+		}
+
+		o.After = after
+
+		if r, done := a.finishRead(c, o); done {
+			return r
+		}
+	}
+
+	return a.refused()
+}
+
+// readAt runs a read at the presumed primary, inside a transaction that proves that it leads.
+func (a *attempt) readAt(c *labbackend.Conn, o lab.Operation) (lab.OperationResult, bool) {
+	if !a.open(c, lab.Operation{Kind: lab.OperationBegin}) {
+		return lab.OperationResult{}, false
+	}
+
+	o.After = lab.LogPosition{}
+
+	return a.finishRead(c, o, lab.Operation{Kind: lab.OperationRollback})
+}
+
+func (a *attempt) finishRead(c *labbackend.Conn, o lab.Operation, then ...lab.Operation) (lab.OperationResult, bool) {
+	r, err := a.execute(c, a.patience(), o, then...)
+	if err != nil {
+		a.silent(c, err)
+
+		return lab.OperationResult{}, false
+	}
+
+	a.session.Directory.Reached(c.Member())
+
+	if r.Fault.NotRun() {
+		a.refuse(c, r)
+
+		return lab.OperationResult{}, false
+	}
+
+	c.Release()
+
+	return r, true
+}
+
+// primary returns a connection to the primary, or waits a moment and returns false.
+func (a *attempt) primary() (*labbackend.Conn, bool) {
+	p, ok := a.session.Directory.Primary(a.route.Service)
+	if !ok {
+		a.pause(retryPause)
+
+		return nil, false
+	}
+
+	return a.acquire(p)
+}
+
+func (a *attempt) acquire(p *labbackend.Pool) (*labbackend.Conn, bool) {
+	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
+	defer cancel()
+
+	c, err := p.Acquire(ctx)
+	if err != nil {
+		a.pause(retryPause)
+
+		return nil, false
+	}
+
+	return c, true
+}
+
+// reader returns a connection to a member for a read and the position that the member's log must have.
+func (a *attempt) reader() (c *labbackend.Conn, after lab.LogPosition, primary, ok bool) {
+	after, fresh := a.floor()
+
+	if fresh {
+		p, leads := a.session.Directory.Reader(a.route.Service, a.tried)
+		if p != nil {
+			c, ok = a.acquire(p)
+
+			return c, after, leads, ok
+		}
+	}
+
+	// Every replica was tried, or nothing is known of the primary's position: only the primary is sure to have all.
+	a.tried = nil
+	c, ok = a.primary()
+
+	return c, after, true, ok
+}
+
+// floor returns the position that a read must see, and false when it is not known.
+func (a *attempt) floor() (lab.LogPosition, bool) {
+	f, ok := a.session.Directory.Frontier(a.route.Service).Floor(a.started - a.route.MaxAge + agingMargin)
+	if !ok {
+		return lab.LogPosition{}, false
+	}
+
+	if a.route.Consistency == lab.ConsistencySession && f.Before(a.session.floor) {
+		f = a.session.floor
+	}
+
+	return f, true
+}
+
+// patience is until when a read waits for an answer on one connection.
+func (a *attempt) patience() time.Time {
+	if a.rounds++; a.rounds > 1 {
+		return a.deadline
+	}
+
+	return time.Now().Add(time.Until(a.deadline) / silenceShare)
+}
+
+// silent gives up a connection on which a read got no answer; the read is tried elsewhere.
+func (a *attempt) silent(c *labbackend.Conn, err error) {
+	c.Discard()
+	a.session.Directory.Unreached(c.Member())
+	a.skip(c.Member())
+	a.session.Log.Info().Err(err).Str("database", a.session.Database).Str("member", c.Member().Member).Msg("read_unanswered")
+}
+
+func (a *attempt) skip(m lab.Announcement) {
+	if a.tried == nil {
+		a.tried = map[string]bool{}
+	}
+
+	a.tried[m.Member] = true
+}
+
+// refuse notes that a member did not run the statement and gives the connection back.
+func (a *attempt) refuse(c *labbackend.Conn, r lab.OperationResult) {
+	a.last = r
+	a.session.Counters.Refusals.Add(1)
+
+	if r.Fault == lab.FaultUnprepared {
+		c.Forget()
+		c.Release()
+
+		return
+	}
+
+	a.skip(c.Member())
+
+	if r.Fault != lab.FaultLagging {
+		a.session.Directory.Avoid(c.Member())
+	}
+
+	c.Release()
+
+	if r.Fault == lab.FaultBusy || r.Fault == lab.FaultReadOnly {
+		a.pause(retryPause)
+	}
+}
+
+// adopt gives the connection the session's values. It waits for the member's word, since a statement must not run with
+// other values.
+func (a *attempt) adopt(c *labbackend.Conn) bool {
+	return a.setUp(c)
+}
+
+// open gives the connection the session's values and begins a transaction on it.
+func (a *attempt) open(c *labbackend.Conn, begin lab.Operation) bool {
+	return a.setUp(c, begin)
+}
+
+func (a *attempt) setUp(c *labbackend.Conn, begin ...lab.Operation) bool {
+	s := a.session
+	adoption := c.Adopt(s.values)
+
+	operations := append(adoption, begin...)
+	if len(operations) == 0 {
+		return true
+	}
+
+	asked := s.Clock.Now()
+
+	r, err := c.Run(earlier(a.deadline, time.Now().Add(setupTimeout)), operations...)
+	if err != nil {
+		a.silent(c, err)
+
+		return false
+	}
+
+	s.Directory.Reached(c.Member())
+
+	for i := range r {
+		if r[i].Fault == lab.FaultNone {
+			continue
+		}
+
+		a.last = r[i]
+		a.skip(c.Member())
+		s.Log.Info().Str("database", s.Database).Str("member", c.Member().Member).Stringer("fault", r[i].Fault).
+			Str("detail", r[i].Detail).Msg("setup_refused")
+
+		// A transaction may be open behind a refused value.
+		c.Discard()
+
+		if r[i].Fault != lab.FaultLagging {
+			s.Directory.Avoid(c.Member())
+			a.pause(retryPause)
+		}
+
+		return false
+	}
+
+	c.Adopted(adoption, s.values)
+
+	if len(begin) > 0 && !begin[0].ReadOnly {
+		s.Directory.Frontier(c.Member().Database).Note(asked, r[len(r)-1].Position)
+	}
+
+	return true
+}
+
+// test makes sure that a connection which has been idle for long still answers.
+func (a *attempt) test(c *labbackend.Conn) bool {
+	if c.Idle() < testAfter {
+		return true
+	}
+
+	if !a.open(c, lab.Operation{Kind: lab.OperationBegin}) {
+		return false
+	}
+
+	if _, err := c.Run(earlier(a.deadline, time.Now().Add(setupTimeout)), lab.Operation{Kind: lab.OperationRollback}); err != nil {
+		a.silent(c, err)
+
+		return false
+	}
+
+	return true
+}
+
+// execute runs a statement and then further operations in the same write, and returns the statement's result.
+func (a *attempt) execute(c *labbackend.Conn, deadline time.Time, o lab.Operation, then ...lab.Operation) (lab.OperationResult, error) {
+	var operations []lab.Operation
+
+	if o.Kind == lab.OperationExecute {
+		p := a.session.prepared[o.Name]
+		o.Name, operations = c.Prepared(p.writes, p.text)
+	}
+
+	at := len(operations)
+	operations = append(append(operations, o), then...)
+
+	r, err := c.Run(earlier(deadline, a.deadline), operations...)
+	if err != nil {
+		// The answer to the statement counts even when what follows it was lost.
+		if len(r) > at && r[at].Fault == lab.FaultNone && len(then) == 0 {
+			return r[at], nil
+		}
+
+		return lab.OperationResult{}, err
+	}
+
+	return r[at], nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+
+	return b
+}
--- /dev/null
+++ b/proxy/connection/labdialogue/counters.go
@@ -0,0 +1,37 @@
+package labdialogue
+
+import (
+	"expvar"
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labmetrics"
+)
+
+// Counters count the operations of a proxy's sessions.
+type Counters struct {
+	Operations expvar.Int
+	Refusals   expvar.Int            // by members, of operations that were then tried again
+	Faults     expvar.Map            // told to callers, by name
+	Latency    *labmetrics.Histogram // of reads, writes and executions
+}
+
+// Publish adds the counters to a map.
+func (c *Counters) Publish(m *expvar.Map) {
+	m.Set("operations", &c.Operations)
+	m.Set("member_refusals", &c.Refusals)
+	m.Set("faults", &c.Faults)
+	m.Set("latency", c.Latency)
+}
+
+func (c *Counters) observe(o lab.Operation, r lab.OperationResult, d time.Duration) {
+	c.Operations.Add(1)
+
+	if r.Fault != lab.FaultNone {
+		c.Faults.Add(r.Fault.String(), 1)
+	}
+
+	if o.Kind == lab.OperationRead || o.Kind == lab.OperationWrite || o.Kind == lab.OperationExecute {
+		c.Latency.Record(d)
+	}
+}
--- /dev/null
+++ b/proxy/connection/labdialogue/session.go
@@ -0,0 +1,219 @@
+package labdialogue
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/labdirectory"
+)
+
+const (
+	// agingMargin is taken off the accepted age of data for the way from the caller to this proxy and for the caller's
+	// clock, which starts with the first byte of a read.
+	agingMargin = 150 * time.Millisecond
+	// answerMargin is kept of a statement's time limit for the way back to the caller.
+	answerMargin = 30 * time.Millisecond
+	// defaultTimeout bounds a statement of a session whose route has been dropped in the middle of a transaction.
+	defaultTimeout = 2 * time.Second
+)
+
+// Session is one caller's session. Do must not be called concurrently.
+type Session struct {
+	Database  string
+	Directory *labdirectory.Directory
+	Clock     lab.Clock
+	Log       zerolog.Logger
+	Counters  *Counters
+
+	mutex    sync.Mutex // guards the fields below against the idle timer and Close
+	values   map[string]string
+	prepared map[string]preparation
+	floor    lab.LogPosition // newest commit of the session
+	tx       *transaction
+	busy     bool
+	closed   bool
+}
+
+// preparation is what a caller's prepared statement runs.
+type preparation struct {
+	writes bool
+	text   string
+}
+
+// Do runs one operation and returns what the caller is told.
+func (s *Session) Do(o lab.Operation) lab.OperationResult {
+	s.mutex.Lock()
+	s.busy = true
+	s.mutex.Unlock()
+
+	started := s.Clock.Now()
+	r := s.do(o)
+	s.Counters.observe(o, r, s.Clock.Now()-started)
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.busy = false
+
+	if s.closed {
+		s.abandonLocked()
+	} else if s.tx != nil {
+		s.tx.rest(s)
+	}
+
+	r.State = s.stateLocked()
+
+	return r
+}
+
+func (s *Session) stateLocked() lab.SessionState {
+	switch {
+	case s.tx == nil:
+		return lab.StateIdle
+	case s.tx.failed:
+		return lab.StateFailed
+	default:
+		return lab.StateTransaction
+	}
+}
+
+func (s *Session) do(o lab.Operation) lab.OperationResult {
+	if s.tx != nil && s.tx.failed && o.Kind != lab.OperationRollback && o.Kind != lab.OperationCommit {
+		return fault(lab.FaultMalformed, "the transaction has failed")
+	}
+
+	switch o.Kind {
+	case lab.OperationSet:
+		s.set(o)
+
+		return lab.OperationResult{}
+	case lab.OperationPrepare:
+		s.prepare(o)
+
+		return lab.OperationResult{}
+	case lab.OperationDeallocate:
+		return s.deallocate(o)
+	case lab.OperationBegin:
+		return s.begin(o)
+	case lab.OperationCommit, lab.OperationRollback:
+		return s.end(o)
+	case lab.OperationRead, lab.OperationWrite, lab.OperationExecute:
+		return s.statement(o)
+	default:
+		return fault(lab.FaultMalformed, "unknown statement")
+	}
+}
+
+func (s *Session) set(o lab.Operation) {
+	if s.values == nil {
+		s.values = map[string]string{}
+	}
+
+	s.values[o.Name] = o.Argument
+}
+
+func (s *Session) prepare(o lab.Operation) {
+	if s.prepared == nil {
+		s.prepared = map[string]preparation{}
+	}
+
+	s.prepared[o.Name] = preparation{writes: o.Writes, text: o.Argument}
+}
+
+func (s *Session) deallocate(o lab.Operation) lab.OperationResult {
+	if _, ok := s.prepared[o.Name]; !ok {
+		return fault(lab.FaultUnprepared, o.Name)
+	}
+
+	delete(s.prepared, o.Name)
+
+	return lab.OperationResult{}
+}
+
+// statement runs a read, write or execute.
+func (s *Session) statement(o lab.Operation) lab.OperationResult {
+	if o.Kind == lab.OperationExecute {
+		p, ok := s.prepared[o.Name]
+		if !ok {
+			return fault(lab.FaultUnprepared, o.Name)
+		}
+
+		o.Writes = p.writes
+	} else {
+		o.Writes = o.Kind == lab.OperationWrite
+	}
+
+	if s.tx != nil {
+		return s.inTransaction(o)
+	}
+
+	route, _, ok := s.Directory.Route(s.Database)
+	if !ok {
+		return fault(lab.FaultNoDatabase, s.Database)
+	}
+
+	a := s.attempt(route)
+
+	switch {
+	case o.Writes:
+		return a.write(o)
+	case route.Consistency == lab.ConsistencyPrimary:
+		return a.readPrimary(o)
+	default:
+		return a.readReplica(o)
+	}
+}
+
+// attempt starts the time limit of one statement.
+func (s *Session) attempt(route lab.Route) *attempt {
+	t := route.Timeout
+	if t <= 0 {
+		t = defaultTimeout
+	}
+
+	return &attempt{
+		session: s, route: route, started: s.Clock.Now(), deadline: time.Now().Add(t - min(answerMargin, t/4)),
+	}
+}
+
+// Close ends the session; a transaction is rolled back.
+func (s *Session) Close() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.closed = true
+
+	if !s.busy {
+		s.abandonLocked()
+	}
+}
+
+func (s *Session) abandonLocked() {
+	if s.tx != nil {
+		s.tx.drop()
+		s.tx = nil
+	}
+}
+
+// Idle reports whether no transaction is open and no operation runs.
+func (s *Session) Idle() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return !s.busy && s.tx == nil
+}
+
+// Busy reports whether an operation runs.
+func (s *Session) Busy() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.busy
+}
+
+func fault(f lab.Fault, detail string) lab.OperationResult {
+	return lab.OperationResult{Fault: f, Detail: detail}
+}
--- /dev/null
+++ b/proxy/process/labdirectory/directory.go
@@ -0,0 +1,240 @@
+package labdirectory
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labbackend"
+	"laburnumlock.dev/lab/proxy/process/labfrontier"
+)
+
+const (
+	// avoidTime is how long a member that refused or failed is left alone while others can serve.
+	avoidTime = 400 * time.Millisecond
+	// reservedConnections of each member stay free for control's probes and for changes of the proxies' number.
+	reservedConnections = 2
+)
+
+// Directory is safe for concurrent use; exported fields are set before use.
+type Directory struct {
+	Zone   string
+	Region string
+	Dialer lab.MemberDialer
+	Random lab.Random
+	Clock  lab.Clock
+	Log    zerolog.Logger
+	// Suspect is called when a primary stops answering; it must not block.
+	Suspect func()
+
+	mutex    sync.Mutex
+	document *lab.Document
+	services map[string]*service
+	proxies  int
+	changed  chan struct{}
+}
+
+// service is one group of members.
+type service struct {
+	members  map[string]*member
+	primary  string
+	share    atomic.Int64 // connections that this proxy may keep to each member
+	frontier labfrontier.Frontier
+}
+
+// member is one incarnation of a member.
+type member struct {
+	announcement lab.Announcement
+	pool         *labbackend.Pool
+	avoid        time.Duration // until when others are preferred
+	failing      time.Duration // since when it cannot be reached, 0 when it can
+	reached      time.Duration // when it was reached last
+}
+
+// Install puts a document in force; an older one changes nothing.
+func (d *Directory) Install(document *lab.Document) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.document != nil && document.Version <= d.document.Version {
+		return
+	}
+
+	d.document = document
+	d.shareLocked()
+	d.Log.Info().Uint64("version", document.Version).Int("routes", len(document.Routes)).Msg("document_in_force")
+	d.wakeLocked()
+}
+
+// Version returns the version of the document in force, 0 before the first.
+func (d *Directory) Version() uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.document == nil {
+		return 0
+	}
+
+	return d.document.Version
+}
+
+// Learn takes over the members and primaries known to control. With complete set, other members don't exist.
+func (d *Directory) Learn(members []lab.Announcement, primaries map[string]string, complete bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.services == nil {
+		d.services = map[string]*service{}
+	}
+
+	present := map[string]bool{}
+
+	for _, a := range members {
+		if a.Gone {
+			continue
+		}
+
+		present[a.Member] = true
+		d.learnLocked(a)
+	}
+
+	d.shareLocked()
+
+	for _, a := range members {
+		if a.Gone {
+			d.dropLocked(a.Database, a.Member)
+		}
+	}
+
+	for name, s := range d.services {
+		if complete {
+			for id := range s.members {
+				if !present[id] {
+					d.dropLocked(name, id)
+				}
+			}
+		}
+
+		if p, ok := primaries[name]; ok && s.primary != p {
+			d.Log.Info().Str("service", name).Str("former", s.primary).Str("primary", p).Msg("primary_changed")
+			s.primary = p
+		}
+	}
+
+	d.wakeLocked()
+}
+
+func (d *Directory) learnLocked(a lab.Announcement) {
+	s, ok := d.services[a.Database]
+	if !ok {
+		s = &service{members: map[string]*member{}}
+		d.services[a.Database] = s
+	}
+
+	m, ok := s.members[a.Member]
+	if ok && m.announcement.Incarnation == a.Incarnation && m.announcement.Address == a.Address {
+		if m.announcement.Leaving != a.Leaving || m.announcement.Primary != a.Primary {
+			d.Log.Info().Str("member", a.Member).Bool("leaving", a.Leaving).Bool("primary", a.Primary).Msg("member_changed")
+		}
+
+		m.announcement = a
+
+		return
+	}
+
+	if ok {
+		m.pool.Close()
+	}
+
+	n := &member{announcement: a}
+	n.pool = &labbackend.Pool{Member: a, Dialer: d.Dialer, Share: func() int { return int(s.share.Load()) }, Dialed: d.dialed}
+	s.members[a.Member] = n
+
+	d.Log.Info().Str("service", a.Database).Str("member", a.Member).Str("address", a.Address).
+		Uint64("incarnation", a.Incarnation).Msg("member_known")
+}
+
+func (d *Directory) dropLocked(name, id string) {
+	s, ok := d.services[name]
+	if !ok {
+		return
+	}
+
+	m, ok := s.members[id]
+	if !ok {
+		return
+	}
+
+	m.pool.Close()
+	delete(s.members, id)
+	d.Log.Info().Str("service", name).Str("member", id).Msg("member_dropped")
+}
+
+// SetProxies tells how many proxies share the members' connections.
+func (d *Directory) SetProxies(n int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.proxies != n {
+		d.proxies = n
+		d.shareLocked()
+	}
+}
+
+// shareLocked recomputes how many connections this proxy may keep to each member of a service. Pools read the result
+// without the directory's lock, which is held while they are closed.
+func (d *Directory) shareLocked() {
+	if d.document == nil {
+		return
+	}
+
+	for n, s := range d.services {
+		if v, ok := d.document.Service(n); ok {
+			s.share.Store(int64(max(1, (v.Connections-reservedConnections)/max(1, d.proxies))))
+		}
+	}
+}
+
+func (d *Directory) wakeLocked() {
+	if d.changed != nil {
+		close(d.changed)
+		d.changed = nil
+	}
+}
+
+// Changed returns a channel that is closed at the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.changed == nil {
+		d.changed = make(chan struct{})
+	}
+
+	return d.changed
+}
+
+// Route returns the route of a database name and how long a transaction may be idle.
+func (d *Directory) Route(database string) (lab.Route, time.Duration, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.document == nil {
+		return lab.Route{}, 0, false
+	}
+
+	r, ok := d.document.Route(database)
+
+	return r, d.document.TransactionIdle, ok
+}
+
+// Ready reports whether requests could be served: a document is in force and some member is known.
+func (d *Directory) Ready() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.document != nil && len(d.services) > 0
+}
--- /dev/null
+++ b/proxy/process/labdirectory/select.go
@@ -0,0 +1,206 @@
+package labdirectory
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labbackend"
+	"laburnumlock.dev/lab/proxy/process/labchooser"
+	"laburnumlock.dev/lab/proxy/process/labfrontier"
+)
+
+// Primary returns the connections to a service's primary, and false while none is known.
+func (d *Directory) Primary(name string) (*labbackend.Pool, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	s, ok := d.services[name]
+	if !ok {
+		return nil, false
+	}
+
+	m, ok := s.members[s.primary]
+	if !ok {
+		return nil, false
+	}
+
+	return m.pool, true
+}
+
+// Reader returns the connections to the member that should serve a read, skipping those that were tried. Primary tells
+// whether it leads. It returns nil when every member was tried or is down.
+func (d *Directory) Reader(name string, tried map[string]bool) (pool *labbackend.Pool, primary bool) {
+	d.mutex.Lock()
+	options, pools := d.optionsLocked(name, tried)
+	d.mutex.Unlock()
+
+	// Pools are asked without the lock, since they ask the directory for their share under theirs.
+	var (
+		up    []labchooser.Option
+		index []int
+	)
+
+	for i := range options {
+		var alive bool
+
+		options[i].InProgress, options[i].Free, alive = pools[i].Load()
+		if alive {
+			up, index = append(up, options[i]), append(index, i)
+		}
+	}
+
+	c := labchooser.Choose(up, d.Random.Uint64())
+	if c < 0 {
+		return nil, false
+	}
+
+	return pools[index[c]], up[c].Primary
+}
+
+// optionsLocked lists the members that may be used. A leaving member is used only by what it already runs, unless no
+// other is left.
+func (d *Directory) optionsLocked(name string, tried map[string]bool) ([]labchooser.Option, []*labbackend.Pool) {
+	s, ok := d.services[name]
+	if !ok {
+		return nil, nil
+	}
+
+	var (
+		options []labchooser.Option
+		pools   []*labbackend.Pool
+	)
+
+	now := d.Clock.Now()
+
+	for _, id := range slices.Sorted(maps.Keys(s.members)) {
+		m := s.members[id]
+		if tried[id] || m.announcement.Leaving {
+			continue
+		}
+
+		options = append(options, labchooser.Option{
+			Member: id, SameZone: m.announcement.AvailabilityZone == d.Zone, SameRegion: m.announcement.Region == d.Region,
+			Primary: id == s.primary, Avoid: max(0, m.avoid-now),
+		})
+		pools = append(pools, m.pool)
+	}
+
+	return options, pools
+}
+
+// Frontier returns the positions of a service's primary.
+func (d *Directory) Frontier(name string) *labfrontier.Frontier {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	s, ok := d.services[name]
+	if !ok {
+		return &labfrontier.Frontier{}
+	}
+
+	return &s.frontier
+}
+
+// Avoid makes other members preferred for a while, after one refused or fell behind.
+func (d *Directory) Avoid(a lab.Announcement) {
+	d.withMember(a, func(m *member) { m.avoid = d.Clock.Now() + avoidTime })
+}
+
+// Reached notes that a member answered.
+func (d *Directory) Reached(a lab.Announcement) {
+	d.withMember(a, func(m *member) { m.failing, m.reached = 0, d.Clock.Now() })
+}
+
+// Unreached notes that a member did not answer, and tells control at once when it leads.
+func (d *Directory) Unreached(a lab.Announcement) {
+	leads := false
+
+	d.withMember(a, func(m *member) {
+		m.avoid = d.Clock.Now() + avoidTime
+
+		if m.failing == 0 {
+			m.failing = d.Clock.Now()
+			leads = d.services[a.Database].primary == a.Member
+		}
+	})
+
+	if leads {
+		d.Log.Info().Str("service", a.Database).Str("member", a.Member).Msg("primary_unreached")
+		d.Suspect()
+	}
+}
+
+func (d *Directory) withMember(a lab.Announcement, call func(m *member)) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	s, ok := d.services[a.Database]
+	if !ok {
+		return
+	}
+
+	if m, ok := s.members[a.Member]; ok && m.announcement.Incarnation == a.Incarnation {
+		call(m)
+	}
+}
+
+func (d *Directory) dialed(a lab.Announcement, err error) {
+	o, _ := lab.OutcomeOf(err)
+
+	switch {
+	case err == nil:
+		d.Reached(a)
+	case o == lab.OutcomeNotRun:
+		d.Log.Info().Err(err).Str("member", a.Member).Msg("connection_refused")
+		d.Avoid(a)
+	default:
+		d.Log.Info().Err(err).Str("member", a.Member).Msg("dial_failed")
+		d.Unreached(a)
+	}
+}
+
+// Reports returns what this proxy sees of the primaries.
+func (d *Directory) Reports() []lab.PrimaryReport {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	var out []lab.PrimaryReport
+
+	for n, s := range d.services {
+		m, ok := s.members[s.primary]
+		if !ok || (m.reached == 0 && m.failing == 0) {
+			continue
+		}
+
+		r := lab.PrimaryReport{Service: n, Member: s.primary}
+		if m.failing > 0 {
+			r.Failing = max(time.Millisecond, d.Clock.Now()-m.failing)
+		}
+
+		out = append(out, r)
+	}
+
+	return out
+}
+
+// Pools returns the connections to every member by service; the primary's come first.
+func (d *Directory) Pools() map[string][]*labbackend.Pool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	out := map[string][]*labbackend.Pool{}
+
+	for n, s := range d.services {
+		for id, m := range s.members {
+			if id == s.primary {
+				out[n] = append([]*labbackend.Pool{m.pool}, out[n]...)
+			} else {
+				out[n] = append(out[n], m.pool)
+			}
+		}
+	}
+
+	return out
+}
--- /dev/null
+++ b/proxy/process/labedge/tend.go
@@ -0,0 +1,106 @@
+package labedge
+
+import (
+	"context"
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/connection/labbackend"
+)
+
+const (
+	tendInterval = 100 * time.Millisecond
+	// pingInterval is how often the primary's position is asked for when no statement brings it. Reads that accept an
+	// age of 1.5 s find a position that is old enough for replicas that lag and new enough for the read.
+	pingInterval = 400 * time.Millisecond
+	// pingTimeout is the time without an answer after which a primary is suspected; a ping needs no slot, so only the
+	// way of 24 ms between regions and a busy instance delay it.
+	pingTimeout = 300 * time.Millisecond
+)
+
+// tend keeps a connection to each member open and asks primaries for their positions.
+func (e *Edge) tend(ctx context.Context) error {
+	pinging := map[string]*ping{}
+
+	for e.Clock.Sleep(ctx, tendInterval) == nil {
+		for name, pools := range e.directory.Pools() {
+			for _, p := range pools {
+				p.Warm()
+			}
+
+			g, ok := pinging[name]
+			if !ok {
+				g = &ping{}
+				pinging[name] = g
+			}
+
+			e.ping(name, g)
+		}
+	}
+
+	return nil
+}
+
+// ping is the state of the pings of one service.
+type ping struct {
+	running chan struct{} // holds one element while a ping is under way
+	last    time.Duration
+}
+
+func (e *Edge) ping(service string, g *ping) {
+	if g.running == nil {
+		g.running = make(chan struct{}, 1)
+	}
+
+	asked, ok := e.directory.Frontier(service).Asked()
+	if now := e.Clock.Now(); (ok && now-asked < pingInterval) || now-g.last < pingInterval {
+		return
+	}
+
+	p, ok := e.directory.Primary(service)
+	if !ok {
+		return
+	}
+
+	c, ok := p.Oldest(0)
+	if !ok {
+		return
+	}
+
+	select {
+	case g.running <- struct{}{}:
+	default:
+		c.Release()
+
+		return
+	}
+
+	g.last = e.Clock.Now()
+
+	go func() {
+		e.askPosition(service, c)
+		<-g.running
+	}()
+}
+
+// askPosition begins and ends a transaction, which only the primary permits and which takes no slot.
+func (e *Edge) askPosition(service string, c *labbackend.Conn) {
+	asked := e.Clock.Now()
+
+	r, err := c.Run(time.Now().Add(pingTimeout),
+		lab.Operation{Kind: lab.OperationBegin}, lab.Operation{Kind: lab.OperationRollback})
+	if err != nil {
+		c.Discard()
+		e.directory.Unreached(c.Member())
+
+		return
+	}
+
+	e.directory.Reached(c.Member())
+
+	if r[0].Fault == lab.FaultNone {
+		e.directory.Frontier(service).Note(asked, r[0].Position)
+	}
+
+	c.Release()
+}
--- /dev/null
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -0,0 +1,191 @@
+package labsubscriber
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/labdirectory"
+)
+
+const (
+	// watchWait is how long the leader holds a watch without news. It is below labsuccession.ReportAge, so that
+	// reports of primaries stay valid.
+	watchWait = 500 * time.Millisecond
+	// watchTimeout bounds a watch: the wait, a round trip between regions and a leader that is busy for a moment.
+	watchTimeout = watchWait + 500*time.Millisecond
+	retryPause   = 100 * time.Millisecond
+)
+
+// Subscriber asks the control group for changes; exported fields are set before Run.
+type Subscriber struct {
+	Proxy     lab.InstanceID
+	Peers     lab.Peers
+	Seeds     func() []string // process addresses of some control instances
+	Directory *labdirectory.Directory
+	Documents lab.DocumentReader
+	Log       zerolog.Logger
+
+	kicks    chan struct{}
+	once     sync.Once
+	draining atomic.Bool
+
+	leader   string
+	controls []string
+	next     int
+	boot     uint64
+	revision uint64
+	lost     bool
+}
+
+func (s *Subscriber) prepare() {
+	s.once.Do(func() { s.kicks = make(chan struct{}, 1) })
+}
+
+// Kick sends a report at once instead of after the current wait.
+func (s *Subscriber) Kick() {
+	s.prepare()
+
+	select {
+	case s.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells control that this proxy no longer needs connections to members.
+func (s *Subscriber) Leave() {
+	s.draining.Store(true)
+	s.Kick()
+}
+
+// Run asks until the context ends.
+func (s *Subscriber) Run(ctx context.Context) error {
+	s.prepare()
+
+	for ctx.Err() == nil {
+		if err := s.ask(ctx); err != nil && ctx.Err() == nil {
+			s.note(err)
+
+			select {
+			case <-ctx.Done():
+			case <-time.After(retryPause):
+			}
+		}
+	}
+
+	return nil
+}
+
+// note logs the first failure after a success.
+func (s *Subscriber) note(err error) {
+	if !s.lost {
+		s.Log.Warn().Err(err).Str("leader", s.leader).Msg("control_lost")
+	}
+
+	s.lost = true
+	s.leader = ""
+}
+
+// target returns the leader's address, or one of the known instances by turns.
+func (s *Subscriber) target() string {
+	if s.leader != "" {
+		return s.leader
+	}
+
+	all := slices.Concat(s.controls, s.Seeds())
+	if len(all) == 0 {
+		return ""
+	}
+
+	s.next++
+
+	return all[s.next%len(all)]
+}
+
+var errNoControl = errors.New("no control instance is known")
+
+func (s *Subscriber) ask(ctx context.Context) error {
+	address := s.target()
+	if address == "" {
+		return errNoControl
+	}
+
+	r := lab.WatchRequest{
+		Proxy: s.Proxy, Boot: s.boot, Revision: s.revision, Version: s.Directory.Version(), Wait: watchWait,
+		Draining: s.draining.Load(), Primaries: s.Directory.Reports(),
+	}
+
+	var a lab.WatchAnswer
+
+	kicked, err := s.call(ctx, address, r, &a)
+	if kicked {
+		return nil
+	}
+
+	if err != nil {
+		return errors.Newf("watch at %s: %w", address, err)
+	}
+
+	if a.Leader != "" {
+		s.leader = string(a.Leader)
+
+		return nil
+	}
+
+	s.leader = address
+
+	return s.take(a)
+}
+
+// call watches until an answer or a kick.
+func (s *Subscriber) call(ctx context.Context, address string, r lab.WatchRequest, a *lab.WatchAnswer) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+
+	done := make(chan error, 1)
+
+	go func() { done <- s.Peers.Call(ctx, address, lab.MethodWatch, r, a) }()
+
+	select {
+	case err := <-done:
+		return false, err
+	case <-s.kicks:
+		cancel()
+		<-done
+
+		return true, nil
+	}
+}
+
+func (s *Subscriber) take(a lab.WatchAnswer) error {
+	if s.lost {
+		s.Log.Info().Str("leader", s.leader).Msg("control_regained")
+	}
+
+	s.lost = false
+
+	if len(a.Source) > 0 {
+		d, err := s.Documents.Read(a.Source)
+		if err != nil {
+			return errors.Newf("read document from control: %w", err)
+		}
+
+		s.Directory.Install(d)
+	}
+
+	s.Directory.SetProxies(a.Proxies)
+
+	if a.Boot != s.boot || a.Revision != s.revision {
+		s.Directory.Learn(a.Members, a.Primaries, a.Complete)
+	}
+
+	s.boot, s.revision, s.controls = a.Boot, a.Revision, a.Controls
+
+	return nil
+}
--- /dev/null
+++ b/watch.go
@@ -0,0 +1,38 @@
+package lab
+
+import "time"
+
+// MethodWatch is how a proxy learns the document and the members from the leader of the control group, and reports
+// what it sees of primaries.
+const MethodWatch Method = "watch"
+
+// WatchRequest asks for what changed; it is answered after a change or after Wait.
+type WatchRequest struct {
+	Proxy     InstanceID      `msgpack:"p"`
+	Boot      uint64          `msgpack:"b"` // of the answer that Revision comes from
+	Revision  uint64          `msgpack:"r"`
+	Version   uint64          `msgpack:"v"` // of the document in force at the sender
+	Wait      time.Duration   `msgpack:"w"`
+	Draining  bool            `msgpack:"d"`
+	Primaries []PrimaryReport `msgpack:"s"`
+}
+
+// PrimaryReport is what a proxy sees of a service's primary.
+type PrimaryReport struct {
+	Service string        `msgpack:"s"`
+	Member  string        `msgpack:"m"`
+	Failing time.Duration `msgpack:"f"` // how long it has been unreachable; 0 when it was reached last
+}
+
+// WatchAnswer is the state known to the leader.
+type WatchAnswer struct {
+	Leader    InstanceID        `msgpack:"l"` // set when another instance has to be asked; nothing else is set then
+	Boot      uint64            `msgpack:"b"` // distinguishes the revisions of different leaders
+	Revision  uint64            `msgpack:"r"`
+	Source    []byte            `msgpack:"s"` // the document when it is newer than the one in force at the sender
+	Members   []Announcement    `msgpack:"m"` // all members when the revision differs
+	Primaries map[string]string `msgpack:"p"` // member by service when the revision differs
+	Complete  bool              `msgpack:"c"` // members that are missing don't exist; the leader has listened long enough
+	Controls  []string          `msgpack:"a"` // process addresses of the control group
+	Proxies   int               `msgpack:"n"` // proxies that share the members' connections
+}
