Look for the leader at all control instances at once

A proxy that had lost a frozen leader asked one instance after the other, up to a second each, and followers sent it back to the frozen one. Ruled out: a late commit (acknowledged after 0.2 s), a slow answer (others had it after 10 ms). Change: without a leader all known instances are asked at the same time, for 400 ms; only a leader's answer counts.

--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -21,6 +21,9 @@
 	// watchTimeout bounds a watch: the wait, a round trip between regions and a leader that is busy for a moment.
 	watchTimeout = watchWait + 500*time.Millisecond
 	retryPause   = 100 * time.Millisecond
+	// discoverTimeout bounds the search for the leader: two round trips between regions for a new connection, and an
+	// instance that is busy for a moment.
+	discoverTimeout = 400 * time.Millisecond
 )
 
 // Subscriber asks the control group for changes; exported fields are set before Run.
@@ -38,7 +41,6 @@
 
 	leader   string
 	controls []string
-	next     int
 	boot     uint64
 	revision uint64
 	lost     bool
@@ -92,55 +94,81 @@
 	s.leader = ""
 }
 
-// target returns the leader's address, or one of the known instances by turns.
-func (s *Subscriber) target() string {
-	if s.leader != "" {
-		return s.leader
-	}
+var errNoControl = errors.New("no control instance leads")
 
-	all := slices.Concat(s.controls, s.Seeds())
-	if len(all) == 0 {
-		return ""
+// ask watches at the leader, or looks for the leader first.
+func (s *Subscriber) ask(ctx context.Context) error {
+	if s.leader == "" {
+		return s.discover(ctx)
 	}
 
-	s.next++
+	var a lab.WatchAnswer
 
-	return all[s.next%len(all)]
-}
+	kicked, err := s.call(ctx, s.leader, s.request(watchWait), &a)
+	if kicked {
+		return nil
+	}
 
-var errNoControl = errors.New("no control instance is known")
+	if err != nil {
+		return errors.Newf("watch at %s: %w", s.leader, err)
+	}
 
-func (s *Subscriber) ask(ctx context.Context) error {
-	address := s.target()
-	if address == "" {
-		return errNoControl
+	if a.Leader != "" {
+		return errors.Newf("%s no longer leads", s.leader)
 	}
 
-	r := lab.WatchRequest{
-		Proxy: s.Proxy, Boot: s.boot, Revision: s.revision, Version: s.Directory.Version(), Wait: watchWait,
+	return s.take(a)
+}
+
+func (s *Subscriber) request(wait time.Duration) lab.WatchRequest {
+	return lab.WatchRequest{
+		Proxy: s.Proxy, Boot: s.boot, Revision: s.revision, Version: s.Directory.Version(), Wait: wait,
 		Draining: s.draining.Load(), Primaries: s.Directory.Reports(),
 	}
+}
 
-	var a lab.WatchAnswer
+// found is an answer of a leader.
+type found struct {
+	address string
+	answer  lab.WatchAnswer
+}
 
-	kicked, err := s.call(ctx, address, r, &a)
-	if kicked {
-		return nil
+// discover asks all known control instances at the same time, since some may not answer for seconds, and takes the
+// answer of the one that leads.
+func (s *Subscriber) discover(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, discoverTimeout)
+	defer cancel()
+
+	all := slices.Concat(s.controls, s.Seeds())
+	slices.Sort(all)
+	all = slices.Compact(all)
+
+	answers := make(chan *found, len(all))
+
+	for _, c := range all {
+		go func() { answers <- s.probe(ctx, c) }()
 	}
 
-	if err != nil {
-		return errors.Newf("watch at %s: %w", address, err)
+	for range all {
+		if f := <-answers; f != nil {
+			s.leader = f.address
+
+			return s.take(f.answer)
+		}
 	}
 
-	if a.Leader != "" {
-		s.leader = string(a.Leader)
+	return errNoControl
+}
+
+// probe returns the answer of an instance that leads.
+func (s *Subscriber) probe(ctx context.Context, address string) *found {
+	f := &found{address: address}
 
+	if err := s.Peers.Call(ctx, address, lab.MethodWatch, s.request(0), &f.answer); err != nil || f.answer.Leader != "" {
 		return nil
 	}
 
-	s.leader = address
-
-	return s.take(a)
+	return f
 }
 
 // call watches until an answer or a kick.
