Keep connections within the share, wait for late answers, never reuse an open transaction

Ruled out: lost notices from control (the probe log shows TOOMANY), a slow promotion by the platform (0.6 s). Change: no connections beyond the share; a read waits to its deadline, and its connection drains the late answer; a link whose write failed is closed, and a connection is kept only in state I; elections after 400 to 800 ms (was 700 to 1,400).

--- a/control/process/labkeeper/keeper.go
+++ b/control/process/labkeeper/keeper.go
@@ -22,9 +22,9 @@
 // Timing of the consensus group. Instances have a fraction of a core and may be 12 ms apart, so elections take longer
 // than the product's defaults.
 const (
-	electionMin     = 700 * time.Millisecond
-	electionMax     = 1400 * time.Millisecond
-	heartbeat       = 120 * time.Millisecond
+	electionMin     = 400 * time.Millisecond
+	electionMax     = 800 * time.Millisecond
+	heartbeat       = 80 * time.Millisecond
 	groupTick       = 20 * time.Millisecond
 	snapshotEvery   = 200 // applied entries; a document is up to 256 KiB, so the journal stays well below a small disk
 	trailingEntries = 8   // documents kept in memory for members slightly behind
@@ -72,7 +72,6 @@
 // Run takes part in the control group until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 
-
 	for ctx.Err() == nil {
 		if err := k.takePart(ctx); err != nil {
 			return err
--- a/control/process/labkeeper/sender.go
+++ b/control/process/labkeeper/sender.go
@@ -11,7 +11,7 @@
 
 const (
 	// sendTimeout is below the election timeout, so that a silent connection is replaced in time.
-	sendTimeout = 500 * time.Millisecond
+	sendTimeout = 350 * time.Millisecond
 	queueLength = 256
 	batchLength = 64
 )
--- a/process/labclock/boot.go
+++ b/process/labclock/boot.go
@@ -27,4 +27,3 @@
 
 	return time.Duration(t.Nano())
 }
-
--- a/proxy/connection/labbackend/conn.go
+++ b/proxy/connection/labbackend/conn.go
@@ -9,6 +9,9 @@
 	"laburnumlock.dev/lab"
 )
 
+// lingerTime is how long a late answer is waited for, several times the longest statement and queue of a member.
+const lingerTime = 1500 * time.Millisecond
+
 // maxPrepared bounds the prepared statements of a connection; beyond, it is reset.
 const maxPrepared = 200
 
@@ -120,6 +123,20 @@
 	c.pool.release(c)
 }
 
+// Linger waits in the background for answers that came too late for their caller, and then gives the connection back:
+// a new one would keep one of the member's slots longer than the late answer does.
+func (c *Conn) Linger() {
+	go func() {
+		if err := c.link.Drain(time.Now().Add(lingerTime)); err != nil {
+			c.Discard()
+
+			return
+		}
+
+		c.Release()
+	}()
+}
+
 // Discard closes the connection; the member rolls back what is open on it.
 func (c *Conn) Discard() {
 	c.link.Close()
--- a/proxy/connection/labbackend/pool.go
+++ b/proxy/connection/labbackend/pool.go
@@ -11,12 +11,6 @@
 )
 
 const (
-	// overflow is how many times its share a proxy may use for a short time, while other proxies use less than theirs.
-	overflow = 2
-	// overflowIdle is how long an unused connection beyond the share is kept.
-	overflowIdle = 2 * time.Second
-	// fullPause is how long nothing beyond the share is opened after the member had no connection left.
-	fullPause = time.Second
 	// checkAfter is the idle time after which a connection is looked at before it is used.
 	checkAfter = 20 * time.Millisecond
 	// dialTimeout bounds a dial, above the 12 ms of a new connection, a queue before it and a round trip between
@@ -45,7 +39,6 @@
 	named   uint64
 	waiters []chan *Conn
 	closed  bool
-	full    time.Time // until when nothing beyond the share is opened
 	down    time.Time // until when no dial is tried
 	retry   time.Duration
 }
@@ -142,12 +135,7 @@
 }
 
 func (p *Pool) limitLocked() int {
-	n := max(1, p.Share())
-	if time.Now().Before(p.full) {
-		return n
-	}
-
-	return n * overflow
+	return max(1, p.Share())
 }
 
 func (p *Pool) growLocked() {
@@ -172,7 +160,7 @@
 
 	if err != nil {
 		p.open--
-		p.failLocked(err)
+		p.failLocked()
 
 		return
 	}
@@ -190,12 +178,7 @@
 }
 
 // failLocked makes waiters look for another member unless a connection in use will come back.
-func (p *Pool) failLocked(err error) {
-	var o *lab.OutcomeError
-	if errors.As(err, &o) && o.Reason == lab.ReasonOverload {
-		p.full = time.Now().Add(fullPause)
-	}
-
+func (p *Pool) failLocked() {
 	p.retry = min(max(firstRetry, 2*p.retry), lastRetry)
 	p.down = time.Now().Add(p.retry)
 
@@ -230,7 +213,8 @@
 
 	p.inUse--
 
-	if p.closed || (p.open > max(1, p.Share()) && len(p.waiters) == 0 && time.Now().Before(p.full)) {
+	// A share that shrank is given back at once, since other proxies wait for it.
+	if p.closed || p.open > p.limitLocked() {
 		p.open--
 
 		c.link.Close()
@@ -267,7 +251,7 @@
 		p.growLocked()
 	}
 
-	for p.open > max(1, p.Share()) && len(p.idle) > 0 && p.idle[0].Idle() > overflowIdle {
+	for p.open > p.limitLocked() && len(p.idle) > 0 {
 		p.idle[0].link.Close()
 		p.idle = p.idle[1:]
 		p.open--
--- a/proxy/connection/labdialogue/attempt.go
+++ b/proxy/connection/labdialogue/attempt.go
@@ -13,8 +13,9 @@
 const (
 	// retryPause is the time before a member that refused is asked again; half of a statement's usual work.
 	retryPause = 10 * time.Millisecond
-	// silenceShare of the time limit is how long a read may go without an answer before another connection is tried:
-	// an open connection may have gone silent while new ones work.
+	// silenceShare of the time limit is how long a read may go without an answer on a connection that has been idle for
+	// long, before another one is tried: an open connection may have gone silent while new ones work. Elsewhere a read
+	// waits to its end: under load the answer is only late, and a second try would add to the load.
 	silenceShare = 2
 	// setupTimeout bounds operations that need no slot: a round trip between regions takes 24 ms, and a busy instance
 	// may not run for a tenth of a second.
@@ -32,7 +33,6 @@
 	deadline time.Time
 	tried    map[string]bool
 	last     lab.OperationResult // newest refusal
-	rounds   int
 }
 
 var errSetup = errors.New("member refused session values")
@@ -91,7 +91,7 @@
 			continue
 		}
 
-		c.Release()
+		giveBack(c, r)
 
 		if r.Fault == lab.FaultNone {
 			a.committed(c.Member(), asked, r.Position)
@@ -133,24 +133,9 @@
 			continue
 		}
 
-		r, err := a.execute(c, a.patience(), o, lab.Operation{Kind: lab.OperationRollback})
-		if err != nil {
-			a.silent(c, err)
-
-			continue
-		}
-
-		a.session.Directory.Reached(c.Member())
-
-		if r.Fault.NotRun() {
-			a.refuse(c, r)
-
-			continue
+		if r, done := a.finishRead(c, o, lab.Operation{Kind: lab.OperationRollback}); done {
+			return r
 		}
-
-		c.Release()
-
-		return r
 	}
 
 	return a.refused()
@@ -198,7 +183,14 @@
 }
 
 func (a *attempt) finishRead(c *labbackend.Conn, o lab.Operation, then ...lab.Operation) (lab.OperationResult, bool) {
-	r, err := a.execute(c, a.patience(), o, then...)
+	r, err := a.execute(c, a.patience(c), o, then...)
+	if err != nil && a.expired() {
+		a.session.Counters.Timeouts.Add(1)
+		c.Linger()
+
+		return fault(lab.FaultTimeout, "no answer from the member in time"), true
+	}
+
 	if err != nil {
 		a.silent(c, err)
 
@@ -213,7 +205,7 @@
 		return lab.OperationResult{}, false
 	}
 
-	c.Release()
+	giveBack(c, r)
 
 	return r, true
 }
@@ -278,9 +270,9 @@
 	return f, true
 }
 
-// patience is until when a read waits for an answer on one connection.
-func (a *attempt) patience() time.Time {
-	if a.rounds++; a.rounds > 1 {
+// patience is until when a read waits for an answer on the connection.
+func (a *attempt) patience(c *labbackend.Conn) time.Time {
+	if c.Idle() < testAfter {
 		return a.deadline
 	}
 
@@ -310,7 +302,7 @@
 
 	if r.Fault == lab.FaultUnprepared {
 		c.Forget()
-		c.Release()
+		giveBack(c, r)
 
 		return
 	}
@@ -321,13 +313,24 @@
 		a.session.Directory.Avoid(c.Member())
 	}
 
-	c.Release()
+	giveBack(c, r)
 
 	if r.Fault == lab.FaultBusy || r.Fault == lab.FaultReadOnly {
 		a.pause(retryPause)
 	}
 }
 
+// giveBack keeps a connection only when no transaction is open on it.
+func giveBack(c *labbackend.Conn, r lab.OperationResult) {
+	if r.State != lab.StateIdle {
+		c.Discard()
+
+		return
+	}
+
+	c.Release()
+}
+
 // adopt gives the connection the session's values. It waits for the member's word, since a statement must not run with
 // other values.
 func (a *attempt) adopt(c *labbackend.Conn) bool {
@@ -399,17 +402,27 @@
 		return false
 	}
 
-	if _, err := c.Run(earlier(a.deadline, time.Now().Add(setupTimeout)), lab.Operation{Kind: lab.OperationRollback}); err != nil {
+	r, err := c.Run(earlier(a.deadline, time.Now().Add(setupTimeout)), lab.Operation{Kind: lab.OperationRollback})
+	if err != nil {
 		a.silent(c, err)
 
 		return false
 	}
 
+	if r[0].State != lab.StateIdle {
+		c.Discard()
+
+		return false
+	}
+
 	return true
 }
 
-// execute runs a statement and then further operations in the same write, and returns the statement's result.
-func (a *attempt) execute(c *labbackend.Conn, deadline time.Time, o lab.Operation, then ...lab.Operation) (lab.OperationResult, error) {
+// execute runs a statement and then further operations in the same write, and returns the statement's result with the
+// session's state after all of them.
+func (a *attempt) execute(
+	c *labbackend.Conn, deadline time.Time, o lab.Operation, then ...lab.Operation,
+) (lab.OperationResult, error) {
 	var operations []lab.Operation
 
 	if o.Kind == lab.OperationExecute {
@@ -422,15 +435,13 @@
 
 	r, err := c.Run(earlier(deadline, a.deadline), operations...)
 	if err != nil {
-		// The answer to the statement counts even when what follows it was lost.
-		if len(r) > at && r[at].Fault == lab.FaultNone && len(then) == 0 {
-			return r[at], nil
-		}
-
 		return lab.OperationResult{}, err
 	}
 
-	return r[at], nil
+	out := r[at]
+	out.State = r[len(r)-1].State
+
+	return out, nil
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/proxy/connection/labdialogue/counters.go
+++ b/proxy/connection/labdialogue/counters.go
@@ -12,6 +12,7 @@
 type Counters struct {
 	Operations expvar.Int
 	Refusals   expvar.Int            // by members, of operations that were then tried again
+	Timeouts   expvar.Int            // reads without an answer in time
 	Faults     expvar.Map            // told to callers, by name
 	Latency    *labmetrics.Histogram // of reads, writes and executions
 }
@@ -20,6 +21,7 @@
 func (c *Counters) Publish(m *expvar.Map) {
 	m.Set("operations", &c.Operations)
 	m.Set("member_refusals", &c.Refusals)
+	m.Set("read_timeouts", &c.Timeouts)
 	m.Set("faults", &c.Faults)
 	m.Set("latency", c.Latency)
 }
--- a/proxy/connection/labdialogue/transaction.go
+++ b/proxy/connection/labdialogue/transaction.go
@@ -261,7 +261,7 @@
 		switch {
 		case r[0].Fault == lab.FaultNone:
 			s.tx.conn = nil
-			c.Release()
+			giveBack(c, r[0])
 
 			if s.tx.wrote {
 				a.committed(c.Member(), asked, r[0].Position)
--- a/proxy/process/labedge/tend.go
+++ b/proxy/process/labedge/tend.go
@@ -102,5 +102,11 @@
 		e.directory.Frontier(service).Note(asked, r[0].Position)
 	}
 
+	if r[1].State != lab.StateIdle {
+		c.Discard()
+
+		return
+	}
+
 	c.Release()
 }
