--- /dev/null
+++ b/control/process/labroster/roster_test.go
@@ -0,0 +1,129 @@
+package labroster
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+// fixedClock stands still until it is set.
+type fixedClock struct{ now time.Duration }
+
+func (c *fixedClock) Now() time.Duration                       { return c.now }
+func (*fixedClock) Wall() time.Time                            { return time.Time{} }
+func (*fixedClock) Sleep(context.Context, time.Duration) error { return nil }
+
+func announcement(member, address string, born, sequence uint64) lab.Announcement {
+	return lab.Announcement{Database: "s", Member: member, Address: address, Incarnation: born, Sequence: sequence}
+}
+
+func with(a lab.Announcement, change func(*lab.Announcement)) lab.Announcement {
+	change(&a)
+
+	return a
+}
+
+func leaving(a *lab.Announcement) { a.Leaving = true }
+func gone(a *lab.Announcement)    { a.Gone = true }
+
+// TestApply covers announcements that are late, repeated, from another start or under a reused address.
+func TestApply(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		in    []lab.Announcement
+		alive []string // members that may be used afterwards
+		left  []string // of these, those that leave
+	}{
+		{"known", []lab.Announcement{announcement("a", "1:1", 10, 1)}, []string{"a"}, nil},
+		{
+			"late announcement",
+			[]lab.Announcement{with(announcement("a", "1:1", 10, 2), leaving), announcement("a", "1:1", 10, 1)},
+			[]string{"a"}, []string{"a"},
+		},
+		{
+			"new start under the same name",
+			[]lab.Announcement{with(announcement("a", "1:1", 10, 9), leaving), announcement("a", "1:1", 20, 1)},
+			[]string{"a"}, nil,
+		},
+		{
+			"late announcement of the former start",
+			[]lab.Announcement{announcement("a", "1:1", 20, 1), with(announcement("a", "1:1", 10, 9), leaving)},
+			[]string{"a"}, nil,
+		},
+		{
+			"address reused by a younger member",
+			[]lab.Announcement{announcement("a", "1:1", 10, 1), announcement("b", "1:1", 20, 1)}, []string{"b"}, nil,
+		},
+		{
+			"late announcement of the address's former member",
+			[]lab.Announcement{announcement("b", "1:1", 20, 1), announcement("a", "1:1", 10, 5)}, []string{"b"}, nil,
+		},
+		{
+			"gone", []lab.Announcement{announcement("a", "1:1", 10, 1), {Member: "a", Gone: true}}, nil, nil,
+		},
+		{
+			"late announcement of a member that is gone",
+			[]lab.Announcement{
+				announcement("a", "1:1", 10, 1), with(announcement("a", "1:1", 10, 2), gone), announcement("a", "1:1", 10, 3),
+			},
+			nil, nil,
+		},
+		{
+			"gone and started again",
+			[]lab.Announcement{announcement("a", "1:1", 10, 1), {Member: "a", Gone: true}, announcement("a", "1:1", 20, 1)},
+			[]string{"a"}, nil,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := &Roster{Clock: &fixedClock{}}
+			for _, a := range c.in {
+				r.Apply(a, 0)
+			}
+
+			var alive, left []string
+
+			for _, e := range r.Entries() {
+				if !e.Announcement.Gone {
+					alive = append(alive, e.Announcement.Member)
+				}
+
+				if e.Announcement.Leaving && !e.Announcement.Gone {
+					left = append(left, e.Announcement.Member)
+				}
+			}
+
+			assert.DeepEqual(t, alive, c.alive)
+			assert.DeepEqual(t, left, c.left)
+		})
+	}
+}
+
+func TestRevision(t *testing.T) {
+	r := &Roster{Clock: &fixedClock{}}
+
+	_, material := r.Apply(announcement("a", "1:1", 10, 1), 0)
+	assert.Assert(t, material)
+
+	before := r.Revision()
+	news, material := r.Apply(announcement("a", "1:1", 10, 2), 0)
+	assert.Assert(t, news && !material, "only the sequence changed")
+	assert.Equal(t, r.Revision(), before)
+}
+
+func TestSweep(t *testing.T) {
+	c := &fixedClock{}
+	r := &Roster{Clock: c}
+	r.Apply(announcement("a", "1:1", 10, 1), 0)
+
+	c.now = ForgetAfter
+	r.Sweep()
+	assert.Equal(t, len(r.Entries()), 1)
+
+	c.now = ForgetAfter + 1
+	r.Sweep()
+	assert.Equal(t, len(r.Entries()), 0)
+}
--- /dev/null
+++ b/control/process/labvoters/plan_test.go
@@ -0,0 +1,84 @@
+package labvoters
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labreplica"
+)
+
+func ids(names ...lab.InstanceID) []lab.InstanceID { return names }
+
+func TestNext(t *testing.T) {
+	change := func(k labreplica.ChangeKind, id lab.InstanceID) *labreplica.Change {
+		return &labreplica.Change{Kind: k, Instance: id}
+	}
+
+	for _, c := range []struct {
+		name      string
+		voters    []lab.InstanceID
+		learners  []lab.InstanceID
+		reporting []lab.InstanceID
+		silent    map[lab.InstanceID]time.Duration
+		want      *labreplica.Change
+	}{
+		{name: "calm", voters: ids("a", "b", "c"), reporting: ids("a", "b", "c")},
+		{
+			name: "lost disk reports", voters: ids("a", "b", "c"), reporting: ids("a", "b", "c/1"),
+			want: change(labreplica.ChangeAddLearner, "c/1"),
+		},
+		{
+			name: "successor votes before the lost one is removed", voters: ids("a", "b", "c"), learners: ids("c/1"),
+			reporting: ids("a", "b", "c/1"), want: change(labreplica.ChangePromote, "c/1"),
+		},
+		{
+			name: "lost one is removed", voters: ids("a", "b", "c", "c/1"), reporting: ids("a", "b", "c/1"),
+			want: change(labreplica.ChangeRemove, "c"),
+		},
+		{
+			name: "silent for a restart", voters: ids("a", "b", "c"), learners: ids("d/1"), reporting: ids("a", "b", "d/1"),
+			silent: map[lab.InstanceID]time.Duration{"c": LostAfter},
+		},
+		{
+			name: "silent for long", voters: ids("a", "b", "c"), learners: ids("d/1"), reporting: ids("a", "b", "d/1"),
+			silent: map[lab.InstanceID]time.Duration{"c": LostAfter + 1}, want: change(labreplica.ChangePromote, "d/1"),
+		},
+		{
+			name: "silent for long without a successor", voters: ids("a", "b", "c"), reporting: ids("a", "b"),
+			silent: map[lab.InstanceID]time.Duration{"c": time.Hour},
+		},
+		{
+			name: "spare learner stays", voters: ids("a", "b", "c"), learners: ids("d/1"),
+			reporting: ids("a", "b", "c", "d/1"),
+		},
+		{
+			name: "too few voters", voters: ids("a", "b"), learners: ids("d/1"), reporting: ids("a", "b", "d/1"),
+			want: change(labreplica.ChangePromote, "d/1"),
+		},
+		{
+			name: "learner that lost its disk", voters: ids("a", "b", "c"), learners: ids("d/1", "d/2"),
+			reporting: ids("a", "b", "c", "d/2"), want: change(labreplica.ChangeRemove, "d/1"),
+		},
+		{
+			name: "the leader is never removed", voters: ids("a", "b", "c", "d"), reporting: ids("b", "c", "d"),
+			silent: map[lab.InstanceID]time.Duration{"a": time.Hour},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := &Plan{
+				Self: "a", Members: labreplica.Members{Voters: c.voters, Learners: c.learners}, Target: 3,
+				Reporting: c.reporting, Silent: c.silent,
+			}
+
+			got, ok := p.Next()
+			assert.Equal(t, ok, c.want != nil, "%v", got)
+
+			if ok {
+				assert.Equal(t, got, *c.want)
+			}
+		})
+	}
+}
