Limit the queue for busy members and refuse what has no time for an answer

Ruled out: more connections (more queue at the member), earlier second tries (more work in vain). Waiting is ordered by the route's priority. Late answers are drained also for writes and transactions. Refused set-ups keep the connection. A replica that refused for its lag is left alone for 100 ms.

--- a/control/process/labsuccession/succession_test.go
+++ b/control/process/labsuccession/succession_test.go
@@ -46,9 +46,9 @@
 	return []lab.OperationResult{{}}, nil
 }
 
-func (*worldLink) Drain(time.Time) error { return nil }
-func (*worldLink) Alive() bool           { return true }
-func (*worldLink) Close()                {}
+func (*worldLink) Drain(time.Time) (lab.SessionState, error) { return lab.StateIdle, nil }
+func (*worldLink) Alive() bool                               { return true }
+func (*worldLink) Close()                                    {}
 
 func (w *world) Dial(_ context.Context, m lab.Announcement) (lab.MemberLink, error) {
 	w.mutex.Lock()
--- a/memberlink.go
+++ b/memberlink.go
@@ -11,9 +11,9 @@
 	// Run sends the operations in one write and returns a result for each. After an error the link must be closed,
 	// or drained when the deadline has passed; the results received before the error are returned with it.
 	Run(deadline time.Time, operations ...Operation) ([]OperationResult, error)
-	// Drain waits for the answers that Run left unread when its deadline passed. After it succeeds the link may be used
-	// again; it fails when the member's session isn't idle then.
-	Drain(deadline time.Time) error
+	// Drain waits for the answers that Run left unread when its deadline passed, and returns the session's state after
+	// them. After it succeeds the link may be used again.
+	Drain(deadline time.Time) (SessionState, error)
 	// Alive reports whether the other end has not closed the connection, without waiting.
 	Alive() bool
 	// Close ends the connection; the member rolls an open transaction back.
--- a/proxy/connection/labbackend/conn.go
+++ b/proxy/connection/labbackend/conn.go
@@ -42,9 +42,14 @@
 
 // Run sends operations in one write; after an error only Discard may follow.
 func (c *Conn) Run(deadline time.Time, operations ...lab.Operation) ([]lab.OperationResult, error) {
+	started := time.Now()
 	r, err := c.link.Run(deadline, operations...)
 	c.used = time.Now()
 
+	if err == nil {
+		c.pool.observe(c.used.Sub(started))
+	}
+
 	return r, err
 }
 
@@ -123,11 +128,21 @@
 	c.pool.release(c)
 }
 
-// Linger waits in the background for answers that came too late for their caller, and then gives the connection back:
-// a new one would keep one of the member's slots longer than the late answer does.
+// Linger waits in the background for answers that came too late for their caller, rolls back what is open and gives the
+// connection back: a new one would keep one of the member's slots longer than the late answer does.
 func (c *Conn) Linger() {
 	go func() {
-		if err := c.link.Drain(time.Now().Add(lingerTime)); err != nil {
+		s, err := c.link.Drain(time.Now().Add(lingerTime))
+		if err == nil && s != lab.StateIdle {
+			var r []lab.OperationResult
+
+			r, err = c.Run(time.Now().Add(lingerTime), lab.Operation{Kind: lab.OperationRollback})
+			if err == nil {
+				s = r[0].State
+			}
+		}
+
+		if err != nil || s != lab.StateIdle {
 			c.Discard()
 
 			return
--- a/proxy/connection/labbackend/pool.go
+++ b/proxy/connection/labbackend/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,8 @@
 )
 
 const (
+	// typicalWeight is how many round trips the typical one is averaged over.
+	typicalWeight = 8
 	// checkAfter is the idle time after which a connection is looked at before it is used.
 	checkAfter = 20 * time.Millisecond
 	// dialTimeout bounds a dial, above the 12 ms of a new connection, a queue before it and a round trip between
@@ -21,6 +24,12 @@
 	lastRetry  = 500 * time.Millisecond
 )
 
+// waiter is a request in the queue.
+type waiter struct {
+	priority int // 0 is the highest
+	conn     chan *Conn
+}
+
 // ErrNoConnection is returned when none became free before the deadline.
 var ErrNoConnection = errors.New("no connection to the member is free")
 
@@ -37,16 +46,17 @@
 	open    int     // including those in use and those being dialled
 	inUse   int
 	named   uint64
-	waiters []chan *Conn
+	waiters []waiter      // by priority, then in order of arrival
+	typical time.Duration // from sending operations to their answer
 	closed  bool
 	down    time.Time // until when no dial is tried
 	retry   time.Duration
 }
 
-// Acquire returns a connection, waiting in order of arrival until the deadline.
-func (p *Pool) Acquire(ctx context.Context) (*Conn, error) {
+// Acquire returns a connection, waiting in order of priority and arrival until the context ends.
+func (p *Pool) Acquire(ctx context.Context, priority int) (*Conn, error) {
 	for {
-		c, wait, err := p.take()
+		c, wait, err := p.take(priority)
 		if err != nil {
 			return nil, err
 		}
@@ -69,7 +79,7 @@
 }
 
 // take returns an idle connection or a place in the queue, and dials when another connection is allowed.
-func (p *Pool) take() (*Conn, chan *Conn, error) {
+func (p *Pool) take(priority int) (*Conn, chan *Conn, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
@@ -99,13 +109,38 @@
 	}
 
 	w := make(chan *Conn, 1)
-	p.waiters = append(p.waiters, w)
+	p.enqueueLocked(waiter{priority, w})
 	p.inUse++
 	p.growLocked()
 
 	return nil, w, nil
 }
 
+func (p *Pool) enqueueLocked(w waiter) {
+	at := len(p.waiters)
+	for at > 0 && p.waiters[at-1].priority > w.priority {
+		at--
+	}
+
+	p.waiters = slices.Insert(p.waiters, at, w)
+}
+
+// observe takes a round trip into the typical one.
+func (p *Pool) observe(d time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	p.typical += (d - p.typical) / typicalWeight
+}
+
+// Typical returns how long operations of late took from being sent to their answer.
+func (p *Pool) Typical() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	return p.typical
+}
+
 // leave gives a place in the queue up; a connection that arrived meanwhile goes to the next.
 func (p *Pool) leave(w chan *Conn) {
 	p.mutex.Lock()
@@ -113,7 +148,7 @@
 	p.inUse--
 
 	for i, o := range p.waiters {
-		if o == w {
+		if o.conn == w {
 			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
 
 			break
@@ -189,7 +224,7 @@
 	p.inUse -= len(p.waiters)
 
 	for _, w := range p.waiters {
-		w <- nil
+		w.conn <- nil
 	}
 
 	p.waiters = nil
@@ -198,7 +233,7 @@
 // handLocked passes a connection that nobody uses to the first waiter or keeps it.
 func (p *Pool) handLocked(c *Conn) {
 	if len(p.waiters) > 0 {
-		p.waiters[0] <- c
+		p.waiters[0].conn <- c
 		p.waiters = p.waiters[1:]
 
 		return
@@ -301,7 +336,7 @@
 	p.inUse -= len(p.waiters)
 
 	for _, w := range p.waiters {
-		w <- nil
+		w.conn <- nil
 	}
 
 	p.waiters = nil
--- a/proxy/connection/labdialogue/attempt.go
+++ b/proxy/connection/labdialogue/attempt.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/connection/labbackend"
+	"laburnumlock.dev/lab/proxy/process/labpatience"
 )
 
 const (
@@ -33,10 +35,16 @@
 	deadline time.Time
 	tried    map[string]bool
 	last     lab.OperationResult // newest refusal
+	hopeless bool                // waiting longer cannot lead to an answer in time
 }
 
 var errSetup = errors.New("member refused session values")
 
+// over reports whether the attempt must end: its time is over or waiting on makes no sense.
+func (a *attempt) over() bool {
+	return a.hopeless || a.expired()
+}
+
 func (a *attempt) expired() bool {
 	return !time.Now().Before(a.deadline)
 }
@@ -63,7 +71,7 @@
 
 // write runs a single write at the primary, at most once.
 func (a *attempt) write(o lab.Operation) lab.OperationResult {
-	for !a.expired() {
+	for !a.over() {
 		c, ok := a.primary()
 		if !ok {
 			continue
@@ -77,8 +85,9 @@
 
 		r, err := a.execute(c, a.deadline, o)
 		if err != nil {
-			c.Discard()
-			a.session.Directory.Unreached(c.Member())
+			if !giveUp(c, err) {
+				a.session.Directory.Unreached(c.Member())
+			}
 
 			return a.lost(err)
 		}
@@ -123,7 +132,7 @@
 // readPrimary runs a read inside a transaction of the system's own: a member that lost the lead refuses it there,
 // while it would answer a plain read with what it has.
 func (a *attempt) readPrimary(o lab.Operation) lab.OperationResult {
-	for !a.expired() {
+	for !a.over() {
 		c, ok := a.primary()
 		if !ok {
 			continue
@@ -143,7 +152,7 @@
 
 // readReplica runs a read at the member that suits best, on a log that has what the caller must see.
 func (a *attempt) readReplica(o lab.Operation) lab.OperationResult {
-	for !a.expired() {
+	for !a.over() {
 		c, after, primary, ok := a.reader()
 		if !ok {
 			continue
@@ -186,7 +195,7 @@
 	r, err := a.execute(c, a.patience(c), o, then...)
 	if err != nil && a.expired() {
 		a.session.Counters.Timeouts.Add(1)
-		c.Linger()
+		giveUp(c, err)
 
 		return fault(lab.FaultTimeout, "no answer from the member in time"), true
 	}
@@ -222,13 +231,38 @@
 	return a.acquire(p)
 }
 
+// acquire waits for a connection as long as it makes sense under the member's load.
 func (a *attempt) acquire(p *labbackend.Pool) (*labbackend.Conn, bool) {
-	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
+	w := labpatience.Wait{
+		Remaining: time.Until(a.deadline), Objective: a.route.Objective, Expected: p.Typical(),
+		Failing: a.session.Directory.Failing(p.Member),
+	}
+
+	limit := w.Limit()
+	if limit <= 0 {
+		a.hopeless = true
+
+		return nil, false
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 
-	c, err := p.Acquire(ctx)
+	c, err := p.Acquire(ctx, a.route.Priority)
 	if err != nil {
-		a.pause(retryPause)
+		if ctx.Err() != nil {
+			a.hopeless = true
+		} else {
+			a.pause(retryPause)
+		}
+
+		return nil, false
+	}
+
+	if time.Until(a.deadline) < p.Typical() {
+		a.hopeless = true
+
+		c.Release()
 
 		return nil, false
 	}
@@ -241,7 +275,7 @@
 	after, fresh := a.floor()
 
 	if fresh {
-		p, leads := a.session.Directory.Reader(a.route.Service, a.tried)
+		p, leads := a.session.Directory.Reader(a.route.Service, after, a.tried)
 		if p != nil {
 			c, ok = a.acquire(p)
 
@@ -309,7 +343,9 @@
 
 	a.skip(c.Member())
 
-	if r.Fault != lab.FaultLagging {
+	if r.Fault == lab.FaultLagging {
+		a.session.Directory.Behind(c.Member(), r.Position)
+	} else {
 		a.session.Directory.Avoid(c.Member())
 	}
 
@@ -320,6 +356,19 @@
 	}
 }
 
+// giveUp frees a connection that brought no answer and reports whether it may still bring one.
+func giveUp(c *labbackend.Conn, err error) bool {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.Linger()
+
+		return true
+	}
+
+	c.Discard()
+
+	return false
+}
+
 // giveBack keeps a connection only when no transaction is open on it.
 func giveBack(c *labbackend.Conn, r lab.OperationResult) {
 	if r.State != lab.StateIdle {
@@ -363,24 +412,11 @@
 	s.Directory.Reached(c.Member())
 
 	for i := range r {
-		if r[i].Fault == lab.FaultNone {
-			continue
-		}
-
-		a.last = r[i]
-		a.skip(c.Member())
-		s.Log.Info().Str("database", s.Database).Str("member", c.Member().Member).Stringer("fault", r[i].Fault).
-			Str("detail", r[i].Detail).Msg("setup_refused")
+		if r[i].Fault != lab.FaultNone {
+			a.refuseSetUp(c, adoption, i, r)
 
-		// A transaction may be open behind a refused value.
-		c.Discard()
-
-		if r[i].Fault != lab.FaultLagging {
-			s.Directory.Avoid(c.Member())
-			a.pause(retryPause)
+			return false
 		}
-
-		return false
 	}
 
 	c.Adopted(adoption, s.values)
@@ -392,6 +428,33 @@
 	return true
 }
 
+// refuseSetUp gives back a connection whose set-up was refused at operation i.
+func (a *attempt) refuseSetUp(c *labbackend.Conn, adoption []lab.Operation, i int, r []lab.OperationResult) {
+	s := a.session
+
+	a.last = r[i]
+	a.skip(c.Member())
+	s.Counters.Refusals.Add(1)
+	s.Log.Debug().Str("database", s.Database).Str("member", c.Member().Member).Stringer("fault", r[i].Fault).
+		Str("detail", r[i].Detail).Msg("setup_refused")
+
+	if i >= len(adoption) {
+		c.Adopted(adoption, s.values)
+		giveBack(c, r[len(r)-1])
+	} else {
+		c.Discard() // it is not known which values it has
+	}
+
+	if r[i].Fault == lab.FaultLagging {
+		s.Directory.Behind(c.Member(), r[i].Position)
+
+		return
+	}
+
+	s.Directory.Avoid(c.Member())
+	a.pause(retryPause)
+}
+
 // test makes sure that a connection which has been idle for long still answers.
 func (a *attempt) test(c *labbackend.Conn) bool {
 	if c.Idle() < testAfter {
--- /dev/null
+++ b/proxy/connection/labdialogue/session_test.go
@@ -0,0 +1,230 @@
+package labdialogue
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+func TestPlaceOfReads(t *testing.T) {
+	position := lab.LogPosition{Term: 1, Number: 5}
+
+	t.Run("primary route reads inside a transaction of the primary", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		assert.Equal(t, b.do(lab.OperationRead).Fault, lab.FaultNone)
+		b.assertRan(run{member: "a", state: 'T'})
+	})
+
+	t.Run("superseded primary never runs the read", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.service.primary = "c"
+
+		r := b.do(lab.OperationRead)
+		assert.Equal(t, r.Fault, lab.FaultBusy)
+		b.assertRan()
+	})
+
+	t.Run("replica with the primary's position", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyBounded)
+		b.fresh(5)
+		assert.Equal(t, b.do(lab.OperationRead).Fault, lab.FaultNone)
+		b.assertRan(run{member: "b", after: position, state: 'I'})
+	})
+
+	t.Run("position too old", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyBounded)
+		b.directory.Frontier("s").Note(b.directory.Clock.Now()-2*time.Second, position)
+		assert.Equal(t, b.do(lab.OperationRead).Fault, lab.FaultNone)
+		b.assertRan(run{member: "a", state: 'T'})
+	})
+
+	t.Run("own write", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencySession)
+		b.fresh(5)
+		assert.Equal(t, b.do(lab.OperationWrite).Fault, lab.FaultNone)
+		assert.Equal(t, b.do(lab.OperationRead).Fault, lab.FaultNone)
+		b.assertRan(run{member: "a", state: 'I'}, run{member: "b", after: lab.LogPosition{Term: 1, Number: 7}, state: 'I'})
+	})
+
+	t.Run("lagging replicas", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencySession)
+		b.fresh(5)
+		b.service.script = func(_ string, o lab.Operation) (lab.OperationResult, error) {
+			if !o.After.IsZero() {
+				return lab.OperationResult{Fault: lab.FaultLagging}, nil
+			}
+
+			return lab.OperationResult{}, nil
+		}
+		assert.Equal(t, b.do(lab.OperationRead).Fault, lab.FaultNone)
+
+		s := b.service.statements()
+		assert.Equal(t, s[len(s)-1].member, "a")
+	})
+}
+
+// TestPromises checks what callers are told when something goes wrong: "not run" only when nothing is kept.
+func TestPromises(t *testing.T) {
+	fail := func(kind lab.OperationKind, f lab.Fault, err error) func(string, lab.Operation) (lab.OperationResult, error) {
+		return func(_ string, o lab.Operation) (lab.OperationResult, error) {
+			if o.Kind != kind {
+				return lab.OperationResult{}, nil
+			}
+
+			return lab.OperationResult{Fault: f}, err
+		}
+	}
+
+	t.Run("write without an answer runs once and is unknown", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.service.script = fail(lab.OperationWrite, lab.FaultNone, errGone)
+		assert.Equal(t, b.do(lab.OperationWrite).Fault, lab.FaultUnknown)
+		assert.Equal(t, len(b.service.statements()), 1)
+	})
+
+	t.Run("refused write is tried again to its deadline", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.service.script = fail(lab.OperationWrite, lab.FaultBusy, nil)
+		assert.Equal(t, b.do(lab.OperationWrite).Fault, lab.FaultBusy)
+		assert.Assert(t, len(b.service.statements()) > 1)
+	})
+
+	t.Run("failed write ran", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.service.script = fail(lab.OperationWrite, lab.FaultFailed, nil)
+		assert.Equal(t, b.do(lab.OperationWrite).Fault, lab.FaultFailed)
+		assert.Equal(t, len(b.service.statements()), 1)
+	})
+
+	t.Run("connection lost inside a transaction aborts it", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.do(lab.OperationBegin)
+		b.service.script = fail(lab.OperationWrite, lab.FaultNone, errGone)
+
+		r := b.do(lab.OperationWrite)
+		assert.Equal(t, r.Fault, lab.FaultAborted)
+		assert.Equal(t, r.State, lab.StateFailed)
+		assert.Equal(t, b.do(lab.OperationRead).Fault, lab.FaultMalformed)
+		assert.Equal(t, b.do(lab.OperationCommit).Fault, lab.FaultAborted)
+		assert.Equal(t, b.session.Idle(), true)
+	})
+
+	t.Run("commit without an answer is unknown", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.do(lab.OperationBegin)
+		b.do(lab.OperationWrite)
+		b.service.script = fail(lab.OperationCommit, lab.FaultNone, errGone)
+
+		r := b.do(lab.OperationCommit)
+		assert.Equal(t, r.Fault, lab.FaultUnknown)
+		assert.Equal(t, r.State, lab.StateIdle)
+	})
+
+	t.Run("member unknown", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.directory.Learn(nil, nil, true)
+
+		started := time.Now()
+		assert.Equal(t, b.do(lab.OperationWrite).Fault, lab.FaultBusy)
+		assert.Assert(t, time.Since(started) < testTimeout)
+	})
+
+	t.Run("route dropped", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.directory.Install(&lab.Document{Version: 2})
+		assert.Equal(t, b.do(lab.OperationRead).Fault, lab.FaultNoDatabase)
+	})
+}
+
+// TestSharedConnections checks that sessions which share connections keep their own values and statements.
+func TestSharedConnections(t *testing.T) {
+	set := func(o *lab.Operation) { o.Name, o.Argument = "v", "1" }
+	prepare := func(o *lab.Operation) { o.Name, o.Argument = "s1", "q" }
+	execute := func(o *lab.Operation) { o.Name, o.Argument = "s1", "x" }
+
+	t.Run("values are set and cleared", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.do(lab.OperationSet, set)
+		b.do(lab.OperationRead)
+
+		b.session = b.open()
+		b.do(lab.OperationRead)
+
+		s := b.service.statements()
+		assert.Equal(t, s[0].values, 1)
+		assert.Equal(t, s[1].values, 0)
+		assert.Equal(t, b.service.dialed["a"], 1, "one connection served both")
+	})
+
+	t.Run("refused values run nothing", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.service.script = func(_ string, o lab.Operation) (lab.OperationResult, error) {
+			if o.Kind == lab.OperationSet {
+				return lab.OperationResult{Fault: lab.FaultFailed}, nil
+			}
+
+			return lab.OperationResult{}, nil
+		}
+		b.do(lab.OperationSet, set)
+		assert.Equal(t, b.do(lab.OperationWrite).Fault, lab.FaultBusy)
+		b.assertRan()
+	})
+
+	t.Run("prepared statement is known after a reset", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.do(lab.OperationSet, set)
+		b.do(lab.OperationPrepare, prepare)
+		assert.Equal(t, b.do(lab.OperationExecute, execute).Fault, lab.FaultNone)
+
+		b.session = b.open()
+		b.do(lab.OperationPrepare, prepare)
+		assert.Equal(t, b.do(lab.OperationExecute, execute).Fault, lab.FaultNone)
+	})
+
+	t.Run("unknown prepared statement", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		assert.Equal(t, b.do(lab.OperationExecute, execute).Fault, lab.FaultUnprepared)
+		assert.Equal(t, b.do(lab.OperationDeallocate, execute).Fault, lab.FaultUnprepared)
+	})
+}
+
+func TestTransactions(t *testing.T) {
+	t.Run("all statements on one connection", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencySession)
+		b.fresh(5)
+		b.do(lab.OperationBegin)
+		b.do(lab.OperationRead)
+		b.do(lab.OperationWrite)
+		b.do(lab.OperationCommit)
+		b.assertRan(run{member: "a", state: 'T'}, run{member: "a", state: 'T'}, run{member: "a", state: 'T'})
+	})
+
+	t.Run("read-only at a replica", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyBounded)
+		b.fresh(5)
+		b.do(lab.OperationBegin, func(o *lab.Operation) { o.ReadOnly = true })
+		b.do(lab.OperationRead)
+		b.do(lab.OperationCommit)
+		b.assertRan(run{member: "b", state: 'T'}, run{member: "b", state: 'T'})
+	})
+
+	t.Run("commit of nothing needs a member", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.do(lab.OperationBegin)
+		assert.Equal(t, b.do(lab.OperationCommit).Proof, "p")
+	})
+
+	t.Run("idle transaction frees its connection", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.do(lab.OperationBegin)
+		b.do(lab.OperationWrite)
+		time.Sleep(1200 * time.Millisecond)
+
+		r := b.do(lab.OperationRead)
+		assert.Equal(t, r.Fault, lab.FaultMalformed)
+		assert.Equal(t, r.State, lab.StateFailed)
+	})
+}
--- a/proxy/connection/labdialogue/transaction.go
+++ b/proxy/connection/labdialogue/transaction.go
@@ -59,7 +59,7 @@
 func (a *attempt) bind() bool {
 	t := a.session.tx
 
-	for !a.expired() {
+	for !a.over() {
 		c, begin, ok := a.candidate(t)
 		if !ok || !a.open(c, begin) {
 			continue
@@ -104,10 +104,15 @@
 
 		r, err := a.execute(s.tx.conn, a.deadline, o)
 		if err != nil {
-			s.Directory.Unreached(s.tx.conn.Member())
+			// Nothing is committed without a commit, so the promise is true whatever still runs.
+			c := s.tx.conn
+			s.tx.conn = nil
 
-			// Nothing is committed without a commit, and closing the connection rolls back.
-			return a.aborted("connection to the member was lost")
+			if !giveUp(c, err) {
+				s.Directory.Unreached(c.Member())
+			}
+
+			return a.aborted("no answer from the member")
 		}
 
 		s.Directory.Reached(s.tx.conn.Member())
@@ -251,7 +256,11 @@
 
 		r, err := c.Run(a.deadline, o)
 		if err != nil {
-			s.Directory.Unreached(c.Member())
+			s.tx.conn = nil
+
+			if !giveUp(c, err) {
+				s.Directory.Unreached(c.Member())
+			}
 
 			return a.lost(err)
 		}
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -15,6 +15,9 @@
 const (
 	// avoidTime is how long a member that refused or failed is left alone while others can serve.
 	avoidTime = 400 * time.Millisecond
+	// behindTime is how long a position seen at a lagging member is taken for its newest. It is about what a replica
+	// receives in one go, and bounds the refusals of a member that lags for seconds to ten a second.
+	behindTime = 100 * time.Millisecond
 	// reservedConnections of each member stay free for control's probes and for changes of the proxies' number.
 	reservedConnections = 2
 )
@@ -49,9 +52,11 @@
 type member struct {
 	announcement lab.Announcement
 	pool         *labbackend.Pool
-	avoid        time.Duration // until when others are preferred
-	failing      time.Duration // since when it cannot be reached, 0 when it can
-	reached      time.Duration // when it was reached last
+	avoid        time.Duration   // until when others are preferred
+	failing      time.Duration   // since when it cannot be reached, 0 when it can
+	reached      time.Duration   // when it was reached last
+	behind       lab.LogPosition // of its log when it last refused a read for its lag
+	behindAt     time.Duration
 }
 
 // Install puts a document in force; an older one changes nothing.
--- a/proxy/process/labdirectory/select.go
+++ b/proxy/process/labdirectory/select.go
@@ -29,11 +29,13 @@
 	return m.pool, true
 }
 
-// Reader returns the connections to the member that should serve a read, skipping those that were tried. Primary tells
-// whether it leads. It returns nil when every member was tried or is down.
-func (d *Directory) Reader(name string, tried map[string]bool) (pool *labbackend.Pool, primary bool) {
+// Reader returns the connections to the member that should serve a read on a log that has the position, skipping those
+// that were tried. Primary tells whether it leads. It returns nil when every member was tried, lags or is down.
+func (d *Directory) Reader(
+	name string, after lab.LogPosition, tried map[string]bool,
+) (pool *labbackend.Pool, primary bool) {
 	d.mutex.Lock()
-	options, pools := d.optionsLocked(name, tried)
+	options, pools := d.optionsLocked(name, after, tried)
 	d.mutex.Unlock()
 
 	// Pools are asked without the lock, since they ask the directory for their share under theirs.
@@ -61,7 +63,9 @@
 
 // optionsLocked lists the members that may be used. A leaving member is used only by what it already runs, unless no
 // other is left.
-func (d *Directory) optionsLocked(name string, tried map[string]bool) ([]labchooser.Option, []*labbackend.Pool) {
+func (d *Directory) optionsLocked(
+	name string, after lab.LogPosition, tried map[string]bool,
+) ([]labchooser.Option, []*labbackend.Pool) {
 	s, ok := d.services[name]
 	if !ok {
 		return nil, nil
@@ -76,7 +80,7 @@
 
 	for _, id := range slices.Sorted(maps.Keys(s.members)) {
 		m := s.members[id]
-		if tried[id] || m.announcement.Leaving {
+		if tried[id] || m.announcement.Leaving || m.lacks(after, now) {
 			continue
 		}
 
@@ -90,6 +94,25 @@
 	return options, pools
 }
 
+// lacks reports whether the member was seen a moment ago without the position.
+func (m *member) lacks(after lab.LogPosition, now time.Duration) bool {
+	return now-m.behindAt < behindTime && m.behind.Before(after)
+}
+
+// Behind notes the position of a member that refused a read for its lag.
+func (d *Directory) Behind(a lab.Announcement, p lab.LogPosition) {
+	d.withMember(a, func(m *member) { m.behind, m.behindAt = p, d.Clock.Now() })
+}
+
+// Failing reports whether a member has not answered since it was asked last.
+func (d *Directory) Failing(a lab.Announcement) bool {
+	failing := false
+
+	d.withMember(a, func(m *member) { failing = m.failing > 0 })
+
+	return failing
+}
+
 // Frontier returns the positions of a service's primary.
 func (d *Directory) Frontier(name string) *labfrontier.Frontier {
 	d.mutex.Lock()
