Count one control instance for each address; log what decided a failed or late statement

The leader added the returned instance as a learner and removed it again every 100 ms, since the report of its former identity, up to 2 s old, made the learner look replaced; the instance gave its identity up, and when another one was killed there was no quorum. Change: labvoters.Reports keeps the newest identity of each address. Logs: one line for each statement that failed or missed its objective, with its id, tries, position, waits and version, at most 100 a second; the output never blocks (TestBounded, with a reader that stands still).

--- a/control/process/labkeeper/join.go
+++ b/control/process/labkeeper/join.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"time"
 
@@ -137,7 +136,7 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
-	k.reporting[id] = k.Clock.Now()
+	k.reports.Note(id, k.Clock.Now())
 }
 
 // tendMembers makes the next change of the group's membership, if one is due.
@@ -180,8 +179,7 @@
 		Self: k.identity.id, Members: m, Target: copiesPerLoss*k.Losses + 1, Silent: map[lab.InstanceID]time.Duration{},
 	}
 
-	maps.DeleteFunc(k.reporting, func(_ lab.InstanceID, t time.Duration) bool { return now-t > reportAge })
-	p.Reporting = slices.Sorted(maps.Keys(k.reporting))
+	p.Reporting = k.reports.Live(now)
 
 	for _, id := range m.All() {
 		p.Silent[id] = now - max(k.heard[id], since)
--- a/control/process/labkeeper/keeper.go
+++ b/control/process/labkeeper/keeper.go
@@ -15,6 +15,7 @@
 	"laburnumlock.dev/lab/control/process/labconsensus"
 	"laburnumlock.dev/lab/control/process/labreplica"
 	"laburnumlock.dev/lab/control/process/labroster"
+	"laburnumlock.dev/lab/control/process/labvoters"
 	"laburnumlock.dev/lab/control/version/labrecord"
 	"laburnumlock.dev/lab/process/labtransport"
 )
@@ -66,7 +67,7 @@
 
 	mutex     sync.Mutex
 	heard     map[lab.InstanceID]time.Duration // last message of each control instance
-	reporting map[lab.InstanceID]time.Duration // last join request of each control instance
+	reports   labvoters.Reports                // join requests of control instances
 	replacing map[string]bool                  // services whose primary is being replaced
 	removed   chan struct{}                    // the identity has been removed from the group
 	changed   chan struct{}                    // closed and replaced after each change of roster or record
@@ -88,7 +89,8 @@
 func (k *Keeper) Prepare() {
 	k.boot, k.started = k.Random.Uint64(), k.Clock.Now()
 	k.changed = make(chan struct{})
-	k.heard, k.reporting = map[lab.InstanceID]time.Duration{}, map[lab.InstanceID]time.Duration{}
+	k.heard = map[lab.InstanceID]time.Duration{}
+	k.reports.Age = reportAge
 	k.replacing, k.missing = map[string]bool{}, map[string]time.Duration{}
 	k.roster = &labroster.Roster{Clock: k.Clock, Changed: k.wake}
 	k.watchers.clock = k.Clock
--- /dev/null
+++ b/process/lablog/bounded_test.go
@@ -0,0 +1,50 @@
+package lablog
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestBounded guards callers against a reader of the logs that has stopped.
+func TestBounded(t *testing.T) {
+	r, w := io.Pipe() // blocks until it is read
+	b := Bounded(w, func(int) {})
+	line := []byte(strings.Repeat("x", 200) + "\n")
+	done := make(chan struct{})
+
+	go func() {
+		for range 10 * bufferedLines {
+			_, _ = b.Write(line)
+		}
+
+		close(done)
+	}()
+
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a log line blocked")
+	}
+
+	assert.NilError(t, r.Close())
+}
+
+func TestRequests(t *testing.T) {
+	var out bytes.Buffer
+
+	l, err := New(&out, "info", "a")
+	assert.NilError(t, err)
+
+	l = Requests(l)
+	for range 10 * requestLines {
+		l.Info().Msg("failed")
+	}
+
+	n := bytes.Count(out.Bytes(), []byte("\n"))
+	assert.Assert(t, n >= requestLines && n <= 2*requestLines, "%d lines", n)
+}
--- a/proxy/connection/labdialogue/attempt.go
+++ b/proxy/connection/labdialogue/attempt.go
@@ -30,12 +30,17 @@
 // attempt is one statement on its way to a result.
 type attempt struct {
 	session  *Session
+	id       string // of the caller's request
 	route    lab.Route
 	started  time.Duration // on the session's clock
 	deadline time.Time
 	tried    map[string]bool
 	last     lab.OperationResult // newest refusal
 	hopeless bool                // waiting longer cannot lead to an answer in time
+	tries    int                 // members that refused or did not answer
+	at       string              // member that was asked last
+	after    lab.LogPosition     // that a read's member must have
+	aged     time.Duration       // accepted age that led to after, 0 when the session's own commit did
 }
 
 var errSetup = errors.New("member refused session values")
@@ -297,10 +302,14 @@
 		return lab.LogPosition{}, false
 	}
 
+	a.aged = a.route.MaxAge
+
 	if a.route.Consistency == lab.ConsistencySession && f.Before(a.session.floor) {
-		f = a.session.floor
+		f, a.aged = a.session.floor, 0
 	}
 
+	a.after = f
+
 	return f, true
 }
 
@@ -318,7 +327,8 @@
 	c.Discard()
 	a.session.Directory.Unreached(c.Member())
 	a.skip(c.Member())
-	a.session.Log.Info().Err(err).Str("database", a.session.Database).Str("member", c.Member().Member).Msg("read_unanswered")
+	a.session.Log.Info().Err(err).Str("request", a.id).Str("database", a.session.Database).
+		Str("member", c.Member().Member).Msg("member_unanswered")
 }
 
 func (a *attempt) skip(m lab.Announcement) {
@@ -327,6 +337,8 @@
 	}
 
 	a.tried[m.Member] = true
+	a.tries++
+	a.at = m.Member
 }
 
 // refuse notes that a member did not run the statement and gives the connection back.
--- a/proxy/connection/labdialogue/session.go
+++ b/proxy/connection/labdialogue/session.go
@@ -155,12 +155,19 @@
 		return fault(lab.FaultNoDatabase, s.Database)
 	}
 
-	a := s.attempt(route)
+	a := s.attempt(o, route)
+	r := a.single(o)
+	a.report(o, r)
 
+	return r
+}
+
+// single runs a statement outside a transaction.
+func (a *attempt) single(o lab.Operation) lab.OperationResult {
 	switch {
 	case o.Writes:
 		return a.write(o)
-	case route.Consistency == lab.ConsistencyPrimary:
+	case a.route.Consistency == lab.ConsistencyPrimary:
 		return a.readPrimary(o)
 	default:
 		return a.readReplica(o)
@@ -168,14 +175,14 @@
 }
 
 // attempt starts the time limit of one statement.
-func (s *Session) attempt(route lab.Route) *attempt {
+func (s *Session) attempt(o lab.Operation, route lab.Route) *attempt {
 	t := route.Timeout
 	if t <= 0 {
 		t = defaultTimeout
 	}
 
 	return &attempt{
-		session: s, route: route, started: s.Clock.Now(), deadline: time.Now().Add(t - min(answerMargin, t/4)),
+		session: s, id: o.ID, route: route, started: s.Clock.Now(), deadline: time.Now().Add(t - min(answerMargin, t/4)),
 	}
 }
 
--- a/proxy/connection/labdialogue/transaction.go
+++ b/proxy/connection/labdialogue/transaction.go
@@ -38,7 +38,7 @@
 }
 
 func (s *Session) inTransaction(o lab.Operation) lab.OperationResult {
-	a := s.attempt(s.tx.route)
+	a := s.attempt(o, s.tx.route)
 
 	if o.Writes && s.tx.readOnly {
 		s.fail()
@@ -46,13 +46,19 @@
 		return fault(lab.FaultReadOnly, "the transaction only reads")
 	}
 
-	if s.tx.conn == nil && !a.bind() {
+	var r lab.OperationResult
+
+	if s.tx.conn != nil || a.bind() {
+		r = a.runBound(o)
+	} else {
 		s.fail()
 
-		return a.refused()
+		r = a.refused()
 	}
 
-	return a.runBound(o)
+	a.report(o, r)
+
+	return r
 }
 
 // bind binds a member connection to the transaction and begins it there.
@@ -243,7 +249,15 @@
 }
 
 func (s *Session) commit(o lab.Operation) lab.OperationResult {
-	a := s.attempt(s.tx.route)
+	a := s.attempt(o, s.tx.route)
+	r := a.commit(o)
+	a.report(o, r)
+
+	return r
+}
+
+func (a *attempt) commit(o lab.Operation) lab.OperationResult {
+	s := a.session
 
 	// A commit succeeds only with a member's proof, also after no statement.
 	if s.tx.conn == nil && !a.bind() {
--- a/proxy/process/labedge/edge.go
+++ b/proxy/process/labedge/edge.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/lablog"
 	"laburnumlock.dev/lab/process/labmetrics"
 	"laburnumlock.dev/lab/proxy/connection/labdialogue"
 	"laburnumlock.dev/lab/proxy/process/labdirectory"
@@ -63,7 +64,8 @@
 	e.directory.Suspect = e.subscriber.Kick
 	e.sessions.Latency = labmetrics.NewHistogram()
 	e.entry = &labentry.Entry{
-		Listen: e.Listen, Codec: e.Codec, Directory: e.directory, Clock: e.Clock, Log: e.Log, Sessions: &e.sessions,
+		Listen: e.Listen, Codec: e.Codec, Directory: e.directory, Clock: e.Clock, Log: e.Log,
+		Requests: lablog.Requests(e.Log), Sessions: &e.sessions,
 		StartupWait: startupWait,
 	}
 }
--- a/proxy/process/labentry/caller.go
+++ b/proxy/process/labentry/caller.go
@@ -54,7 +54,6 @@
 
 		r := n.session.Do(o)
 		n.send(n.codec.AppendResult(nil, r))
-		n.entry.trace(n.session.Database, o, r)
 	}
 }
 
@@ -79,7 +78,7 @@
 
 	switch {
 	case err != nil:
-		n.entry.Log.Info().Err(err).Str("database", n.session.Database).Msg("message_unreadable")
+		n.entry.Requests.Info().Err(err).Str("database", n.session.Database).Msg("message_unreadable")
 		n.send(n.codec.AppendRefusal(nil, lab.FaultMalformed, "message cannot be read"))
 		n.hangUp()
 	case end:
@@ -136,7 +135,7 @@
 
 	e := n.entry
 	n.session = &labdialogue.Session{
-		Database: database, Directory: e.Directory, Clock: e.Clock, Log: e.Log, Counters: e.Sessions,
+		Database: database, Directory: e.Directory, Clock: e.Clock, Log: e.Requests, Counters: e.Sessions,
 	}
 	n.send(n.codec.AppendReady(nil))
 
@@ -145,7 +144,7 @@
 
 func (n *caller) refuse(f lab.Fault, detail string) {
 	n.entry.Refused.Add(1)
-	n.entry.Log.Info().Stringer("fault", f).Str("detail", detail).Uint64("version", n.entry.Directory.Version()).
+	n.entry.Requests.Info().Stringer("fault", f).Str("detail", detail).Uint64("version", n.entry.Directory.Version()).
 		Msg("startup_refused")
 	n.send(n.codec.AppendRefusal(nil, f, detail))
 	n.hangUp()
@@ -171,17 +170,6 @@
 	}
 }
 
-// trace logs each operation that did not succeed.
-func (e *Entry) trace(database string, o lab.Operation, r lab.OperationResult) {
-	if r.Fault == lab.FaultNone {
-		return
-	}
-
-	e.Log.Info().Str("request", o.ID).Str("database", database).Uint8("kind", uint8(o.Kind)).Stringer("fault", r.Fault).
-		Str("detail", r.Detail).Str("state", string(rune(r.State))).Uint64("version", e.Directory.Version()).
-		Msg("operation_failed")
-}
-
 func (n *caller) send(b []byte) {
 	_ = n.socket.AsyncWrite(b, nil) // fails only when the connection has ended
 }
--- a/proxy/process/labentry/entry.go
+++ b/proxy/process/labentry/entry.go
@@ -37,6 +37,7 @@
 	Directory *labdirectory.Directory
 	Clock     lab.Clock
 	Log       zerolog.Logger
+	Requests  zerolog.Logger // for lines about single requests
 	Sessions  *labdialogue.Counters
 	// StartupWait is how long a startup waits for the first document.
 	StartupWait time.Duration
