Pass statements on to gateways where connections are scarce or a way is cut

A lost primary was replaced 1.3 s after it was noticed, since the reports that came during the probe were not counted until the next one. Ruled out: promotion for the benefit of a minority (a pause for all); sharing a connection between proxies by time (a handshake of 12 ms each). Change: labplacement decides how many proxies connect to a service (all, if the connections suffice; else gateways in each zone by rendezvous hashing); labrelay lends a gateway's connection for a transaction at a time over a QUIC stream, the decisions stay at the sender; values and prepared statements move into the connection. Evidence is read again after a probe, which lasts 200 ms or one timeout; positions are asked for every 300 ms.

--- a/control/process/labkeeper/tend.go
+++ b/control/process/labkeeper/tend.go
@@ -21,6 +21,7 @@
 	// probeTimeout bounds one probe of a primary by a new connection, well above the round trip of 24 ms between
 	// regions and the 12 ms of a new connection.
 	probeTimeout = 250 * time.Millisecond
+	probePause   = 60 * time.Millisecond // between probes that failed at once
 	// excuseMargin is by how much longer than its primary a replica must be silent so that it cannot hold a commit that
 	// no other replica has.
 	excuseMargin = 4 * time.Second
@@ -129,7 +130,14 @@
 	p, _ := k.primary(service)
 
 	if e.Verdict() == labsuccession.ReasonNone {
-		e.ProbesFail = k.probe(ctx, p.Announcement)
+		failing := k.probe(ctx, p.Announcement)
+
+		// Proxies may have reported meanwhile.
+		k.mutex.Lock()
+		e = k.evidence(service)
+		k.mutex.Unlock()
+
+		e.ProbesFail = failing
 	}
 
 	v := e.Verdict()
@@ -176,7 +184,7 @@
 			return d
 		}
 
-		if k.Clock.Sleep(ctx, tendInterval) != nil {
+		if k.Clock.Sleep(ctx, probePause) != nil {
 			return 0
 		}
 	}
--- a/control/process/labkeeper/watch.go
+++ b/control/process/labkeeper/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 	watchLimit = time.Second
 	// proxyAge is how long a proxy counts after its last watch.
 	proxyAge = 5 * time.Second
+	// proxySettleTime is how long a leader waits for every proxy to find it: two of their watches.
+	proxySettleTime = 1200 * time.Millisecond
 	// settleTime is how long an instance must have run to have heard every member, three announcements' intervals.
 	settleTime = 4 * time.Second
 )
@@ -26,9 +29,11 @@
 
 	mutex   sync.Mutex
 	proxies map[lab.InstanceID]*watcher
+	changes uint64 // grows with each proxy that comes or goes
 }
 
 type watcher struct {
+	proxy   lab.Instance
 	heard   time.Duration
 	reports []lab.PrimaryReport
 }
@@ -41,33 +46,53 @@
 		w.proxies = map[lab.InstanceID]*watcher{}
 	}
 
-	if r.Draining {
-		delete(w.proxies, r.Proxy)
+	old, known := w.proxies[r.Proxy.ID]
 
-		return
-	}
+	switch {
+	case r.Draining && known:
+		delete(w.proxies, r.Proxy.ID)
+
+		w.changes++
+	case !r.Draining:
+		if !known || old.proxy != r.Proxy {
+			w.changes++
+		}
 
-	w.proxies[r.Proxy] = &watcher{heard: w.clock.Now(), reports: r.Primaries}
+		w.proxies[r.Proxy.ID] = &watcher{proxy: r.Proxy, heard: w.clock.Now(), reports: r.Primaries}
+	}
 }
 
-// count returns how many proxies there are.
-func (w *watchers) count() int {
+// sweep forgets silent proxies and returns a number that grows with each change.
+func (w *watchers) sweep() uint64 {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
-	now, n := w.clock.Now(), 0
+	now := w.clock.Now()
 
 	for id, p := range w.proxies {
 		if now-p.heard > proxyAge {
 			delete(w.proxies, id)
 
-			continue
+			w.changes++
 		}
+	}
+
+	return w.changes
+}
+
+// all returns the proxies by name.
+func (w *watchers) all() []lab.Instance {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 
-		n++
+	out := make([]lab.Instance, 0, len(w.proxies))
+	for _, p := range w.proxies {
+		out = append(out, p.proxy)
 	}
 
-	return n
+	slices.SortFunc(out, func(a, b lab.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
+
+	return out
 }
 
 // votes counts the proxies that recently failed to reach a member and those that reached it.
@@ -148,7 +173,10 @@
 }
 
 func (k *Keeper) revision() uint64 {
-	r := k.roster.Revision()<<1 | uint64(btoi(k.complete()))
+	r := k.roster.Revision()<<1 | flag(k.complete())
+	if k.proxiesKnown() {
+		r += k.watchers.sweep() << 1
+	}
 
 	for _, s := range k.services() {
 		if p, ok := k.record.Promotion(s); ok && p.Done {
@@ -159,7 +187,7 @@
 	return r
 }
 
-func btoi(b bool) int {
+func flag(b bool) uint64 {
 	if b {
 		return 1
 	}
@@ -168,7 +196,7 @@
 }
 
 func (k *Keeper) answer(r lab.WatchRequest) lab.WatchAnswer {
-	a := lab.WatchAnswer{Boot: k.epoch(), Revision: k.revision(), Complete: k.complete(), Proxies: k.watchers.count()}
+	a := lab.WatchAnswer{Boot: k.epoch(), Revision: k.revision(), Complete: k.complete()}
 
 	if d := k.record.Document(); d.Version > r.Version {
 		a.Packed = d.Packed
@@ -176,6 +204,10 @@
 
 	if r.Boot != a.Boot || r.Revision != a.Revision {
 		a.Members, a.Primaries = k.members(), k.primaries()
+
+		if k.proxiesKnown() {
+			a.Proxies = k.watchers.all()
+		}
 	}
 
 	for _, m := range k.group.Load().Members().All() {
@@ -185,6 +217,13 @@
 	return a
 }
 
+// proxiesKnown reports whether this instance has led long enough to have heard from every proxy.
+func (k *Keeper) proxiesKnown() bool {
+	l := k.group.Load().Leadership()
+
+	return l.Self && k.Clock.Now()-l.Since > proxySettleTime
+}
+
 // complete reports whether this instance has run long enough to have heard every member.
 func (k *Keeper) complete() bool {
 	return k.Clock.Now()-k.started > settleTime
--- a/control/process/labsuccession/verdict.go
+++ b/control/process/labsuccession/verdict.go
@@ -5,9 +5,9 @@
 const (
 	// ReportAge is how long a proxy's report counts; proxies report at least every 400 ms.
 	ReportAge = time.Second
-	// LostAfter is how long own probes must fail before a primary counts as lost. It spans two probes, so that one lost
-	// packet decides nothing.
-	LostAfter = 300 * time.Millisecond
+	// LostAfter is how long own probes must fail before a primary counts as lost. Most proxies must have missed it on
+	// their own as well, so one probe that runs into its timeout is enough, and several that are refused at once.
+	LostAfter = 200 * time.Millisecond
 )
 
 // Reason says why a primary is replaced.
--- a/operation.go
+++ b/operation.go
@@ -24,15 +24,16 @@
 
 // Operation is one statement of a caller or of the system itself.
 type Operation struct {
-	Kind     OperationKind
-	ID       string // the caller's request id; empty for a statement of the system itself
-	Text     string // a read, write or commit as the caller sent it, passed on unchanged
-	ReadOnly bool   // of a Begin: the transaction may run on a replica
-	Writes   bool   // of a Prepare: the statement stores
-	Name     string // of a session value or prepared statement
-	Argument string // the value, the prepared shape, or the arguments of an Execute
-	Term     uint64 // of a Pause: the term above which receiving stops
-	After    LogPosition
+	Kind     OperationKind `msgpack:"k"`
+	ID       string        `msgpack:"i,omitempty"` // the caller's request id; empty for a statement of the system itself
+	Text     string        `msgpack:"x,omitempty"` // a read, write or commit as the caller sent it, passed on unchanged
+	ReadOnly bool          `msgpack:"r,omitempty"` // of a Begin: the transaction may run on a replica
+	Writes   bool          `msgpack:"w,omitempty"` // of a Prepare or Execute: the statement stores
+	Name     string        `msgpack:"n,omitempty"` // of a session value or prepared statement
+	Argument string        `msgpack:"a,omitempty"` // the value, the prepared shape, or the arguments of an Execute
+	Shape    string        `msgpack:"s,omitempty"` // of an Execute: what was prepared
+	Term     uint64        `msgpack:"t,omitempty"` // of a Pause: the term above which receiving stops
+	After    LogPosition   `msgpack:"p"`           // that the log must have; zero for none
 }
 
 // LogPosition is a commit's place in the log of a service whose members number their commits; zero means none.
@@ -115,12 +116,12 @@
 
 // OperationResult tells how an operation ended at a member or for a caller.
 type OperationResult struct {
-	Rows     []string
-	Proof    string // opaque evidence of the member that it ran the operation
-	Fault    Fault
-	Detail   string // explains the fault
-	State    SessionState
-	Position LogPosition // newest position of the member's log
+	Rows     []string     `msgpack:"r,omitempty"`
+	Proof    string       `msgpack:"p,omitempty"` // opaque evidence of the member that it ran the operation
+	Fault    Fault        `msgpack:"f,omitempty"`
+	Detail   string       `msgpack:"d,omitempty"` // explains the fault
+	State    SessionState `msgpack:"s"`
+	Position LogPosition  `msgpack:"l"` // newest position of the member's log
 }
 
 // MemberState is what a member tells about itself over its own protocol.
--- a/proxy/connection/labbackend/conn.go
+++ b/proxy/connection/labbackend/conn.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"laburnumlock.dev/lab"
 )
 
@@ -15,7 +17,7 @@
 // maxPrepared bounds the prepared statements of a connection; beyond, it is reset.
 const maxPrepared = 200
 
-// Conn is a connection in use by one session; it goes back with Release or Discard.
+// Conn is a connection in use by one session.
 type Conn struct {
 	pool   *Pool
 	link   lab.MemberLink
@@ -24,6 +26,8 @@
 	used   time.Time
 }
 
+var _ lab.MemberChannel = (*Conn)(nil)
+
 // shape is what a prepared statement runs.
 type shape struct {
 	writes bool
@@ -32,7 +36,7 @@
 
 // Member returns the member at the other end.
 func (c *Conn) Member() lab.Announcement {
-	return c.pool.Member
+	return c.pool.Target
 }
 
 // Idle returns how long the connection has not been used.
@@ -40,22 +44,57 @@
 	return time.Since(c.used)
 }
 
-// Run sends operations in one write; after an error only Discard may follow.
-func (c *Conn) Run(deadline time.Time, operations ...lab.Operation) ([]lab.OperationResult, error) {
+// Run gives the connection the session values and sends the operations in one write.
+func (c *Conn) Run(
+	deadline time.Time, values map[string]string, operations ...lab.Operation,
+) ([]lab.OperationResult, error) {
+	if err := c.adopt(deadline, values); err != nil {
+		return nil, err
+	}
+
+	sent, own := c.prepare(operations)
 	started := time.Now()
-	r, err := c.link.Run(deadline, operations...)
+	r, err := c.link.Run(deadline, sent...)
 	c.used = time.Now()
 
-	if err == nil {
-		c.pool.observe(c.used.Sub(started))
+	if err != nil {
+		return nil, err
+	}
+
+	c.pool.observe(c.used.Sub(started))
+
+	return c.withoutOwn(r, own), nil
+}
+
+// adopt waits for the member's word on the session values, since no statement may run with others.
+func (c *Conn) adopt(deadline time.Time, values map[string]string) error {
+	operations := c.adoption(values)
+	if len(operations) == 0 {
+		return nil
+	}
+
+	r, err := c.link.Run(deadline, operations...)
+	if err != nil {
+		return lab.NotRun(lab.ReasonLost, errors.Newf("set session values: %w", err))
+	}
+
+	for i := range r {
+		if r[i].Fault != lab.FaultNone {
+			return lab.NotRun(lab.ReasonRejected, errors.Newf("set session values: %s %s", r[i].Fault, r[i].Detail))
+		}
+	}
+
+	if operations[0].Kind == lab.OperationReset {
+		c.names = nil
 	}
 
-	return r, err
+	c.values = maps.Clone(values)
+
+	return nil
 }
 
-// Adopt returns the operations that give the connection the session values; they must succeed before anything else is
-// sent. Adopted confirms that they did.
-func (c *Conn) Adopt(values map[string]string) []lab.Operation {
+// adoption returns the operations that give the connection the session values.
+func (c *Conn) adoption(values map[string]string) []lab.Operation {
 	var out []lab.Operation
 
 	held := c.values
@@ -83,22 +122,48 @@
 	return out
 }
 
-// Adopted notes that the operations of Adopt have succeeded.
-func (c *Conn) Adopted(operations []lab.Operation, values map[string]string) {
-	if len(operations) == 0 {
-		return
+// prepare puts what prepares unknown statements before their execution. A member that doesn't know a statement refuses
+// to execute it without running anything, so both may be sent at once. It returns the places of what it added.
+func (c *Conn) prepare(operations []lab.Operation) (sent []lab.Operation, own []int) {
+	for _, o := range operations {
+		if o.Kind == lab.OperationExecute {
+			var p []lab.Operation
+
+			o.Name, p = c.prepared(o.Writes, o.Shape)
+			for range p {
+				own = append(own, len(sent))
+			}
+
+			sent = append(sent, p...)
+		}
+
+		sent = append(sent, o)
 	}
 
-	if operations[0].Kind == lab.OperationReset {
-		c.names = nil
+	return sent, own
+}
+
+// withoutOwn drops the results of added operations, and forgets all names after the member did not know one.
+func (c *Conn) withoutOwn(r []lab.OperationResult, own []int) []lab.OperationResult {
+	out := r[:0]
+
+	for i := range r {
+		if slices.Contains(own, i) {
+			continue
+		}
+
+		if r[i].Fault == lab.FaultUnprepared {
+			c.names = nil
+		}
+
+		out = append(out, r[i])
 	}
 
-	c.values = maps.Clone(values)
+	return out
 }
 
-// Prepared returns the connection's name of a prepared statement, and the operation that prepares it if it isn't yet.
-// A member that doesn't know the name refuses to execute it without running anything, so both may be sent at once.
-func (c *Conn) Prepared(writes bool, text string) (name string, prepare []lab.Operation) {
+// prepared returns the connection's name of a prepared statement, and the operation that prepares it if it isn't yet.
+func (c *Conn) prepared(writes bool, text string) (name string, prepare []lab.Operation) {
 	s := shape{writes, text}
 	if n, ok := c.names[s]; ok {
 		return n, nil
@@ -118,11 +183,6 @@
 	return n, []lab.Operation{{Kind: lab.OperationPrepare, Name: n, Writes: writes, Argument: text}}
 }
 
-// Forget drops the names of prepared statements, after the member did not know one.
-func (c *Conn) Forget() {
-	c.names = nil
-}
-
 // Release gives the connection back for other sessions; no transaction may be open on it.
 func (c *Conn) Release() {
 	c.pool.release(c)
@@ -136,7 +196,7 @@
 		if err == nil && s != lab.StateIdle {
 			var r []lab.OperationResult
 
-			r, err = c.Run(time.Now().Add(lingerTime), lab.Operation{Kind: lab.OperationRollback})
+			r, err = c.link.Run(time.Now().Add(lingerTime), lab.Operation{Kind: lab.OperationRollback})
 			if err == nil {
 				s = r[0].State
 			}
--- a/proxy/connection/labbackend/pool.go
+++ b/proxy/connection/labbackend/pool.go
@@ -35,9 +35,9 @@
 
 // Pool holds the connections to one incarnation of a member; exported fields are set before use.
 type Pool struct {
-	Member lab.Announcement
+	Target lab.Announcement // the member
 	Dialer lab.MemberDialer
-	Share  func() int // connections that this proxy may keep
+	Share  func() int // connections that this proxy may keep; 0 where others are its gateways
 	// Dialed is told of each dial's outcome.
 	Dialed func(member lab.Announcement, err error)
 
@@ -53,8 +53,15 @@
 	retry   time.Duration
 }
 
+var _ lab.MemberSource = (*Pool)(nil)
+
+// Member returns the member.
+func (p *Pool) Member() lab.Announcement {
+	return p.Target
+}
+
 // Acquire returns a connection, waiting in order of priority and arrival until the context ends.
-func (p *Pool) Acquire(ctx context.Context, priority int) (*Conn, error) {
+func (p *Pool) Acquire(ctx context.Context, priority int) (lab.MemberChannel, error) {
 	for {
 		c, wait, err := p.take(priority)
 		if err != nil {
@@ -170,7 +177,7 @@
 }
 
 func (p *Pool) limitLocked() int {
-	return max(1, p.Share())
+	return p.Share()
 }
 
 func (p *Pool) growLocked() {
@@ -187,8 +194,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 
-	l, err := p.Dialer.Dial(ctx, p.Member)
-	p.Dialed(p.Member, err)
+	l, err := p.Dialer.Dial(ctx, p.Target)
+	p.Dialed(p.Target, err)
 
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -293,13 +300,36 @@
 	}
 }
 
-// Oldest returns the connection that has been idle longest, for a check, and false when none has been idle for that
-// long.
-func (p *Pool) Oldest(idle time.Duration) (*Conn, bool) {
+// Ping begins and ends a transaction on the connection that has been idle longest, and returns the result of the begin.
+// It returns false when no connection is idle.
+func (p *Pool) Ping(deadline time.Time) (lab.OperationResult, bool, error) {
+	c, ok := p.oldest()
+	if !ok {
+		return lab.OperationResult{}, false, nil
+	}
+
+	r, err := c.link.Run(deadline, lab.Operation{Kind: lab.OperationBegin}, lab.Operation{Kind: lab.OperationRollback})
+	c.used = time.Now()
+
+	switch {
+	case err != nil:
+		c.Discard()
+
+		return lab.OperationResult{}, true, errors.Newf("ping: %w", err)
+	case r[1].State != lab.StateIdle:
+		c.Discard()
+	default:
+		c.Release()
+	}
+
+	return r[0], true, nil
+}
+
+func (p *Pool) oldest() (*Conn, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	if len(p.idle) == 0 || p.idle[0].Idle() < idle {
+	if len(p.idle) == 0 {
 		return nil, false
 	}
 
@@ -317,7 +347,7 @@
 
 	down := time.Now().Before(p.down)
 
-	return p.inUse, len(p.idle) > 0 || (p.open < p.limitLocked() && !down), p.open > 0 || !down
+	return p.inUse, len(p.idle) > 0 || (p.open < p.limitLocked() && !down), p.open > 0 || (!down && p.limitLocked() > 0)
 }
 
 // Close closes the idle connections now and the others when they come back.
--- a/proxy/connection/labdialogue/attempt.go
+++ b/proxy/connection/labdialogue/attempt.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"laburnumlock.dev/lab"
-	"laburnumlock.dev/lab/proxy/connection/labbackend"
 	"laburnumlock.dev/lab/proxy/process/labpatience"
 )
 
@@ -43,8 +42,6 @@
 	aged     time.Duration       // accepted age that led to after, 0 when the session's own commit did
 }
 
-var errSetup = errors.New("member refused session values")
-
 // over reports whether the attempt must end: its time is over or waiting on makes no sense.
 func (a *attempt) over() bool {
 	return a.hopeless || a.expired()
@@ -82,13 +79,19 @@
 			continue
 		}
 
-		if !a.adopt(c) || !a.test(c) {
+		if !a.test(c) {
 			continue
 		}
 
 		asked := a.session.Clock.Now()
 
 		r, err := a.execute(c, a.deadline, o)
+		if notRun(err) {
+			a.silent(c, err)
+
+			continue
+		}
+
 		if err != nil {
 			if !giveUp(c, err) {
 				a.session.Directory.Unreached(c.Member())
@@ -171,10 +174,6 @@
 			continue
 		}
 
-		if !a.adopt(c) {
-			continue
-		}
-
 		o.After = after
 
 		if r, done := a.finishRead(c, o); done {
@@ -186,7 +185,7 @@
 }
 
 // readAt runs a read at the presumed primary, inside a transaction that proves that it leads.
-func (a *attempt) readAt(c *labbackend.Conn, o lab.Operation) (lab.OperationResult, bool) {
+func (a *attempt) readAt(c lab.MemberChannel, o lab.Operation) (lab.OperationResult, bool) {
 	if !a.open(c, lab.Operation{Kind: lab.OperationBegin}) {
 		return lab.OperationResult{}, false
 	}
@@ -196,9 +195,9 @@
 	return a.finishRead(c, o, lab.Operation{Kind: lab.OperationRollback})
 }
 
-func (a *attempt) finishRead(c *labbackend.Conn, o lab.Operation, then ...lab.Operation) (lab.OperationResult, bool) {
+func (a *attempt) finishRead(c lab.MemberChannel, o lab.Operation, then ...lab.Operation) (lab.OperationResult, bool) {
 	r, err := a.execute(c, a.patience(c), o, then...)
-	if err != nil && a.expired() {
+	if err != nil && a.expired() && !notRun(err) {
 		a.session.Counters.Timeouts.Add(1)
 		giveUp(c, err)
 
@@ -225,7 +224,7 @@
 }
 
 // primary returns a connection to the primary, or waits a moment and returns false.
-func (a *attempt) primary() (*labbackend.Conn, bool) {
+func (a *attempt) primary() (lab.MemberChannel, bool) {
 	p, ok := a.session.Directory.Primary(a.route.Service)
 	if !ok {
 		a.pause(retryPause)
@@ -237,10 +236,10 @@
 }
 
 // acquire waits for a connection as long as it makes sense under the member's load.
-func (a *attempt) acquire(p *labbackend.Pool) (*labbackend.Conn, bool) {
+func (a *attempt) acquire(p lab.MemberSource) (lab.MemberChannel, bool) {
 	w := labpatience.Wait{
 		Remaining: time.Until(a.deadline), Objective: a.route.Objective, Expected: p.Typical(),
-		Failing: a.session.Directory.Failing(p.Member),
+		Failing: a.session.Directory.Failing(p.Member()),
 	}
 
 	limit := w.Limit()
@@ -276,7 +275,7 @@
 }
 
 // reader returns a connection to a member for a read and the position that the member's log must have.
-func (a *attempt) reader() (c *labbackend.Conn, after lab.LogPosition, primary, ok bool) {
+func (a *attempt) reader() (c lab.MemberChannel, after lab.LogPosition, primary, ok bool) {
 	after, fresh := a.floor()
 
 	if fresh {
@@ -297,7 +296,13 @@
 
 // floor returns the position that a read must see, and false when it is not known.
 func (a *attempt) floor() (lab.LogPosition, bool) {
-	f, ok := a.session.Directory.Frontier(a.route.Service).Floor(a.started - a.route.MaxAge + agingMargin)
+	frontier, since := a.session.Directory.Frontier(a.route.Service), a.started-a.route.MaxAge+agingMargin
+
+	f, ok := frontier.Floor(since)
+	if !ok && a.session.Directory.Refresh(a.route.Service) {
+		f, ok = frontier.Floor(since)
+	}
+
 	if !ok {
 		return lab.LogPosition{}, false
 	}
@@ -314,7 +319,7 @@
 }
 
 // patience is until when a read waits for an answer on the connection.
-func (a *attempt) patience(c *labbackend.Conn) time.Time {
+func (a *attempt) patience(c lab.MemberChannel) time.Time {
 	if c.Idle() < testAfter {
 		return a.deadline
 	}
@@ -323,9 +328,18 @@
 }
 
 // silent gives up a connection on which a read got no answer; the read is tried elsewhere.
-func (a *attempt) silent(c *labbackend.Conn, err error) {
+func (a *attempt) silent(c lab.MemberChannel, err error) {
 	c.Discard()
-	a.session.Directory.Unreached(c.Member())
+
+	switch _, reason := lab.OutcomeOf(err); {
+	case !notRun(err) || reason == lab.ReasonLost:
+		a.session.Directory.Unreached(c.Member())
+	case reason == lab.ReasonOverload:
+		a.hopeless = true
+	default:
+		a.pause(retryPause)
+	}
+
 	a.skip(c.Member())
 	a.session.Log.Info().Err(err).Str("request", a.id).Str("database", a.session.Database).
 		Str("member", c.Member().Member).Msg("member_unanswered")
@@ -342,12 +356,11 @@
 }
 
 // refuse notes that a member did not run the statement and gives the connection back.
-func (a *attempt) refuse(c *labbackend.Conn, r lab.OperationResult) {
+func (a *attempt) refuse(c lab.MemberChannel, r lab.OperationResult) {
 	a.last = r
 	a.session.Counters.Refusals.Add(1)
 
 	if r.Fault == lab.FaultUnprepared {
-		c.Forget()
 		giveBack(c, r)
 
 		return
@@ -369,7 +382,7 @@
 }
 
 // giveUp frees a connection that brought no answer and reports whether it may still bring one.
-func giveUp(c *labbackend.Conn, err error) bool {
+func giveUp(c lab.MemberChannel, err error) bool {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.Linger()
 
@@ -382,7 +395,7 @@
 }
 
 // giveBack keeps a connection only when no transaction is open on it.
-func giveBack(c *labbackend.Conn, r lab.OperationResult) {
+func giveBack(c lab.MemberChannel, r lab.OperationResult) {
 	if r.State != lab.StateIdle {
 		c.Discard()
 
@@ -392,29 +405,19 @@
 	c.Release()
 }
 
-// adopt gives the connection the session's values. It waits for the member's word, since a statement must not run with
-// other values.
-func (a *attempt) adopt(c *labbackend.Conn) bool {
-	return a.setUp(c)
-}
+// notRun reports whether an error promises that nothing has run.
+func notRun(err error) bool {
+	o, _ := lab.OutcomeOf(err)
 
-// open gives the connection the session's values and begins a transaction on it.
-func (a *attempt) open(c *labbackend.Conn, begin lab.Operation) bool {
-	return a.setUp(c, begin)
+	return err != nil && o == lab.OutcomeNotRun
 }
 
-func (a *attempt) setUp(c *labbackend.Conn, begin ...lab.Operation) bool {
+// open begins a transaction on the connection.
+func (a *attempt) open(c lab.MemberChannel, begin lab.Operation) bool {
 	s := a.session
-	adoption := c.Adopt(s.values)
-
-	operations := append(adoption, begin...)
-	if len(operations) == 0 {
-		return true
-	}
-
 	asked := s.Clock.Now()
 
-	r, err := c.Run(earlier(a.deadline, time.Now().Add(setupTimeout)), operations...)
+	r, err := c.Run(earlier(a.deadline, time.Now().Add(setupTimeout)), s.values, begin)
 	if err != nil {
 		a.silent(c, err)
 
@@ -423,42 +426,30 @@
 
 	s.Directory.Reached(c.Member())
 
-	for i := range r {
-		if r[i].Fault != lab.FaultNone {
-			a.refuseSetUp(c, adoption, i, r)
+	if r[0].Fault != lab.FaultNone {
+		a.refuseBegin(c, r[0])
 
-			return false
-		}
+		return false
 	}
 
-	c.Adopted(adoption, s.values)
-
-	if len(begin) > 0 && !begin[0].ReadOnly {
-		s.Directory.Frontier(c.Member().Database).Note(asked, r[len(r)-1].Position)
+	if !begin.ReadOnly {
+		s.Directory.Frontier(c.Member().Database).Note(asked, r[0].Position)
 	}
 
 	return true
 }
 
-// refuseSetUp gives back a connection whose set-up was refused at operation i.
-func (a *attempt) refuseSetUp(c *labbackend.Conn, adoption []lab.Operation, i int, r []lab.OperationResult) {
+// refuseBegin gives back a connection whose member refused to begin a transaction.
+func (a *attempt) refuseBegin(c lab.MemberChannel, r lab.OperationResult) {
 	s := a.session
 
-	a.last = r[i]
+	a.last = r
 	a.skip(c.Member())
 	s.Counters.Refusals.Add(1)
-	s.Log.Debug().Str("database", s.Database).Str("member", c.Member().Member).Stringer("fault", r[i].Fault).
-		Str("detail", r[i].Detail).Msg("setup_refused")
-
-	if i >= len(adoption) {
-		c.Adopted(adoption, s.values)
-		giveBack(c, r[len(r)-1])
-	} else {
-		c.Discard() // it is not known which values it has
-	}
+	giveBack(c, r)
 
-	if r[i].Fault == lab.FaultLagging {
-		s.Directory.Behind(c.Member(), r[i].Position)
+	if r.Fault == lab.FaultLagging {
+		s.Directory.Behind(c.Member(), r.Position)
 
 		return
 	}
@@ -468,7 +459,7 @@
 }
 
 // test makes sure that a connection which has been idle for long still answers.
-func (a *attempt) test(c *labbackend.Conn) bool {
+func (a *attempt) test(c lab.MemberChannel) bool {
 	if c.Idle() < testAfter {
 		return true
 	}
@@ -477,7 +468,8 @@
 		return false
 	}
 
-	r, err := c.Run(earlier(a.deadline, time.Now().Add(setupTimeout)), lab.Operation{Kind: lab.OperationRollback})
+	r, err := c.Run(
+		earlier(a.deadline, time.Now().Add(setupTimeout)), a.session.values, lab.Operation{Kind: lab.OperationRollback})
 	if err != nil {
 		a.silent(c, err)
 
@@ -496,24 +488,18 @@
 // execute runs a statement and then further operations in the same write, and returns the statement's result with the
 // session's state after all of them.
 func (a *attempt) execute(
-	c *labbackend.Conn, deadline time.Time, o lab.Operation, then ...lab.Operation,
+	c lab.MemberChannel, deadline time.Time, o lab.Operation, then ...lab.Operation,
 ) (lab.OperationResult, error) {
-	var operations []lab.Operation
-
 	if o.Kind == lab.OperationExecute {
-		p := a.session.prepared[o.Name]
-		o.Name, operations = c.Prepared(p.writes, p.text)
+		o.Shape = a.session.prepared[o.Name].text
 	}
 
-	at := len(operations)
-	operations = append(append(operations, o), then...)
-
-	r, err := c.Run(earlier(deadline, a.deadline), operations...)
+	r, err := c.Run(earlier(deadline, a.deadline), a.session.values, append([]lab.Operation{o}, then...)...)
 	if err != nil {
 		return lab.OperationResult{}, err
 	}
 
-	out := r[at]
+	out := r[0]
 	out.State = r[len(r)-1].State
 
 	return out, nil
--- a/proxy/connection/labdialogue/report.go
+++ b/proxy/connection/labdialogue/report.go
@@ -17,7 +17,7 @@
 
 	primary := ""
 	if p, ok := a.session.Directory.Primary(a.route.Service); ok {
-		primary = p.Member.Member
+		primary = p.Member().Member
 	}
 
 	a.session.Log.Info().Str("request", o.ID).Str("database", a.session.Database).Str("service", a.route.Service).
--- a/proxy/connection/labdialogue/transaction.go
+++ b/proxy/connection/labdialogue/transaction.go
@@ -1,10 +1,10 @@
 package labdialogue
 
 import (
+	"maps"
 	"time"
 
 	"laburnumlock.dev/lab"
-	"laburnumlock.dev/lab/proxy/connection/labbackend"
 )
 
 // transaction is a caller's transaction; a member connection is bound to it from its first statement on.
@@ -14,7 +14,7 @@
 	readOnly bool
 	failed   bool
 	wrote    bool
-	conn     *labbackend.Conn // nil before the first statement and after a failure
+	conn     lab.MemberChannel // nil before the first statement and after a failure
 	timer    *time.Timer
 }
 
@@ -81,7 +81,7 @@
 
 // candidate returns a connection for a transaction and how it begins there: at a replica only when it never writes and
 // the route allows it.
-func (a *attempt) candidate(t *transaction) (*labbackend.Conn, lab.Operation, bool) {
+func (a *attempt) candidate(t *transaction) (lab.MemberChannel, lab.Operation, bool) {
 	begin := lab.Operation{Kind: lab.OperationBegin}
 
 	if !t.readOnly || t.route.Consistency == lab.ConsistencyPrimary {
@@ -104,10 +104,6 @@
 	s := a.session
 
 	for {
-		if !a.adoptBound() {
-			return a.aborted("connection to the member was lost")
-		}
-
 		r, err := a.execute(s.tx.conn, a.deadline, o)
 		if err != nil {
 			// Nothing is committed without a commit, so the promise is true whatever still runs.
@@ -125,10 +121,6 @@
 		a.last = r
 
 		if r.Fault.NotRun() && r.State == lab.StateTransaction && !a.expired() {
-			if r.Fault == lab.FaultUnprepared {
-				s.tx.conn.Forget()
-			}
-
 			a.pause(retryPause)
 
 			continue
@@ -148,31 +140,6 @@
 	}
 }
 
-// adoptBound passes on session values that changed within the transaction.
-func (a *attempt) adoptBound() bool {
-	c := a.session.tx.conn
-
-	adoption := c.Adopt(a.session.values)
-	if len(adoption) == 0 {
-		return true
-	}
-
-	r, err := c.Run(a.deadline, adoption...)
-	if err != nil {
-		return false
-	}
-
-	for i := range r {
-		if r[i].Fault != lab.FaultNone {
-			return false
-		}
-	}
-
-	c.Adopted(adoption, a.session.values)
-
-	return true
-}
-
 // aborted ends the transaction at the member; nothing of it is kept.
 func (a *attempt) aborted(detail string) lab.OperationResult {
 	a.session.fail()
@@ -234,10 +201,11 @@
 	}
 
 	s.tx.conn = nil
+	values := maps.Clone(s.values)
 
 	// The caller needn't wait: nothing of the transaction can be kept any more.
 	go func() {
-		r, err := c.Run(time.Now().Add(setupTimeout), lab.Operation{Kind: lab.OperationRollback})
+		r, err := c.Run(time.Now().Add(setupTimeout), values, lab.Operation{Kind: lab.OperationRollback})
 		if err != nil || r[0].Fault != lab.FaultNone || r[0].State != lab.StateIdle {
 			c.Discard()
 
@@ -268,7 +236,11 @@
 		c := s.tx.conn
 		asked := s.Clock.Now()
 
-		r, err := c.Run(a.deadline, o)
+		r, err := c.Run(a.deadline, s.values, o)
+		if notRun(err) {
+			return a.aborted("the commit was not sent")
+		}
+
 		if err != nil {
 			s.tx.conn = nil
 
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -1,6 +1,7 @@
 package labdirectory
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,8 @@
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/connection/labbackend"
 	"laburnumlock.dev/lab/proxy/process/labfrontier"
+	"laburnumlock.dev/lab/proxy/process/labplacement"
+	"laburnumlock.dev/lab/proxy/process/labrelay"
 )
 
 const (
@@ -18,8 +21,9 @@
 	// behindTime is how long a position seen at a lagging member is taken for its newest. It is about what a replica
 	// receives in one go, and bounds the refusals of a member that lags for seconds to ten a second.
 	behindTime = 100 * time.Millisecond
-	// reservedConnections of each member stay free for control's probes and for changes of the proxies' number.
-	reservedConnections = 2
+	// cutTime is how long a member must be out of reach before statements go over another proxy; a lost connection
+	// alone is replaced sooner.
+	cutTime = 150 * time.Millisecond
 )
 
 // Directory is safe for concurrent use; exported fields are set before use.
@@ -30,13 +34,15 @@
 	Random lab.Random
 	Clock  lab.Clock
 	Log    zerolog.Logger
+	Self   lab.InstanceID
+	Peers  lab.Peers // reaches gateways; nil where every proxy connects by itself
 	// Suspect is called when a primary stops answering; it must not block.
 	Suspect func()
 
 	mutex    sync.Mutex
 	document *lab.Document
 	services map[string]*service
-	proxies  int
+	proxies  []lab.Instance
 	changed  chan struct{}
 }
 
@@ -44,18 +50,20 @@
 type service struct {
 	members  map[string]*member
 	primary  string
-	share    atomic.Int64 // connections that this proxy may keep to each member
+	share    atomic.Int64   // connections that this proxy may keep to each member
+	gateways []lab.Instance // other proxies to pass statements on to, in order of preference
 	frontier labfrontier.Frontier
 }
 
 // member is one incarnation of a member.
 type member struct {
 	announcement lab.Announcement
-	pool         *labbackend.Pool
-	avoid        time.Duration   // until when others are preferred
-	failing      time.Duration   // since when it cannot be reached, 0 when it can
-	reached      time.Duration   // when it was reached last
-	behind       lab.LogPosition // of its log when it last refused a read for its lag
+	pool         *labbackend.Pool // own connections
+	relay        *labrelay.Source // connections of gateways; nil without peers
+	avoid        time.Duration    // until when others are preferred
+	failing      time.Duration    // since when it cannot be reached, 0 when it can
+	reached      time.Duration    // when it was reached last
+	behind       lab.LogPosition  // of its log when it last refused a read for its lag
 	behindAt     time.Duration
 }
 
@@ -69,7 +77,7 @@
 	}
 
 	d.document = document
-	d.shareLocked()
+	d.placeLocked()
 	d.Log.Info().Uint64("version", document.Version).Int("routes", len(document.Routes)).Msg("document_in_force")
 	d.wakeLocked()
 }
@@ -106,7 +114,7 @@
 		d.learnLocked(a)
 	}
 
-	d.shareLocked()
+	d.placeLocked()
 
 	for _, a := range members {
 		if a.Gone {
@@ -155,7 +163,14 @@
 	}
 
 	n := &member{announcement: a}
-	n.pool = &labbackend.Pool{Member: a, Dialer: d.Dialer, Share: func() int { return int(s.share.Load()) }, Dialed: d.dialed}
+	n.pool = &labbackend.Pool{Target: a, Dialer: d.Dialer, Share: func() int { return int(s.share.Load()) }, Dialed: d.dialed}
+	if d.Peers != nil {
+		n.relay = &labrelay.Source{
+			Target: a, Peers: d.Peers, Frontier: &s.frontier, Clock: d.Clock,
+			Gateways: func() []lab.Instance { return d.gatewaysOf(a.Database) },
+		}
+	}
+
 	s.members[a.Member] = n
 
 	d.Log.Info().Str("service", a.Database).Str("member", a.Member).Str("address", a.Address).
@@ -178,29 +193,83 @@
 	d.Log.Info().Str("service", name).Str("member", id).Msg("member_dropped")
 }
 
-// SetProxies tells how many proxies share the members' connections.
-func (d *Directory) SetProxies(n int) {
+// SetProxies tells which proxies share the members' connections.
+func (d *Directory) SetProxies(proxies []lab.Instance) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	if d.proxies != n {
-		d.proxies = n
-		d.shareLocked()
-	}
+	d.proxies = proxies
+	d.placeLocked()
 }
 
-// shareLocked recomputes how many connections this proxy may keep to each member of a service. Pools read the result
-// without the directory's lock, which is held while they are closed.
-func (d *Directory) shareLocked() {
+// placeLocked recomputes how many connections this proxy may keep to each member of a service, and to whom it passes
+// statements on. Pools read the share without the directory's lock, which is held while they are closed.
+func (d *Directory) placeLocked() {
 	if d.document == nil {
 		return
 	}
 
 	for n, s := range d.services {
-		if v, ok := d.document.Service(n); ok {
-			s.share.Store(int64(max(1, (v.Connections-reservedConnections)/max(1, d.proxies))))
+		v, ok := d.document.Service(n)
+		if !ok {
+			continue
+		}
+
+		p := labplacement.Placement{Share: 1} // until the proxies are known
+		if len(d.proxies) > 0 {
+			p = labplacement.Place(n, v.Connections, d.proxies)
+		}
+
+		gateway := len(p.Gateways) == 0 || slices.Contains(p.Gateways, d.Self)
+
+		if !gateway {
+			p.Share = 0
+		}
+
+		if before := s.share.Swap(int64(p.Share)); before != int64(p.Share) {
+			d.Log.Info().Str("service", n).Int("share", p.Share).Int("gateways", len(p.Gateways)).
+				Int("proxies", len(d.proxies)).Msg("connections_placed")
+		}
+
+		s.gateways = d.preferredLocked(n, p.Gateways)
+	}
+}
+
+// preferredLocked orders the gateways of a service for this proxy: those of its zone first, then those of its region.
+// Without gateways of its own the service's statements may go over any other proxy when the way to a member is cut.
+func (d *Directory) preferredLocked(name string, gateways []lab.InstanceID) []lab.Instance {
+	out := labplacement.Ranked(string(d.Self)+"/"+name, d.proxies)
+
+	out = slices.DeleteFunc(out, func(i lab.Instance) bool {
+		return i.ID == d.Self || (len(gateways) > 0 && !slices.Contains(gateways, i.ID))
+	})
+
+	distance := func(i lab.Instance) int {
+		switch {
+		case i.AvailabilityZone == d.Zone:
+			return 0
+		case i.Region == d.Region:
+			return 1
+		default:
+			return 2
 		}
 	}
+
+	slices.SortStableFunc(out, func(a, b lab.Instance) int { return distance(a) - distance(b) })
+
+	return out
+}
+
+func (d *Directory) gatewaysOf(name string) []lab.Instance {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	s, ok := d.services[name]
+	if !ok {
+		return nil
+	}
+
+	return s.gateways
 }
 
 func (d *Directory) wakeLocked() {
--- a/proxy/process/labdirectory/select.go
+++ b/proxy/process/labdirectory/select.go
@@ -11,29 +11,92 @@
 	"laburnumlock.dev/lab/proxy/process/labfrontier"
 )
 
-// Primary returns the connections to a service's primary, and false while none is known.
-func (d *Directory) Primary(name string) (*labbackend.Pool, bool) {
+// Primary returns the source of connections to a service's primary, and false while none is known.
+func (d *Directory) Primary(name string) (lab.MemberSource, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	s, ok := d.services[name]
+	s, m, ok := d.primaryLocked(name)
+	if !ok {
+		return nil, false
+	}
+
+	return d.sourceLocked(s, m), true
+}
+
+// PrimaryPool returns this proxy's own connections to a service's primary.
+func (d *Directory) PrimaryPool(name string) (*labbackend.Pool, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	_, m, ok := d.primaryLocked(name)
 	if !ok {
 		return nil, false
 	}
 
+	return m.pool, true
+}
+
+func (d *Directory) primaryLocked(name string) (*service, *member, bool) {
+	s, ok := d.services[name]
+	if !ok {
+		return nil, nil, false
+	}
+
 	m, ok := s.members[s.primary]
+
+	return s, m, ok
+}
+
+// sourceLocked returns this proxy's own connections, or those of gateways where it has none or the way is cut.
+func (d *Directory) sourceLocked(s *service, m *member) lab.MemberSource {
+	cut := m.failing > 0 && d.Clock.Now()-m.failing > cutTime
+
+	if m.relay != nil && len(s.gateways) > 0 && (s.share.Load() == 0 || cut) {
+		return m.relay
+	}
+
+	return m.pool
+}
+
+// Local returns this proxy's own connections to a member for other proxies, and false when it has none or can't reach
+// the member.
+func (d *Directory) Local(name, id string, incarnation uint64) (lab.MemberSource, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	s, ok := d.services[name]
 	if !ok {
 		return nil, false
 	}
 
+	m, ok := s.members[id]
+	if !ok || m.announcement.Incarnation != incarnation || m.failing > 0 || s.share.Load() == 0 {
+		return nil, false
+	}
+
 	return m.pool, true
 }
 
-// Reader returns the connections to the member that should serve a read on a log that has the position, skipping those
+// Refresh asks a gateway for the position of a service's primary, where this proxy doesn't ask the primary itself.
+func (d *Directory) Refresh(name string) bool {
+	d.mutex.Lock()
+	s, m, ok := d.primaryLocked(name)
+	relayed := ok && m.relay != nil && len(s.gateways) > 0 && s.share.Load() == 0
+	d.mutex.Unlock()
+
+	if relayed {
+		m.relay.Refresh()
+	}
+
+	return relayed
+}
+
+// Reader returns the source of connections to the member that should serve a read on a log that has the position, skipping those
 // that were tried. Primary tells whether it leads. It returns nil when every member was tried, lags or is down.
 func (d *Directory) Reader(
 	name string, after lab.LogPosition, tried map[string]bool,
-) (pool *labbackend.Pool, primary bool) {
+) (source lab.MemberSource, primary bool) {
 	d.mutex.Lock()
 	options, pools := d.optionsLocked(name, after, tried)
 	d.mutex.Unlock()
@@ -65,7 +128,7 @@
 // other is left.
 func (d *Directory) optionsLocked(
 	name string, after lab.LogPosition, tried map[string]bool,
-) ([]labchooser.Option, []*labbackend.Pool) {
+) ([]labchooser.Option, []lab.MemberSource) {
 	s, ok := d.services[name]
 	if !ok {
 		return nil, nil
@@ -73,7 +136,7 @@
 
 	var (
 		options []labchooser.Option
-		pools   []*labbackend.Pool
+		pools   []lab.MemberSource
 	)
 
 	now := d.Clock.Now()
@@ -88,7 +151,7 @@
 			Member: id, SameZone: m.announcement.AvailabilityZone == d.Zone, SameRegion: m.announcement.Region == d.Region,
 			Primary: id == s.primary, Avoid: max(0, m.avoid-now),
 		})
-		pools = append(pools, m.pool)
+		pools = append(pools, d.sourceLocked(s, m))
 	}
 
 	return options, pools
@@ -193,8 +256,8 @@
 
 	for n, s := range d.services {
 		m, ok := s.members[s.primary]
-		if !ok || (m.reached == 0 && m.failing == 0) {
-			continue
+		if !ok || (m.reached == 0 && m.failing == 0) || s.share.Load() == 0 {
+			continue // what gateways see, they report themselves
 		}
 
 		r := lab.PrimaryReport{Service: n, Member: s.primary}
--- a/proxy/process/labedge/edge.go
+++ b/proxy/process/labedge/edge.go
@@ -13,9 +13,11 @@
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/lablog"
 	"laburnumlock.dev/lab/process/labmetrics"
+	"laburnumlock.dev/lab/process/labtransport"
 	"laburnumlock.dev/lab/proxy/connection/labdialogue"
 	"laburnumlock.dev/lab/proxy/process/labdirectory"
 	"laburnumlock.dev/lab/proxy/process/labentry"
+	"laburnumlock.dev/lab/proxy/process/labrelay"
 	"laburnumlock.dev/lab/proxy/process/labsubscriber"
 )
 
@@ -31,14 +33,12 @@
 
 // Edge is one proxy process; exported fields are set before Run.
 type Edge struct {
-	Name   lab.InstanceID
-	Zone   string
-	Region string
+	Self   lab.Instance
 	Listen string // host:port for callers
 
 	Seeds     func() []string // process addresses of some control instances
 	Grace     time.Duration   // from a stop to its end by force
-	Peers     lab.Peers
+	Transport *labtransport.Transport
 	Clock     lab.Clock
 	Random    lab.Random
 	Documents lab.DocumentReader
@@ -56,10 +56,15 @@
 // Prepare connects the parts; it is called once, before all other methods.
 func (e *Edge) Prepare() {
 	e.directory = &labdirectory.Directory{
-		Zone: e.Zone, Region: e.Region, Dialer: e.Dialer, Random: e.Random, Clock: e.Clock, Log: e.Log,
+		Self: e.Self.ID, Zone: e.Self.AvailabilityZone, Region: e.Self.Region, Peers: e.Transport, Dialer: e.Dialer,
+		Random: e.Random, Clock: e.Clock, Log: e.Log,
 	}
+
+	relay := &labrelay.Server{Members: e.directory, Clock: e.Clock, Log: lablog.Requests(e.Log)}
+	e.Transport.HandleStream(labrelay.Method, relay.Serve)
+
 	e.subscriber = &labsubscriber.Subscriber{
-		Proxy: e.Name, Peers: e.Peers, Seeds: e.Seeds, Directory: e.directory, Documents: e.Documents, Log: e.Log,
+		Proxy: e.Self, Peers: e.Transport, Seeds: e.Seeds, Directory: e.directory, Documents: e.Documents, Log: e.Log,
 	}
 	e.directory.Suspect = e.subscriber.Kick
 	e.sessions.Latency = labmetrics.NewHistogram()
--- a/proxy/process/labedge/tend.go
+++ b/proxy/process/labedge/tend.go
@@ -12,7 +12,7 @@
 	tendInterval = 100 * time.Millisecond
 	// pingInterval is how often the primary's position is asked for when no statement brings it. Reads that accept an
 	// age of 1.5 s find a position that is old enough for replicas that lag and new enough for the read.
-	pingInterval = 400 * time.Millisecond
+	pingInterval = 300 * time.Millisecond
 	// pingTimeout is the time without an answer after which a primary is suspected; a ping needs no slot, so only the
 	// way of 24 ms between regions and a busy instance delay it.
 	pingTimeout = 300 * time.Millisecond
@@ -52,17 +52,12 @@
 		g.running = make(chan struct{}, 1)
 	}
 
-	asked, ok := e.directory.Frontier(service).Asked()
+	asked, _, ok := e.directory.Frontier(service).Newest()
 	if now := e.Clock.Now(); (ok && now-asked < pingInterval) || now-g.last < pingInterval {
 		return
 	}
 
-	p, ok := e.directory.Primary(service)
-	if !ok {
-		return
-	}
-
-	c, ok := p.Oldest(0)
+	p, ok := e.directory.PrimaryPool(service)
 	if !ok {
 		return
 	}
@@ -70,43 +65,35 @@
 	select {
 	case g.running <- struct{}{}:
 	default:
-		c.Release()
-
 		return
 	}
 
 	g.last = e.Clock.Now()
 
 	go func() {
-		e.askPosition(service, c)
+		e.askPosition(service, p)
 		<-g.running
 	}()
 }
 
 // askPosition begins and ends a transaction, which only the primary permits and which takes no slot.
-func (e *Edge) askPosition(service string, c *labbackend.Conn) {
+func (e *Edge) askPosition(service string, p *labbackend.Pool) {
 	asked := e.Clock.Now()
 
-	r, err := c.Run(time.Now().Add(pingTimeout),
-		lab.Operation{Kind: lab.OperationBegin}, lab.Operation{Kind: lab.OperationRollback})
-	if err != nil {
-		c.Discard()
-		e.directory.Unreached(c.Member())
-
+	r, ok, err := p.Ping(time.Now().Add(pingTimeout))
+	if !ok {
 		return
 	}
 
-	e.directory.Reached(c.Member())
+	if err != nil {
+		e.directory.Unreached(p.Member())
 
-	if r[0].Fault == lab.FaultNone {
-		e.directory.Frontier(service).Note(asked, r[0].Position)
+		return
 	}
 
-	if r[1].State != lab.StateIdle {
-		c.Discard()
+	e.directory.Reached(p.Member())
 
-		return
+	if r.Fault == lab.FaultNone {
+		e.directory.Frontier(service).Note(asked, r.Position)
 	}
-
-	c.Release()
 }
--- a/proxy/process/labfrontier/frontier.go
+++ b/proxy/process/labfrontier/frontier.go
@@ -62,14 +62,16 @@
 	return lab.LogPosition{}, false
 }
 
-// Asked returns the time of the newest position, and false when there is none.
-func (f *Frontier) Asked() (time.Duration, bool) {
+// Newest returns the newest position and when it was asked for, and false when there is none.
+func (f *Frontier) Newest() (asked time.Duration, position lab.LogPosition, ok bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 
 	if len(f.marks) == 0 {
-		return 0, false
+		return 0, lab.LogPosition{}, false
 	}
 
-	return f.marks[len(f.marks)-1].asked, true
+	l := f.marks[len(f.marks)-1]
+
+	return l.asked, l.position, true
 }
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -29,7 +29,7 @@
 
 // Subscriber asks the control group for changes; exported fields are set before Run.
 type Subscriber struct {
-	Proxy     lab.InstanceID
+	Proxy     lab.Instance
 	Peers     lab.Peers
 	Seeds     func() []string // process addresses of some control instances
 	Directory *labdirectory.Directory
@@ -205,9 +205,11 @@
 		}
 	}
 
-	s.Directory.SetProxies(a.Proxies)
-
 	if a.Boot != s.boot || a.Revision != s.revision {
+		if len(a.Proxies) > 0 {
+			s.Directory.SetProxies(a.Proxies)
+		}
+
 		s.Directory.Learn(a.Members, a.Primaries, a.Complete)
 	}
 
--- a/watch.go
+++ b/watch.go
@@ -8,7 +8,7 @@
 
 // WatchRequest asks for what changed; it is answered after a change or after Wait.
 type WatchRequest struct {
-	Proxy     InstanceID      `msgpack:"p"`
+	Proxy     Instance        `msgpack:"p"`
 	Boot      uint64          `msgpack:"b"` // of the answer that Revision comes from
 	Revision  uint64          `msgpack:"r"`
 	Version   uint64          `msgpack:"v"` // of the document in force at the sender
@@ -34,5 +34,7 @@
 	Primaries map[string]string `msgpack:"p"` // member by service when the revision differs
 	Complete  bool              `msgpack:"c"` // members that are missing don't exist; the leader has listened long enough
 	Controls  []string          `msgpack:"a"` // process addresses of the control group
-	Proxies   int               `msgpack:"n"` // proxies that share the members' connections
+	// Proxies share the members' connections; they are set when the revision differs and the leader has led long enough
+	// to have heard all of them.
+	Proxies []Instance `msgpack:"n"`
 }
