--- a/control/process/labkeeper/keeper.go
+++ b/control/process/labkeeper/keeper.go
@@ -75,7 +75,6 @@
 
 // Run takes part in the control group until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
-
 	for ctx.Err() == nil {
 		if err := k.takePart(ctx); err != nil {
 			return err
--- a/control/process/labroster/roster_test.go
+++ b/control/process/labroster/roster_test.go
@@ -42,25 +42,32 @@
 		{
 			"late announcement",
 			[]lab.Announcement{with(announcement("a", "1:1", 10, 2), leaving), announcement("a", "1:1", 10, 1)},
-			[]string{"a"}, []string{"a"},
+			[]string{"a"},
+			[]string{"a"},
 		},
 		{
 			"new start under the same name",
 			[]lab.Announcement{with(announcement("a", "1:1", 10, 9), leaving), announcement("a", "1:1", 20, 1)},
-			[]string{"a"}, nil,
+			[]string{"a"},
+			nil,
 		},
 		{
 			"late announcement of the former start",
 			[]lab.Announcement{announcement("a", "1:1", 20, 1), with(announcement("a", "1:1", 10, 9), leaving)},
-			[]string{"a"}, nil,
+			[]string{"a"},
+			nil,
 		},
 		{
 			"address reused by a younger member",
-			[]lab.Announcement{announcement("a", "1:1", 10, 1), announcement("b", "1:1", 20, 1)}, []string{"b"}, nil,
+			[]lab.Announcement{announcement("a", "1:1", 10, 1), announcement("b", "1:1", 20, 1)},
+			[]string{"b"},
+			nil,
 		},
 		{
 			"late announcement of the address's former member",
-			[]lab.Announcement{announcement("b", "1:1", 20, 1), announcement("a", "1:1", 10, 5)}, []string{"b"}, nil,
+			[]lab.Announcement{announcement("b", "1:1", 20, 1), announcement("a", "1:1", 10, 5)},
+			[]string{"b"},
+			nil,
 		},
 		{
 			"gone", []lab.Announcement{announcement("a", "1:1", 10, 1), {Member: "a", Gone: true}}, nil, nil,
@@ -75,7 +82,8 @@
 		{
 			"gone and started again",
 			[]lab.Announcement{announcement("a", "1:1", 10, 1), {Member: "a", Gone: true}, announcement("a", "1:1", 20, 1)},
-			[]string{"a"}, nil,
+			[]string{"a"},
+			nil,
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/proxy/connection/labbackend/pool.go
+++ b/proxy/connection/labbackend/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -80,7 +81,7 @@
 		case <-ctx.Done():
 			p.leave(wait)
 
-			return nil, errors.Newf("%w: %w", ErrNoConnection, ctx.Err())
+			return nil, fmt.Errorf("%w: %w", ErrNoConnection, ctx.Err()) // errors.Newf wraps one error only
 		}
 	}
 }
--- /dev/null
+++ b/proxy/connection/labbackend/pool_test.go
@@ -0,0 +1,172 @@
+package labbackend
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+)
+
+var errDown = errors.New("member is down")
+
+// dialer opens links that succeed at everything, unless it is told to fail.
+type dialer struct {
+	mutex  sync.Mutex
+	dialed int
+	err    error
+	dead   bool // of new links
+}
+
+type quietLink struct {
+	dead   bool
+	closed *bool
+}
+
+func (d *dialer) Dial(context.Context, lab.Announcement) (lab.MemberLink, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	d.dialed++
+
+	return &quietLink{dead: d.dead, closed: new(bool)}, d.err
+}
+
+func (*dialer) State(time.Time, lab.MemberLink, lab.Operation) (lab.MemberState, error) {
+	return lab.MemberState{}, errDown
+}
+
+func (*quietLink) Run(_ time.Time, o ...lab.Operation) ([]lab.OperationResult, error) {
+	out := make([]lab.OperationResult, len(o))
+	for i := range out {
+		out[i].State = lab.StateIdle
+	}
+
+	return out, nil
+}
+
+func (*quietLink) Drain(time.Time) (lab.SessionState, error) { return lab.StateIdle, nil }
+func (l *quietLink) Alive() bool                             { return !l.dead }
+func (l *quietLink) Close()                                  { *l.closed = true }
+
+func newPool(d *dialer, share *int) *Pool {
+	return &Pool{Dialer: d, Share: func() int { return *share }, Dialed: func(lab.Announcement, error) {}}
+}
+
+func acquire(t *testing.T, p *Pool, priority int) lab.MemberChannel {
+	t.Helper()
+
+	c, err := p.Acquire(t.Context(), priority)
+	assert.NilError(t, err)
+
+	return c
+}
+
+func TestPool(t *testing.T) {
+	t.Run("no more connections than the share", func(t *testing.T) {
+		share, d := 2, &dialer{}
+		p := newPool(d, &share)
+		a, b := acquire(t, p, 0), acquire(t, p, 0)
+
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+
+		_, err := p.Acquire(ctx, 0)
+		assert.ErrorIs(t, err, ErrNoConnection)
+		a.Release()
+		b.Release()
+		acquire(t, p, 0).Release()
+		assert.Equal(t, d.dialed, 2)
+
+		n, free, up := p.Load()
+		assert.Assert(t, n == 0 && free && up)
+	})
+
+	t.Run("share that shrinks", func(t *testing.T) {
+		share, d := 2, &dialer{}
+		p := newPool(d, &share)
+		a, b := acquire(t, p, 0), acquire(t, p, 0)
+		share = 1
+		a.Release()
+		b.Release()
+		p.Warm()
+		assert.Equal(t, p.open, 1)
+	})
+
+	t.Run("gateways serve instead", func(t *testing.T) {
+		share, d := 0, &dialer{}
+		p := newPool(d, &share)
+		p.Warm()
+
+		_, _, up := p.Load()
+		assert.Assert(t, !up)
+		assert.Equal(t, d.dialed, 0)
+	})
+
+	t.Run("priority before arrival", func(t *testing.T) {
+		share, d := 1, &dialer{}
+		p := newPool(d, &share)
+		held := acquire(t, p, 0)
+		order := make(chan int, 3)
+
+		for i, priority := range []int{2, 2, 1} {
+			go func() {
+				c, err := p.Acquire(t.Context(), priority)
+				if err == nil {
+					order <- i
+					c.Release()
+				}
+			}()
+
+			time.Sleep(10 * time.Millisecond)
+		}
+
+		held.Release()
+		assert.Equal(t, <-order, 2)
+		assert.Equal(t, <-order, 0)
+		assert.Equal(t, <-order, 1)
+	})
+
+	t.Run("member that is down", func(t *testing.T) {
+		share, d := 2, &dialer{err: errDown}
+		p := newPool(d, &share)
+
+		for range 20 {
+			_, err := p.Acquire(t.Context(), 0)
+			assert.ErrorIs(t, err, ErrNoConnection)
+		}
+
+		assert.Equal(t, d.dialed, 1, "a member that is down isn't asked for each request")
+	})
+
+	t.Run("connection closed while idle", func(t *testing.T) {
+		share, d := 1, &dialer{dead: true}
+		p := newPool(d, &share)
+		acquire(t, p, 0).Release()
+		time.Sleep(2 * checkAfter)
+		acquire(t, p, 0).Release()
+		assert.Equal(t, d.dialed, 2)
+	})
+
+	t.Run("closed with waiters", func(t *testing.T) {
+		share, d := 1, &dialer{}
+		p := newPool(d, &share)
+		held := acquire(t, p, 0)
+		done := make(chan error, 1)
+
+		go func() {
+			_, err := p.Acquire(t.Context(), 0)
+			done <- err
+		}()
+
+		time.Sleep(10 * time.Millisecond)
+		p.Close()
+		assert.ErrorIs(t, <-done, ErrNoConnection)
+		held.Release()
+		assert.Equal(t, p.open, 0)
+	})
+}
--- /dev/null
+++ b/proxy/process/labchooser/choose_test.go
@@ -0,0 +1,48 @@
+package labchooser
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestChoose(t *testing.T) {
+	near := Option{Member: "near", SameZone: true, SameRegion: true, Free: true}
+	next := Option{Member: "next", SameRegion: true, Free: true}
+	far := Option{Member: "far", Free: true}
+
+	with := func(o Option, change func(*Option)) Option {
+		change(&o)
+
+		return o
+	}
+
+	for _, c := range []struct {
+		name string
+		in   []Option
+		want string
+	}{
+		{"calm: the nearest", []Option{far, next, near}, "near"},
+		{"busy: the next", []Option{far, next, with(near, func(o *Option) { o.InProgress = 2 })}, "next"},
+		{"refused lately", []Option{far, next, with(near, func(o *Option) { o.Avoid = 400 * time.Millisecond })}, "next"},
+		{
+			"transactions hold the connections", []Option{far, with(next, func(o *Option) { o.Free = false }), near}, "near",
+		},
+		{"spare the primary", []Option{next, with(near, func(o *Option) { o.Primary = true })}, "next"},
+		{"rather the near primary than the far region", []Option{far, with(near, func(o *Option) { o.Primary = true })}, "near"},
+		{"all avoided: still one", []Option{with(far, func(o *Option) { o.Avoid = time.Second })}, "far"},
+		{"none", nil, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			i := Choose(c.in, 0)
+			if c.want == "" {
+				assert.Equal(t, i, -1)
+
+				return
+			}
+
+			assert.Equal(t, c.in[i].Member, c.want)
+		})
+	}
+}
--- /dev/null
+++ b/proxy/process/labrelay/relay_test.go
@@ -0,0 +1,292 @@
+package labrelay
+
+import (
+	"context"
+	"io"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/proxy/process/labfrontier"
+)
+
+var errDown = errors.New("gateway is down")
+
+// gateway is a proxy with one connection to the member; it implements Members, lab.MemberSource and lab.MemberChannel.
+type gateway struct {
+	frontier labfrontier.Frontier
+	slots    chan struct{}
+
+	mutex    sync.Mutex
+	missing  bool  // it has no connections to the member
+	failure  error // of the next Run
+	state    lab.SessionState
+	values   map[string]string
+	ended    []string
+	received []lab.Operation
+}
+
+func newGateway() *gateway {
+	return &gateway{slots: make(chan struct{}, 1), state: lab.StateIdle}
+}
+
+func (g *gateway) Local(string, string, uint64) (lab.MemberSource, bool) { return g, !g.missing }
+func (g *gateway) Frontier(string) *labfrontier.Frontier                 { return &g.frontier }
+func (*gateway) Member() lab.Announcement                                { return lab.Announcement{} }
+func (*gateway) Load() (int, bool, bool)                                 { return 0, true, true }
+func (*gateway) Typical() time.Duration                                  { return 0 }
+func (*gateway) Idle() time.Duration                                     { return 0 }
+
+func (g *gateway) Acquire(ctx context.Context, _ int) (lab.MemberChannel, error) {
+	select {
+	case g.slots <- struct{}{}:
+		return g, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (g *gateway) Run(_ time.Time, values map[string]string, o ...lab.Operation) ([]lab.OperationResult, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	if err := g.failure; err != nil {
+		g.failure = nil
+
+		return nil, err
+	}
+
+	g.values = values
+	g.received = append(g.received, o...)
+
+	var out []lab.OperationResult
+
+	for _, x := range o {
+		switch x.Kind {
+		case lab.OperationBegin:
+			g.state = lab.StateTransaction
+		case lab.OperationCommit, lab.OperationRollback:
+			g.state = lab.StateIdle
+		default:
+		}
+
+		out = append(out, lab.OperationResult{Proof: "p", Rows: []string{x.Text}, State: g.state})
+	}
+
+	return out, nil
+}
+
+func (g *gateway) end(how string) {
+	g.mutex.Lock()
+	g.ended = append(g.ended, how)
+	g.state = lab.StateIdle
+	g.mutex.Unlock()
+
+	<-g.slots
+}
+
+func (g *gateway) Release() { g.end("released") }
+func (g *gateway) Discard() { g.end("discarded") }
+func (g *gateway) Linger()  { g.end("lingers") }
+
+func (g *gateway) endings() []string {
+	time.Sleep(30 * time.Millisecond) // the stream's end reaches the gateway
+
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	return g.ended
+}
+
+// peers connects to gateways by address over pipes.
+type peers map[string]*gateway
+
+// pipe is one end of a stream.
+type pipe struct {
+	io.Reader
+	io.Writer
+	stop func()
+}
+
+func (p *pipe) Close() error      { p.stop(); return nil }
+func (p *pipe) CloseWrite() error { return nil }
+func (p *pipe) Cancel()           { p.stop() }
+
+func (peers) Call(context.Context, string, lab.Method, any, any) error { return errDown }
+
+func (p peers) Open(_ context.Context, address string, _ lab.Method, h any) (lab.Stream, error) {
+	g, ok := p[address]
+	if !ok {
+		return nil, errDown
+	}
+
+	r1, w1 := io.Pipe()
+	r2, w2 := io.Pipe()
+	stop := func() {
+		_ = w1.CloseWithError(io.EOF)
+		_ = r2.CloseWithError(io.EOF)
+	}
+
+	s := &Server{Members: g, Clock: labclock.NewBoot(), Log: zerolog.Nop()}
+	decode := func(v any) error {
+		b, err := msgpack.Marshal(h)
+		if err != nil {
+			return err
+		}
+
+		return msgpack.Unmarshal(b, v)
+	}
+
+	go func() { _ = s.Serve(context.Background(), "", decode, &pipe{r1, w2, func() {}}) }()
+
+	return &pipe{r2, w1, stop}, nil
+}
+
+func source(p peers, addresses ...string) *Source {
+	var all []lab.Instance
+	for _, a := range addresses {
+		all = append(all, lab.Instance{ID: lab.InstanceID(a), Address: a})
+	}
+
+	return &Source{
+		Target: lab.Announcement{Database: "s", Member: "m", Incarnation: 1}, Peers: p, Clock: labclock.NewBoot(),
+		Gateways: func() []lab.Instance { return all }, Frontier: &labfrontier.Frontier{},
+	}
+}
+
+func soon() time.Time { return time.Now().Add(2 * time.Second) }
+
+func acquire(t *testing.T, s *Source, wait time.Duration) lab.MemberChannel {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	t.Cleanup(cancel)
+
+	c, err := s.Acquire(ctx, 1)
+	assert.NilError(t, err)
+
+	return c
+}
+
+func TestRelay(t *testing.T) {
+	read := lab.Operation{Kind: lab.OperationRead, ID: "q", Text: "FETCH x"}
+
+	t.Run("statement", func(t *testing.T) {
+		g := newGateway()
+		s := source(peers{"g": g}, "g")
+		c := acquire(t, s, time.Second)
+
+		r, err := c.Run(soon(), map[string]string{"v": "1"}, read)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, r[0].Rows, []string{"FETCH x"})
+		assert.DeepEqual(t, g.values, map[string]string{"v": "1"})
+		assert.DeepEqual(t, g.endings(), []string{"released"})
+		c.Release()
+		assert.DeepEqual(t, g.endings(), []string{"released"})
+	})
+
+	t.Run("one connection for a transaction", func(t *testing.T) {
+		g := newGateway()
+		c := acquire(t, source(peers{"g": g}, "g"), time.Second)
+
+		for _, k := range []lab.OperationKind{lab.OperationBegin, lab.OperationWrite, lab.OperationCommit} {
+			_, err := c.Run(soon(), nil, lab.Operation{Kind: k})
+			assert.NilError(t, err)
+		}
+
+		assert.DeepEqual(t, g.endings(), []string{"released"})
+	})
+
+	t.Run("sender leaves in a transaction", func(t *testing.T) {
+		g := newGateway()
+		c := acquire(t, source(peers{"g": g}, "g"), time.Second)
+
+		_, err := c.Run(soon(), nil, lab.Operation{Kind: lab.OperationBegin})
+		assert.NilError(t, err)
+		c.Discard()
+		assert.DeepEqual(t, g.endings(), []string{"discarded"})
+	})
+
+	t.Run("position of the primary", func(t *testing.T) {
+		g := newGateway()
+		g.frontier.Note(labclock.NewBoot().Now(), lab.LogPosition{Term: 1, Number: 9})
+
+		s := source(peers{"g": g}, "g")
+		s.Refresh()
+
+		_, p, ok := s.Frontier.Newest()
+		assert.Assert(t, ok)
+		assert.Equal(t, p, lab.LogPosition{Term: 1, Number: 9})
+	})
+}
+
+// TestRelayFailures checks what the sender learns: "not run" only when nothing was sent to the member.
+func TestRelayFailures(t *testing.T) {
+	write := lab.Operation{Kind: lab.OperationWrite, ID: "q"}
+
+	run := func(t *testing.T, g *gateway, wait time.Duration) error {
+		t.Helper()
+
+		_, err := acquire(t, source(peers{"g": g}, "g"), wait).Run(soon(), nil, write)
+
+		return err
+	}
+
+	assertOutcome := func(t *testing.T, err error, want lab.Outcome) {
+		t.Helper()
+
+		o, _ := lab.OutcomeOf(err)
+		assert.Equal(t, o, want, "%v", err)
+	}
+
+	t.Run("gateway without connections", func(t *testing.T) {
+		g := newGateway()
+		g.missing = true
+		assertOutcome(t, run(t, g, time.Second), lab.OutcomeNotRun)
+	})
+
+	t.Run("no connection free in time", func(t *testing.T) {
+		g := newGateway()
+		g.slots <- struct{}{}
+		err := run(t, g, 20*time.Millisecond)
+		assertOutcome(t, err, lab.OutcomeNotRun)
+
+		_, reason := lab.OutcomeOf(err)
+		assert.Equal(t, reason, lab.ReasonOverload)
+	})
+
+	t.Run("no answer from the member", func(t *testing.T) {
+		g := newGateway()
+		g.failure = errors.Newf("read: %w", os.ErrDeadlineExceeded)
+		err := run(t, g, time.Second)
+		assertOutcome(t, err, lab.OutcomeUnknown)
+		assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded))
+		assert.DeepEqual(t, g.endings(), []string{"lingers"})
+	})
+
+	t.Run("connection to the member lost", func(t *testing.T) {
+		g := newGateway()
+		g.failure = errDown
+		assertOutcome(t, run(t, g, time.Second), lab.OutcomeUnknown)
+		assert.DeepEqual(t, g.endings(), []string{"discarded"})
+	})
+
+	t.Run("next gateway", func(t *testing.T) {
+		g := newGateway()
+		s := source(peers{"g": g}, "down", "g")
+
+		_, err := acquire(t, s, time.Second).Run(soon(), nil, write)
+		assertOutcome(t, err, lab.OutcomeNotRun)
+
+		_, err = acquire(t, s, time.Second).Run(soon(), nil, write)
+		assert.NilError(t, err)
+	})
+}
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -186,7 +186,10 @@
 		return false, err
 	case <-s.kicks:
 		cancel()
-		<-done
+
+		if err := <-done; err == nil {
+			s.Log.Debug().Msg("answer_dropped") // the next watch brings it again
+		}
 
 		return true, nil
 	}
