Give lost answers up sooner and close connections whose values are unknown

The values had been sent and not confirmed in time; the connection lingered and went back to the pool with the values that it had before. Ruled out: leaked connections (they came back after 2.3 s), the estimate of a round trip (it fades now all the same, so that a member that was too slow for everything is tried again). Change: labpatience.Silence: a read, or a statement inside a transaction, waits for eight typical round trips, 250 ms at least; late answers are waited for 300 ms (was 1.5 s). Conn.unsure: unconfirmed values close the connection.

--- a/proxy/connection/labbackend/conn.go
+++ b/proxy/connection/labbackend/conn.go
@@ -11,8 +11,9 @@
 	"laburnumlock.dev/lab"
 )
 
-// lingerTime is how long a late answer is waited for, several times the longest statement and queue of a member.
-const lingerTime = 1500 * time.Millisecond
+// lingerTime is how long a late answer is waited for after its time, twice the wait in a member's queue of 24. An answer
+// that is lost must not block one of the few connections for longer.
+const lingerTime = 300 * time.Millisecond
 
 // maxPrepared bounds the prepared statements of a connection; beyond, it is reset.
 const maxPrepared = 200
@@ -22,6 +23,7 @@
 	pool   *Pool
 	link   lab.MemberLink
 	values map[string]string // session values set at the member
+	unsure bool              // values were sent and not confirmed, so it is not known which ones the member has
 	names  map[shape]string  // prepared statements by what they run
 	used   time.Time
 }
@@ -73,6 +75,8 @@
 		return nil
 	}
 
+	c.unsure = true
+
 	r, err := c.link.Run(deadline, operations...)
 	if err != nil {
 		return lab.NotRun(lab.ReasonLost, errors.Newf("set session values: %w", err))
@@ -88,7 +92,7 @@
 		c.names = nil
 	}
 
-	c.values = maps.Clone(values)
+	c.values, c.unsure = maps.Clone(values), false
 
 	return nil
 }
@@ -185,12 +189,24 @@
 
 // Release gives the connection back for other sessions; no transaction may be open on it.
 func (c *Conn) Release() {
+	if c.unsure {
+		c.Discard()
+
+		return
+	}
+
 	c.pool.release(c)
 }
 
 // Linger waits in the background for answers that came too late for their caller, rolls back what is open and gives the
 // connection back: a new one would keep one of the member's slots longer than the late answer does.
 func (c *Conn) Linger() {
+	if c.unsure {
+		c.Discard()
+
+		return
+	}
+
 	go func() {
 		s, err := c.link.Drain(time.Now().Add(lingerTime))
 		if err == nil && s != lab.StateIdle {
--- a/proxy/connection/labbackend/pool.go
+++ b/proxy/connection/labbackend/pool.go
@@ -15,6 +15,9 @@
 const (
 	// typicalWeight is how many round trips the typical one is averaged over.
 	typicalWeight = 8
+	// fadeTime is the time without an observation after which the typical round trip counts half.
+	fadeTime = 200 * time.Millisecond
+	maxFades = 10
 	// checkAfter is the idle time after which a connection is looked at before it is used.
 	checkAfter = 20 * time.Millisecond
 	// dialTimeout bounds a dial, above the 12 ms of a new connection, a queue before it and a round trip between
@@ -42,16 +45,17 @@
 	// Dialed is told of each dial's outcome.
 	Dialed func(member lab.Announcement, err error)
 
-	mutex   sync.Mutex
-	idle    []*Conn // the most recently used last
-	open    int     // including those in use and those being dialled
-	inUse   int
-	named   uint64
-	waiters []waiter      // by priority, then in order of arrival
-	typical time.Duration // from sending operations to their answer
-	closed  bool
-	down    time.Time // until when no dial is tried
-	retry   time.Duration
+	mutex    sync.Mutex
+	idle     []*Conn // the most recently used last
+	open     int     // including those in use and those being dialled
+	inUse    int
+	named    uint64
+	waiters  []waiter      // by priority, then in order of arrival
+	typical  time.Duration // from sending operations to their answer
+	observed time.Time     // when typical changed last
+	closed   bool
+	down     time.Time // until when no dial is tried
+	retry    time.Duration
 }
 
 var _ lab.MemberSource = (*Pool)(nil)
@@ -139,14 +143,16 @@
 	defer p.mutex.Unlock()
 
 	p.typical += (d - p.typical) / typicalWeight
+	p.observed = time.Now()
 }
 
-// Typical returns how long operations of late took from being sent to their answer.
+// Typical returns how long operations of late took from being sent to their answer. It fades when nothing is sent, so
+// that a member which was too slow for everything is tried again.
 func (p *Pool) Typical() time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	return p.typical
+	return p.typical >> min(maxFades, time.Since(p.observed)/fadeTime)
 }
 
 // leave gives a place in the queue up; a connection that arrived meanwhile goes to the next.
--- a/proxy/connection/labdialogue/attempt.go
+++ b/proxy/connection/labdialogue/attempt.go
@@ -14,10 +14,6 @@
 const (
 	// retryPause is the time before a member that refused is asked again; half of a statement's usual work.
 	retryPause = 10 * time.Millisecond
-	// silenceShare of the time limit is how long a read may go without an answer on a connection that has been idle for
-	// long, before another one is tried: an open connection may have gone silent while new ones work. Elsewhere a read
-	// waits to its end: under load the answer is only late, and a second try would add to the load.
-	silenceShare = 2
 	// setupTimeout bounds operations that need no slot: a round trip between regions takes 24 ms, and a busy instance
 	// may not run for a tenth of a second.
 	setupTimeout = 300 * time.Millisecond
@@ -39,6 +35,7 @@
 	tries    int                 // members that refused or did not answer
 	at       string              // member that was asked last
 	after    lab.LogPosition     // that a read's member must have
+	typical  time.Duration       // from sending operations to their answer, at the member asked last
 	aged     time.Duration       // accepted age that led to after, 0 when the session's own commit did
 }
 
@@ -196,7 +193,7 @@
 }
 
 func (a *attempt) finishRead(c lab.MemberChannel, o lab.Operation, then ...lab.Operation) (lab.OperationResult, bool) {
-	r, err := a.execute(c, a.patience(c), o, then...)
+	r, err := a.execute(c, a.patience(), o, then...)
 	if err != nil && a.expired() && !notRun(err) {
 		a.session.Counters.Timeouts.Add(1)
 		giveUp(c, err)
@@ -242,6 +239,8 @@
 		Failing: a.session.Directory.Failing(p.Member()),
 	}
 
+	a.typical = w.Expected
+
 	limit := w.Limit()
 	if limit <= 0 {
 		a.hopeless = true
@@ -318,20 +317,18 @@
 	return f, true
 }
 
-// patience is until when a read waits for an answer on the connection.
-func (a *attempt) patience(c lab.MemberChannel) time.Time {
-	if c.Idle() < testAfter {
-		return a.deadline
-	}
-
-	return time.Now().Add(time.Until(a.deadline) / silenceShare)
+// patience is until when a statement that can be given up waits for its answer.
+func (a *attempt) patience() time.Time {
+	return time.Now().Add(labpatience.Silence(a.typical, time.Until(a.deadline)))
 }
 
 // silent gives up a connection on which a read got no answer; the read is tried elsewhere.
 func (a *attempt) silent(c lab.MemberChannel, err error) {
-	c.Discard()
+	giveUp(c, err)
 
 	switch _, reason := lab.OutcomeOf(err); {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		a.session.Directory.Avoid(c.Member()) // pings tell whether it is out of reach
 	case !notRun(err) || reason == lab.ReasonLost:
 		a.session.Directory.Unreached(c.Member())
 	case reason == lab.ReasonOverload:
--- a/proxy/connection/labdialogue/transaction.go
+++ b/proxy/connection/labdialogue/transaction.go
@@ -102,9 +102,10 @@
 // run and that the transaction still stands.
 func (a *attempt) runBound(o lab.Operation) lab.OperationResult {
 	s := a.session
+	a.typical = s.Directory.Typical(s.tx.conn.Member())
 
 	for {
-		r, err := a.execute(s.tx.conn, a.deadline, o)
+		r, err := a.execute(s.tx.conn, a.patience(), o)
 		if err != nil {
 			// Nothing is committed without a commit, so the promise is true whatever still runs.
 			c := s.tx.conn
--- a/proxy/process/labdirectory/select.go
+++ b/proxy/process/labdirectory/select.go
@@ -176,6 +176,19 @@
 	return failing
 }
 
+// Typical returns how long operations at a member of late took from being sent to their answer.
+func (d *Directory) Typical(a lab.Announcement) time.Duration {
+	var source lab.MemberSource
+
+	d.withMember(a, func(m *member) { source = d.sourceLocked(d.services[a.Database], m) })
+
+	if source == nil {
+		return 0
+	}
+
+	return source.Typical()
+}
+
 // Frontier returns the positions of a service's primary.
 func (d *Directory) Frontier(name string) *labfrontier.Frontier {
 	d.mutex.Lock()
--- a/proxy/process/labpatience/wait_test.go
+++ b/proxy/process/labpatience/wait_test.go
@@ -88,3 +88,19 @@
 	assert.Equal(t, inVain, 0)
 	assert.Assert(t, inTime >= capacity*95/100, "%d of %d", inTime, capacity)
 }
+
+func TestSilence(t *testing.T) {
+	for _, c := range []struct {
+		name                     string
+		typical, remaining, want time.Duration
+	}{
+		{"calm: the answer is lost", 20 * ms, 770 * ms, 250 * ms},
+		{"overload: the answer is late", 120 * ms, 770 * ms, 770 * ms},
+		{"busy", 50 * ms, 770 * ms, 400 * ms},
+		{"little time left", 20 * ms, 100 * ms, 100 * ms},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, Silence(c.typical, c.remaining), c.want)
+		})
+	}
+}
