--- a/control/process/labkeeper/announcements.go
+++ b/control/process/labkeeper/announcements.go
@@ -83,8 +83,8 @@
 
 		r := k.sightings()
 
-		for _, m := range k.group.Load().Members().All() {
-			if m != k.identity.id {
+		for _, m := range k.part().group.Members().All() {
+			if m != k.part().identity.id {
 				go k.spreadTo(ctx, labvoters.Address(m), r)
 			}
 		}
--- a/control/process/labkeeper/documents.go
+++ b/control/process/labkeeper/documents.go
@@ -52,8 +52,8 @@
 func (k *Keeper) put(ctx context.Context, version uint64, packed []byte) error {
 	// A version that is not newer changes nothing, but its acknowledgement must not come from a deposed leader that
 	// only believes to hold the newest.
-	if k.record.Document().Version >= version {
-		return errors.Wrap(k.group.Load().Barrier(ctx), "confirm held version")
+	if k.part().record.Document().Version >= version {
+		return errors.Wrap(k.part().group.Barrier(ctx), "confirm held version")
 	}
 
 	effect, err := k.propose(ctx, labrecord.Command{Document: &labrecord.Document{Version: version, Packed: packed}})
@@ -76,7 +76,7 @@
 		return nil, err
 	}
 
-	return k.group.Load().Propose(ctx, b)
+	return k.part().group.Propose(ctx, b)
 }
 
 func (k *Keeper) handlePut(ctx context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
@@ -127,11 +127,11 @@
 }
 
 func (k *Keeper) get(ctx context.Context) (labrecord.Document, error) {
-	if err := k.group.Load().Barrier(ctx); err != nil {
+	if err := k.part().group.Barrier(ctx); err != nil {
 		return labrecord.Document{}, errors.Newf("confirm newest document: %w", err)
 	}
 
-	return k.record.Document(), nil
+	return k.part().record.Document(), nil
 }
 
 func (k *Keeper) handleGet(ctx context.Context, _ lab.InstanceID, _ func(any) error) (any, error) {
--- a/control/process/labkeeper/join.go
+++ b/control/process/labkeeper/join.go
@@ -22,7 +22,7 @@
 func (k *Keeper) join(ctx context.Context) error {
 	for k.Clock.Sleep(ctx, joinInterval) == nil {
 		if k.Leading() {
-			k.report(k.identity.id)
+			k.report(k.part().identity.id)
 
 			continue
 		}
@@ -57,14 +57,8 @@
 	}
 
 	if a.Removed {
-		k.mutex.Lock()
-		defer k.mutex.Unlock()
-
-		select {
-		case <-k.removed:
-		default:
-			close(k.removed)
-		}
+		p := k.part()
+		p.once.Do(func() { close(p.removed) })
 	}
 
 	return a.Leader != ""
@@ -76,21 +70,21 @@
 
 	var a joinAnswer
 
-	err := k.Transport.Call(ctx, address, methodJoin, joinRequest{ID: k.identity.id, Fresh: !k.member()}, &a)
+	err := k.Transport.Call(ctx, address, methodJoin, joinRequest{ID: k.part().identity.id, Fresh: !k.member()}, &a)
 
 	return a, err
 }
 
 // member reports whether this instance's own log names it as a member.
 func (k *Keeper) member() bool {
-	return slices.Contains(k.group.Load().Members().All(), k.identity.id)
+	return slices.Contains(k.part().group.Members().All(), k.part().identity.id)
 }
 
 // addresses returns the process addresses of the control instances that this one knows of.
 func (k *Keeper) addresses() []string {
 	out := slices.Clone(k.Seeds())
 
-	if g := k.group.Load(); g != nil {
+	if g := k.part().group; g != nil {
 		for _, m := range g.Members().All() {
 			out = append(out, labvoters.Address(m))
 		}
@@ -107,7 +101,7 @@
 		return nil, err
 	}
 
-	g := k.group.Load()
+	g := k.part().group
 	if g == nil {
 		return joinAnswer{}, nil
 	}
@@ -141,7 +135,7 @@
 
 // tendMembers makes the next change of the group's membership, if one is due.
 func (k *Keeper) tendMembers(ctx context.Context) {
-	g := k.group.Load()
+	g := k.part().group
 	p := k.plan(g.Members(), g.Leadership().Since)
 
 	c, ok := p.Next()
@@ -176,7 +170,7 @@
 
 	now := k.Clock.Now()
 	p := &labvoters.Plan{
-		Self: k.identity.id, Members: m, Target: copiesPerLoss*k.Losses + 1, Silent: map[lab.InstanceID]time.Duration{},
+		Self: k.part().identity.id, Members: m, Target: copiesPerLoss*k.Losses + 1, Silent: map[lab.InstanceID]time.Duration{},
 	}
 
 	p.Reporting = k.reports.Live(now)
--- a/control/process/labkeeper/keeper.go
+++ b/control/process/labkeeper/keeper.go
@@ -13,7 +13,6 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labconsensus"
-	"laburnumlock.dev/lab/control/process/labreplica"
 	"laburnumlock.dev/lab/control/process/labroster"
 	"laburnumlock.dev/lab/control/process/labvoters"
 	"laburnumlock.dev/lab/control/version/labrecord"
@@ -32,6 +31,8 @@
 	groupTick       = 20 * time.Millisecond
 	snapshotEvery   = 200 // applied entries; a document is up to 256 KiB, so the journal stays well below a small disk
 	trailingEntries = 8   // documents kept in memory for members slightly behind
+	// restartPause is the time between two attempts to use a disk that fails.
+	restartPause = 300 * time.Millisecond
 )
 
 // Keeper is one control process; exported fields are set before Run.
@@ -55,11 +56,8 @@
 	Log       zerolog.Logger
 	Counters  Counters
 
-	identity *identity
-	record   *labrecord.Record
 	roster   *labroster.Roster
-	group    atomic.Pointer[labconsensus.Group]
-	senders  senders
+	current  atomic.Pointer[part]
 	boot     uint64
 	started  time.Duration
 	watchers watchers
@@ -69,15 +67,30 @@
 	heard     map[lab.InstanceID]time.Duration // last message of each control instance
 	reports   labvoters.Reports                // join requests of control instances
 	replacing map[string]bool                  // services whose primary is being replaced
-	removed   chan struct{}                    // the identity has been removed from the group
 	changed   chan struct{}                    // closed and replaced after each change of roster or record
 }
 
-// Run takes part in the control group until the context ends.
+// part is this instance's membership under one identity, from reading the journal to its end.
+type part struct {
+	identity *identity
+	record   *labrecord.Record
+	group    *labconsensus.Group // nil before the first one
+	removed  chan struct{}       // closed when the identity has been removed from the group
+	once     sync.Once
+}
+
+func (k *Keeper) part() *part {
+	return k.current.Load()
+}
+
+// Run takes part in the control group until the context ends. When the disk fails, it starts again from what the disk
+// holds, as a restarted process would.
 func (k *Keeper) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := k.takePart(ctx); err != nil {
-			return err
+		if err := k.takePart(ctx); err != nil && ctx.Err() == nil {
+			k.Log.Error().Err(err).Msg("control_part_ended")
+
+			_ = k.Clock.Sleep(ctx, restartPause) // ends early only with the context
 		}
 	}
 
@@ -86,6 +99,7 @@
 
 // Prepare registers the methods of the transport; it is called once, before all other methods.
 func (k *Keeper) Prepare() {
+	k.current.Store(&part{identity: &identity{}, record: &labrecord.Record{}})
 	k.boot, k.started = k.Random.Uint64(), k.Clock.Now()
 	k.changed = make(chan struct{})
 	k.heard = map[lab.InstanceID]time.Duration{}
@@ -104,35 +118,33 @@
 	k.Transport.HandleCall(methodSpread, k.handleSpread)
 }
 
-// takePart runs under one identity until the context ends or the identity was removed from the group.
+// takePart runs under one identity until the context ends, the disk fails or the identity was removed from the group.
 func (k *Keeper) takePart(ctx context.Context) error {
-	var err error
-	if k.identity, err = openIdentity(k.DataFolder, k.Address, k.Founding && slices.Contains(k.Seeds(), k.Address), k.Random); err != nil {
+	i, err := openIdentity(k.DataFolder, k.Address, k.Founding && slices.Contains(k.Seeds(), k.Address), k.Random)
+	if err != nil {
 		return errors.Newf("open identity: %w", err)
 	}
 
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	k.removed = make(chan struct{})
-	k.record = &labrecord.Record{Changed: k.wake}
-	k.senders = senders{peers: k.Transport, context: ctx}
-
-	journal := k.identity.journal()
+	journal := i.journal()
 	defer func() {
 		if err := journal.Close(); err != nil {
 			k.Log.Error().Err(err).Msg("journal_close_failed")
 		}
 	}()
 
+	p := &part{identity: i, record: &labrecord.Record{Changed: k.wake}, removed: make(chan struct{})}
+	s := &senders{peers: k.Transport, context: ctx}
 	g := &labconsensus.Group{
-		ID: k.identity.id, Voters: k.founders(), Journal: journal, Clock: k.Clock, Random: k.Random, Machine: k.record,
-		Send: k.send, ElectionMin: electionMin, ElectionMax: electionMax, Rejoin: rejoin, Heartbeat: heartbeat,
+		ID: i.id, Voters: k.founders(i), Journal: journal, Clock: k.Clock, Random: k.Random, Machine: p.record,
+		Send: s.send, ElectionMin: electionMin, ElectionMax: electionMax, Rejoin: rejoin, Heartbeat: heartbeat,
 		TickInterval: groupTick, SnapshotEvery: snapshotEvery, Trailing: trailingEntries,
 	}
-	k.group.Store(g)
-	k.Log.Info().Str("identity", string(k.identity.id)).Bool("founder", k.identity.founder).
-		Bool("fresh", k.identity.fresh).Msg("control_started")
+	p.group = g
+	k.current.Store(p)
+	k.Log.Info().Str("identity", string(i.id)).Bool("founder", i.founder).Bool("fresh", i.fresh).Msg("control_started")
 
 	e, ctx := errgroup.WithContext(ctx)
 	e.Go(func() error { return g.Run(ctx) })
@@ -144,16 +156,16 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-k.removed:
+		case <-p.removed:
 			return errRemoved
 		}
 	})
 
 	err = e.Wait()
 	if errors.Is(err, errRemoved) {
-		k.Log.Warn().Str("identity", string(k.identity.id)).Msg("identity_removed")
+		k.Log.Warn().Str("identity", string(i.id)).Msg("identity_removed")
 
-		return k.identity.discard()
+		return i.discard()
 	}
 
 	return err
@@ -162,8 +174,8 @@
 var errRemoved = errors.New("identity was removed from the control group")
 
 // founders returns the first voters of a new group: the seeds, which every founder was told alike.
-func (k *Keeper) founders() []lab.InstanceID {
-	if !k.identity.founder {
+func (k *Keeper) founders(i *identity) []lab.InstanceID {
+	if !i.founder {
 		return nil
 	}
 
@@ -183,7 +195,7 @@
 		return nil, err
 	}
 
-	g := k.group.Load()
+	g := k.part().group
 	if g == nil {
 		return nil, lab.ErrNotLeader
 	}
@@ -203,10 +215,6 @@
 	k.heard[id] = k.Clock.Now()
 }
 
-func (k *Keeper) send(to lab.InstanceID, m labreplica.Message) {
-	k.senders.send(to, m)
-}
-
 // wake ends the waits for a change.
 func (k *Keeper) wake() {
 	k.mutex.Lock()
@@ -225,19 +233,19 @@
 
 // Leading reports whether this instance leads and has recently heard from a quorum.
 func (k *Keeper) Leading() bool {
-	g := k.group.Load()
+	g := k.part().group
 
 	return g != nil && g.Leadership().Self
 }
 
 // leader returns the known leader when it is another instance.
 func (k *Keeper) leader() (lab.InstanceID, bool) {
-	g := k.group.Load()
+	g := k.part().group
 	if g == nil {
 		return "", false
 	}
 
 	l := g.Leadership().Leader
 
-	return l, l != "" && l != k.identity.id
+	return l, l != "" && l != k.part().identity.id
 }
--- /dev/null
+++ b/control/process/labkeeper/keeper_test.go
@@ -0,0 +1,261 @@
+package labkeeper
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/process/labrandom"
+	"laburnumlock.dev/lab/process/labtransport"
+)
+
+const patience = 15 * time.Second
+
+// documents reads {"Version": n}.
+type documents struct{}
+
+func (documents) Read(source []byte) (*lab.Document, error) {
+	d := &lab.Document{Source: source}
+
+	return d, json.Unmarshal(source, d)
+}
+
+type noMembers struct{}
+
+func (noMembers) Dial(context.Context, lab.Announcement) (lab.MemberLink, error) {
+	return nil, errors.New("no member")
+}
+
+func (noMembers) State(time.Time, lab.MemberLink, lab.Operation) (lab.MemberState, error) {
+	return lab.MemberState{}, errors.New("no member")
+}
+
+func (noMembers) Promote(context.Context, string, string, uint64) error {
+	return errors.New("no platform")
+}
+
+// cluster runs control instances in this process.
+type cluster struct {
+	t       *testing.T
+	seeds   []string
+	folders []string
+	keepers []*Keeper
+	stops   []func()
+}
+
+func startCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+
+	c := &cluster{t: t, keepers: make([]*Keeper, n), stops: make([]func(), n)}
+	transports := make([]*labtransport.Transport, n)
+
+	for i := range n {
+		transports[i] = c.listen("127.0.0.1:0")
+		c.seeds = append(c.seeds, transports[i].Bound())
+		c.folders = append(c.folders, t.TempDir())
+	}
+
+	for i := range n {
+		c.run(i, transports[i], true)
+	}
+
+	t.Cleanup(func() {
+		for i := range n {
+			c.stop(i)
+		}
+	})
+
+	return c
+}
+
+func (c *cluster) listen(address string) *labtransport.Transport {
+	c.t.Helper()
+
+	e := &labkeys.Ephemeral{Name: "control"}
+	assert.NilError(c.t, e.Generate())
+
+	x := &labtransport.Transport{Address: address, Identity: e, Log: zerolog.Nop()}
+	assert.NilError(c.t, x.Listen())
+
+	return x
+}
+
+func (c *cluster) run(i int, x *labtransport.Transport, founding bool) {
+	k := &Keeper{
+		Address: c.seeds[i], Seeds: func() []string { return c.seeds }, Founding: founding, Losses: 1,
+		DataFolder: c.folders[i], Transport: x, Clock: labclock.NewBoot(), Random: labrandom.New(),
+		Documents: documents{}, Dialer: noMembers{}, Caller: noMembers{}, Log: zerolog.Nop(),
+	}
+	k.Prepare()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 2)
+
+	go func() { _ = k.Run(ctx); ended <- struct{}{} }()
+	go func() { _ = x.Run(ctx); ended <- struct{}{} }()
+
+	c.keepers[i] = k
+	c.stops[i] = func() {
+		cancel()
+		<-ended
+		<-ended
+	}
+}
+
+func (c *cluster) stop(i int) {
+	if c.stops[i] != nil {
+		c.stops[i]()
+		c.stops[i] = nil
+	}
+}
+
+func (c *cluster) restart(i int) {
+	c.t.Helper()
+	c.run(i, c.listen(c.seeds[i]), false)
+}
+
+func (c *cluster) eventually(what string, check func() bool) {
+	c.t.Helper()
+
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+		if check() {
+			return
+		}
+	}
+
+	c.t.Fatalf("not reached: %s", what)
+}
+
+func (c *cluster) put(i int, source string) {
+	c.t.Helper()
+	c.eventually("document accepted", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+
+		return c.keepers[i].Put(ctx, []byte(source)) == nil
+	})
+}
+
+func (c *cluster) assertNewest(i int, want string) {
+	c.t.Helper()
+	c.eventually("document read", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+
+		b, _, err := c.keepers[i].Get(ctx)
+		if err != nil {
+			return false
+		}
+
+		assert.Equal(c.t, string(b), want)
+
+		return true
+	})
+}
+
+func TestKeepers(t *testing.T) {
+	c := startCluster(t, 3)
+	c.put(0, `{"Version":4}`)
+
+	t.Run("versions", func(t *testing.T) {
+		c.put(1, `{"Version":3}`)
+		c.put(2, `{"Version":4, "other":1}`)
+
+		for i := range 3 {
+			c.assertNewest(i, `{"Version":4}`)
+		}
+
+		err := c.keepers[0].Put(t.Context(), []byte(`{`))
+		assert.Assert(t, errors.Is(err, ErrInvalid))
+	})
+
+	t.Run("all restart", func(t *testing.T) {
+		for i := range 3 {
+			c.stop(i)
+		}
+
+		for i := range 3 {
+			c.restart(i)
+		}
+
+		c.assertNewest(1, `{"Version":4}`)
+	})
+
+	t.Run("disk lost, then another instance", func(t *testing.T) {
+		c.stop(2)
+		assert.NilError(t, os.RemoveAll(c.folders[2]))
+		c.restart(2)
+		c.eventually("successor votes alone", func() bool {
+			m := c.keepers[2].part()
+
+			return m.group != nil && len(m.group.Members().Voters) == 3 && m.group.Members().Voter(m.identity.id)
+		})
+		c.stop(0)
+		c.put(1, `{"Version":8}`)
+		c.assertNewest(2, `{"Version":8}`)
+		c.restart(0)
+		c.assertNewest(0, `{"Version":8}`)
+	})
+
+	// A process that ends at each failed write is restarted again and again while its disk is full.
+	t.Run("disk fails for a while", func(t *testing.T) {
+		c.stop(0)
+
+		journal, aside := filepath.Join(c.folders[0], journalName), filepath.Join(c.folders[0], "aside")
+		assert.NilError(t, os.Rename(journal, aside))
+		assert.NilError(t, os.WriteFile(journal, nil, fileMode))
+		c.restart(0)
+		time.Sleep(2 * restartPause)
+		c.assertNewest(1, `{"Version":8}`)
+
+		assert.NilError(t, os.Remove(journal))
+		assert.NilError(t, os.Rename(aside, journal))
+		c.assertNewest(0, `{"Version":8}`)
+	})
+}
+
+func TestMembers(t *testing.T) {
+	c := startCluster(t, 3)
+	c.put(0, `{"Version":1}`)
+
+	a := lab.Announcement{Database: "s", Member: "m", Address: "127.0.0.1:1", Incarnation: 5, Sequence: 1, Primary: true}
+
+	for i := range 3 {
+		a.Sequence++
+		c.eventually("announcement accepted", func() bool { return c.keepers[i].Announce(context.Background(), a) == nil })
+	}
+
+	c.eventually("stored everywhere", func() bool {
+		for _, f := range c.folders {
+			if _, err := os.Stat(filepath.Join(f, membersFile)); err != nil {
+				return false
+			}
+		}
+
+		return true
+	})
+
+	for i := range 3 {
+		c.stop(i)
+	}
+
+	for i := range 3 {
+		c.restart(i)
+	}
+
+	for _, k := range c.keepers {
+		e, ok := k.primary("s")
+		assert.Assert(t, ok)
+		assert.Equal(t, e.Announcement.Member, "m")
+	}
+}
--- a/control/process/labkeeper/primaries.go
+++ b/control/process/labkeeper/primaries.go
@@ -27,7 +27,7 @@
 		found bool
 	)
 
-	p, promoted := k.record.Promotion(service)
+	p, promoted := k.part().record.Promotion(service)
 
 	for _, e := range k.roster.Entries() {
 		a := e.Announcement
--- a/control/process/labkeeper/tend.go
+++ b/control/process/labkeeper/tend.go
@@ -96,7 +96,7 @@
 		}
 	}
 
-	if o, ok := k.record.Promotion(service); ok && !o.Done {
+	if o, ok := k.part().record.Promotion(service); ok && !o.Done {
 		e.Unfinished = true
 	}
 
--- a/control/process/labkeeper/watch.go
+++ b/control/process/labkeeper/watch.go
@@ -164,12 +164,12 @@
 }
 
 func (k *Keeper) news(r lab.WatchRequest) bool {
-	return r.Boot != k.epoch() || r.Revision != k.revision() || r.Version < k.record.Document().Version
+	return r.Boot != k.epoch() || r.Revision != k.revision() || r.Version < k.part().record.Document().Version
 }
 
 // epoch distinguishes the revisions of different reigns.
 func (k *Keeper) epoch() uint64 {
-	return k.boot + k.group.Load().Leadership().Term
+	return k.boot + k.part().group.Leadership().Term
 }
 
 func (k *Keeper) revision() uint64 {
@@ -179,7 +179,7 @@
 	}
 
 	for _, s := range k.services() {
-		if p, ok := k.record.Promotion(s); ok && p.Done {
+		if p, ok := k.part().record.Promotion(s); ok && p.Done {
 			r += p.Token << 20 // far above the roster's changes between two promotions
 		}
 	}
@@ -198,7 +198,7 @@
 func (k *Keeper) answer(r lab.WatchRequest) lab.WatchAnswer {
 	a := lab.WatchAnswer{Boot: k.epoch(), Revision: k.revision(), Complete: k.complete()}
 
-	if d := k.record.Document(); d.Version > r.Version {
+	if d := k.part().record.Document(); d.Version > r.Version {
 		a.Packed = d.Packed
 	}
 
@@ -210,7 +210,7 @@
 		}
 	}
 
-	for _, m := range k.group.Load().Members().All() {
+	for _, m := range k.part().group.Members().All() {
 		a.Controls = append(a.Controls, labvoters.Address(m))
 	}
 
@@ -219,7 +219,7 @@
 
 // proxiesKnown reports whether this instance has led long enough to have heard from every proxy.
 func (k *Keeper) proxiesKnown() bool {
-	l := k.group.Load().Leadership()
+	l := k.part().group.Leadership()
 
 	return l.Self && k.Clock.Now()-l.Since > proxySettleTime
 }
