Use other proxies' connections while a member refuses more

Cause: after a power loss members count the lost connections for 3 s and refuse new ones (TOOMANY); proxies without one refused their callers meanwhile. Change: a pool without a connection whose last dial was refused passes statements on; TestSource.

--- /dev/null
+++ b/proxy/process/labdirectory/directory_test.go
@@ -0,0 +1,168 @@
+package labdirectory
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/process/labrandom"
+)
+
+var errRefused = errors.New("refused")
+
+// members refuses or accepts connections.
+type members struct{ err error }
+
+type noLink struct{}
+
+func (m *members) Dial(context.Context, lab.Announcement) (lab.MemberLink, error) {
+	return noLink{}, m.err
+}
+
+func (*members) State(time.Time, lab.MemberLink, lab.Operation) (lab.MemberState, error) {
+	return lab.MemberState{}, errRefused
+}
+
+func (noLink) Run(time.Time, ...lab.Operation) ([]lab.OperationResult, error) { return nil, errRefused }
+
+func (noLink) Drain(time.Time) (lab.SessionState, error) { return 0, errRefused }
+func (noLink) Alive() bool                               { return true }
+func (noLink) Close()                                    {}
+
+// noPeers is never reached: the tests look at which source is chosen.
+type noPeers struct{}
+
+func (noPeers) Call(context.Context, string, lab.Method, any, any) error { return errRefused }
+func (noPeers) Open(context.Context, string, lab.Method, any) (lab.Stream, error) {
+	return nil, errRefused
+}
+
+func proxies(n int) []lab.Instance {
+	var out []lab.Instance
+	for i := range n {
+		out = append(out, lab.Instance{ID: lab.InstanceID(fmt.Sprintf("p%02d", i)), AvailabilityZone: "z"})
+	}
+
+	return out
+}
+
+func newDirectory(connections int) (*Directory, *members) {
+	m := &members{}
+	d := &Directory{
+		Self: "p00", Zone: "z", Region: "west", Peers: noPeers{}, Dialer: m, Random: labrandom.Seeded(1),
+		Clock: labclock.NewBoot(), Log: zerolog.Nop(), Suspect: func() {},
+	}
+	d.Install(&lab.Document{Version: 1, Services: []lab.Service{{Name: "s", Connections: connections}}})
+	d.Learn([]lab.Announcement{
+		{Database: "s", Member: "a", Address: "127.0.0.1:1", Incarnation: 1},
+		{Database: "s", Member: "b", Address: "127.0.0.1:2", Incarnation: 1},
+	}, map[string]string{"s": "a"}, true)
+
+	return d, m
+}
+
+func assertOwn(t *testing.T, d *Directory, want bool) {
+	t.Helper()
+
+	source, ok := d.Primary("s")
+	assert.Assert(t, ok)
+
+	own, _ := d.PrimaryPool("s")
+	assert.Equal(t, source == lab.MemberSource(own), want)
+}
+
+func TestSource(t *testing.T) {
+	t.Run("own connections", func(t *testing.T) {
+		d, _ := newDirectory(24)
+		d.SetProxies(proxies(10))
+		assertOwn(t, d, true)
+		assert.Equal(t, d.services["s"].share.Load(), int64(2))
+	})
+
+	t.Run("connections of gateways", func(t *testing.T) {
+		d, _ := newDirectory(5)
+		d.SetProxies(proxies(40))
+
+		gateway := d.services["s"].share.Load() > 0
+		assertOwn(t, d, gateway)
+	})
+
+	t.Run("way cut", func(t *testing.T) {
+		d, _ := newDirectory(24)
+		d.SetProxies(proxies(10))
+
+		p, _ := d.PrimaryPool("s")
+		d.Unreached(p.Member())
+		assertOwn(t, d, true)
+		time.Sleep(cutTime + 10*time.Millisecond)
+		assertOwn(t, d, false)
+
+		_, ok := d.Local("s", "a", 1)
+		assert.Assert(t, !ok, "nor does it serve others")
+		d.Reached(p.Member())
+		assertOwn(t, d, true)
+	})
+
+	t.Run("no connection left at the member", func(t *testing.T) {
+		d, m := newDirectory(24)
+		d.SetProxies(proxies(10))
+		m.err = lab.NotRun(lab.ReasonOverload, errRefused)
+
+		p, _ := d.PrimaryPool("s")
+		_, err := p.Acquire(t.Context(), 0)
+		assert.Assert(t, err != nil)
+		assertOwn(t, d, false)
+	})
+}
+
+func TestLearn(t *testing.T) {
+	t.Run("late list of a leader that has not heard all", func(t *testing.T) {
+		d, _ := newDirectory(24)
+		d.Learn([]lab.Announcement{{Database: "s", Member: "b", Address: "127.0.0.1:2", Incarnation: 1}}, nil, false)
+		assertOwn(t, d, true)
+	})
+
+	t.Run("member that is gone", func(t *testing.T) {
+		d, _ := newDirectory(24)
+		d.Learn([]lab.Announcement{{Database: "s", Member: "a", Gone: true}}, nil, false)
+
+		_, ok := d.Primary("s")
+		assert.Assert(t, !ok)
+	})
+
+	t.Run("older document", func(t *testing.T) {
+		d, _ := newDirectory(24)
+		d.Install(&lab.Document{Version: 9})
+		d.Install(&lab.Document{Version: 8})
+		assert.Equal(t, d.Version(), uint64(9))
+	})
+
+	t.Run("leaving member gets nothing new", func(t *testing.T) {
+		d, _ := newDirectory(24)
+		d.Learn([]lab.Announcement{
+			{Database: "s", Member: "b", Address: "127.0.0.1:2", Incarnation: 1, Leaving: true, Sequence: 2},
+		}, nil, false)
+
+		source, primary := d.Reader("s", lab.LogPosition{}, nil)
+		assert.Assert(t, primary)
+		assert.Equal(t, source.Member().Member, "a")
+	})
+
+	t.Run("lagging member is left alone for a moment", func(t *testing.T) {
+		d, _ := newDirectory(24)
+		d.Behind(lab.Announcement{Database: "s", Member: "b", Incarnation: 1}, lab.LogPosition{Term: 1, Number: 5})
+
+		source, _ := d.Reader("s", lab.LogPosition{Term: 1, Number: 6}, nil)
+		assert.Equal(t, source.Member().Member, "a")
+
+		source, _ = d.Reader("s", lab.LogPosition{Term: 1, Number: 5}, nil)
+		assert.Equal(t, source.Member().Member, "b")
+	})
+}
--- a/proxy/process/labdirectory/select.go
+++ b/proxy/process/labdirectory/select.go
@@ -48,11 +48,18 @@
 	return s, m, ok
 }
 
-// sourceLocked returns this proxy's own connections, or those of gateways where it has none or the way is cut.
+// sourceLocked returns this proxy's own connections, or those of other proxies where it may have none, the way is cut, or
+// the member refuses more connections: after a power loss it counts the lost ones for seconds.
 func (d *Directory) sourceLocked(s *service, m *member) lab.MemberSource {
-	cut := m.failing > 0 && d.Clock.Now()-m.failing > cutTime
+	if m.relay == nil || len(s.gateways) == 0 {
+		return m.pool
+	}
+
+	if s.share.Load() == 0 || (m.failing > 0 && d.Clock.Now()-m.failing > cutTime) {
+		return m.relay
+	}
 
-	if m.relay != nil && len(s.gateways) > 0 && (s.share.Load() == 0 || cut) {
+	if _, _, up := m.pool.Load(); !up && m.failing == 0 {
 		return m.relay
 	}
 
@@ -75,7 +82,9 @@
 		return nil, false
 	}
 
-	return m.pool, true
+	_, _, up := m.pool.Load()
+
+	return m.pool, up
 }
 
 // Refresh asks a gateway for the position of a service's primary, where this proxy doesn't ask the primary itself.
