--- a/control/process/labsuccession/succession.go
+++ b/control/process/labsuccession/succession.go
@@ -16,7 +16,7 @@
 	// member's slot for 12 ms and may have to queue for it.
 	probeTimeout = 400 * time.Millisecond
 	// callTimeout bounds one call to the platform. An order without an answer is repeated under a higher token.
-	callTimeout = 700 * time.Millisecond
+	callTimeout = 400 * time.Millisecond
 	// confirmTimeout bounds the wait for an ordered member to lead, well above a promotion's 600 to 1,000 ms.
 	confirmTimeout = 2500 * time.Millisecond
 	pollInterval   = 40 * time.Millisecond
--- a/proxy/connection/labdialogue/attempt.go
+++ b/proxy/connection/labdialogue/attempt.go
@@ -90,9 +90,7 @@
 		}
 
 		if err != nil {
-			if !giveUp(c, err) {
-				a.session.Directory.Unreached(c.Member())
-			}
+			a.unanswered(c, err)
 
 			return a.lost(err)
 		}
@@ -196,7 +194,7 @@
 	r, err := a.execute(c, a.patience(), o, then...)
 	if err != nil && a.expired() && !notRun(err) {
 		a.session.Counters.Timeouts.Add(1)
-		giveUp(c, err)
+		a.unanswered(c, err)
 
 		return fault(lab.FaultTimeout, "no answer from the member in time"), true
 	}
@@ -328,7 +326,7 @@
 
 	switch _, reason := lab.OutcomeOf(err); {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		a.session.Directory.Avoid(c.Member()) // pings tell whether it is out of reach
+		a.session.Directory.Silent(c.Member())
 	case !notRun(err) || reason == lab.ReasonLost:
 		a.session.Directory.Unreached(c.Member())
 	case reason == lab.ReasonOverload:
@@ -391,6 +389,15 @@
 	return false
 }
 
+// unanswered gives up a connection on which a statement may still run.
+func (a *attempt) unanswered(c lab.MemberChannel, err error) {
+	if giveUp(c, err) {
+		a.session.Directory.Silent(c.Member())
+	} else {
+		a.session.Directory.Unreached(c.Member())
+	}
+}
+
 // giveBack keeps a connection only when no transaction is open on it.
 func giveBack(c lab.MemberChannel, r lab.OperationResult) {
 	if r.State != lab.StateIdle {
--- a/proxy/connection/labdialogue/transaction.go
+++ b/proxy/connection/labdialogue/transaction.go
@@ -111,9 +111,7 @@
 			c := s.tx.conn
 			s.tx.conn = nil
 
-			if !giveUp(c, err) {
-				s.Directory.Unreached(c.Member())
-			}
+			a.unanswered(c, err)
 
 			return a.aborted("no answer from the member")
 		}
@@ -245,9 +243,7 @@
 		if err != nil {
 			s.tx.conn = nil
 
-			if !giveUp(c, err) {
-				s.Directory.Unreached(c.Member())
-			}
+			a.unanswered(c, err)
 
 			return a.lost(err)
 		}
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -18,6 +18,9 @@
 const (
 	// avoidTime is how long a member that refused or failed is left alone while others can serve.
 	avoidTime = 400 * time.Millisecond
+	// silencesInRow is how many statements in a row without an answer mean that a member is out of reach. A member that
+	// loses a fifth of its answers does so once in a hundred pairs, and the next answer corrects it.
+	silencesInRow = 2
 	// behindTime is how long a position seen at a lagging member is taken for its newest. It is about what a replica
 	// receives in one go, and bounds the refusals of a member that lags for seconds to ten a second.
 	behindTime = 100 * time.Millisecond
@@ -63,6 +66,7 @@
 	avoid        time.Duration    // until when others are preferred
 	failing      time.Duration    // since when it cannot be reached, 0 when it can
 	reached      time.Duration    // when it was reached last
+	silences     int              // statements without an answer since then
 	behind       lab.LogPosition  // of its log when it last refused a read for its lag
 	behindAt     time.Duration
 }
--- a/proxy/process/labdirectory/directory_test.go
+++ b/proxy/process/labdirectory/directory_test.go
@@ -110,6 +110,18 @@
 		assertOwn(t, d, true)
 	})
 
+	t.Run("answers lost or late", func(t *testing.T) {
+		d, _ := newDirectory(24)
+		p, _ := d.PrimaryPool("s")
+
+		d.Silent(p.Member())
+		d.Reached(p.Member())
+		d.Silent(p.Member())
+		assert.Assert(t, !d.Failing(p.Member()))
+		d.Silent(p.Member())
+		assert.Assert(t, d.Failing(p.Member()))
+	})
+
 	t.Run("no connection left at the member", func(t *testing.T) {
 		d, m := newDirectory(24)
 		d.SetProxies(proxies(10))
--- a/proxy/process/labdirectory/select.go
+++ b/proxy/process/labdirectory/select.go
@@ -218,7 +218,23 @@
 
 // Reached notes that a member answered.
 func (d *Directory) Reached(a lab.Announcement) {
-	d.withMember(a, func(m *member) { m.failing, m.reached = 0, d.Clock.Now() })
+	d.withMember(a, func(m *member) { m.failing, m.reached, m.silences = 0, d.Clock.Now(), 0 })
+}
+
+// Silent notes that a statement got no answer in its time. One answer may be lost or late; several in a row without any
+// answer in between mean that the member is out of reach.
+func (d *Directory) Silent(a lab.Announcement) {
+	silences := 0
+
+	d.withMember(a, func(m *member) {
+		m.avoid = d.Clock.Now() + avoidTime
+		m.silences++
+		silences = m.silences
+	})
+
+	if silences >= silencesInRow {
+		d.Unreached(a)
+	}
 }
 
 // Unreached notes that a member did not answer, and tells control at once when it leads.
