Follow the named leader; never found a control group twice

(1) After all processes had lost power none of the three seeds led, and proxies, which asked only the seeds and skipped followers' answers, never found the leader. Ruled out: the election (a leader was there 0.6 s after the restart), the journals, the machines' links. Change: discovery follows the leader that an instance names; a folder whose identity was given up is marked and never founds again; changes of leadership and membership are logged. TestDiscovery/leader_is_no_seed and TestIdentity/removed_founder failed before.

--- a/control/process/labkeeper/identity.go
+++ b/control/process/labkeeper/identity.go
@@ -16,9 +16,11 @@
 
 const (
 	identityFile = "identity"
-	journalName  = "journal"
-	folderMode   = 0o700
-	fileMode     = 0o600
+	// joinedFile marks a folder whose instance gave an identity up; from then on it never founds a group again.
+	joinedFile  = "joined"
+	journalName = "journal"
+	folderMode  = 0o700
+	fileMode    = 0o600
 )
 
 // identity is the name under which an instance votes. It lives beside the journal, so that an instance that lost its
@@ -51,6 +53,10 @@
 		return nil, errors.Newf("read identity: %w", err)
 	}
 
+	if _, err := os.Stat(filepath.Join(folder, joinedFile)); err == nil {
+		founding = false
+	}
+
 	i.fresh, i.founder, i.id = true, founding, lab.InstanceID(address)
 
 	if !founding {
@@ -93,6 +99,10 @@
 
 // discard removes identity and journal of an instance that is no longer a member.
 func (i *identity) discard() error {
+	if err := replaceFile(i.folder, joinedFile, nil); err != nil {
+		return errors.Newf("mark folder: %w", err)
+	}
+
 	if err := os.RemoveAll(i.journalFolder()); err != nil {
 		return errors.Newf("remove journal: %w", err)
 	}
--- /dev/null
+++ b/control/process/labkeeper/identity_test.go
@@ -0,0 +1,48 @@
+package labkeeper
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labrandom"
+)
+
+func open(t *testing.T, folder string, founding bool) *identity {
+	t.Helper()
+
+	i, err := openIdentity(folder, "10.0.0.1:7440", founding, labrandom.Seeded(1))
+	assert.NilError(t, err)
+
+	return i
+}
+
+func TestIdentity(t *testing.T) {
+	const address = lab.InstanceID("10.0.0.1:7440")
+
+	t.Run("founder keeps its name", func(t *testing.T) {
+		f := t.TempDir()
+		assert.Equal(t, open(t, f, true).id, address)
+
+		i := open(t, f, false)
+		assert.Assert(t, i.id == address && i.founder && !i.fresh)
+	})
+
+	t.Run("joining instance gets a name of its own", func(t *testing.T) {
+		f := t.TempDir()
+		i := open(t, f, false)
+		assert.Assert(t, i.id != address && !i.founder && i.fresh)
+		assert.Equal(t, open(t, f, true).id, i.id)
+	})
+
+	// On rantavahti-rota-grown trouble-1 a founder that had been removed while it stood still founded the group again
+	// under its old name, with an empty journal: its settings still spoke of the first start.
+	t.Run("removed founder never founds again", func(t *testing.T) {
+		f := t.TempDir()
+		assert.NilError(t, open(t, f, true).discard())
+
+		i := open(t, f, true)
+		assert.Assert(t, i.id != address && !i.founder)
+	})
+}
--- a/control/process/labkeeper/keeper.go
+++ b/control/process/labkeeper/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -150,6 +151,7 @@
 	e.Go(func() error { return g.Run(ctx) })
 	e.Go(func() error { return k.tend(ctx) })
 	e.Go(func() error { return k.join(ctx) })
+	e.Go(func() error { return k.follow(ctx, g) })
 	e.Go(func() error { return k.spread(ctx) })
 	e.Go(func() error { return k.persist(ctx) })
 	e.Go(func() error {
@@ -189,6 +191,27 @@
 	return slices.Compact(out)
 }
 
+// follow logs each change of leadership or membership.
+func (k *Keeper) follow(ctx context.Context, g *labconsensus.Group) error {
+	var before string
+
+	for k.Clock.Sleep(ctx, tendInterval) == nil {
+		l, m := g.Leadership(), g.Members()
+
+		now := fmt.Sprint(l.Leader, l.Term, m)
+		if now == before {
+			continue
+		}
+
+		before = now
+
+		k.Log.Info().Str("leader", string(l.Leader)).Bool("self", l.Self).Uint64("term", l.Term).
+			Uint64("applied", g.Applied()).Interface("voters", m.Voters).Interface("learners", m.Learners).Msg("leadership")
+	}
+
+	return nil
+}
+
 func (k *Keeper) handleConsensus(_ context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
 	var b batch
 	if err := decode(&b); err != nil {
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -22,6 +22,8 @@
 	// watchTimeout bounds a watch: the wait, a round trip between regions and a leader that is busy for a moment.
 	watchTimeout = watchWait + 500*time.Millisecond
 	retryPause   = 100 * time.Millisecond
+	// leaderHops is how often a named leader is followed; one that was deposed a moment ago may name the next.
+	leaderHops = 3
 	// discoverTimeout bounds the search for the leader: two round trips between regions for a new connection, and an
 	// instance that is busy for a moment.
 	discoverTimeout = 400 * time.Millisecond
@@ -145,9 +147,10 @@
 	all = slices.Compact(all)
 
 	answers := make(chan *found, len(all))
+	request := s.request(0)
 
 	for _, c := range all {
-		go func() { answers <- s.probe(ctx, c) }()
+		go func() { answers <- s.probe(ctx, c, request) }()
 	}
 
 	for range all {
@@ -161,15 +164,24 @@
 	return errNoControl
 }
 
-// probe returns the answer of an instance that leads.
-func (s *Subscriber) probe(ctx context.Context, address string) *found {
-	f := &found{address: address}
+// probe returns the answer of an instance that leads, or of the leader that it names: the leader need not be among the
+// addresses that are known.
+func (s *Subscriber) probe(ctx context.Context, address string, request lab.WatchRequest) *found {
+	for range leaderHops {
+		f := &found{address: address}
 
-	if err := s.Peers.Call(ctx, address, lab.MethodWatch, s.request(0), &f.answer); err != nil || f.answer.Leader != "" {
-		return nil
+		if err := s.Peers.Call(ctx, address, lab.MethodWatch, request, &f.answer); err != nil {
+			return nil
+		}
+
+		if f.answer.Leader == "" {
+			return f
+		}
+
+		address = string(f.answer.Leader)
 	}
 
-	return f
+	return nil
 }
 
 // call watches until an answer or a kick.
--- /dev/null
+++ b/proxy/process/labsubscriber/subscriber_test.go
@@ -0,0 +1,115 @@
+package labsubscriber
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/process/labpack"
+	"laburnumlock.dev/lab/process/labrandom"
+	"laburnumlock.dev/lab/proxy/process/labdirectory"
+)
+
+var errSilent = errors.New("no answer")
+
+// control is a group of control instances by address.
+type control struct {
+	mutex  sync.Mutex
+	leader string
+	silent map[string]bool
+	asked  map[string]int
+}
+
+func (c *control) Open(context.Context, string, lab.Method, any) (lab.Stream, error) {
+	return nil, errSilent
+}
+
+func (c *control) Call(ctx context.Context, address string, _ lab.Method, r, answer any) error {
+	c.mutex.Lock()
+	c.asked[address]++
+	leader, silent := c.leader, c.silent[address]
+	c.mutex.Unlock()
+
+	if silent {
+		<-ctx.Done()
+
+		return ctx.Err()
+	}
+
+	a := answer.(*lab.WatchAnswer)
+
+	if address != leader {
+		a.Leader = lab.InstanceID(leader)
+
+		return nil
+	}
+
+	packed, err := labpack.Pack([]byte("document"))
+	if err != nil {
+		return err
+	}
+
+	a.Boot, a.Packed = 1, packed
+
+	if r.(lab.WatchRequest).Version > 0 {
+		a.Packed = nil
+
+		select {
+		case <-ctx.Done():
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+
+	return nil
+}
+
+type documents struct{}
+
+func (documents) Read([]byte) (*lab.Document, error) { return &lab.Document{Version: 7}, nil }
+
+func TestDiscovery(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		leader string
+		silent []string
+	}{
+		{"seed leads", "a", nil},
+		{"seed stands still", "b", []string{"a"}},
+		// After all processes had lost power on rantavahti-rota-grown trouble-1, no seed led, and no proxy found the leader.
+		{"leader is no seed", "x", nil},
+		{"leader is no seed and one stands still", "x", []string{"a"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := &control{leader: c.leader, silent: map[string]bool{}, asked: map[string]int{}}
+			for _, s := range c.silent {
+				n.silent[s] = true
+			}
+
+			d := &labdirectory.Directory{Clock: labclock.NewBoot(), Random: labrandom.Seeded(1), Log: zerolog.Nop()}
+			s := &Subscriber{
+				Peers: n, Seeds: func() []string { return []string{"a", "b", "c"} }, Directory: d, Documents: documents{},
+				Log: zerolog.Nop(),
+			}
+
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+
+			go func() { _ = s.Run(ctx); close(ended) }()
+
+			for end := time.Now().Add(3 * time.Second); d.Version() == 0 && time.Now().Before(end); {
+				time.Sleep(5 * time.Millisecond)
+			}
+
+			assert.Equal(t, d.Version(), uint64(7))
+			cancel()
+			<-ended
+		})
+	}
+}
