Check announcements in one place

Change: labcontrol reads announcements with labannounce.Read. TestStatus announced such a member; it now sends a complete one, and the former one must be refused.

--- a/control/process/labcontrol/api.go
+++ b/control/process/labcontrol/api.go
@@ -10,6 +10,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/version/labcatalog"
+	"laburnumlock.dev/lab/process/labannounce"
 )
 
 const (
@@ -136,19 +137,12 @@
 
 // announce takes in what an upstream says about itself.
 func (s *Server) announce(w http.ResponseWriter, r *http.Request, _ *leadership) {
-	var a lab.Announcement
-	d := json.NewDecoder(r.Body)
-	d.DisallowUnknownFields()
-	if err := d.Decode(&a); err != nil {
+	a, err := labannounce.Read(w, r)
+	if err != nil {
 		reply(w, http.StatusBadRequest, failure{Error: err.Error()})
 
 		return
 	}
-	if a.Database == "" || a.Member == "" || a.Address == "" || a.Region == "" {
-		reply(w, http.StatusBadRequest, failure{Error: "database, member, address and region are required"})
-
-		return
-	}
 	if s.Catalog.News(a) {
 		if _, err := s.propose(r.Context(), &labcatalog.Command{Members: []lab.Announcement{a}}); err != nil {
 			s.replyFailed(w, err)
--- a/control/process/labcontrol/api_test.go
+++ b/control/process/labcontrol/api_test.go
@@ -157,7 +157,10 @@
 	w.run(7 * time.Second)
 	w.ask(http.StatusOK, nil, "PUT", "/v1/templates/small", template, change("c1", "aino", 0)...)
 	w.ask(http.StatusNoContent, nil, "POST", "/v1/announcements",
-		`{"database": "rota-core-2", "member": "m1", "address": "h:1", "region": "gulf-coast", "incarnation": 1}`)
+		`{"database": "rota-core-2", "member": "m1", "address": "127.0.0.1:1", "region": "gulf-coast", `+
+			`"availability_zone": "hanko", "incarnation": 1, "slots": 3, "connections": 24}`)
+	w.ask(http.StatusBadRequest, nil, "POST", "/v1/announcements",
+		`{"database": "rota-core-2", "member": "m1", "address": "127.0.0.1:1", "region": "gulf-coast", "incarnation": 1}`)
 	w.ask(http.StatusBadRequest, nil, "POST", "/v1/announcements", `{"database": "rota-core-2", "slot": 1}`)
 	w.ask(http.StatusNotFound, nil, "POST", "/v1/instances/proxy-x/drain", "")
 	h, _ := w.writer()
--- a/process/labannounce/handler.go
+++ b/process/labannounce/handler.go
@@ -18,7 +18,7 @@
 func Handler(accept func(ctx context.Context, announcement lab.Announcement) error) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/announcements", func(w http.ResponseWriter, r *http.Request) {
-		a, err := read(w, r)
+		a, err := Read(w, r)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 
@@ -37,7 +37,8 @@
 	return mux
 }
 
-func read(w http.ResponseWriter, r *http.Request) (lab.Announcement, error) {
+// Read decodes and checks the announcement in a request's body.
+func Read(w http.ResponseWriter, r *http.Request) (lab.Announcement, error) {
 	var a lab.Announcement
 
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
