--- a/control/process/labinstance/instance.go
+++ b/control/process/labinstance/instance.go
@@ -19,6 +19,7 @@
 	"laburnumlock.dev/lab/control/process/labjournal"
 	"laburnumlock.dev/lab/control/process/labprober"
 	"laburnumlock.dev/lab/control/process/labreplica"
+	"laburnumlock.dev/lab/control/process/labsender"
 	"laburnumlock.dev/lab/control/version/labcatalog"
 	"laburnumlock.dev/lab/process/labclock"
 	"laburnumlock.dev/lab/process/labhttp"
@@ -30,7 +31,11 @@
 	"laburnumlock.dev/lab/version/labsettings"
 )
 
-const dataMode = 0o750
+const (
+	dataMode = 0o750
+	// sendTimeout is shorter than an election timeout's upper bound, so that a silent connection is replaced in time.
+	sendTimeout = 400 * time.Millisecond
+)
 
 // Instance is one control process. Settings.Peers may still be changed between Listen and Run, so that a deployment on
 // free ports can be started in one process.
@@ -48,7 +53,7 @@
 	running   atomic.Pointer[labconsensus.Group] // group for callers on other goroutines than Run's
 	server    *labcontrol.Server
 	catalog   *labcatalog.Catalog
-	senders   senders
+	senders   labsender.Senders
 	founding  founding
 	variables expvar.Map
 
@@ -125,13 +130,13 @@
 
 	g, ctx := errgroup.WithContext(ctx)
 
-	i.senders.start = func(s *sender) {
+	i.senders = labsender.Senders{Peers: i.transport, Timeout: sendTimeout, Go: func(run func(context.Context)) {
 		g.Go(func() error {
-			s.run(ctx)
+			run(ctx)
 
 			return nil
 		})
-	}
+	}}
 
 	for _, run := range []func(context.Context) error{
 		i.transport.Run, i.group.Run, i.operators.Run, i.announce.Run, i.metrics.Run, i.server.Run,
@@ -206,7 +211,7 @@
 
 func (i *Instance) send(to lab.InstanceID, m labreplica.Message) {
 	if address, ok := i.server.ControlAddress(to); ok && i.admits(to) {
-		i.senders.send(i.transport, address, m)
+		i.senders.Send(address, m)
 	}
 }
 
@@ -242,7 +247,7 @@
 		return nil, errors.Newf("%s is not a control instance", from)
 	}
 
-	var b batch
+	var b labsender.Batch
 	if err := decode(&b); err != nil {
 		return nil, err
 	}
--- a/control/process/labkeeper/keeper.go
+++ b/control/process/labkeeper/keeper.go
@@ -14,7 +14,9 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labconsensus"
+	"laburnumlock.dev/lab/control/process/labreplica"
 	"laburnumlock.dev/lab/control/process/labroster"
+	"laburnumlock.dev/lab/control/process/labsender"
 	"laburnumlock.dev/lab/control/process/labvoters"
 	"laburnumlock.dev/lab/control/version/labrecord"
 	"laburnumlock.dev/lab/process/labtransport"
@@ -32,6 +34,8 @@
 	groupTick       = 20 * time.Millisecond
 	snapshotEvery   = 200 // applied entries; a document is up to 256 KiB, so the journal stays well below a small disk
 	trailingEntries = 8   // documents kept in memory for members slightly behind
+	// sendTimeout is below the election timeout, so that a silent connection is replaced in time.
+	sendTimeout = 350 * time.Millisecond
 	// restartPause is the time between two attempts to use a disk that fails.
 	restartPause = 300 * time.Millisecond
 )
@@ -137,10 +141,10 @@
 	}()
 
 	p := &part{identity: i, record: &labrecord.Record{Changed: k.wake}, removed: make(chan struct{})}
-	s := &senders{peers: k.Transport, context: ctx}
+	s := &labsender.Senders{Peers: k.Transport, Timeout: sendTimeout, Go: func(run func(context.Context)) { go run(ctx) }}
 	g := &labconsensus.Group{
 		ID: i.id, Voters: k.founders(i), Journal: journal, Clock: k.Clock, Random: k.Random, Machine: p.record,
-		Send: s.send, ElectionMin: electionMin, ElectionMax: electionMax, Rejoin: rejoin, Heartbeat: heartbeat,
+		Send: func(to lab.InstanceID, m labreplica.Message) { s.Send(labvoters.Address(to), m) }, ElectionMin: electionMin, ElectionMax: electionMax, Rejoin: rejoin, Heartbeat: heartbeat,
 		TickInterval: groupTick, SnapshotEvery: snapshotEvery, Trailing: trailingEntries,
 	}
 	p.group = g
@@ -213,7 +217,7 @@
 }
 
 func (k *Keeper) handleConsensus(_ context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
-	var b batch
+	var b labsender.Batch
 	if err := decode(&b); err != nil {
 		return nil, err
 	}
--- a/control/process/labkeeper/message.go
+++ b/control/process/labkeeper/message.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"laburnumlock.dev/lab"
-	"laburnumlock.dev/lab/control/process/labreplica"
 )
 
 // The methods between control instances.
@@ -16,11 +15,6 @@
 	methodSpread   lab.Method = "keeper_spread"
 )
 
-// batch carries consensus messages of one sender in order.
-type batch struct {
-	Messages []labreplica.Message `msgpack:"m"`
-}
-
 // joinRequest is sent periodically by each instance.
 type joinRequest struct {
 	ID    lab.InstanceID `msgpack:"i"`
