--- /dev/null
+++ b/proxy/connection/labdialogue/ending.go
@@ -0,0 +1,98 @@
+package labdialogue
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+)
+
+// silent gives up a connection that brought no answer; the statement may be tried elsewhere.
+func (a *attempt) silent(c lab.MemberChannel, err error) {
+	giveUp(c, err)
+
+	switch _, reason := lab.OutcomeOf(err); {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		a.session.Directory.Silent(c.Member())
+	case !notRun(err) || reason == lab.ReasonLost:
+		a.session.Directory.Unreached(c.Member())
+	case reason == lab.ReasonOverload:
+		a.hopeless = true
+	default:
+		a.pause(retryPause)
+	}
+
+	a.skip(c.Member())
+	a.session.Log.Info().Err(err).Str("request", a.id).Str("database", a.session.Database).
+		Str("member", c.Member().Member).Msg("member_unanswered")
+}
+
+func (a *attempt) skip(m lab.Announcement) {
+	if a.tried == nil {
+		a.tried = map[string]bool{}
+	}
+
+	a.tried[m.Member] = true
+	a.tries++
+	a.at = m.Member
+}
+
+// refuse notes that a member did not run the statement and gives the connection back.
+func (a *attempt) refuse(c lab.MemberChannel, r lab.OperationResult) {
+	a.last = r
+	a.session.Counters.Refusals.Add(1)
+
+	if r.Fault == lab.FaultUnprepared {
+		giveBack(c, r)
+
+		return
+	}
+
+	a.skip(c.Member())
+
+	if r.Fault == lab.FaultLagging {
+		a.session.Directory.Behind(c.Member(), r.Position)
+	} else {
+		a.session.Directory.Avoid(c.Member())
+	}
+
+	giveBack(c, r)
+
+	if r.Fault == lab.FaultBusy || r.Fault == lab.FaultReadOnly {
+		a.pause(retryPause)
+	}
+}
+
+// giveUp frees a connection that brought no answer and reports whether it may still bring one.
+func giveUp(c lab.MemberChannel, err error) bool {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.Linger()
+
+		return true
+	}
+
+	c.Discard()
+
+	return false
+}
+
+// unanswered gives up a connection on which a statement may still run.
+func (a *attempt) unanswered(c lab.MemberChannel, err error) {
+	if giveUp(c, err) {
+		a.session.Directory.Silent(c.Member())
+	} else {
+		a.session.Directory.Unreached(c.Member())
+	}
+}
+
+// giveBack keeps a connection only when no transaction is open on it.
+func giveBack(c lab.MemberChannel, r lab.OperationResult) {
+	if r.State != lab.StateIdle {
+		c.Discard()
+
+		return
+	}
+
+	c.Release()
+}
