Let new leaders inherit the proxies, back off between tries, search longer

Only some proxies found the new one at first; it took these for all, so each proxy opened connections of its own to every member (272 placements in a second, 1,518 refused connections). Statements then asked gateways every 10 ms to their deadline (5,666 in a second), and a search for the leader was given up after 400 ms, before a connection could be made, again and again for 20 s. Ruled out: processors (38% of the quota at most), the election (0.7 s), the document (others had it at once). Change: followers keep the leader's list of proxies; a leader trusts its list when no new proxy has come for 1 s, or after 6 s; a proxy counts for 8 s; pauses between the tries of a statement grow from 10 to 160 ms; searches grow from 0.4 to 3 s. TestWatchers, TestPromises/refused_write_backs_off.

--- a/control/process/labkeeper/announcements.go
+++ b/control/process/labkeeper/announcements.go
@@ -94,7 +94,7 @@
 }
 
 func (k *Keeper) sightings() spreadRequest {
-	var r spreadRequest
+	r := spreadRequest{Proxies: k.watchers.all()}
 
 	for _, e := range k.roster.Entries() {
 		r.Sightings = append(r.Sightings, sighting{Announcement: e.Announcement, Age: k.Clock.Now() - e.Heard})
@@ -117,6 +117,10 @@
 		return nil, err
 	}
 
+	if !k.Leading() {
+		k.watchers.inherit(r.Proxies)
+	}
+
 	for _, s := range r.Sightings {
 		k.roster.Apply(s.Announcement, s.Age)
 	}
--- a/control/process/labkeeper/message.go
+++ b/control/process/labkeeper/message.go
@@ -39,5 +39,6 @@
 }
 
 type spreadRequest struct {
-	Sightings []sighting `msgpack:"s"`
+	Sightings []sighting     `msgpack:"s"`
+	Proxies   []lab.Instance `msgpack:"p"` // that watch the leader
 }
--- a/control/process/labkeeper/watch.go
+++ b/control/process/labkeeper/watch.go
@@ -15,10 +15,14 @@
 const (
 	// watchLimit bounds the wait of a watch.
 	watchLimit = time.Second
-	// proxyAge is how long a proxy counts after its last watch.
-	proxyAge = 5 * time.Second
-	// proxySettleTime is how long a leader waits for every proxy to find it: two of their watches.
+	// proxyAge is how long a proxy counts after its last watch. It covers a change of leaders, since gateways that move
+	// cost every member new connections.
+	proxyAge = 8 * time.Second
+	// A leader takes the proxies it knows for all when it has led for proxySettleTime, two of their watches, and none has
+	// been new for proxyQuietTime, at the latest after proxyLatest.
 	proxySettleTime = 1200 * time.Millisecond
+	proxyQuietTime  = time.Second
+	proxyLatest     = 6 * time.Second
 	// settleTime is how long an instance must have run to have heard every member, three announcements' intervals.
 	settleTime = 4 * time.Second
 )
@@ -29,7 +33,8 @@
 
 	mutex   sync.Mutex
 	proxies map[lab.InstanceID]*watcher
-	changes uint64 // grows with each proxy that comes or goes
+	changes uint64        // grows with each proxy that comes or goes
+	arrived time.Duration // when the last new proxy came
 }
 
 type watcher struct {
@@ -56,12 +61,40 @@
 	case !r.Draining:
 		if !known || old.proxy != r.Proxy {
 			w.changes++
+			w.arrived = w.clock.Now()
 		}
 
 		w.proxies[r.Proxy.ID] = &watcher{proxy: r.Proxy, heard: w.clock.Now(), reports: r.Primaries}
 	}
 }
 
+// inherit takes over the proxies that another leader knows.
+func (w *watchers) inherit(proxies []lab.Instance) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	if w.proxies == nil {
+		w.proxies = map[lab.InstanceID]*watcher{}
+	}
+
+	for _, p := range proxies {
+		old, known := w.proxies[p.ID]
+		if !known || old.proxy != p {
+			w.changes++
+		}
+
+		w.proxies[p.ID] = &watcher{proxy: p, heard: w.clock.Now()}
+	}
+}
+
+// quiet returns for how long no new proxy has come.
+func (w *watchers) quiet() time.Duration {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	return w.clock.Now() - w.arrived
+}
+
 // sweep forgets silent proxies and returns a number that grows with each change.
 func (w *watchers) sweep() uint64 {
 	w.mutex.Lock()
@@ -220,8 +253,9 @@
 // proxiesKnown reports whether this instance has led long enough to have heard from every proxy.
 func (k *Keeper) proxiesKnown() bool {
 	l := k.part().group.Leadership()
+	led := k.Clock.Now() - l.Since
 
-	return l.Self && k.Clock.Now()-l.Since > proxySettleTime
+	return l.Self && led > proxySettleTime && (k.watchers.quiet() > proxyQuietTime || led > proxyLatest)
 }
 
 // complete reports whether this instance has run long enough to have heard every member.
--- a/proxy/connection/labdialogue/attempt.go
+++ b/proxy/connection/labdialogue/attempt.go
@@ -9,6 +9,9 @@
 const (
 	// retryPause is the time before a member that refused is asked again; half of a statement's usual work.
 	retryPause = 10 * time.Millisecond
+	// maxPauseDoublings bounds the growth of retryPause over the tries of one statement: while a way is blocked, hundreds
+	// of statements would ask the same gateways a hundred times a second each.
+	maxPauseDoublings = 4
 	// setupTimeout bounds operations that need no slot: a round trip between regions takes 24 ms, and a busy instance
 	// may not run for a tenth of a second.
 	setupTimeout = 300 * time.Millisecond
@@ -52,6 +55,11 @@
 	return fault(lab.FaultBusy, "no member is available")
 }
 
+// backOff waits longer after each refusal of the same statement.
+func (a *attempt) backOff() {
+	a.pause(retryPause << min(max(0, a.tries-1), maxPauseDoublings))
+}
+
 // pause waits before the next round, but not beyond the deadline; a change of the directory ends it.
 func (a *attempt) pause(d time.Duration) {
 	t := time.NewTimer(min(d, time.Until(a.deadline)))
@@ -263,7 +271,7 @@
 	}
 
 	s.Directory.Avoid(c.Member())
-	a.pause(retryPause)
+	a.backOff()
 }
 
 // test makes sure that a connection which has been idle for long still answers.
--- a/proxy/connection/labdialogue/ending.go
+++ b/proxy/connection/labdialogue/ending.go
@@ -20,7 +20,7 @@
 	case reason == lab.ReasonOverload:
 		a.hopeless = true
 	default:
-		a.pause(retryPause)
+		a.backOff()
 	}
 
 	a.skip(c.Member())
@@ -60,7 +60,7 @@
 	giveBack(c, r)
 
 	if r.Fault == lab.FaultBusy || r.Fault == lab.FaultReadOnly {
-		a.pause(retryPause)
+		a.backOff()
 	}
 }
 
--- a/proxy/connection/labdialogue/session_test.go
+++ b/proxy/connection/labdialogue/session_test.go
@@ -92,6 +92,16 @@
 		assert.Assert(t, len(b.service.statements()) > 1)
 	})
 
+	// On rantavahti-rota-grown trouble-1 each refused statement asked again a hundred times a second.
+	t.Run("refused write backs off", func(t *testing.T) {
+		b := newBench(t, lab.ConsistencyPrimary)
+		b.service.script = fail(lab.OperationWrite, lab.FaultBusy, nil)
+		b.do(lab.OperationWrite)
+
+		n := len(b.service.statements())
+		assert.Assert(t, n <= 8, "%d tries in %s", n, testTimeout)
+	})
+
 	t.Run("failed write ran", func(t *testing.T) {
 		b := newBench(t, lab.ConsistencyPrimary)
 		b.service.script = fail(lab.OperationWrite, lab.FaultFailed, nil)
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -23,10 +23,13 @@
 	watchTimeout = watchWait + 500*time.Millisecond
 	retryPause   = 100 * time.Millisecond
 	// leaderHops is how often a named leader is followed; one that was deposed a moment ago may name the next.
-	leaderHops = 3
-	// discoverTimeout bounds the search for the leader: two round trips between regions for a new connection, and an
-	// instance that is busy for a moment.
+	leaderHops   = 3
+	maxDoublings = 3
+	// discoverTimeout bounds the first search for the leader: two round trips between regions for a new connection, and
+	// an instance that is busy for a moment. It doubles with each search in vain up to discoverLatest, since on a
+	// congested link no connection is made within the first.
 	discoverTimeout = 400 * time.Millisecond
+	discoverLatest  = 3 * time.Second
 )
 
 // Subscriber asks the control group for changes; exported fields are set before Run.
@@ -47,6 +50,7 @@
 	boot     uint64
 	revision uint64
 	lost     bool
+	searches int // for the leader, in vain since the last answer
 }
 
 func (s *Subscriber) prepare() {
@@ -139,9 +143,11 @@
 // discover asks all known control instances at the same time, since some may not answer for seconds, and takes the
 // answer of the one that leads.
 func (s *Subscriber) discover(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, discoverTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(discoverTimeout<<s.searches, discoverLatest))
 	defer cancel()
 
+	s.searches = min(s.searches+1, maxDoublings)
+
 	all := slices.Concat(s.controls, s.Seeds())
 	slices.Sort(all)
 	all = slices.Compact(all)
@@ -212,7 +218,7 @@
 		s.Log.Info().Str("leader", s.leader).Msg("control_regained")
 	}
 
-	s.lost = false
+	s.lost, s.searches = false, 0
 
 	if len(a.Packed) > 0 {
 		if err := s.install(a.Packed); err != nil {
