Stop replicas that appear during a replacement; a new leader listens before it replaces

A replica that had just started had announced itself to the frozen former leader only; it became known 40 ms after the others had been stopped, went on receiving, alone held an acknowledged commit, and another one was promoted. Ruled out: the choice (of the known replicas the newest was taken), the platform's call (one token). Change: the replicas are looked up again before the order and while it is confirmed, and new ones are stopped and counted; a leader replaces no primary in its first 2.5 s. TestRun/replica_that_appears_meanwhile failed before ("b != new").

--- a/control/process/labkeeper/tend.go
+++ b/control/process/labkeeper/tend.go
@@ -16,6 +16,9 @@
 	tendInterval = 100 * time.Millisecond
 	// successionTimeout bounds one attempt to replace a primary; an unfinished one is taken up again.
 	successionTimeout = 8 * time.Second
+	// membersSettleTime is how long a new leader listens before it replaces a primary: a member announces itself every
+	// 1.2 s, and a second later elsewhere when the first try gets no answer.
+	membersSettleTime = 2500 * time.Millisecond
 	// retryPause is the time between two attempts that found no candidate.
 	retryPause = 150 * time.Millisecond
 	// probeTimeout bounds one probe of a primary by a new connection, well above the round trip of 24 ms between
@@ -69,6 +72,11 @@
 
 // due reports whether a look at the primary could lead to a replacement; it is called with the mutex held.
 func (k *Keeper) due(service string) bool {
+	// A leader that has not heard every member could overlook a replica that holds an acknowledged commit.
+	if k.Clock.Now()-k.part().group.Leadership().Since < membersSettleTime {
+		return false
+	}
+
 	e := k.evidence(service)
 
 	return e.Verdict() != labsuccession.ReasonNone || e.Suspicious()
@@ -155,6 +163,7 @@
 	s := &labsuccession.Succession{
 		Service: service, Region: p.Announcement.Region, Former: p.Announcement, Serves: v == labsuccession.ReasonLeaving,
 		Replicas: k.replicas(service, p), Dialer: k.Dialer, Caller: k.Caller, Orders: orders{k}, Log: k.Log,
+		Known: func() []labsuccession.Standing { return k.replicas(service, p) },
 	}
 
 	started := k.Clock.Now()
--- a/control/process/labsuccession/succession.go
+++ b/control/process/labsuccession/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,10 +41,12 @@
 	// Serves says that the former primary still serves, so that replicas can catch up with it.
 	Serves   bool
 	Replicas []Standing // Member and Excused are set
-	Dialer   lab.MemberDialer
-	Caller   lab.PromotionCaller
-	Orders   Orders
-	Log      zerolog.Logger
+	// Known returns the replicas known at the moment; one that appears during the replacement receives commits too.
+	Known  func() []Standing
+	Dialer lab.MemberDialer
+	Caller lab.PromotionCaller
+	Orders Orders
+	Log    zerolog.Logger
 
 	mutex sync.Mutex // guards the fields below while replicas are inspected at the same time
 	links map[string]lab.MemberLink
@@ -65,9 +68,15 @@
 		return lab.Announcement{}, errNoCandidate
 	}
 
-	c, err := s.settle(ctx, c)
-	if err != nil {
-		return lab.Announcement{}, err
+	for {
+		var err error
+		if c, err = s.settle(ctx, c); err != nil {
+			return lab.Announcement{}, err
+		}
+
+		if !s.stopNew(ctx) {
+			break
+		}
 	}
 
 	if err := s.promote(ctx, c); err != nil {
@@ -121,6 +130,25 @@
 	return c, nil
 }
 
+// stopNew stops replicas from receiving that were not known before, and reports whether there were any.
+func (s *Succession) stopNew(ctx context.Context) bool {
+	found := false
+
+	for _, k := range s.Known() {
+		known := slices.ContainsFunc(s.Replicas, func(r Standing) bool { return r.Member.Member == k.Member.Member })
+		if known {
+			continue
+		}
+
+		found = true
+
+		s.Replicas = append(s.Replicas, k)
+		s.inspectOne(ctx, k.Member.Member, lab.Operation{Kind: lab.OperationPause, Term: s.term + 1})
+	}
+
+	return found
+}
+
 func (s *Succession) patience() time.Duration {
 	if s.Serves {
 		return catchUpTimeout
@@ -184,6 +212,8 @@
 			return true
 		}
 
+		s.stopNew(ctx)
+
 		if sleep(ctx, pollInterval) != nil {
 			return false
 		}
--- a/control/process/labsuccession/succession_test.go
+++ b/control/process/labsuccession/succession_test.go
@@ -28,6 +28,7 @@
 	refuse   bool
 	orders   uint64
 	done     uint64
+	known    []Standing
 }
 
 type worldLink struct {
@@ -127,6 +128,8 @@
 		s.Replicas = append(s.Replicas, Standing{Member: lab.Announcement{Member: m, Region: "west"}})
 	}
 
+	s.Known = func() []Standing { return w.known }
+
 	return s
 }
 
@@ -172,6 +175,17 @@
 		assert.Equal(t, w.done, uint64(30))
 	})
 
+	// On saptak-hire trouble-1 a replica that had just started became known while the others were stopped. It went on
+	// receiving, alone held an acknowledged commit, and that was lost with the promotion.
+	t.Run("replica that appears meanwhile", func(t *testing.T) {
+		w := newWorld(map[string]uint64{"a": 4, "b": 7, "new": 9})
+		w.known = []Standing{{Member: lab.Announcement{Member: "new", Region: "west"}}}
+
+		m, err := w.succession(false).Run(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, m.Member, "new")
+	})
+
 	t.Run("order refused", func(t *testing.T) {
 		w := newWorld(map[string]uint64{"a": 4, "b": 7})
 		w.refuse = true
