--- a/proxy/connection/labbackend/conn_test.go
+++ b/proxy/connection/labbackend/conn_test.go
@@ -74,6 +74,10 @@
 	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
 	n.Linger()
 	time.Sleep(30 * time.Millisecond)
+
+	n.pool.mutex.Lock()
+	defer n.pool.mutex.Unlock()
+
 	assert.Assert(t, !*l.closed)
 	assert.Equal(t, len(n.pool.idle), 1)
 }
