Remove fields and a method that nothing reads

No change of behaviour. Checked: vet and lint of control, proxy and platform; tests of labkeeper, labrelay and labdialogue; TestProcesses.

--- a/control/process/labkeeper/join.go
+++ b/control/process/labkeeper/join.go
@@ -107,7 +107,7 @@
 	}
 
 	m := g.Members()
-	a := joinAnswer{Leader: g.Leadership().Leader, Members: m.All()}
+	a := joinAnswer{Leader: g.Leadership().Leader}
 
 	if !k.Leading() {
 		return a, nil
--- a/control/process/labkeeper/keeper.go
+++ b/control/process/labkeeper/keeper.go
@@ -42,8 +42,6 @@
 
 // Keeper is one control process; exported fields are set before Run.
 type Keeper struct {
-	Zone    string
-	Region  string
 	Regions map[string]string // by availability zone
 
 	Address    string          // host:port of the transport between processes
--- a/control/process/labkeeper/message.go
+++ b/control/process/labkeeper/message.go
@@ -22,9 +22,8 @@
 }
 
 type joinAnswer struct {
-	Leader  lab.InstanceID   `msgpack:"l"`
-	Members []lab.InstanceID `msgpack:"m"`
-	Removed bool             `msgpack:"r"` // the identity was a member and is no longer
+	Leader  lab.InstanceID `msgpack:"l"`
+	Removed bool           `msgpack:"r"` // the identity was a member and is no longer
 }
 
 type putRequest struct {
--- a/proxy/connection/labdialogue/session.go
+++ b/proxy/connection/labdialogue/session.go
@@ -213,14 +213,6 @@
 	return !s.busy && s.tx == nil
 }
 
-// Busy reports whether an operation runs.
-func (s *Session) Busy() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-
-	return s.busy
-}
-
 func fault(f lab.Fault, detail string) lab.OperationResult {
 	return lab.OperationResult{Fault: f, Detail: detail}
 }
--- a/proxy/process/labrelay/source.go
+++ b/proxy/process/labrelay/source.go
@@ -148,7 +148,6 @@
 	gateway  lab.Instance
 	priority int
 	wait     time.Duration
-	used     time.Time
 
 	stream lab.Stream
 	in     *msgpack.Decoder
@@ -197,8 +196,6 @@
 		return nil, c.lost(ctx, "read from gateway", err)
 	}
 
-	c.used = time.Now()
-
 	if !a.Position.IsZero() {
 		c.source.Frontier.Note(asked-a.Age, a.Position)
 	}
@@ -207,7 +204,7 @@
 		return nil, c.failed(a)
 	}
 
-	c.source.observe(c.used.Sub(started))
+	c.source.observe(time.Since(started))
 
 	return a.Results, nil
 }
