Let every proxy near a member hold a connection to it

Each member accepts 45 connections and 80 proxies share them, but the 40 proxies of a member's region fit. Ruled out: wider gateways (placements of a service as a whole give proxies of the other region, which have to cross the regions anyway, the same right as those beside the member). Change: connections are placed for each member; its region's proxies come first, one connection each. The others pass statements on to holders in the member's region, each in an order of its own, so that no holder is the first choice of many.

--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -1,7 +1,6 @@
 package labdirectory
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,14 +52,14 @@
 type service struct {
 	members  map[string]*member
 	primary  string
-	share    atomic.Int64   // connections that this proxy may keep to each member
-	gateways []lab.Instance // other proxies to pass statements on to, in order of preference
 	frontier labfrontier.Frontier
 }
 
 // member is one incarnation of a member.
 type member struct {
 	announcement lab.Announcement
+	share        atomic.Int64     // connections that this proxy may keep
+	gateways     []lab.Instance   // other proxies to pass statements on to, in order of preference
 	pool         *labbackend.Pool // own connections
 	relay        *labrelay.Source // connections of gateways; nil without peers
 	avoid        time.Duration    // until when others are preferred
@@ -167,11 +166,11 @@
 	}
 
 	n := &member{announcement: a}
-	n.pool = &labbackend.Pool{Target: a, Dialer: d.Dialer, Share: func() int { return int(s.share.Load()) }, Dialed: d.dialed}
+	n.pool = &labbackend.Pool{Target: a, Dialer: d.Dialer, Share: func() int { return int(n.share.Load()) }, Dialed: d.dialed}
 	if d.Peers != nil {
 		n.relay = &labrelay.Source{
 			Target: a, Peers: d.Peers, Frontier: &s.frontier, Clock: d.Clock,
-			Gateways: func() []lab.Instance { return d.gatewaysOf(a.Database) },
+			Gateways: func() []lab.Instance { return d.gatewaysOf(n) },
 		}
 	}
 
@@ -206,8 +205,8 @@
 	d.placeLocked()
 }
 
-// placeLocked recomputes how many connections this proxy may keep to each member of a service, and to whom it passes
-// statements on. Pools read the share without the directory's lock, which is held while they are closed.
+// placeLocked recomputes how many connections this proxy may keep to each member, and to whom it passes statements on.
+// Pools read the share without the directory's lock, which is held while they are closed.
 func (d *Directory) placeLocked() {
 	if d.document == nil {
 		return
@@ -219,61 +218,37 @@
 			continue
 		}
 
-		p := labplacement.Placement{Share: 1} // until the proxies are known
-		if len(d.proxies) > 0 {
-			p = labplacement.Place(n, v.Connections, d.proxies)
+		for _, m := range s.members {
+			d.placeMemberLocked(m, v.Connections)
 		}
+	}
+}
 
-		gateway := len(p.Gateways) == 0 || slices.Contains(p.Gateways, d.Self)
+func (d *Directory) placeMemberLocked(m *member, connections int) {
+	share := 1 // until the proxies are known
 
-		if !gateway {
-			p.Share = 0
-		}
+	if len(d.proxies) > 0 {
+		p := labplacement.Place(m.announcement, connections, d.proxies)
+		m.gateways = labplacement.Gateways(d.Self, m.announcement, p.Holders)
+		share = p.Share
 
-		if before := s.share.Swap(int64(p.Share)); before != int64(p.Share) {
-			d.Log.Info().Str("service", n).Int("share", p.Share).Int("gateways", len(p.Gateways)).
-				Int("proxies", len(d.proxies)).Msg("connections_placed")
+		// A proxy that control has not counted yet, or no longer counts, takes a connection only where some are left.
+		if len(m.gateways) == len(p.Holders) && len(p.Holders) < len(d.proxies) {
+			share = 0
 		}
-
-		s.gateways = d.preferredLocked(n, p.Gateways)
 	}
-}
 
-// preferredLocked orders the gateways of a service for this proxy: those of its zone first, then those of its region.
-// Without gateways of its own the service's statements may go over any other proxy when the way to a member is cut.
-func (d *Directory) preferredLocked(name string, gateways []lab.InstanceID) []lab.Instance {
-	out := labplacement.Ranked(string(d.Self)+"/"+name, d.proxies)
-
-	out = slices.DeleteFunc(out, func(i lab.Instance) bool {
-		return i.ID == d.Self || (len(gateways) > 0 && !slices.Contains(gateways, i.ID))
-	})
-
-	distance := func(i lab.Instance) int {
-		switch {
-		case i.AvailabilityZone == d.Zone:
-			return 0
-		case i.Region == d.Region:
-			return 1
-		default:
-			return 2
-		}
+	if before := m.share.Swap(int64(share)); before != int64(share) {
+		d.Log.Info().Str("member", m.announcement.Member).Int("share", share).Int("gateways", len(m.gateways)).
+			Int("proxies", len(d.proxies)).Msg("connections_placed")
 	}
-
-	slices.SortStableFunc(out, func(a, b lab.Instance) int { return distance(a) - distance(b) })
-
-	return out
 }
 
-func (d *Directory) gatewaysOf(name string) []lab.Instance {
+func (d *Directory) gatewaysOf(m *member) []lab.Instance {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	s, ok := d.services[name]
-	if !ok {
-		return nil
-	}
-
-	return s.gateways
+	return m.gateways
 }
 
 func (d *Directory) wakeLocked() {
--- a/proxy/process/labdirectory/directory_test.go
+++ b/proxy/process/labdirectory/directory_test.go
@@ -83,14 +83,14 @@
 		d, _ := newDirectory(24)
 		d.SetProxies(proxies(10))
 		assertOwn(t, d, true)
-		assert.Equal(t, d.services["s"].share.Load(), int64(2))
+		assert.Equal(t, d.services["s"].members["a"].share.Load(), int64(2))
 	})
 
 	t.Run("connections of gateways", func(t *testing.T) {
 		d, _ := newDirectory(5)
 		d.SetProxies(proxies(40))
 
-		gateway := d.services["s"].share.Load() > 0
+		gateway := d.services["s"].members["a"].share.Load() > 0
 		assertOwn(t, d, gateway)
 	})
 
--- a/proxy/process/labdirectory/select.go
+++ b/proxy/process/labdirectory/select.go
@@ -16,12 +16,12 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	s, m, ok := d.primaryLocked(name)
+	m, ok := d.primaryLocked(name)
 	if !ok {
 		return nil, false
 	}
 
-	return d.sourceLocked(s, m), true
+	return d.sourceLocked(m), true
 }
 
 // PrimaryPool returns this proxy's own connections to a service's primary.
@@ -29,7 +29,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	_, m, ok := d.primaryLocked(name)
+	m, ok := d.primaryLocked(name)
 	if !ok {
 		return nil, false
 	}
@@ -37,25 +37,25 @@
 	return m.pool, true
 }
 
-func (d *Directory) primaryLocked(name string) (*service, *member, bool) {
+func (d *Directory) primaryLocked(name string) (*member, bool) {
 	s, ok := d.services[name]
 	if !ok {
-		return nil, nil, false
+		return nil, false
 	}
 
 	m, ok := s.members[s.primary]
 
-	return s, m, ok
+	return m, ok
 }
 
 // sourceLocked returns this proxy's own connections, or those of other proxies where it may have none, the way is cut, or
 // the member refuses more connections: after a power loss it counts the lost ones for seconds.
-func (d *Directory) sourceLocked(s *service, m *member) lab.MemberSource {
-	if m.relay == nil || len(s.gateways) == 0 {
+func (d *Directory) sourceLocked(m *member) lab.MemberSource {
+	if m.relay == nil || len(m.gateways) == 0 {
 		return m.pool
 	}
 
-	if s.share.Load() == 0 || (m.failing > 0 && d.Clock.Now()-m.failing > cutTime) {
+	if m.share.Load() == 0 || (m.failing > 0 && d.Clock.Now()-m.failing > cutTime) {
 		return m.relay
 	}
 
@@ -78,7 +78,7 @@
 	}
 
 	m, ok := s.members[id]
-	if !ok || m.announcement.Incarnation != incarnation || m.failing > 0 || s.share.Load() == 0 {
+	if !ok || m.announcement.Incarnation != incarnation || m.failing > 0 || m.share.Load() == 0 {
 		return nil, false
 	}
 
@@ -90,8 +90,8 @@
 // Refresh asks a gateway for the position of a service's primary, where this proxy doesn't ask the primary itself.
 func (d *Directory) Refresh(name string) bool {
 	d.mutex.Lock()
-	s, m, ok := d.primaryLocked(name)
-	relayed := ok && m.relay != nil && len(s.gateways) > 0 && s.share.Load() == 0
+	m, ok := d.primaryLocked(name)
+	relayed := ok && m.relay != nil && len(m.gateways) > 0 && m.share.Load() == 0
 	d.mutex.Unlock()
 
 	if relayed {
@@ -160,7 +160,7 @@
 			Member: id, SameZone: m.announcement.AvailabilityZone == d.Zone, SameRegion: m.announcement.Region == d.Region,
 			Primary: id == s.primary, Avoid: max(0, m.avoid-now),
 		})
-		pools = append(pools, d.sourceLocked(s, m))
+		pools = append(pools, d.sourceLocked(m))
 	}
 
 	return options, pools
@@ -189,7 +189,7 @@
 func (d *Directory) Typical(a lab.Announcement) time.Duration {
 	var source lab.MemberSource
 
-	d.withMember(a, func(m *member) { source = d.sourceLocked(d.services[a.Database], m) })
+	d.withMember(a, func(m *member) { source = d.sourceLocked(m) })
 
 	if source == nil {
 		return 0
@@ -294,7 +294,7 @@
 
 	for n, s := range d.services {
 		m, ok := s.members[s.primary]
-		if !ok || (m.reached == 0 && m.failing == 0) || s.share.Load() == 0 {
+		if !ok || (m.reached == 0 && m.failing == 0) || m.share.Load() == 0 {
 			continue // what gateways see, they report themselves
 		}
 
--- a/proxy/process/labplacement/place.go
+++ b/proxy/process/labplacement/place.go
@@ -8,66 +8,57 @@
 	"laburnumlock.dev/lab"
 )
 
-const (
-	// reserved connections of each member stay free for control's probes and for changes of the proxies' number.
-	reserved = 2
-	// wanted connections of a gateway to a member let some transactions rest while other statements run.
-	wanted = 3
-)
+// reserved connections of each member stay free for control's probes and for changes of the proxies' number.
+const reserved = 2
 
-// Placement is the part of one service.
+// Placement is how the connections that one member accepts are shared out.
 type Placement struct {
-	Gateways []lab.InstanceID // empty when every proxy connects by itself
-	Share    int              // connections of one proxy to each member
+	Holders []lab.Instance // proxies with connections of their own; the others pass statements on to these
+	Share   int            // connections of each holder
 }
 
-// Place spreads the connections that each member of a service accepts. With enough of them every proxy has its own,
-// which saves the way over a gateway and the dependence on one.
-func Place(service string, connections int, proxies []lab.Instance) Placement {
+// Place shares out a member's connections. Proxies of the member's region come first, since a statement that crosses
+// the regions has to do so once, whichever proxy sends it. As many proxies as possible hold a connection: a holder that
+// is lost then takes little with it, and no link carries more than its part.
+func Place(member lab.Announcement, connections int, proxies []lab.Instance) Placement {
 	free := max(1, connections-reserved)
 	if len(proxies) <= free {
-		return Placement{Share: max(1, free/max(1, len(proxies)))}
+		return Placement{Holders: proxies, Share: max(1, free/max(1, len(proxies)))}
 	}
 
-	zones := byZone(proxies)
-	width := max(1, free/wanted/len(zones))
-
-	var p Placement
+	all := Ranked(member.Member, proxies)
+	slices.SortStableFunc(all, func(a, b lab.Instance) int { return distance(member, a) - distance(member, b) })
 
-	for _, z := range zones {
-		for _, i := range Ranked(service, z)[:min(width, len(z))] {
-			p.Gateways = append(p.Gateways, i.ID)
-		}
-	}
+	return Placement{Holders: all[:free], Share: 1}
+}
 
-	p.Share = max(1, free/len(p.Gateways))
+// Gateways orders the holders for a proxy that has to pass statements on: those in the member's region first, each
+// proxy with an order of its own, which spreads the proxies and gives each the same few gateways for most members.
+func Gateways(self lab.InstanceID, member lab.Announcement, holders []lab.Instance) []lab.Instance {
+	out := slices.DeleteFunc(Ranked(string(self), holders), func(i lab.Instance) bool { return i.ID == self })
+	slices.SortStableFunc(out, func(a, b lab.Instance) int { return distance(member, a) - distance(member, b) })
 
-	return p
+	return out
 }
 
-func byZone(proxies []lab.Instance) [][]lab.Instance {
-	zones := map[string][]lab.Instance{}
-	for _, p := range proxies {
-		zones[p.AvailabilityZone] = append(zones[p.AvailabilityZone], p)
-	}
-
-	out := make([][]lab.Instance, 0, len(zones))
-	for _, z := range zones {
-		out = append(out, z)
+func distance(member lab.Announcement, i lab.Instance) int {
+	if i.Region == member.Region {
+		return 0
 	}
 
-	slices.SortFunc(out, func(a, b []lab.Instance) int {
-		return cmp.Compare(a[0].AvailabilityZone, b[0].AvailabilityZone)
-	})
-
-	return out
+	return 1
 }
 
 // Ranked orders instances by rendezvous hashing, so that one that comes or goes moves only its own part.
 func Ranked(key string, instances []lab.Instance) []lab.Instance {
+	weights := make(map[lab.InstanceID]uint64, len(instances))
+	for _, i := range instances {
+		weights[i.ID] = weight(key, i.ID)
+	}
+
 	out := slices.Clone(instances)
 	slices.SortFunc(out, func(a, b lab.Instance) int {
-		return cmp.Or(cmp.Compare(weight(key, b.ID), weight(key, a.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(weights[b.ID], weights[a.ID]), cmp.Compare(a.ID, b.ID))
 	})
 
 	return out
--- a/proxy/process/labplacement/place_test.go
+++ b/proxy/process/labplacement/place_test.go
@@ -10,6 +10,7 @@
 	"laburnumlock.dev/lab"
 )
 
+// proxies are spread over zones, whose regions alternate between west and east.
 func proxies(zones, each int) []lab.Instance {
 	var out []lab.Instance
 
@@ -17,6 +18,7 @@
 		for n := range each {
 			out = append(out, lab.Instance{
 				ID: lab.InstanceID(fmt.Sprintf("proxy-%d-%d", z, n)), AvailabilityZone: fmt.Sprintf("zone-%d", z),
+				Region: []string{"west", "east"}[z%2],
 			})
 		}
 	}
@@ -24,62 +26,111 @@
 	return out
 }
 
+func western(name string) lab.Announcement {
+	return lab.Announcement{Member: name, Region: "west"}
+}
+
+func inRegion(region string, all []lab.Instance) int {
+	n := 0
+
+	for _, i := range all {
+		if i.Region == region {
+			n++
+		}
+	}
+
+	return n
+}
+
 func TestPlace(t *testing.T) {
 	for _, c := range []struct {
 		name        string
 		connections int
 		zones, each int
-		gateways    int
+		holders     int
+		local       int // of the holders, those in the member's region
 		share       int
 	}{
-		{"first proxy", 24, 1, 0, 0, 22},
-		{"all connect", 24, 3, 3, 0, 2},
-		{"one each", 24, 3, 7, 0, 1},
-		{"gateways", 45, 6, 13, 12, 3},
-		{"many connections", 216, 6, 13, 0, 2},
-		{"few connections", 5, 6, 13, 6, 1},
-		{"two years on", 45, 7, 119, 14, 3},
+		{"first proxy", 24, 1, 1, 1, 1, 22},
+		{"all connect", 24, 3, 3, 9, 6, 2},
+		{"one each", 24, 3, 7, 21, 14, 1},
+		{"fewer connections than proxies", 45, 6, 13, 43, 39, 1},
+		{"fewer than proxies of the region", 22, 6, 13, 20, 20, 1},
+		{"many connections", 216, 6, 13, 78, 39, 2},
+		{"few connections", 5, 6, 13, 3, 3, 1},
+		{"two years on", 45, 7, 119, 43, 43, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			all := proxies(c.zones, c.each)
-			p := Place("s", c.connections, all)
-			assert.Equal(t, len(p.Gateways), c.gateways)
+			p := Place(western("m"), c.connections, all)
+			assert.Equal(t, len(p.Holders), c.holders)
+			assert.Equal(t, inRegion("west", p.Holders), c.local)
 			assert.Equal(t, p.Share, c.share)
+			assert.Assert(t, len(p.Holders)*p.Share <= c.connections-reserved)
 
 			slices.Reverse(all)
-			assert.DeepEqual(t, Place("s", c.connections, all), p)
+			assert.Equal(t, len(Place(western("m"), c.connections, all).Holders), c.holders)
 		})
 	}
 }
 
-// TestMoves checks that a lost proxy moves no other gateway, and that services spread over the proxies.
+// TestMoves checks that a lost proxy moves one connection only, and that the members' connections spread over the proxies.
 func TestMoves(t *testing.T) {
 	all := proxies(6, 13)
-	before := Place("s", 45, all)
-	lost := before.Gateways[0]
+	before := Place(western("m"), 22, all)
+	lost := before.Holders[0].ID
 
 	left := slices.DeleteFunc(slices.Clone(all), func(i lab.Instance) bool { return i.ID == lost })
-	after := Place("s", 45, left)
+	after := Place(western("m"), 22, left)
 
 	moved := 0
 
-	for _, g := range after.Gateways {
-		if !slices.Contains(before.Gateways, g) {
+	for _, h := range after.Holders {
+		if !slices.Contains(before.Holders, h) {
 			moved++
 		}
 	}
 
 	assert.Equal(t, moved, 1)
 
-	duties := map[lab.InstanceID]int{}
+	held := map[lab.InstanceID]int{}
 
 	for n := range 8 {
-		for _, g := range Place(fmt.Sprintf("service-%d", n), 45, all).Gateways {
-			duties[g]++
+		for _, h := range Place(western(fmt.Sprintf("member-%d", n)), 22, all).Holders {
+			held[h.ID]++
+		}
+	}
+
+	for id, n := range held {
+		assert.Assert(t, n <= 7, "%s holds connections to %d members", id, n)
+	}
+}
+
+// TestGateways replays proxies of the other region that all pass their statements on to the holders of one member: none
+// of these may become the first choice of many.
+func TestGateways(t *testing.T) {
+	all := proxies(6, 13)
+	holders := Place(western("m"), 45, all).Holders
+	first := map[lab.InstanceID]int{}
+	senders := 0
+
+	for _, i := range all {
+		g := Gateways(i.ID, western("m"), holders)
+		assert.Assert(t, !slices.Contains(g, i), "a proxy isn't its own gateway")
+
+		if i.Region == "west" {
+			continue
 		}
+
+		assert.Equal(t, g[0].Region, "west")
+
+		first[g[0].ID]++
+		senders++
 	}
 
-	for id, n := range duties {
-		assert.Assert(t, n <= 5, "%s is the gateway of %d services", id, n)
+	assert.Equal(t, senders, 39)
+
+	for id, n := range first {
+		assert.Assert(t, n <= 6, "%s is the first choice of %d proxies", id, n)
 	}
 }
