--- a/control/process/labkeeper/keeper.go
+++ b/control/process/labkeeper/keeper.go
@@ -64,7 +64,11 @@
 	boot     uint64
 	started  time.Duration
 	watchers watchers
-	missing  map[string]time.Duration // when a service was first seen without a primary
+
+	memberLists list
+	proxyLists  list
+
+	missing map[string]time.Duration // when a service was first seen without a primary
 
 	mutex     sync.Mutex
 	heard     map[lab.InstanceID]time.Duration // last message of each control instance
@@ -110,7 +114,7 @@
 	k.replacing, k.missing = map[string]bool{}, map[string]time.Duration{}
 	k.roster = &labroster.Roster{Clock: k.Clock, Changed: k.wake}
 	k.watchers.clock = k.Clock
-	k.recallMembers()
+	k.recall()
 
 	k.Transport.HandleCall(lab.MethodConsensus, k.handleConsensus)
 	k.Transport.HandleCall(lab.MethodWatch, k.handleWatch)
--- /dev/null
+++ b/control/process/labkeeper/list.go
@@ -0,0 +1,35 @@
+package labkeeper
+
+import (
+	"sync"
+
+	"laburnumlock.dev/lab/process/labpack"
+)
+
+// list is the compressed form of a list that many proxies ask for; it is made once for each revision.
+type list struct {
+	mutex    sync.Mutex
+	boot     uint64
+	revision uint64
+	packed   []byte
+}
+
+// of returns the compressed list of a revision. A list that changes meanwhile has a newer revision, which the proxies ask
+// for next.
+func (l *list) of(boot, revision uint64, make func() any) ([]byte, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if l.packed != nil && l.boot == boot && l.revision == revision {
+		return l.packed, nil
+	}
+
+	b, err := labpack.Encode(make())
+	if err != nil {
+		return nil, err
+	}
+
+	l.boot, l.revision, l.packed = boot, revision, b
+
+	return b, nil
+}
--- /dev/null
+++ b/control/process/labkeeper/list_test.go
@@ -0,0 +1,40 @@
+package labkeeper
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab/process/labpack"
+)
+
+// TestList replays 80 proxies that ask for the same list after one change.
+func TestList(t *testing.T) {
+	var l list
+
+	made := 0
+	build := func() any {
+		made++
+
+		return []string{"a", "b"}
+	}
+
+	for range 80 {
+		b, err := l.of(1, 5, build)
+		assert.NilError(t, err)
+
+		var got []string
+
+		assert.NilError(t, labpack.Decode(b, &got))
+		assert.DeepEqual(t, got, []string{"a", "b"})
+	}
+
+	assert.Equal(t, made, 1)
+
+	for _, c := range []struct{ boot, revision uint64 }{{1, 6}, {2, 6}} {
+		_, err := l.of(c.boot, c.revision, build)
+		assert.NilError(t, err)
+	}
+
+	assert.Equal(t, made, 3)
+}
--- a/control/process/labkeeper/members.go
+++ b/control/process/labkeeper/members.go
@@ -14,63 +14,71 @@
 
 const (
 	membersFile = "members"
+	proxiesFile = "proxies"
 	// persistInterval bounds how many writes flapping members can cause.
 	persistInterval = 500 * time.Millisecond
 )
 
-// persist keeps the members on disk, so that proxies needn't wait for everyone's next announcement after all control
-// instances restarted. The file is a hint: members are checked by name when they are connected to.
+// persist keeps the members and proxies on disk, so that after all control instances restarted nobody need wait for
+// everyone's next announcement or watch. The files are hints: members are checked by name when they are connected to.
 func (k *Keeper) persist(ctx context.Context) error {
-	var written uint64
+	var members, proxies uint64
 
 	for k.Clock.Sleep(ctx, persistInterval) == nil {
-		r := k.roster.Revision()
-		if r == written {
-			continue
+		if r := k.roster.Revision(); r != members && k.store(membersFile, k.members()) {
+			members = r
 		}
 
-		if err := k.writeMembers(); err != nil {
-			k.Log.Warn().Err(err).Msg("members_not_stored")
-
-			continue
+		if r := k.watchers.sweep(); r != proxies && k.store(proxiesFile, k.watchers.all()) {
+			proxies = r
 		}
-
-		written = r
 	}
 
 	return nil
 }
 
-func (k *Keeper) writeMembers() error {
-	b, err := msgpack.Marshal(k.members())
+func (k *Keeper) store(file string, list any) bool {
+	b, err := msgpack.Marshal(list)
+	if err == nil {
+		err = replaceFile(k.DataFolder, file, b)
+	}
+
 	if err != nil {
-		return errors.Newf("encode members: %w", err)
+		k.Log.Warn().Err(err).Str("file", file).Msg("list_not_stored")
 	}
 
-	return replaceFile(k.DataFolder, membersFile, b)
+	return err == nil
 }
 
-// recallMembers takes the stored members as if they had just announced themselves.
-func (k *Keeper) recallMembers() {
-	b, err := os.ReadFile(filepath.Join(k.DataFolder, membersFile))
-	if errors.Is(err, os.ErrNotExist) {
-		return
-	}
+// recall takes the stored members and proxies as if they had just been heard.
+func (k *Keeper) recall() {
+	var (
+		members []lab.Announcement
+		proxies []lab.Instance
+	)
 
-	var all []lab.Announcement
-	if err == nil {
-		err = msgpack.Unmarshal(b, &all)
+	k.load(membersFile, &members)
+	k.load(proxiesFile, &proxies)
+
+	for _, a := range members {
+		k.roster.Apply(a, 0)
 	}
 
-	if err != nil {
-		k.Log.Warn().Err(err).Msg("members_not_recalled")
+	k.watchers.inherit(proxies)
+	k.Log.Info().Int("members", len(members)).Int("proxies", len(proxies)).Msg("lists_recalled")
+}
 
+func (k *Keeper) load(file string, list any) {
+	b, err := os.ReadFile(filepath.Join(k.DataFolder, file))
+	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
 
-	for _, a := range all {
-		k.roster.Apply(a, 0)
+	if err == nil {
+		err = msgpack.Unmarshal(b, list)
 	}
 
-	k.Log.Info().Int("members", len(all)).Msg("members_recalled")
+	if err != nil {
+		k.Log.Warn().Err(err).Str("file", file).Msg("list_not_recalled")
+	}
 }
--- a/control/process/labkeeper/watch.go
+++ b/control/process/labkeeper/watch.go
@@ -31,10 +31,11 @@
 type watchers struct {
 	clock lab.Clock
 
-	mutex   sync.Mutex
-	proxies map[lab.InstanceID]*watcher
-	changes uint64        // grows with each proxy that comes or goes
-	arrived time.Duration // when the last new proxy came
+	mutex     sync.Mutex
+	proxies   map[lab.InstanceID]*watcher
+	changes   uint64        // grows with each proxy that comes or goes
+	arrived   time.Duration // when the last new proxy came
+	inherited time.Duration // when another leader's list was taken over last, 0 for never
 }
 
 type watcher struct {
@@ -73,6 +74,10 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
+	if len(proxies) > 0 {
+		w.inherited = w.clock.Now()
+	}
+
 	if w.proxies == nil {
 		w.proxies = map[lab.InstanceID]*watcher{}
 	}
@@ -95,6 +100,14 @@
 	return w.clock.Now() - w.arrived
 }
 
+// heir reports whether the list of another leader was still valid at the given time.
+func (w *watchers) heir(since time.Duration) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	return w.inherited > 0 && w.inherited+proxyAge > since
+}
+
 // sweep forgets silent proxies and returns a number that grows with each change.
 func (w *watchers) sweep() uint64 {
 	w.mutex.Lock()
@@ -193,11 +206,12 @@
 		return nil, lab.ErrNotLeader
 	}
 
-	return k.answer(r), nil
+	return k.answer(r)
 }
 
 func (k *Keeper) news(r lab.WatchRequest) bool {
-	return r.Boot != k.epoch() || r.Revision != k.revision() || r.Version < k.part().record.Document().Version
+	return r.Boot != k.epoch() || r.Revision != k.revision() || r.Version < k.part().record.Document().Version ||
+		k.moved(r)
 }
 
 // epoch distinguishes the revisions of different reigns.
@@ -207,9 +221,6 @@
 
 func (k *Keeper) revision() uint64 {
 	r := k.roster.Revision()<<1 | flag(k.complete())
-	if k.proxiesKnown() {
-		r += k.watchers.sweep() << 1
-	}
 
 	for _, s := range k.services() {
 		if p, ok := k.part().record.Promotion(s); ok && p.Done {
@@ -220,6 +231,22 @@
 	return r
 }
 
+// placement numbers the lists of proxies; it is 0 until the list is known.
+func (k *Keeper) placement() uint64 {
+	if !k.proxiesKnown() {
+		return 0
+	}
+
+	return k.watchers.sweep() + 1
+}
+
+// moved reports whether the sender of a watch holds another list of proxies than the one in force.
+func (k *Keeper) moved(r lab.WatchRequest) bool {
+	p := k.placement()
+
+	return p > 0 && (r.Boot != k.epoch() || r.Placement != p)
+}
+
 func flag(b bool) uint64 {
 	if b {
 		return 1
@@ -228,18 +255,25 @@
 	return 0
 }
 
-func (k *Keeper) answer(r lab.WatchRequest) lab.WatchAnswer {
+func (k *Keeper) answer(r lab.WatchRequest) (lab.WatchAnswer, error) {
 	a := lab.WatchAnswer{Boot: k.epoch(), Revision: k.revision(), Complete: k.complete()}
 
 	if d := k.part().record.Document(); d.Version > r.Version {
 		a.Packed = d.Packed
 	}
 
+	var err error
+
 	if r.Boot != a.Boot || r.Revision != a.Revision {
-		a.Members, a.Primaries = k.members(), k.primaries()
+		if a.Members, err = k.memberLists.of(a.Boot, a.Revision, k.memberList); err != nil {
+			return lab.WatchAnswer{}, err
+		}
+	}
 
-		if k.proxiesKnown() {
-			a.Proxies = k.watchers.all()
+	if k.moved(r) {
+		a.Placement = k.placement()
+		if a.Proxies, err = k.proxyLists.of(a.Boot, a.Placement, func() any { return k.watchers.all() }); err != nil {
+			return lab.WatchAnswer{}, err
 		}
 	}
 
@@ -247,12 +281,21 @@
 		a.Controls = append(a.Controls, labvoters.Address(m))
 	}
 
-	return a
+	return a, nil
+}
+
+func (k *Keeper) memberList() any {
+	return lab.MemberList{Members: k.members(), Primaries: k.primaries()}
 }
 
-// proxiesKnown reports whether this instance has led long enough to have heard from every proxy.
+// proxiesKnown reports whether this instance has the list of its predecessor or has led long enough to have heard from
+// every proxy.
 func (k *Keeper) proxiesKnown() bool {
 	l := k.part().group.Leadership()
+	if l.Self && k.watchers.heir(l.Since) {
+		return true
+	}
+
 	led := k.Clock.Now() - l.Since
 
 	return l.Self && led > proxySettleTime && (k.watchers.quiet() > proxyQuietTime || led > proxyLatest)
--- a/control/process/labkeeper/watch_test.go
+++ b/control/process/labkeeper/watch_test.go
@@ -35,6 +35,16 @@
 		assert.Equal(t, len(w.all()), 3)
 	})
 
+	t.Run("the list of the former leader holds while its proxies would", func(t *testing.T) {
+		w, c := start()
+		assert.Assert(t, !w.heir(c.now), "a new deployment has no list")
+		w.inherit(nil)
+		assert.Assert(t, !w.heir(c.now), "nor has one whose leader had none")
+		w.inherit([]lab.Instance{proxy("a")})
+		assert.Assert(t, w.heir(c.now+proxyAge-1))
+		assert.Assert(t, !w.heir(c.now+proxyAge), "an instance that was cut off for long asks anew")
+	})
+
 	t.Run("silent proxies are forgotten", func(t *testing.T) {
 		w, c := start()
 		w.inherit([]lab.Instance{proxy("a"), proxy("b")})
--- a/memberchannel.go
+++ b/memberchannel.go
@@ -9,6 +9,8 @@
 type MemberChannel interface {
 	// Member returns the member at the other end.
 	Member() Announcement
+	// Direct reports whether this process has the connection itself, so that a silence on it is the member's.
+	Direct() bool
 	// Idle returns how long the connection has not been used.
 	Idle() time.Duration
 	// Run gives the connection the session values, then sends the operations in one write and returns a result for each.
--- a/process/labpack/pack.go
+++ b/process/labpack/pack.go
@@ -6,6 +6,7 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // MaxSize bounds a document in bytes after unpacking, well above the few hundred kilobytes of the largest.
@@ -31,6 +32,26 @@
 	return out.Bytes(), nil
 }
 
+// Encode returns a value's compressed msgpack form.
+func Encode(v any) ([]byte, error) {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil, errors.Newf("encode value: %w", err)
+	}
+
+	return Pack(b)
+}
+
+// Decode reads what Encode returned into the value pointed to.
+func Decode(b []byte, v any) error {
+	p, err := Unpack(b)
+	if err != nil {
+		return err
+	}
+
+	return errors.Wrap(msgpack.Unmarshal(p, v), "decode value")
+}
+
 // Unpack decompresses what Pack returned; it fails on more than MaxSize bytes.
 func Unpack(b []byte) ([]byte, error) {
 	r := flate.NewReader(bytes.NewReader(b))
--- a/process/labtransport/call.go
+++ b/process/labtransport/call.go
@@ -62,6 +62,16 @@
 	return s, nil
 }
 
+// Connected reports whether a connection to the address stands.
+func (t *Transport) Connected(address string) bool {
+	return t.link(address).connected()
+}
+
+// Connect sets a connection up unless one stands or is being set up.
+func (t *Transport) Connect(address string) {
+	t.link(address).lookUp()
+}
+
 // Replace makes later streams to an address use a new connection; the caller saw no progress on the current one.
 func (t *Transport) Replace(address string) {
 	l := t.link(address)
@@ -101,6 +111,11 @@
 	t.traffic.sent(method, len(b))
 
 	a := &stream{Stream: s, done: func() {}}
+
+	// A peer without power fills the connection's window, and a write then blocks until the connection is given up.
+	stop := context.AfterFunc(ctx, a.Cancel)
+	defer stop()
+
 	if _, err := s.Write(b); err != nil {
 		a.Cancel()
 
--- a/process/labtransport/link.go
+++ b/process/labtransport/link.go
@@ -9,68 +9,93 @@
 	"github.com/quic-go/quic-go"
 )
 
-// linkGrace is how long a replaced connection may finish its streams before it is closed.
-const linkGrace = 30 * time.Second
+const (
+	// linkGrace is how long a replaced connection may finish its streams before it is closed.
+	linkGrace = 30 * time.Second
+	// dialTimeout bounds one attempt to connect. A handshake has about 5 KB, which a link of 2 Mbit/s carries in 20 ms
+	// when it is free.
+	dialTimeout = time.Second
+)
 
 // link holds the current QUIC connection to one address. A connection that let a call time out is replaced by a new
 // one for all later streams, since something between the ends may have lost track of it while new ones work.
+//
+// Connections are set up in the background, one at a time, whatever becomes of the streams that wait for them: on a
+// congested link no handshake ends within a statement's time, and handshakes that are given up and begun again by each
+// statement keep the link congested.
 type link struct {
 	address string
 	dial    func(ctx context.Context, address string) (*quic.Conn, error)
 
 	mutex   sync.Mutex
 	current *quic.Conn
-	dialing chan struct{}
+	pending *dialing // nil when none is under way
+}
+
+// dialing is one attempt to connect.
+type dialing struct {
+	ended chan struct{}
+	conn  *quic.Conn // the fields below are set when ended is closed
+	err   error
 }
 
 func (l *link) connection(ctx context.Context) (*quic.Conn, error) {
-	for {
-		l.mutex.Lock()
+	c, d := l.lookUp()
+	if c != nil {
+		return c, nil
+	}
+
+	select {
+	case <-d.ended:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, errors.Newf("wait for connection to %s: %w", l.address, ctx.Err())
+	}
+}
+
+// connected reports whether a connection stands.
+func (l *link) connected() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 
-		if c := l.current; c != nil && c.Context().Err() == nil {
-			l.mutex.Unlock()
+	return l.current != nil && l.current.Context().Err() == nil
+}
 
-			return c, nil
-		}
+// lookUp returns the current connection, or the attempt to set one up, which it starts if need be.
+func (l *link) lookUp() (*quic.Conn, *dialing) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 
-		if l.dialing == nil {
-			return l.dialLocked(ctx)
-		}
+	if c := l.current; c != nil && c.Context().Err() == nil {
+		return c, nil
+	}
 
-		wait := l.dialing
-		l.mutex.Unlock()
+	if l.pending == nil {
+		l.pending = &dialing{ended: make(chan struct{})}
 
-		select {
-		case <-wait:
-		case <-ctx.Done():
-			return nil, errors.Newf("wait for connection to %s: %w", l.address, ctx.Err())
-		}
+		go l.connect(l.pending)
 	}
+
+	return nil, l.pending
 }
 
-// dialLocked is entered with the mutex held and leaves it released.
-func (l *link) dialLocked(ctx context.Context) (*quic.Conn, error) {
-	done := make(chan struct{})
-	l.dialing = done
-	l.mutex.Unlock()
+func (l *link) connect(d *dialing) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
 
 	c, err := l.dial(ctx, l.address)
 
 	l.mutex.Lock()
-	l.dialing = nil
+	defer l.mutex.Unlock()
+
+	l.pending = nil
 
 	if err == nil {
 		l.current = c
 	}
 
-	l.mutex.Unlock()
-	close(done)
-
-	if err != nil {
-		return nil, errors.Newf("connect to %s: %w", l.address, err)
-	}
-
-	return c, nil
+	d.conn, d.err = c, errors.Wrapf(err, "connect to %s", l.address)
+	close(d.ended)
 }
 
 // suspect stops new streams on a connection that did not answer in time.
--- a/process/labtransport/transport.go
+++ b/process/labtransport/transport.go
@@ -128,9 +128,6 @@
 }
 
 func (t *Transport) dial(ctx context.Context, address string) (*quic.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
-	defer cancel()
-
 	a, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, errors.Newf("resolve %s: %w", address, err)
--- a/proxy/connection/labbackend/conn.go
+++ b/proxy/connection/labbackend/conn.go
@@ -41,6 +41,11 @@
 	return c.pool.Target
 }
 
+// Direct is true.
+func (*Conn) Direct() bool {
+	return true
+}
+
 // Idle returns how long the connection has not been used.
 func (c *Conn) Idle() time.Duration {
 	return time.Since(c.used)
--- a/proxy/connection/labdialogue/attempt.go
+++ b/proxy/connection/labdialogue/attempt.go
@@ -98,7 +98,7 @@
 			return a.lost(err)
 		}
 
-		a.session.Directory.Reached(c.Member())
+		a.noteAnswer(c)
 
 		if r.Fault.NotRun() {
 			a.refuse(c, r)
@@ -208,7 +208,7 @@
 		return lab.OperationResult{}, false
 	}
 
-	a.session.Directory.Reached(c.Member())
+	a.noteAnswer(c)
 
 	if r.Fault.NotRun() {
 		a.refuse(c, r)
@@ -240,7 +240,7 @@
 		return false
 	}
 
-	s.Directory.Reached(c.Member())
+	a.noteAnswer(c)
 
 	if r[0].Fault != lab.FaultNone {
 		a.refuseBegin(c, r[0])
--- a/proxy/connection/labdialogue/ending.go
+++ b/proxy/connection/labdialogue/ending.go
@@ -14,9 +14,9 @@
 
 	switch _, reason := lab.OutcomeOf(err); {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		a.session.Directory.Silent(c.Member())
+		a.noteSilence(c)
 	case !notRun(err) || reason == lab.ReasonLost:
-		a.session.Directory.Unreached(c.Member())
+		a.noteLoss(c)
 	case reason == lab.ReasonOverload:
 		a.hopeless = true
 	default:
@@ -80,8 +80,30 @@
 // unanswered gives up a connection on which a statement may still run.
 func (a *attempt) unanswered(c lab.MemberChannel, err error) {
 	if giveUp(c, err) {
-		a.session.Directory.Silent(c.Member())
+		a.noteSilence(c)
 	} else {
+		a.noteLoss(c)
+	}
+}
+
+// noteSilence notes that the member did not answer. A gateway that did not says nothing about the member: while many
+// proxies are down or busy, members taken for lost would be replaced, and their connections here left unused.
+func (a *attempt) noteSilence(c lab.MemberChannel) {
+	if c.Direct() {
+		a.session.Directory.Silent(c.Member())
+	}
+}
+
+// noteAnswer notes that the member answered on a connection of this process.
+func (a *attempt) noteAnswer(c lab.MemberChannel) {
+	if c.Direct() {
+		a.session.Directory.Reached(c.Member())
+	}
+}
+
+// noteLoss notes that the connection to the member broke.
+func (a *attempt) noteLoss(c lab.MemberChannel) {
+	if c.Direct() {
 		a.session.Directory.Unreached(c.Member())
 	}
 }
--- a/proxy/connection/labdialogue/transaction.go
+++ b/proxy/connection/labdialogue/transaction.go
@@ -116,7 +116,7 @@
 			return a.aborted("no answer from the member")
 		}
 
-		s.Directory.Reached(s.tx.conn.Member())
+		a.noteAnswer(s.tx.conn)
 		a.last = r
 
 		if r.Fault.NotRun() && r.State == lab.StateTransaction && !a.expired() {
@@ -248,7 +248,7 @@
 			return a.lost(err)
 		}
 
-		s.Directory.Reached(c.Member())
+		a.noteAnswer(c)
 
 		switch {
 		case r[0].Fault == lab.FaultNone:
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -11,6 +11,7 @@
 	"laburnumlock.dev/lab/proxy/connection/labbackend"
 	"laburnumlock.dev/lab/proxy/process/labfrontier"
 	"laburnumlock.dev/lab/proxy/process/labplacement"
+	"laburnumlock.dev/lab/proxy/process/labreach"
 	"laburnumlock.dev/lab/proxy/process/labrelay"
 )
 
@@ -37,7 +38,8 @@
 	Clock  lab.Clock
 	Log    zerolog.Logger
 	Self   lab.InstanceID
-	Peers  lab.Peers // reaches gateways; nil where every proxy connects by itself
+	Peers  lab.ConnectedPeers // reaches gateways; nil where every proxy connects by itself
+	Reach  *labreach.Reach    // which gateways answer
 	// Suspect is called when a primary stops answering; it must not block.
 	Suspect func()
 
@@ -169,7 +171,7 @@
 	n.pool = &labbackend.Pool{Target: a, Dialer: d.Dialer, Share: func() int { return int(n.share.Load()) }, Dialed: d.dialed}
 	if d.Peers != nil {
 		n.relay = &labrelay.Source{
-			Target: a, Peers: d.Peers, Frontier: &s.frontier, Clock: d.Clock,
+			Target: a, Peers: d.Peers, Frontier: &s.frontier, Reach: d.Reach, Clock: d.Clock,
 			Gateways: func() []lab.Instance { return d.gatewaysOf(n) },
 		}
 	}
--- a/proxy/process/labdirectory/directory_test.go
+++ b/proxy/process/labdirectory/directory_test.go
@@ -13,6 +13,7 @@
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labclock"
 	"laburnumlock.dev/lab/process/labrandom"
+	"laburnumlock.dev/lab/proxy/process/labreach"
 )
 
 var errRefused = errors.New("refused")
@@ -56,7 +57,7 @@
 func newDirectory(connections int) (*Directory, *members) {
 	m := &members{}
 	d := &Directory{
-		Self: "p00", Zone: "z", Region: "west", Peers: noPeers{}, Dialer: m, Random: labrandom.Seeded(1),
+		Self: "p00", Zone: "z", Region: "west", Peers: noPeers{}, Reach: &labreach.Reach{Clock: labclock.NewBoot()}, Dialer: m, Random: labrandom.Seeded(1),
 		Clock: labclock.NewBoot(), Log: zerolog.Nop(), Suspect: func() {},
 	}
 	d.Install(&lab.Document{Version: 1, Services: []lab.Service{{Name: "s", Connections: connections}}})
@@ -178,3 +179,6 @@
 		assert.Equal(t, source.Member().Member, "b")
 	})
 }
+
+func (noPeers) Connected(string) bool { return false }
+func (noPeers) Connect(string)        {}
--- a/proxy/process/labdirectory/select.go
+++ b/proxy/process/labdirectory/select.go
@@ -9,6 +9,7 @@
 	"laburnumlock.dev/lab/proxy/connection/labbackend"
 	"laburnumlock.dev/lab/proxy/process/labchooser"
 	"laburnumlock.dev/lab/proxy/process/labfrontier"
+	"laburnumlock.dev/lab/proxy/process/labrelay"
 )
 
 // Primary returns the source of connections to a service's primary, and false while none is known.
@@ -309,6 +310,27 @@
 	return out
 }
 
+// WarmRelays has connections set up to gateways of the members to which this proxy has none of its own.
+func (d *Directory) WarmRelays() {
+	var relays []*labrelay.Source
+
+	d.mutex.Lock()
+
+	for _, s := range d.services {
+		for _, m := range s.members {
+			if m.relay != nil && m.share.Load() == 0 {
+				relays = append(relays, m.relay)
+			}
+		}
+	}
+
+	d.mutex.Unlock()
+
+	for _, r := range relays {
+		r.Warm()
+	}
+}
+
 // Pools returns the connections to every member by service; the primary's come first.
 func (d *Directory) Pools() map[string][]*labbackend.Pool {
 	d.mutex.Lock()
--- a/proxy/process/labedge/edge.go
+++ b/proxy/process/labedge/edge.go
@@ -17,6 +17,7 @@
 	"laburnumlock.dev/lab/proxy/connection/labdialogue"
 	"laburnumlock.dev/lab/proxy/process/labdirectory"
 	"laburnumlock.dev/lab/proxy/process/labentry"
+	"laburnumlock.dev/lab/proxy/process/labreach"
 	"laburnumlock.dev/lab/proxy/process/labrelay"
 	"laburnumlock.dev/lab/proxy/process/labsubscriber"
 )
@@ -57,7 +58,7 @@
 func (e *Edge) Prepare() {
 	e.directory = &labdirectory.Directory{
 		Self: e.Self.ID, Zone: e.Self.AvailabilityZone, Region: e.Self.Region, Peers: e.Transport, Dialer: e.Dialer,
-		Random: e.Random, Clock: e.Clock, Log: e.Log,
+		Reach: &labreach.Reach{Clock: e.Clock}, Random: e.Random, Clock: e.Clock, Log: e.Log,
 	}
 
 	relay := &labrelay.Server{Members: e.directory, Clock: e.Clock, Log: lablog.Requests(e.Log)}
--- a/proxy/process/labedge/tend.go
+++ b/proxy/process/labedge/tend.go
@@ -23,9 +23,12 @@
 	pinging := map[string]*ping{}
 
 	for e.Clock.Sleep(ctx, tendInterval) == nil {
+		e.directory.WarmRelays()
+
 		for name, pools := range e.directory.Pools() {
 			for _, p := range pools {
 				p.Warm()
+				e.look(p)
 			}
 
 			g, ok := pinging[name]
@@ -76,6 +79,21 @@
 	}()
 }
 
+// look asks a member that seemed out of reach whether it answers again: while it does not, statements take other ways,
+// so none of them would show it.
+func (e *Edge) look(p *labbackend.Pool) {
+	if !e.directory.Failing(p.Member()) {
+		return
+	}
+
+	go func() {
+		_, ok, err := p.Ping(time.Now().Add(pingTimeout))
+		if ok && err == nil {
+			e.directory.Reached(p.Member())
+		}
+	}()
+}
+
 // askPosition begins and ends a transaction, which only the primary permits and which takes no slot.
 func (e *Edge) askPosition(service string, p *labbackend.Pool) {
 	asked := e.Clock.Now()
--- a/proxy/process/labrelay/message.go
+++ b/proxy/process/labrelay/message.go
@@ -21,7 +21,7 @@
 // open on it.
 type request struct {
 	Wait       time.Duration     `msgpack:"w"` // for a connection
-	Deadline   time.Duration     `msgpack:"d"` // time left
+	Deadline   time.Duration     `msgpack:"d"` // time left, that wait included
 	Values     map[string]string `msgpack:"v,omitempty"`
 	Operations []lab.Operation   `msgpack:"o"` // none to learn the primary's position only
 }
--- a/proxy/process/labrelay/relay_test.go
+++ b/proxy/process/labrelay/relay_test.go
@@ -16,6 +16,7 @@
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labclock"
 	"laburnumlock.dev/lab/proxy/process/labfrontier"
+	"laburnumlock.dev/lab/proxy/process/labreach"
 )
 
 var errDown = errors.New("gateway is down")
@@ -44,6 +45,7 @@
 func (*gateway) Load() (int, bool, bool)                                 { return 0, true, true }
 func (*gateway) Typical() time.Duration                                  { return 0 }
 func (*gateway) Idle() time.Duration                                     { return 0 }
+func (*gateway) Direct() bool                                            { return true }
 
 func (g *gateway) Acquire(ctx context.Context, _ int) (lab.MemberChannel, error) {
 	select {
@@ -120,6 +122,9 @@
 func (p *pipe) CloseWrite() error { return nil }
 func (p *pipe) Cancel()           { p.stop() }
 
+func (peers) Connected(address string) bool { return address != "unconnected" }
+func (peers) Connect(string)                {}
+
 func (peers) Call(context.Context, string, lab.Method, any, any) error { return errDown }
 
 func (p peers) Open(_ context.Context, address string, _ lab.Method, h any) (lab.Stream, error) {
@@ -130,6 +135,13 @@
 
 	r1, w1 := io.Pipe()
 	r2, w2 := io.Pipe()
+
+	if g == nil { // without power: packets vanish
+		go func() { _, _ = io.Copy(io.Discard, r1) }()
+
+		return &pipe{r2, w1, func() { _ = r2.CloseWithError(io.EOF) }}, nil
+	}
+
 	stop := func() {
 		_ = w1.CloseWithError(io.EOF)
 		_ = r2.CloseWithError(io.EOF)
@@ -159,6 +171,7 @@
 	return &Source{
 		Target: lab.Announcement{Database: "s", Member: "m", Incarnation: 1}, Peers: p, Clock: labclock.NewBoot(),
 		Gateways: func() []lab.Instance { return all }, Frontier: &labfrontier.Frontier{},
+		Reach: &labreach.Reach{Clock: labclock.NewBoot()},
 	}
 }
 
@@ -290,3 +303,69 @@
 		assert.NilError(t, err)
 	})
 }
+
+// TestPassing checks how statements find a gateway that has a connection for them.
+func TestPassing(t *testing.T) {
+	read := lab.Operation{Kind: lab.OperationRead, ID: "q", Text: "FETCH x"}
+
+	t.Run("connection held by a resting transaction", func(t *testing.T) {
+		busy, free := newGateway(), newGateway()
+		busy.slots <- struct{}{}
+
+		s := source(peers{"busy": busy, "free": free}, "busy", "free")
+		started := time.Now()
+
+		_, err := acquire(t, s, time.Second).Run(soon(), nil, read)
+		assert.NilError(t, err)
+		assert.Equal(t, len(free.received), 1)
+		assert.Assert(t, time.Since(started) < 200*time.Millisecond)
+	})
+
+	t.Run("statements are spread", func(t *testing.T) {
+		a, b := newGateway(), newGateway()
+		s := source(peers{"a": a, "b": b}, "a", "b")
+
+		_, err := acquire(t, s, time.Second).Run(soon(), nil, lab.Operation{Kind: lab.OperationBegin})
+		assert.NilError(t, err)
+		_, err = acquire(t, s, time.Second).Run(soon(), nil, read)
+		assert.NilError(t, err)
+		assert.Equal(t, len(a.received), 1)
+		assert.Equal(t, len(b.received), 1)
+	})
+
+	t.Run("gateway without power is left out for all members", func(t *testing.T) {
+		live := newGateway()
+		p := peers{"live": live, "dead": nil}
+		s := source(p, "dead", "live")
+
+		_, err := acquire(t, s, time.Second).Run(time.Now().Add(50*time.Millisecond), nil, read)
+		assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+
+		other := source(p, "dead", "live")
+		other.Reach = s.Reach
+
+		_, err = acquire(t, other, time.Second).Run(soon(), nil, read)
+		assert.NilError(t, err)
+		assert.Equal(t, len(live.received), 1)
+	})
+
+	t.Run("connection is not set up yet", func(t *testing.T) {
+		far, near := newGateway(), newGateway()
+		s := source(peers{"unconnected": far, "near": near}, "unconnected", "near")
+
+		_, err := acquire(t, s, time.Second).Run(soon(), nil, read)
+		assert.NilError(t, err)
+		assert.Equal(t, len(near.received), 1)
+	})
+
+	t.Run("nothing runs after the sender's deadline", func(t *testing.T) {
+		g := newGateway()
+		g.slots <- struct{}{}
+
+		_, err := acquire(t, source(peers{"g": g}, "g"), time.Second).Run(time.Now().Add(80*time.Millisecond), nil, read)
+		assert.Assert(t, err != nil)
+		<-g.slots
+		assert.Equal(t, len(g.endings()), 0)
+		assert.Equal(t, len(g.received), 0)
+	})
+}
--- a/proxy/process/labrelay/server.go
+++ b/proxy/process/labrelay/server.go
@@ -77,13 +77,15 @@
 		return response{}
 	}
 
+	deadline := time.Now().Add(r.Deadline)
+
 	if l.conn == nil {
-		if err := l.bind(ctx, r.Wait); err != nil {
+		if err := l.bind(ctx, min(r.Wait, r.Deadline)); err != nil {
 			return response{Failure: err.Error(), NotRun: true, Busy: errors.Is(err, context.DeadlineExceeded)}
 		}
 	}
 
-	results, err := l.conn.Run(time.Now().Add(r.Deadline), r.Values, r.Operations...)
+	results, err := l.conn.Run(deadline, r.Values, r.Operations...)
 	if err != nil {
 		return l.fail(err)
 	}
--- a/proxy/process/labrelay/source.go
+++ b/proxy/process/labrelay/source.go
@@ -2,56 +2,64 @@
 
 import (
 	"context"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/process/labfrontier"
+	"laburnumlock.dev/lab/proxy/process/labreach"
 )
 
 const (
-	// shunTime is how long a gateway that failed is asked last.
+	// shunTime is how long a gateway that cannot reach the member is asked last for it.
 	shunTime = time.Second
-	// defaultWait is how long a gateway may let a statement queue when the sender sets no limit.
+	// defaultWait is how long a statement may wait for a connection at gateways when the sender sets no limit.
 	defaultWait = 500 * time.Millisecond
 	// typicalWeight is how many round trips the typical one is averaged over.
 	typicalWeight = 8
-	// refreshTimeout bounds the question for a position; a gateway is usually in the same zone.
+	// refreshTimeout bounds the question for a position: a round trip between regions takes 24 ms.
 	refreshTimeout = 100 * time.Millisecond
+	// width is how many gateways share the statements while all of them answer.
+	width = 2
+	// reserve is how many more are kept connected: with three in five machines down, all of six are down once in twenty
+	// times.
+	reserve = 4
 )
 
 // Source provides channels to one member through gateways; exported fields are set before use.
 type Source struct {
 	Target   lab.Announcement
-	Peers    lab.Peers
+	Peers    lab.ConnectedPeers
 	Gateways func() []lab.Instance // in order of preference
 	Frontier *labfrontier.Frontier // takes the positions that gateways tell
+	Reach    *labreach.Reach       // which gateways answer, shared with the sources of other members
 	Clock    lab.Clock
 
 	mutex   sync.Mutex
-	inUse   int
+	inUse   map[lab.InstanceID]int // channels by gateway
+	total   int
 	typical time.Duration
 	shunned map[lab.InstanceID]time.Duration // until when
 }
 
 var _ lab.MemberSource = (*Source)(nil)
 
-var errNoGateway = errors.New("no gateway is known")
+var (
+	errNoGateway    = errors.New("no gateway is known")
+	errNotConnected = errors.New("no gateway is connected")
+)
 
 // Member returns the member.
 func (s *Source) Member() lab.Announcement {
 	return s.Target
 }
 
-// Acquire returns a channel; the gateway's connection is bound by the first operations on it, for which the context's
+// Acquire returns a channel; a gateway's connection is bound by the first operations on it, for which the context's
 // deadline limits the wait.
 func (s *Source) Acquire(ctx context.Context, priority int) (lab.MemberChannel, error) {
-	g, ok := s.choose()
-	if !ok {
+	if len(s.Gateways()) == 0 {
 		return nil, errNoGateway
 	}
 
@@ -63,28 +71,97 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	s.inUse++
+	s.total++
 
-	return &channel{source: s, gateway: g, priority: priority, wait: wait}, nil
+	return &channel{source: s, priority: priority, wait: wait}, nil
 }
 
-// choose returns the first gateway that did not fail lately, or the first.
-func (s *Source) choose() (lab.Instance, bool) {
-	all := s.Gateways()
-	if len(all) == 0 {
-		return lab.Instance{}, false
-	}
+// take chooses the next gateway: of the first few that are connected, answer and have not been asked, the one with the
+// fewest channels. It returns false when none is; the statement is better tried again than kept waiting for a handshake.
+func (s *Source) take(asked map[lab.InstanceID]bool) (lab.Instance, bool) {
+	all := s.connected(s.Gateways())
 
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
+	g, ok := s.lightestLocked(all, func(g lab.Instance) bool {
+		return !asked[g.ID] && s.Reach.Usable(g.ID) && s.Clock.Now() >= s.shunned[g.ID]
+	})
+	if !ok {
+		// One that failed or was busy is better than none.
+		g, ok = s.lightestLocked(all, func(lab.Instance) bool { return true })
+	}
+
+	if !ok {
+		return lab.Instance{}, false
+	}
+
+	if s.inUse == nil {
+		s.inUse = map[lab.InstanceID]int{}
+	}
+
+	s.inUse[g.ID]++
+
+	return g, true
+}
+
+// connected returns the gateways with a standing connection, and has connections to the first others set up.
+func (s *Source) connected(all []lab.Instance) []lab.Instance {
+	var out []lab.Instance
+
+	for i, g := range all {
+		switch {
+		case s.Peers.Connected(g.Address):
+			out = append(out, g)
+		case i < width+reserve && s.Reach.Probe(g.ID):
+			s.Peers.Connect(g.Address)
+		}
+
+		if len(out) == width+reserve {
+			break
+		}
+	}
+
+	return out
+}
+
+// lightestLocked returns the gateway with the fewest channels among the first few that fit.
+func (s *Source) lightestLocked(all []lab.Instance, fits func(lab.Instance) bool) (lab.Instance, bool) {
+	var (
+		best lab.Instance
+		seen int
+	)
+
 	for _, g := range all {
-		if s.Clock.Now() >= s.shunned[g.ID] {
-			return g, true
+		if !fits(g) {
+			continue
+		}
+
+		if seen == 0 || s.inUse[g.ID] < s.inUse[best.ID] {
+			best = g
+		}
+
+		if seen++; seen == width {
+			break
 		}
 	}
 
-	return all[0], true
+	return best, seen > 0
+}
+
+// Warm has connections to the first gateways set up before a statement needs one.
+func (s *Source) Warm() {
+	s.connected(s.Gateways())
+}
+
+// give ends the use of a gateway.
+func (s *Source) give(g lab.InstanceID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	if s.inUse[g]--; s.inUse[g] <= 0 {
+		delete(s.inUse, g)
+	}
 }
 
 func (s *Source) shun(g lab.InstanceID) {
@@ -102,7 +179,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	s.inUse--
+	s.total--
 }
 
 func (s *Source) observe(d time.Duration) {
@@ -119,7 +196,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	return s.inUse, known, known
+	return s.total, known, known
 }
 
 // Typical returns how long operations of late took from being sent to their answer, with their wait at the gateway.
@@ -141,133 +218,3 @@
 
 	_, _ = c.Run(time.Now().Add(refreshTimeout), nil) // without a position the read goes to the primary
 }
-
-// channel is a stream to a gateway.
-type channel struct {
-	source   *Source
-	gateway  lab.Instance
-	priority int
-	wait     time.Duration
-
-	stream lab.Stream
-	in     *msgpack.Decoder
-	out    *msgpack.Encoder
-}
-
-var _ lab.MemberChannel = (*channel)(nil)
-
-// Member returns the member.
-func (c *channel) Member() lab.Announcement {
-	return c.source.Target
-}
-
-// Idle is 0: the gateway looks after the connection.
-func (*channel) Idle() time.Duration {
-	return 0
-}
-
-// Run passes the operations on.
-func (c *channel) Run(
-	deadline time.Time, values map[string]string, operations ...lab.Operation,
-) ([]lab.OperationResult, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-
-	started, asked := time.Now(), c.source.Clock.Now()
-
-	if c.stream == nil {
-		if err := c.open(ctx); err != nil {
-			c.source.shun(c.gateway.ID)
-
-			return nil, lab.NotRun(lab.ReasonMisrouted, errors.Newf("open stream to gateway: %w", err))
-		}
-	}
-
-	stop := context.AfterFunc(ctx, c.stream.Cancel)
-	defer stop()
-
-	r := request{Wait: c.wait, Deadline: time.Until(deadline), Values: values, Operations: operations}
-	if err := c.out.Encode(&r); err != nil {
-		return nil, c.lost(ctx, "send to gateway", err)
-	}
-
-	var a response
-	if err := c.in.Decode(&a); err != nil {
-		return nil, c.lost(ctx, "read from gateway", err)
-	}
-
-	if !a.Position.IsZero() {
-		c.source.Frontier.Note(asked-a.Age, a.Position)
-	}
-
-	if a.Failure != "" {
-		return nil, c.failed(a)
-	}
-
-	c.source.observe(time.Since(started))
-
-	return a.Results, nil
-}
-
-func (c *channel) open(ctx context.Context) error {
-	t := c.source.Target
-
-	s, err := c.source.Peers.Open(ctx, c.gateway.Address, Method, header{
-		Service: t.Database, Member: t.Member, Incarnation: t.Incarnation, Priority: c.priority,
-	})
-	if err != nil {
-		return err
-	}
-
-	c.stream, c.in, c.out = s, msgpack.NewDecoder(s), msgpack.NewEncoder(s)
-
-	return nil
-}
-
-// lost is the error of a stream that broke; the operations may run or have run.
-func (c *channel) lost(ctx context.Context, what string, err error) error {
-	if ctx.Err() != nil {
-		return errors.Newf("%s %s: %w", what, c.gateway.ID, os.ErrDeadlineExceeded)
-	}
-
-	c.source.shun(c.gateway.ID)
-
-	return lab.Unknown(lab.ReasonMisrouted, errors.Newf("%s %s: %w", what, c.gateway.ID, err))
-}
-
-// failed translates a gateway's failure.
-func (c *channel) failed(a response) error {
-	err := errors.Newf("gateway %s: %s", c.gateway.ID, a.Failure)
-
-	switch {
-	case a.Busy:
-		return lab.NotRun(lab.ReasonOverload, err)
-	case a.NotRun:
-		c.source.shun(c.gateway.ID)
-
-		return lab.NotRun(lab.ReasonMisrouted, err)
-	case a.Late:
-		return errors.Mark(err, os.ErrDeadlineExceeded)
-	}
-
-	return err
-}
-
-// Release ends the stream.
-func (c *channel) Release() {
-	c.Discard()
-}
-
-// Discard ends the stream; the gateway rolls back what is open.
-func (c *channel) Discard() {
-	c.source.release()
-
-	if c.stream != nil {
-		c.stream.Cancel()
-	}
-}
-
-// Linger ends the stream; the gateway waits for late answers.
-func (c *channel) Linger() {
-	c.Discard()
-}
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -49,6 +49,7 @@
 	controls []string
 	boot     uint64
 	revision uint64
+	placed   uint64 // placement that the directory holds
 	lost     bool
 	searches int // for the leader, in vain since the last answer
 }
@@ -129,7 +130,7 @@
 
 func (s *Subscriber) request(wait time.Duration) lab.WatchRequest {
 	return lab.WatchRequest{
-		Proxy: s.Proxy, Boot: s.boot, Revision: s.revision, Version: s.Directory.Version(), Wait: wait,
+		Proxy: s.Proxy, Boot: s.boot, Revision: s.revision, Placement: s.placed, Version: s.Directory.Version(), Wait: wait,
 		Draining: s.draining.Load(), Primaries: s.Directory.Reports(),
 	}
 }
@@ -226,15 +227,35 @@
 		}
 	}
 
-	if a.Boot != s.boot || a.Revision != s.revision {
-		if len(a.Proxies) > 0 {
-			s.Directory.SetProxies(a.Proxies)
+	if err := s.learn(a); err != nil {
+		return errors.Newf("take members from control: %w", err)
+	}
+
+	s.boot, s.revision, s.controls = a.Boot, a.Revision, a.Controls
+
+	return nil
+}
+
+// learn takes over the lists that the answer brings.
+func (s *Subscriber) learn(a lab.WatchAnswer) error {
+	if len(a.Proxies) > 0 {
+		var p []lab.Instance
+		if err := labpack.Decode(a.Proxies, &p); err != nil {
+			return err
 		}
 
-		s.Directory.Learn(a.Members, a.Primaries, a.Complete)
+		s.Directory.SetProxies(p)
+		s.placed = a.Placement
 	}
 
-	s.boot, s.revision, s.controls = a.Boot, a.Revision, a.Controls
+	if len(a.Members) > 0 {
+		var l lab.MemberList
+		if err := labpack.Decode(a.Members, &l); err != nil {
+			return err
+		}
+
+		s.Directory.Learn(l.Members, l.Primaries, a.Complete)
+	}
 
 	return nil
 }
--- a/transport.go
+++ b/transport.go
@@ -36,6 +36,15 @@
 	Open(ctx context.Context, address string, method Method, header any) (Stream, error)
 }
 
+// ConnectedPeers are peers whose connections are set up in the background.
+type ConnectedPeers interface {
+	Peers
+	// Connected reports whether a connection to the address stands.
+	Connected(address string) bool
+	// Connect sets a connection up unless one stands or is being set up.
+	Connect(address string)
+}
+
 // CallHandler answers one request; decode reads the request into a typed value.
 type CallHandler func(ctx context.Context, from InstanceID, decode func(request any) error) (answer any, err error)
 
--- a/watch.go
+++ b/watch.go
@@ -11,6 +11,7 @@
 	Proxy     Instance        `msgpack:"p"`
 	Boot      uint64          `msgpack:"b"` // of the answer that Revision comes from
 	Revision  uint64          `msgpack:"r"`
+	Placement uint64          `msgpack:"n"` // of the list of proxies held
 	Version   uint64          `msgpack:"v"` // of the document in force at the sender
 	Wait      time.Duration   `msgpack:"w"`
 	Draining  bool            `msgpack:"d"`
@@ -26,15 +27,19 @@
 
 // WatchAnswer is the state known to the leader.
 type WatchAnswer struct {
-	Leader    InstanceID        `msgpack:"l"` // set when another instance has to be asked; nothing else is set then
-	Boot      uint64            `msgpack:"b"` // distinguishes the revisions of different leaders
-	Revision  uint64            `msgpack:"r"`
-	Packed    []byte            `msgpack:"s"` // the compressed document when it is newer than the one in force at the sender
-	Members   []Announcement    `msgpack:"m"` // all members when the revision differs
-	Primaries map[string]string `msgpack:"p"` // member by service when the revision differs
-	Complete  bool              `msgpack:"c"` // members that are missing don't exist; the leader has listened long enough
-	Controls  []string          `msgpack:"a"` // process addresses of the control group
-	// Proxies share the members' connections; they are set when the revision differs and the leader has led long enough
-	// to have heard all of them.
-	Proxies []Instance `msgpack:"n"`
+	Leader    InstanceID `msgpack:"l"` // set when another instance has to be asked; nothing else is set then
+	Boot      uint64     `msgpack:"b"` // distinguishes the revisions of different leaders
+	Revision  uint64     `msgpack:"r"`
+	Placement uint64     `msgpack:"n"` // of Proxies; 0 while the leader has not heard all of them
+	Packed    []byte     `msgpack:"s"` // the compressed document when it is newer than the one in force at the sender
+	Members   []byte     `msgpack:"m"` // a compressed MemberList when the revision differs
+	Proxies   []byte     `msgpack:"x"` // a compressed list of Instance when the placement differs
+	Complete  bool       `msgpack:"c"` // members that are missing don't exist; the leader has listened long enough
+	Controls  []string   `msgpack:"a"` // process addresses of the control group
+}
+
+// MemberList is all that control knows of the members.
+type MemberList struct {
+	Members   []Announcement    `msgpack:"m"`
+	Primaries map[string]string `msgpack:"p"` // member by service
 }
