Make the test of busy gateways fail without its change

The case now asks for the time of a round trip, and fails without the change (checked by taking it out).

--- a/proxy/process/labrelay/relay_test.go
+++ b/proxy/process/labrelay/relay_test.go
@@ -365,10 +365,12 @@
 		g.slots <- struct{}{}
 
 		s := source(peers{"g": g}, "g")
-		_, err := acquire(t, s, time.Second).Run(time.Now().Add(300*time.Millisecond), nil, read)
+		deadline := time.Now().Add(300 * time.Millisecond)
+		_, err := acquire(t, s, time.Second).Run(deadline, nil, read)
 
 		_, reason := lab.OutcomeOf(err)
 		assert.Equal(t, reason, lab.ReasonOverload, "%v", err)
+		assert.Assert(t, time.Until(deadline) > 2*hopMargin, "a round trip between regions must fit")
 		assert.Assert(t, s.Reach.Usable("g"))
 	})
 
