--- a/control/process/labkeeper/list.go
+++ b/control/process/labkeeper/list.go
@@ -16,7 +16,7 @@
 
 // of returns the compressed list of a revision. A list that changes meanwhile has a newer revision, which the proxies ask
 // for next.
-func (l *list) of(boot, revision uint64, make func() any) ([]byte, error) {
+func (l *list) of(boot, revision uint64, build func() any) ([]byte, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
@@ -24,7 +24,7 @@
 		return l.packed, nil
 	}
 
-	b, err := labpack.Encode(make())
+	b, err := labpack.Encode(build())
 	if err != nil {
 		return nil, err
 	}
