--- a/proxy/process/labplacement/place.go
+++ b/proxy/process/labplacement/place.go
@@ -14,9 +14,6 @@
 	// generations of connections fit a member at the same time where it accepts enough. It counts those of proxies
 	// without power for seconds, and the proxies need new ones as soon as they are back.
 	generations = 2
-	// Where connections are scarce, scarceHeld of each scarceOf are held: the rest are enough for all statements over
-	// other proxies meanwhile, and with fewer holders more statements pass over links of 2 Mbit/s in calm times.
-	scarceHeld, scarceOf = 2, 3
 )
 
 // Placement is how the connections that one member accepts are shared out.
@@ -29,7 +26,8 @@
 // Place shares out a member's connections. Proxies of the member's region come first, since a statement that crosses
 // the regions has to do so once, whichever proxy sends it. Many proxies hold few connections each: a holder that is lost
 // then takes little with it, and no link carries more than its part. Where each has more than one, what they keep leaves
-// room for as many again, and where they are scarce, a part is left free.
+// room for as many again. Where connections are scarce all are held: with fewer holders more statements pass over other
+// proxies' links, which costs more under overload than the room saves after a loss of power.
 func Place(member lab.Announcement, connections int, proxies []lab.Instance) Placement {
 	free := max(1, connections-reserved)
 	p := Placement{Holders: proxies}
@@ -38,7 +36,7 @@
 		all := Ranked(member.Member, proxies)
 		slices.SortStableFunc(all, func(a, b lab.Instance) int { return distance(member, a) - distance(member, b) })
 
-		p.Holders = all[:max(1, free*scarceHeld/scarceOf)]
+		p.Holders = all[:free]
 	}
 
 	p.Share = max(1, free/max(1, len(p.Holders)))
