Take an answer that comes before the request is finished; let the test's relay tell connections apart by their handshake

The test's relay dropped, after its cut, only connections of which it had seen a short packet; when the client's first short packet travels behind the end of the handshake in one datagram, there is none, and the call meant to be silent was answered (0.11 s). Running the mended test 15 times with the race detector showed another fault, in the product: a peer that answers and closes the stream before the caller has finished its request makes finishing fail ('close called for canceled stream'), and the call was given up though its answer was there. Change: after the cut the relay passes only connections whose handshake it has seen since, which is stricter; Call reads the answer whatever finishing says. There is no deterministic test of the second.

--- a/process/labtransport/call.go
+++ b/process/labtransport/call.go
@@ -27,9 +27,8 @@
 
 	defer func() { _ = s.Close() }()
 
-	if err := s.CloseWrite(); err != nil {
-		return errors.Newf("finish request: %w", err)
-	}
+	// Fails when the peer has answered and closed the stream already; without an answer, receiving says what is wrong.
+	_ = s.CloseWrite()
 
 	stop := context.AfterFunc(ctx, s.Cancel)
 	defer stop()
--- a/process/labtransport/transport_test.go
+++ b/process/labtransport/transport_test.go
@@ -154,6 +154,13 @@
 	assert.Equal(t, len(keys), 2)
 }
 
+// Places of the destination's connection id in QUIC packets; the server's ids have four bytes.
+const (
+	longID  = 6
+	shortID = 1
+	idBytes = 4
+)
+
 // relay forwards datagrams between one client and a server until cut; packets of clients seen before the cut are then
 // dropped while new clients pass, as when a middlebox loses its entry of a connection.
 type relay struct {
@@ -181,8 +188,8 @@
 
 func (r *relay) run(cut <-chan struct{}) {
 	back := map[string]*net.UDPConn{}
-	dropped := map[string]bool{}
-	seen := map[string]bool{}
+	known := map[string]bool{} // connection ids whose handshake has passed since the cut
+	lost := false
 	b := make([]byte, 4096)
 
 	for {
@@ -193,22 +200,16 @@
 
 		select {
 		case <-cut:
-			for k := range seen {
-				dropped[k] = true
-			}
+			lost = true
 		default:
 		}
 
-		// Connections of one client share a socket; long header packets (a new handshake) pass, short ones are told
-		// apart by the connection id, which has four bytes.
-		long := b[0]&0x80 != 0
-		if !long {
-			id := string(b[1:5])
-			if dropped[id] {
-				continue
-			}
-
-			seen[id] = true
+		// Connections of one client share a socket; long header packets (a new handshake) pass, and name the connection
+		// id that later short ones begin with. The client may not have sent a short one before the cut.
+		if long := b[0]&0x80 != 0; long {
+			known[string(b[longID:longID+idBytes])] = lost
+		} else if lost && !known[string(b[shortID:shortID+idBytes])] {
+			continue
 		}
 
 		r.pass(back, from, b[:n])
