Remove a transport method that nothing calls; keep a constant inside its package

Found in the last read of the change: Transport.Replace had no caller (idle timeouts and judge replace connections), and labreach.ShunTime was exported for nobody. Behaviour is the same.

--- a/process/labtransport/call.go
+++ b/process/labtransport/call.go
@@ -71,19 +71,6 @@
 	t.link(address).lookUp()
 }
 
-// Replace makes later streams to an address use a new connection; the caller saw no progress on the current one.
-func (t *Transport) Replace(address string) {
-	l := t.link(address)
-
-	l.mutex.Lock()
-	c := l.current
-	l.mutex.Unlock()
-
-	if c != nil {
-		l.suspect(c)
-	}
-}
-
 // judge replaces a connection on which a call ran out of time.
 func (t *Transport) judge(ctx context.Context, l *link, c *quic.Conn) {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/proxy/process/labreach/reach.go
+++ b/proxy/process/labreach/reach.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// ShunTime is how long a proxy that did not answer is asked last. A killed process is back after about a second.
-	ShunTime = time.Second
+	// shunTime is how long a proxy that did not answer is asked last. A killed process is back after about a second.
+	shunTime = time.Second
 	// probePause is the time between two attempts to connect to the same proxy; it doubles up to probeLatest.
 	probePause  = time.Second
 	probeLatest = 4 * time.Second
@@ -85,7 +85,7 @@
 		r.shunned = map[lab.InstanceID]time.Duration{}
 	}
 
-	r.shunned[id] = r.Clock.Now() + ShunTime
+	r.shunned[id] = r.Clock.Now() + shunTime
 
 	return true
 }
