Keep a withdrawn reservation withdrawn when it arrives late

Cause: a key is reserved when two of three replicas have it. Change: a replica remembers a token whose withdrawal came first, for two call timeouts, and adds no entry for it.

--- a/proxy/process/labregistry/message.go
+++ b/proxy/process/labregistry/message.go
@@ -46,6 +46,7 @@
 	statusIncomplete        // the replica does not have all entries of earlier epochs yet
 	statusClosed            // the replica is shutting down
 	statusFull              // the replica holds MaxEntries entries
+	statusWithdrawn         // the reservation was withdrawn before its call arrived
 )
 
 // response is the response of lab.MethodRegistry.
--- a/proxy/process/labregistry/serve.go
+++ b/proxy/process/labregistry/serve.go
@@ -12,6 +12,10 @@
 // entriesPerPage is the number of entries in one response of a transfer, about 500 kB.
 const entriesPerPage = 5000
 
+// lateCallTimeouts is the number of call timeouts after which a reservation can no longer arrive at a replica: its sender
+// waits for one, and the replica may hold the call for half of another.
+const lateCallTimeouts = 2
+
 // Handle executes a call of another process. It is the lab.CallHandler of lab.MethodRegistry.
 func (r *Registry) Handle(ctx context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
 	var c call
@@ -54,7 +58,7 @@
 
 		return t.reserve(r.Clock.Now(), c, r.MaxEntries)
 	case operationWithdraw:
-		t.withdraw(c)
+		t.withdraw(now, c, lateCallTimeouts*r.CallTimeout)
 		return response{}
 	case operationResolve:
 		t.resolve(now, c)
--- a/proxy/process/labregistry/table.go
+++ b/proxy/process/labregistry/table.go
@@ -68,6 +68,13 @@
 	knownPlacements map[uint64]lab.RegistryPlacement // by epoch; starts at the later of completeEpoch and settledEpoch
 	incompleteSince time.Duration                    // time at which a placement after completeEpoch became known
 	transferDone    chan struct{}                    // closed when the running transfer ends; nil when no transfer runs
+	withdrawn       []withdrawnToken                 // ordered by expiry
+}
+
+// withdrawnToken is a token whose withdrawal arrived before its reservation.
+type withdrawnToken struct {
+	token  token
+	expiry time.Duration // value of Clock.Now after which the reservation can no longer arrive
 }
 
 func newEntryTable(total *atomic.Int64) *entryTable {
@@ -142,6 +149,10 @@
 	for len(t.expiries) > 0 && t.expiries[0].expiry <= now {
 		t.remove(t.expiries[0])
 	}
+
+	for len(t.withdrawn) > 0 && t.withdrawn[0].expiry <= now {
+		t.withdrawn = t.withdrawn[1:]
+	}
 }
 
 func (t *entryTable) add(e *entry) {
@@ -157,8 +168,13 @@
 }
 
 // reserve adds an entry with the call's key and token. If the key already has an entry, the call is a duplicate. The
-// only exception is a repeated call: the entry then has just the call's token, and its request has not run.
+// only exception is a repeated call: the entry then has just the call's token, and its request has not run. A call whose
+// token has been withdrawn adds no entry.
 func (t *entryTable) reserve(now time.Duration, c *call, limit int64) response {
+	if slices.ContainsFunc(t.withdrawn, func(w withdrawnToken) bool { return w.token == c.Token }) {
+		return response{Status: statusWithdrawn}
+	}
+
 	if e := t.entries[c.Key]; e != nil {
 		if len(e.tokens) == 1 && e.tokens[0] == c.Token && !e.done {
 			return response{}
@@ -177,10 +193,17 @@
 }
 
 // withdraw removes the call's token from a key, and removes the entry if it has no other token. An entry whose request
-// ran stays.
-func (t *entryTable) withdraw(c *call) {
+// ran stays. A reservation is complete before all replicas have received it, so its withdrawal can arrive first. The
+// token is then remembered for lateCallTime. Otherwise the key would stay reserved until its retention ends.
+func (t *entryTable) withdraw(now time.Duration, c *call, lateCallTime time.Duration) {
 	e := t.entries[c.Key]
-	if e == nil || e.done || !slices.Contains(e.tokens, c.Token) {
+	if e != nil && e.done {
+		return
+	}
+
+	if e == nil || !slices.Contains(e.tokens, c.Token) {
+		t.withdrawn = append(t.withdrawn, withdrawnToken{c.Token, now + lateCallTime})
+
 		return
 	}
 
