Record a promotion in the audit trail when it was committed late

Change: the catalog says whether the promotion was recorded; a repeated request records it. Result: TestAddControlAudited fails without the change (0 records instead of 1) and passes with it.

--- a/control/process/labcontrol/group.go
+++ b/control/process/labcontrol/group.go
@@ -95,6 +95,13 @@
 		return
 	}
 	if s.Group.Membership().Voter(i.Instance) {
+		// An earlier request may have ended before its promotion was committed. The audit trail then lacks it.
+		if found && !known.Voter {
+			known.Voter = true
+			s.recordMembershipChange(w, r, "control_added", known)
+
+			return
+		}
 		s.writeControlGroup(w)
 
 		return
@@ -121,6 +128,7 @@
 
 		return
 	}
+	i.Voter = true
 	s.recordMembershipChange(w, r, "control_added", i)
 }
 
--- a/control/version/labcatalog/control.go
+++ b/control/version/labcatalog/control.go
@@ -14,6 +14,7 @@
 	ProcessAddress  string         `msgpack:"p"`
 	OperatorAddress string         `msgpack:"o"`
 	Removed         bool           `msgpack:"r"` // the instance was removed; its id may have voted and must not be reused
+	Voter           bool           `msgpack:"v"` // the audit trail has the instance's promotion to a voter
 }
 
 // controlInstances holds the control instances that joined the group after its bootstrap, and those that were removed.
