Reserve metrics ports and freeze by the statement in two tests

Cause: TestProcesses of bench lost a port to the metrics of another process; TestFaults froze the member by a timer that can be late. Change: metrics ports are reserved like the others; the freeze starts when the statement occupies a slot, each round in a new group.

--- a/bench/processes_test.go
+++ b/bench/processes_test.go
@@ -114,7 +114,7 @@
 		assert.NilError(t, err, string(out))
 	}
 
-	d.ports = freePorts(t, 7*zoneCount)
+	d.ports = freePorts(t, 9*zoneCount)
 	d.makeKeys()
 
 	for i := range zoneCount {
@@ -154,18 +154,18 @@
 	assert.NilError(d.t, os.WriteFile(filepath.Join(d.folder, "password"), []byte("upstream\n"), 0o600))
 }
 
-func (d *processDeployment) commonSettings(role string, number, process, announce int) labsettings.Common {
+func (d *processDeployment) commonSettings(role string, number, process, announce, metrics int) labsettings.Common {
 	return labsettings.Common{
 		Instance: fmt.Sprintf("%s-%d", role, number), Region: regions[number], AvailabilityZone: zones[number],
 		ProcessAddress: d.address(process, number), AnnounceAddress: d.address(announce, number),
 		KeysFolder: filepath.Join(d.folder, "keys"), UpstreamUser: "laburnumlock",
-		UpstreamPasswordFile: filepath.Join(d.folder, "password"), LogLevel: "info", MetricsAddress: "127.0.0.1:0",
+		UpstreamPasswordFile: filepath.Join(d.folder, "password"), LogLevel: "info", MetricsAddress: d.address(metrics, number),
 	}
 }
 
 func (d *processDeployment) controlSettings(number int) any {
 	c := labsettings.Control{
-		Common: d.commonSettings("control", number, 0, 1), OperatorAddress: d.address(2, number),
+		Common: d.commonSettings("control", number, 0, 1, 7), OperatorAddress: d.address(2, number),
 		DataFolder: filepath.Join(d.folder, fmt.Sprintf("control-%d", number)), SnapshotEntries: 1000,
 	}
 	for i := range zoneCount {
@@ -179,7 +179,7 @@
 
 func (d *processDeployment) proxySettings(number int) any {
 	p := labsettings.Proxy{
-		Common: d.commonSettings("proxy", number, 3, 6), ClientAddress: d.address(4, number),
+		Common: d.commonSettings("proxy", number, 3, 6, 8), ClientAddress: d.address(4, number),
 		DataFolder: filepath.Join(d.folder, fmt.Sprintf("proxy-%d", number)),
 	}
 	for i := range zoneCount {
--- a/standin/process/labstandin/fault_test.go
+++ b/standin/process/labstandin/fault_test.go
@@ -30,6 +30,15 @@
 	assert.ErrorIs(t, ctx.Err(), context.DeadlineExceeded)
 }
 
+// freezeDuringStatement freezes a member as soon as its first statement occupies a slot.
+func freezeDuringStatement(m *labstandin.Member) {
+	for m.Counters().MaxSlots == 0 {
+		time.Sleep(time.Millisecond)
+	}
+
+	m.Freeze()
+}
+
 // Guards against injected faults whose effect differs from their documentation, which would make all tests with faults
 // meaningless.
 func TestFaults(t *testing.T) {
@@ -66,16 +75,18 @@
 		assert.Equal(t, m.Statements()[0].Code, "closed")
 	})
 	t.Run("kill of a frozen member", func(t *testing.T) {
-		const cost = 20 * time.Millisecond
-
-		g, ctx := startGroup(t, func(g *labstandin.Group) { g.StatementCost = cost })
-		m := g.Member("a")
+		const cost = 100 * time.Millisecond
 
 		// Whether a commit wrongly continues after the kill depends on a race, so the test runs several rounds.
 		for range 8 {
+			g, ctx := startGroup(t, func(g *labstandin.Group) { g.StatementCost = cost })
+			m := g.Member("a")
 			c := connect(ctx, t, g, "a")
-			time.AfterFunc(cost/2, m.Freeze)
-			time.AfterFunc(2*cost, m.Kill)
+
+			go func() {
+				freezeDuringStatement(m)
+				time.AfterFunc(2*cost, m.Kill)
+			}()
 
 			_, err := c.Exec(ctx, insert, pgx.QueryExecModeSimpleProtocol)
 			assert.Assert(t, err != nil)
