Answer watches at the control instance of each zone

Cause: all proxies watched the leader of the control group. Each change made every proxy ask all control instances at once, and a new leader spread the incomplete list that it had inherited, on which all connections were then placed. 2,332 of 2,704 calls of members to control failed. Change: the other control instances watch the leader themselves and answer the proxies of their zone from its responses, with the same revisions (labplatformcontrol.relay); they report the proxies, failures and positions upwards. A proxy asks the instance of its zone, then of its region; a search asks one instance after the other, with varied pauses. Only a complete list of proxies is inherited or stored. The conversion of times (labpeerclock) serves both hops.

--- a/control/process/labplatformcontrol/announcements.go
+++ b/control/process/labplatformcontrol/announcements.go
@@ -87,7 +87,7 @@
 
 		r := k.buildBroadcast()
 		if round%proxyListRounds == 0 {
-			r.Proxies = k.proxies.list()
+			r.Proxies, r.ProxiesComplete = k.proxies.list(), k.proxiesComplete()
 		}
 
 		for _, m := range k.participation().group.Membership().Instances() {
@@ -125,7 +125,7 @@
 	}
 
 	if !k.Leading() {
-		k.proxies.mergeInherited(r.Proxies)
+		k.proxies.mergeInherited(r.Proxies, r.ProxiesComplete)
 	}
 
 	for _, s := range r.Observations {
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -46,7 +46,8 @@
 
 // Controller is one control instance. Its exported fields are set before Run.
 type Controller struct {
-	RegionByZone map[string]string // name of the region by availability zone
+	RegionByZone     map[string]string // name of the region by availability zone
+	AvailabilityZone string            // availability zone of this instance
 
 	Address         string          // host:port of the transport between processes
 	Seeds           func() []string // returns the current seed addresses
@@ -65,10 +66,11 @@
 
 	registry             *labmembers.Registry
 	currentParticipation atomic.Pointer[participation]
-	epochBase            uint64        // random number of this run of the process, added to the consensus term
+	epochBase            uint64        // random number of this run of the process; identifies its clock and, with the term, the leader
 	startedAt            time.Duration // time when Prepare was called
 	proxies              proxyRegistry
 	positions            labpositions.Board
+	relay                *relay // answers watches while another instance is the leader
 
 	memberLists packedList
 	proxyLists  packedList
@@ -77,6 +79,7 @@
 
 	mutex       sync.Mutex
 	lastContact map[lab.InstanceID]time.Duration // by control instance, the time of its last message
+	zones       map[lab.InstanceID]string        // availability zones of the control instances that have joined this leader
 	joinReports labvoters.Reports                // join requests received from control instances
 	replacing   map[string]bool                  // services with a primary replacement in progress
 	// changed is closed and replaced after each change of the registry or the replicated state.
@@ -116,11 +119,12 @@
 	k.currentParticipation.Store(&participation{identity: &identity{}, state: &labgroupstate.State{}})
 	k.epochBase, k.startedAt = k.Random.Uint64(), k.Clock.Now()
 	k.changed = make(chan struct{})
-	k.lastContact = map[lab.InstanceID]time.Duration{}
+	k.lastContact, k.zones = map[lab.InstanceID]time.Duration{}, map[lab.InstanceID]string{}
 	k.joinReports.MaxAge = joinReportMaxAge
 	k.replacing, k.missingSince = map[string]bool{}, map[string]time.Duration{}
 	k.registry = &labmembers.Registry{Clock: k.Clock, Changed: k.notifyWaiters}
 	k.proxies.clock = k.Clock
+	k.relay = newRelay(k)
 	k.loadLists()
 
 	k.Transport.HandleCall(lab.MethodConsensus, k.handleConsensus)
@@ -169,6 +173,7 @@
 	e.Go(func() error { return k.join(ctx) })
 	e.Go(func() error { return k.logLeadership(ctx, g) })
 	e.Go(func() error { return k.broadcast(ctx) })
+	e.Go(func() error { return k.relay.run(ctx) })
 	e.Go(func() error { return k.persist(ctx) })
 	e.Go(func() error {
 		select {
--- a/control/process/labplatformcontrol/join.go
+++ b/control/process/labplatformcontrol/join.go
@@ -22,7 +22,7 @@
 func (k *Controller) join(ctx context.Context) error {
 	for k.Clock.Sleep(ctx, joinInterval) == nil {
 		if k.Leading() {
-			k.recordJoinReport(k.participation().identity.id)
+			k.recordJoinReport(k.participation().identity.id, k.AvailabilityZone)
 
 			continue
 		}
@@ -72,7 +72,7 @@
 	var a joinResponse
 
 	err := k.Transport.Call(ctx, address, methodJoin, joinRequest{
-		ID: k.participation().identity.id, Fresh: !k.isMember(),
+		ID: k.participation().identity.id, Fresh: !k.isMember(), Zone: k.AvailabilityZone,
 	}, &a)
 
 	return a, err
@@ -124,16 +124,29 @@
 		return a, nil
 	}
 
-	k.recordJoinReport(r.ID)
+	k.recordJoinReport(r.ID, r.Zone)
 
 	return a, nil
 }
 
-func (k *Controller) recordJoinReport(id lab.InstanceID) {
+func (k *Controller) recordJoinReport(id lab.InstanceID, zone string) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
 	k.joinReports.Record(id, k.Clock.Now())
+	k.zones[id] = zone
+}
+
+// controlInstances returns the process addresses of the group's members and their availability zones.
+func (k *Controller) controlInstances() (addresses, zones []string) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	for _, m := range k.participation().group.Membership().Instances() {
+		addresses, zones = append(addresses, labvoters.Address(m)), append(zones, k.zones[m])
+	}
+
+	return addresses, zones
 }
 
 // reconcileVoters performs the next change of the group's membership if one is due.
--- a/control/process/labplatformcontrol/members.go
+++ b/control/process/labplatformcontrol/members.go
@@ -30,7 +30,8 @@
 			members = r
 		}
 
-		if r := k.proxies.removeSilent(); r != proxies && k.storeList(proxiesFile, k.proxies.list()) {
+		// A list that lacks proxies is not stored: the next leader would place all connections on those in it.
+		if r := k.proxies.removeSilent(); r != proxies && k.proxyListKnown() && k.storeList(proxiesFile, k.proxies.list()) {
 			proxies = r
 		}
 	}
@@ -65,7 +66,7 @@
 		k.registry.Apply(a, 0)
 	}
 
-	k.proxies.mergeInherited(proxies)
+	k.proxies.mergeInherited(proxies, true)
 	k.Log.Info().Int("members", len(members)).Int("proxies", len(proxies)).Msg("lists_recalled")
 }
 
--- a/control/process/labplatformcontrol/message.go
+++ b/control/process/labplatformcontrol/message.go
@@ -19,6 +19,7 @@
 type joinRequest struct {
 	ID    lab.InstanceID `msgpack:"i"`
 	Fresh bool           `msgpack:"f"` // the instance has never been a member of the group
+	Zone  string         `msgpack:"z"` // availability zone of the instance
 }
 
 type joinResponse struct {
@@ -40,4 +41,6 @@
 type broadcastRequest struct {
 	Observations []observation  `msgpack:"s"`
 	Proxies      []lab.Instance `msgpack:"p"` // the leader's proxy list; empty in most broadcasts, see proxyListRounds
+	// ProxiesComplete is true if Proxies is complete. Right after a start the leader knows only some proxies.
+	ProxiesComplete bool `msgpack:"c"`
 }
--- a/control/process/labplatformcontrol/proxyregistry.go
+++ b/control/process/labplatformcontrol/proxyregistry.go
@@ -29,7 +29,7 @@
 	changes     uint64        // grows when a proxy is added, changed or removed
 	recent      []proxyChange // the newest changes, at most maxRecentChanges
 	lastNewAt   time.Duration // time when the last new proxy appeared
-	inheritedAt time.Duration // time when mergeInherited was last called with proxies, 0 for never
+	inheritedAt time.Duration // time when a complete list was last merged, 0 for never
 }
 
 // proxyChange is the change of a proxy that led to a value of proxyRegistry.changes.
@@ -68,12 +68,13 @@
 	}
 }
 
-// mergeInherited adds the proxies of a list that the leader broadcast, or that was stored on disk.
-func (w *proxyRegistry) mergeInherited(proxies []lab.Instance) {
+// mergeInherited adds the proxies of a list that the leader broadcast, or that was stored on disk. A list counts as valid
+// for a new leader only if it was complete.
+func (w *proxyRegistry) mergeInherited(proxies []lab.Instance, complete bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
-	if len(proxies) > 0 {
+	if len(proxies) > 0 && complete {
 		w.inheritedAt = w.clock.Now()
 	}
 
--- /dev/null
+++ b/control/process/labplatformcontrol/view.go
@@ -0,0 +1,94 @@
+package labplatformcontrol
+
+import (
+	"laburnumlock.dev/lab"
+)
+
+// view is the state of the control group from which watches are answered. The leader answers from its own state, the
+// other instances from what they last received from the leader. Revisions can be compared only within one leader epoch;
+// all views of an epoch have the same revisions.
+type view interface {
+	// available reports whether the view is recent enough to answer from it.
+	available() bool
+	// leaderEpoch returns a number that identifies the leader and its run of the process.
+	leaderEpoch() uint64
+	// membersRevision returns the revision of the list of members.
+	membersRevision() uint64
+	// documentVersion returns the version of the newest configuration document.
+	documentVersion() uint64
+	// proxiesRevision returns the revision of the list of proxies, or 0 while the list is incomplete.
+	proxiesRevision() uint64
+	// response returns the response to a watch, without positions and times.
+	response(r lab.WatchRequest) (lab.WatchResponse, error)
+}
+
+// hasChanges reports whether there are changes that must be sent at once. Changes of the list of proxies wait for the
+// next regular response unless the sender has no list yet: those who use a proxy that has stopped notice it themselves,
+// and during a restart of all proxies every change would otherwise wake all watches.
+func hasChanges(v view, r lab.WatchRequest) bool {
+	return r.LeaderEpoch != v.leaderEpoch() || r.MembersRevision != v.membersRevision() ||
+		r.ConfigurationVersion < v.documentVersion() ||
+		(r.ProxiesRevision == 0 && proxyListChanged(v, r))
+}
+
+// proxyListChanged reports whether the proxy list is complete and differs from the list that the sender of a watch has.
+func proxyListChanged(v view, r lab.WatchRequest) bool {
+	p := v.proxiesRevision()
+
+	return p > 0 && (r.LeaderEpoch != v.leaderEpoch() || r.ProxiesRevision != p)
+}
+
+// view returns the view from which this instance answers watches.
+func (k *Controller) view() view {
+	if k.Leading() {
+		return leaderView{k}
+	}
+
+	return k.relay
+}
+
+// leaderView is the view of the leader.
+type leaderView struct {
+	*Controller
+}
+
+func (v leaderView) available() bool { return v.Leading() }
+
+func (v leaderView) documentVersion() uint64 { return v.participation().state.Document().Version }
+
+// proxiesRevision returns the number of changes of the list, plus 1 since 0 means that the list is incomplete.
+func (v leaderView) proxiesRevision() uint64 {
+	if !v.proxiesComplete() {
+		return 0
+	}
+
+	return v.proxies.removeSilent() + 1
+}
+
+func (v leaderView) response(r lab.WatchRequest) (lab.WatchResponse, error) {
+	a := lab.WatchResponse{
+		LeaderEpoch: v.leaderEpoch(), MembersRevision: v.membersRevision(), MembersComplete: v.membersComplete(),
+	}
+
+	if d := v.participation().state.Document(); d.Version > r.ConfigurationVersion {
+		a.Configuration = d.Packed
+	}
+
+	var err error
+
+	if r.LeaderEpoch != a.LeaderEpoch || r.MembersRevision != a.MembersRevision {
+		if a.Members, err = v.memberLists.get(a.LeaderEpoch, a.MembersRevision, v.memberList); err != nil {
+			return lab.WatchResponse{}, err
+		}
+	}
+
+	if proxyListChanged(v, r) {
+		if err := v.addProxyList(r, &a); err != nil {
+			return lab.WatchResponse{}, err
+		}
+	}
+
+	a.ControlAddresses, a.ControlZones = v.controlInstances()
+
+	return a, nil
+}
--- a/control/process/labplatformcontrol/watch.go
+++ b/control/process/labplatformcontrol/watch.go
@@ -22,6 +22,9 @@
 	// membersCompleteAfter is the run time after which an instance has heard from every member. It covers three
 	// announcement intervals.
 	membersCompleteAfter = 4 * time.Second
+	// redirectAfter is how long an instance that knows the leader but can't watch it waits before it sends its proxies to
+	// the leader. Hundreds of proxies at once would overload a leader that has just been elected.
+	redirectAfter = 2 * time.Second
 )
 
 func (k *Controller) handleWatch(ctx context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
@@ -30,60 +33,81 @@
 		return nil, err
 	}
 
-	if !k.Leading() {
-		l, ok := k.leader()
-		if !ok {
-			return nil, lab.ErrNotLeader
-		}
+	receivedAt := k.Clock.Now()
 
-		return lab.WatchResponse{Leader: lab.InstanceID(labvoters.Address(l))}, nil
+	v := k.view()
+	if !v.available() {
+		return k.redirect()
 	}
 
-	receivedAt := k.Clock.Now()
+	k.recordWatch(r, receivedAt)
+	k.awaitChanges(ctx, v, r)
+
+	// The leader may have changed meanwhile.
+	if v = k.view(); !v.available() {
+		return nil, lab.ErrNotLeader
+	}
+
+	a, err := v.response(r)
+	a.ClockEpoch, a.ReceivedAt, a.SentAt = k.epochBase, receivedAt, k.Clock.Now()
+	a.Positions = k.positions.Newest(a.SentAt)
+
+	return a, err
+}
+
+// redirect names the leader in the response, or returns an error if it is unknown. An instance that has just started to
+// watch the leader answers soon, so it doesn't send its proxies to the leader.
+func (k *Controller) redirect() (any, error) {
+	l, ok := k.leader()
+	if !ok || k.Clock.Now()-k.participation().group.Leadership().Since < redirectAfter {
+		return nil, lab.ErrNotLeader
+	}
+
+	return lab.WatchResponse{Leader: lab.InstanceID(labvoters.Address(l))}, nil
+}
 
-	k.proxies.record(r)
+// recordWatch records what the sender of a watch and the proxies that watch the sender report.
+func (k *Controller) recordWatch(r lab.WatchRequest, receivedAt time.Duration) {
 	k.Counters.Watches.Add(1)
 
-	if r.LeaderEpoch == k.leaderEpoch() {
+	if r.ClockEpoch == k.epochBase {
 		k.positions.Record(r.Positions, receivedAt)
 	}
 
+	if !k.Leading() {
+		k.relay.record(r, receivedAt)
+
+		return
+	}
+
+	if !r.Relay {
+		k.proxies.record(r)
+	}
+
+	for _, p := range r.Relayed {
+		k.proxies.record(lab.WatchRequest{Proxy: p.Proxy, Draining: p.Draining, Primaries: p.Primaries})
+	}
+}
+
+// awaitChanges waits until there are changes for the sender of a watch, at most for the time that the sender allows.
+func (k *Controller) awaitChanges(ctx context.Context, v view, r lab.WatchRequest) {
 	timer := time.NewTimer(min(r.MaxWait, maxWatchWait))
 	defer timer.Stop()
 
 	for {
 		c := k.changes()
-		if k.hasChanges(r) {
-			break
+		if hasChanges(v, r) || !v.available() {
+			return
 		}
 
 		select {
 		case <-c:
-			continue
 		case <-timer.C:
+			return
 		case <-ctx.Done():
+			return
 		}
-
-		break
-	}
-
-	if !k.Leading() {
-		return nil, lab.ErrNotLeader
 	}
-
-	a, err := k.watchResponse(r)
-	a.ReceivedAt, a.SentAt, a.Positions = receivedAt, k.Clock.Now(), k.positions.Newest(k.Clock.Now())
-
-	return a, err
-}
-
-// hasChanges reports whether there are changes that must be sent at once. Changes of the list of proxies wait for the
-// next regular response unless the sender has no list yet: a proxy that has stopped is noticed by its gateway users
-// themselves, and during a restart of all proxies every change would otherwise wake all watches.
-func (k *Controller) hasChanges(r lab.WatchRequest) bool {
-	return r.LeaderEpoch != k.leaderEpoch() || r.MembersRevision != k.membersRevision() ||
-		r.ConfigurationVersion < k.participation().state.Document().Version ||
-		(r.ProxiesRevision == 0 && k.proxyListChanged(r))
 }
 
 // leaderEpoch returns a number that differs between leaders and between runs of a process. Revisions can be compared
@@ -104,22 +128,6 @@
 	return r
 }
 
-// proxyListRevision returns the revision of the proxy list, or 0 while the list is incomplete.
-func (k *Controller) proxyListRevision() uint64 {
-	if !k.proxiesComplete() {
-		return 0
-	}
-
-	return k.proxies.removeSilent() + 1
-}
-
-// proxyListChanged reports whether the proxy list is complete and differs from the list that the sender of a watch has.
-func (k *Controller) proxyListChanged(r lab.WatchRequest) bool {
-	p := k.proxyListRevision()
-
-	return p > 0 && (r.LeaderEpoch != k.leaderEpoch() || r.ProxiesRevision != p)
-}
-
 func boolBit(b bool) uint64 {
 	if b {
 		return 1
@@ -128,40 +136,10 @@
 	return 0
 }
 
-func (k *Controller) watchResponse(r lab.WatchRequest) (lab.WatchResponse, error) {
-	a := lab.WatchResponse{
-		LeaderEpoch: k.leaderEpoch(), MembersRevision: k.membersRevision(), MembersComplete: k.membersComplete(),
-	}
-
-	if d := k.participation().state.Document(); d.Version > r.ConfigurationVersion {
-		a.Configuration = d.Packed
-	}
-
-	var err error
-
-	if r.LeaderEpoch != a.LeaderEpoch || r.MembersRevision != a.MembersRevision {
-		if a.Members, err = k.memberLists.get(a.LeaderEpoch, a.MembersRevision, k.memberList); err != nil {
-			return lab.WatchResponse{}, err
-		}
-	}
-
-	if k.proxyListChanged(r) {
-		if err := k.addProxyList(r, &a); err != nil {
-			return lab.WatchResponse{}, err
-		}
-	}
-
-	for _, m := range k.participation().group.Membership().Instances() {
-		a.ControlAddresses = append(a.ControlAddresses, labvoters.Address(m))
-	}
-
-	return a, nil
-}
-
 // addProxyList adds the changes of the list of proxies to a response, or the whole list if the sender has no list of
 // this leader or one that is too old.
 func (k *Controller) addProxyList(r lab.WatchRequest, a *lab.WatchResponse) (err error) {
-	a.ProxiesRevision = k.proxyListRevision()
+	a.ProxiesRevision = leaderView{k}.proxiesRevision()
 
 	if r.LeaderEpoch == a.LeaderEpoch && r.ProxiesRevision > 0 {
 		if c, ok := k.proxies.changesSince(r.ProxiesRevision - 1); ok {
@@ -193,6 +171,11 @@
 	return l.IsLeader && led > proxySettleTime && (k.proxies.sinceLastNew() > proxyQuietTime || led > proxyListDeadline)
 }
 
+// proxyListKnown reports whether this instance has a complete proxy list, as the leader or from the leader.
+func (k *Controller) proxyListKnown() bool {
+	return k.proxiesComplete() || k.proxies.inheritedValidAt(k.Clock.Now())
+}
+
 // membersComplete reports whether this instance has run long enough to have heard from every member.
 func (k *Controller) membersComplete() bool {
 	return k.Clock.Now()-k.startedAt > membersCompleteAfter
--- a/control/process/labplatformcontrol/watch_test.go
+++ b/control/process/labplatformcontrol/watch_test.go
@@ -32,7 +32,7 @@
 	// trouble-1 showed this.
 	t.Run("a new leader keeps the proxies of the former one", func(t *testing.T) {
 		w, _ := start()
-		w.mergeInherited([]lab.Instance{proxy("a"), proxy("b"), proxy("c")})
+		w.mergeInherited([]lab.Instance{proxy("a"), proxy("b"), proxy("c")}, true)
 		w.record(lab.WatchRequest{Proxy: proxy("a")})
 		assert.Equal(t, len(w.list()), 3)
 	})
@@ -40,16 +40,20 @@
 	t.Run("the list of the former leader expires like its proxies", func(t *testing.T) {
 		w, c := start()
 		assert.Assert(t, !w.inheritedValidAt(c.now), "a new deployment has no list")
-		w.mergeInherited(nil)
+		w.mergeInherited(nil, true)
 		assert.Assert(t, !w.inheritedValidAt(c.now), "an empty list of the former leader doesn't count")
-		w.mergeInherited([]lab.Instance{proxy("a")})
+		// Replays the start of 300 proxies with a change of the leader: the list of the first leader had 88 of them, and
+		// connections were placed on these.
+		w.mergeInherited([]lab.Instance{proxy("a")}, false)
+		assert.Assert(t, !w.inheritedValidAt(c.now), "an incomplete list doesn't count")
+		w.mergeInherited([]lab.Instance{proxy("a")}, true)
 		assert.Assert(t, w.inheritedValidAt(c.now+proxyExpiry-1))
 		assert.Assert(t, !w.inheritedValidAt(c.now+proxyExpiry), "a list that was merged long ago has expired")
 	})
 
 	t.Run("silent proxies are removed", func(t *testing.T) {
 		w, c := start()
-		w.mergeInherited([]lab.Instance{proxy("a"), proxy("b")})
+		w.mergeInherited([]lab.Instance{proxy("a"), proxy("b")}, true)
 
 		before := w.removeSilent()
 		c.now += proxyExpiry
--- a/proxy/process/lableaderclock/clock_test.go
+++ b/process/labpeerclock/clock_test.go
@@ -1,4 +1,4 @@
-package lableaderclock
+package labpeerclock
 
 import (
 	"testing"
@@ -16,11 +16,11 @@
 			return time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, name))
 		}
 
-		// Times on the leader's clock; the local clock differs by offset.
+		// Times on the peer's clock; the local clock differs by offset.
 		offset := span("offset") - span("negative offset")
 		sent := span("sent")
-		received := sent + span("way to the leader")
-		answered := received + span("wait at the leader")
+		received := sent + span("way to the peer")
+		answered := received + span("wait at the peer")
 		arrived := answered + span("way back")
 
 		var c Clock
@@ -29,27 +29,22 @@
 
 		at := span("time")
 
-		leader, ok := c.ToLeader(1, at-offset)
+		peer, ok := c.ToPeer(at - offset)
 		assert.Assert(t, ok)
-		assert.Assert(t, leader <= at && leader >= at-(arrived-answered))
+		assert.Assert(t, peer <= at && peer >= at-(arrived-answered))
 
-		local, ok := c.ToLocal(1, at)
+		local, ok := c.ToLocal(at)
 		assert.Assert(t, ok)
 		assert.Assert(t, local <= at-offset && local >= at-offset-(received-sent))
 	})
 }
 
-func TestEpoch(t *testing.T) {
+func TestNoExchange(t *testing.T) {
 	var c Clock
 
-	_, ok := c.ToLocal(0, time.Second)
-	assert.Assert(t, !ok, "nothing was exchanged")
+	_, ok := c.ToLocal(time.Second)
+	assert.Assert(t, !ok)
 
-	c.RecordExchange(1, 0, 0, 0, 0)
-
-	_, ok = c.ToLocal(2, time.Second)
-	assert.Assert(t, !ok, "another leader has another clock")
-
-	_, ok = c.ToLeader(2, time.Second)
-	assert.Assert(t, !ok, "another leader has another clock")
+	_, ok = c.ToPeer(time.Second)
+	assert.Assert(t, !ok)
 }
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -1,6 +1,7 @@
 package labsubscriber
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -8,13 +9,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labpack"
+	"laburnumlock.dev/lab/process/labpeerclock"
 	"laburnumlock.dev/lab/proxy/process/labdirectory"
-	"laburnumlock.dev/lab/proxy/process/lableaderclock"
 )
 
 const (
@@ -25,44 +27,59 @@
 	// watchTimeout bounds a watch request. It covers watchWait, a round trip between regions and a leader that is briefly
 	// busy.
 	watchTimeout = watchWait + 500*time.Millisecond
-	retryDelay   = 100 * time.Millisecond // pause after a failed watch request or search for the leader
-	// maxLeaderRequests bounds the requests that findLeader sends. Each but the first goes to the instance that the
-	// previous response named as the leader. An instance that has just lost the leadership names the next leader.
-	maxLeaderRequests = 3
-	maxDoublings      = 3 // bounds the doublings of discoverTimeout
-	// discoverTimeout bounds the first search for the leader. It covers two round trips between regions for a new
+	// retryDelay is the mean pause after a failed watch or search, and before the first one. The pauses vary by half of it
+	// in both directions: after a power loss, hundreds of proxies start within milliseconds.
+	retryDelay = 100 * time.Millisecond
+	// maxRedirects bounds the requests that ask sends. Each but the first goes to the instance that the previous response
+	// named as the leader. An instance that has just lost the leadership names the next leader.
+	maxRedirects = 3
+	maxDoublings = 3 // bounds the doublings of discoverTimeout
+	// discoverSpacing is the time after which a search asks another instance: several round trips between regions, so that
+	// an instance that is busy with handshakes can answer.
+	discoverSpacing = 250 * time.Millisecond
+	// avoidDuration is how long other instances are preferred after an instance has failed to answer.
+	avoidDuration = 3 * time.Second
+	// discoverTimeout bounds the first search for an instance. It covers two round trips between regions for a new
 	// connection, and an instance that is briefly busy. The timeout doubles with each failed search up to
 	// maxDiscoverTimeout, since on a congested link no connection is established within discoverTimeout.
 	discoverTimeout    = 400 * time.Millisecond
 	maxDiscoverTimeout = 3 * time.Second
 )
 
-// Subscriber watches the control group for changes; exported fields are set before Run.
+// Subscriber watches the control group for changes, at the instance in its availability zone if there is one; exported
+// fields are set before Run.
 type Subscriber struct {
 	Proxy               lab.Instance
 	Peers               lab.PeerClient
 	Seeds               func() []string // returns the process addresses of some control instances
 	Directory           *labdirectory.Directory
 	ConfigurationReader lab.ConfigurationReader
+	RegionByZone        map[string]string // name of the region by availability zone
 	Clock               lab.Clock
+	Random              lab.Random
 	Log                 zerolog.Logger
 
 	reportNow chan struct{} // holds one element when the current watch must be interrupted
 	once      sync.Once
 	draining  atomic.Bool
 
-	leader           string   // process address of the leader, empty while it is unknown
-	controlAddresses []string // process addresses of the control instances in the last response
-	leaderEpoch      uint64   // leader epoch of the last response
-	membersRevision  uint64   // revision of the list of members in the directory, assigned by the leader of leaderEpoch
-	proxiesRevision  uint64   // revision of the list of proxies in the directory
-	disconnected     bool     // whether the last watch failed
-	failedSearches   int      // number of failed searches for the leader since the last response
-	leaderClock      lableaderclock.Clock
+	current          string                   // process address of the control instance that answered last, empty after a failure
+	controlAddresses []string                 // process addresses of the control instances in the last response
+	zones            map[string]string        // availability zones of control instances by address, where known
+	failedAt         map[string]time.Duration // by address, the time of the last failure
+	leaderEpoch      uint64                   // leader epoch of the last response
+	membersRevision  uint64                   // revision of the list of members in the directory, assigned by the leader of leaderEpoch
+	proxiesRevision  uint64                   // revision of the list of proxies in the directory
+	disconnected     bool                     // whether the last watch failed
+	failedSearches   int                      // number of failed searches since the last response
+	controlClock     labpeerclock.Clock       // clock of the instance that answered last
 }
 
 func (s *Subscriber) prepare() {
-	s.once.Do(func() { s.reportNow = make(chan struct{}, 1) })
+	s.once.Do(func() {
+		s.reportNow = make(chan struct{}, 1)
+		s.zones, s.failedAt = map[string]string{}, map[string]time.Duration{}
+	})
 }
 
 // ReportNow interrupts the current watch request. The next request follows at once and carries the current reports.
@@ -84,36 +101,48 @@
 // Run watches until the context ends.
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.prepare()
+	s.pause(ctx)
 
 	for ctx.Err() == nil {
 		if err := s.watch(ctx); err != nil && ctx.Err() == nil {
 			s.recordFailure(err)
-
-			select {
-			case <-ctx.Done():
-			case <-time.After(retryDelay):
-			}
+			s.pause(ctx)
 		}
 	}
 
 	return nil
 }
 
+// pause waits for retryDelay, varied by half of it in both directions.
+func (s *Subscriber) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryDelay/2 + time.Duration(s.Random.Uint64()%uint64(retryDelay))):
+	}
+}
+
 // recordFailure logs the first failure after a success, and makes the next watch search for the leader.
 func (s *Subscriber) recordFailure(err error) {
 	if !s.disconnected {
-		s.Log.Warn().Err(err).Str("leader", s.leader).Msg("control_lost")
+		s.Log.Warn().Err(err).Str("instance", s.current).Msg("control_lost")
 	}
 
 	s.disconnected = true
-	s.leader = ""
+
+	if s.current != "" {
+		s.failedAt[s.current] = s.Clock.Now()
+		s.current = ""
+	}
 }
 
-var errNoLeader = errors.New("no leader found among the control instances")
+var errNoInstance = errors.New("no control instance answers")
 
-// watch sends one watch request to the leader and applies the response. If the leader is unknown, it searches for it.
+// watch sends one watch request to the current control instance and applies the response. If there is none, it searches
+// for one.
 func (s *Subscriber) watch(ctx context.Context) error {
-	if s.leader == "" {
+	s.preferNearest()
+
+	if s.current == "" {
 		return s.discover(ctx)
 	}
 
@@ -121,36 +150,88 @@
 
 	sentAt := s.Clock.Now()
 
-	interrupted, err := s.callWatch(ctx, s.leader, s.request(watchWait), &a)
+	interrupted, err := s.callWatch(ctx, s.current, s.request(watchWait), &a)
 	if interrupted {
 		return nil
 	}
 
 	if err != nil {
-		return errors.Newf("watch at %s: %w", s.leader, err)
+		return errors.Newf("watch at %s: %w", s.current, err)
 	}
 
 	if a.Leader != "" {
-		return errors.Newf("%s is no longer the leader", s.leader)
+		return errors.Newf("%s can't answer", s.current)
 	}
 
 	return s.apply(a, sentAt)
 }
 
+// preferNearest leaves the current control instance for a nearer one that has not failed recently.
+func (s *Subscriber) preferNearest() {
+	if s.current == "" {
+		return
+	}
+
+	if c := s.instances(); len(c) > 0 && s.distance(c[0]) < s.distance(s.current) && !s.failedRecently(c[0]) {
+		s.current = c[0]
+	}
+}
+
+// instances returns the known control instances, the nearest first. Those at the same distance are in an order that
+// differs between proxies, which spreads the proxies of a zone without a control instance.
+func (s *Subscriber) instances() []string {
+	all := slices.Concat(s.controlAddresses, s.Seeds())
+	slices.Sort(all)
+	all = slices.Compact(all)
+
+	slices.SortStableFunc(all, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(s.distance(a), s.distance(b)),
+			cmp.Compare(xxhash.Sum64String(string(s.Proxy.ID)+a), xxhash.Sum64String(string(s.Proxy.ID)+b)),
+		)
+	})
+
+	return all
+}
+
+// distance returns 0 for an instance in this proxy's availability zone, 1 for one in its region and 2 for any other. An
+// instance whose zone is unknown, such as a seed before the first response, may be anywhere.
+func (s *Subscriber) distance(address string) int {
+	z := s.zones[address]
+
+	switch {
+	case z == "":
+		return 2
+	case z == s.Proxy.AvailabilityZone:
+		return 0
+	case s.RegionByZone[z] == s.Proxy.Region:
+		return 1
+	}
+
+	return 2
+}
+
+func (s *Subscriber) failedRecently(address string) bool {
+	t, ok := s.failedAt[address]
+
+	return ok && s.Clock.Now()-t < avoidDuration
+}
+
 func (s *Subscriber) request(wait time.Duration) lab.WatchRequest {
 	return lab.WatchRequest{
 		Proxy: s.Proxy, LeaderEpoch: s.leaderEpoch, MembersRevision: s.membersRevision, ProxiesRevision: s.proxiesRevision,
 		ConfigurationVersion: s.Directory.Version(), MaxWait: wait,
-		Draining: s.draining.Load(), Primaries: s.Directory.PrimaryReports(), Positions: s.positionReports(),
+		Draining: s.draining.Load(), Primaries: s.Directory.PrimaryReports(),
+		Positions: s.positionReports(), ClockEpoch: s.controlClock.Epoch(),
 	}
 }
 
-// positionReports returns the observed positions with their times on the leader's clock.
+// positionReports returns the observed positions with their times on the clock of the instance that answered last.
 func (s *Subscriber) positionReports() []lab.PositionReport {
 	var out []lab.PositionReport
 
 	for _, p := range s.Directory.ObservedPositions() {
-		if t, ok := s.leaderClock.ToLeader(s.leaderEpoch, p.RequestedAt); ok {
+		if t, ok := s.controlClock.ToPeer(p.RequestedAt); ok {
 			p.RequestedAt = t
 			out = append(out, p)
 		}
@@ -159,49 +240,74 @@
 	return out
 }
 
-// leaderResponse is the response of a leader to a watch request.
-type leaderResponse struct {
+// instanceResponse is the response of a control instance to a watch request.
+type instanceResponse struct {
 	address  string
 	sentAt   time.Duration // time at which the request was sent
 	response lab.WatchResponse
 }
 
-// discover searches for the leader: it sends a request to all known control instances and applies the response of the
-// leader. It sends the requests concurrently, since some instances may not respond for seconds.
+// discover searches for a control instance that answers and applies its response. It asks the nearest one first and
+// another one after each discoverSpacing, since some may not respond for seconds. Hundreds of proxies that ask all
+// instances at once, after each change of the leader, would overload the next one.
 func (s *Subscriber) discover(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, min(discoverTimeout<<s.failedSearches, maxDiscoverTimeout))
 	defer cancel()
 
 	s.failedSearches = min(s.failedSearches+1, maxDoublings)
 
-	all := slices.Concat(s.controlAddresses, s.Seeds())
-	slices.Sort(all)
-	all = slices.Compact(all)
+	all := s.instances()
+	// Instances that have failed recently come last.
+	slices.SortStableFunc(all, func(a, b string) int {
+		return cmp.Compare(boolBit(s.failedRecently(a)), boolBit(s.failedRecently(b)))
+	})
 
-	responses := make(chan *leaderResponse, len(all))
+	responses := make(chan *instanceResponse, len(all))
 	request := s.request(0)
+	next := time.NewTimer(0)
 
-	for _, c := range all {
-		go func() { responses <- s.findLeader(ctx, c, request) }()
-	}
+	defer next.Stop()
+
+	for asked, answered := 0, 0; answered < len(all); {
+		select {
+		case <-next.C:
+			if asked < len(all) {
+				go func(address string) { responses <- s.ask(ctx, address, request) }(all[asked])
+
+				asked++
 
-	for range all {
-		if f := <-responses; f != nil {
-			s.leader = f.address
+				next.Reset(discoverSpacing)
+			}
+		case f := <-responses:
+			if f != nil {
+				s.current = f.address
+
+				return s.apply(f.response, f.sentAt)
+			}
 
-			return s.apply(f.response, f.sentAt)
+			answered++
+
+			next.Reset(0)
 		}
 	}
 
-	return errNoLeader
+	return errNoInstance
 }
 
-// findLeader sends the request to the instance at the address. An instance that isn't the leader responds with the
-// leader's address, and findLeader sends the request there. It sends at most maxLeaderRequests requests. It returns the
-// leader's response, or nil if it found no leader. The leader need not be among the known control instances.
-func (s *Subscriber) findLeader(ctx context.Context, address string, request lab.WatchRequest) *leaderResponse {
-	for range maxLeaderRequests {
-		f := &leaderResponse{address: address, sentAt: s.Clock.Now()}
+func boolBit(b bool) int {
+	if b {
+		return 1
+	}
+
+	return 0
+}
+
+// ask sends the request to the instance at the address. An instance that can't answer may respond with the leader's
+// address, and ask sends the request there. It sends at most maxRedirects requests. It returns the response, or nil if
+// no instance answered. The leader need not be among the known control instances.
+func (s *Subscriber) ask(ctx context.Context, address string, request lab.WatchRequest) *instanceResponse {
+	for range maxRedirects {
+		f := &instanceResponse{address: address, sentAt: s.Clock.Now()}
 
 		if err := s.Peers.Call(ctx, address, lab.MethodWatch, request, &f.response); err != nil {
 			return nil
@@ -243,10 +349,10 @@
 	}
 }
 
-// apply applies a leader's response to a request sent at the given time to the directory.
+// apply applies the response to a request sent at the given time to the directory.
 func (s *Subscriber) apply(a lab.WatchResponse, sentAt time.Duration) error {
 	if s.disconnected {
-		s.Log.Info().Str("leader", s.leader).Msg("control_regained")
+		s.Log.Info().Str("instance", s.current).Msg("control_regained")
 	}
 
 	s.disconnected, s.failedSearches = false, 0
@@ -262,15 +368,21 @@
 	}
 
 	s.leaderEpoch, s.membersRevision, s.controlAddresses = a.LeaderEpoch, a.MembersRevision, a.ControlAddresses
-	s.leaderClock.RecordExchange(a.LeaderEpoch, sentAt, a.ReceivedAt, a.SentAt, s.Clock.Now())
+	s.controlClock.RecordExchange(a.ClockEpoch, sentAt, a.ReceivedAt, a.SentAt, s.Clock.Now())
 	s.recordPositions(a.Positions)
 
+	for i, z := range a.ControlZones {
+		if z != "" && i < len(a.ControlAddresses) {
+			s.zones[a.ControlAddresses[i]] = z
+		}
+	}
+
 	return nil
 }
 
 func (s *Subscriber) recordPositions(positions []lab.PositionReport) {
 	for _, p := range positions {
-		if at, ok := s.leaderClock.ToLocal(s.leaderEpoch, p.RequestedAt); ok {
+		if at, ok := s.controlClock.ToLocal(p.RequestedAt); ok {
 			s.Directory.PrimaryHistory(p.Service).Record(at, p.Position)
 		}
 	}
--- a/proxy/process/labsubscriber/subscriber_test.go
+++ b/proxy/process/labsubscriber/subscriber_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -22,9 +23,10 @@
 // fakeControl is a control group. Its instances are identified by their addresses.
 type fakeControl struct {
 	mutex        sync.Mutex
-	leader       string          // address of the leader
-	unresponsive map[string]bool // whether an instance doesn't respond, by address
-	calls        map[string]int  // number of calls by address
+	leader       string            // address of the leader
+	unresponsive map[string]bool   // whether an instance doesn't respond, by address
+	calls        map[string]int    // number of calls by address
+	zones        map[string]string // availability zones of the instances by address; each of them then answers
 }
 
 func (c *fakeControl) Open(context.Context, string, lab.Method, any) (lab.Stream, error) {
@@ -45,7 +47,11 @@
 
 	a := response.(*lab.WatchResponse)
 
-	if address != leader {
+	for other, z := range c.zones {
+		a.ControlAddresses, a.ControlZones = append(a.ControlAddresses, other), append(a.ControlZones, z)
+	}
+
+	if address != leader && c.zones == nil {
 		a.Leader = lab.InstanceID(leader)
 
 		return nil
@@ -98,7 +104,7 @@
 			d := &labdirectory.Directory{Clock: labclock.NewBootClock(), Random: labrandom.NewSeeded(1), Log: zerolog.Nop()}
 			s := &Subscriber{
 				Peers: n, Seeds: func() []string { return []string{"a", "b", "c"} }, Directory: d, ConfigurationReader: fakeReader{},
-				Clock: labclock.NewBootClock(), Log: zerolog.Nop(),
+				Clock: labclock.NewBootClock(), Random: labrandom.NewSeeded(1), Log: zerolog.Nop(),
 			}
 
 			ctx, cancel := context.WithCancel(t.Context())
@@ -116,3 +122,51 @@
 		})
 	}
 }
+
+// TestNearest replays a deployment whose leader is in another region: if all proxies watched it, their watches would
+// cross the link between the regions, and after each change of the leader all proxies would search at once.
+func TestNearest(t *testing.T) {
+	n := &fakeControl{
+		leader: "a", unresponsive: map[string]bool{}, calls: map[string]int{},
+		zones: map[string]string{"a": "west-1", "b": "east-1", "c": "east-2", "d": "west-2"},
+	}
+	d := &labdirectory.Directory{Clock: labclock.NewBootClock(), Random: labrandom.NewSeeded(1), Log: zerolog.Nop()}
+	s := &Subscriber{
+		Proxy: lab.Instance{ID: "p", AvailabilityZone: "east-2", Region: "east"}, Peers: n,
+		RegionByZone: map[string]string{"west-1": "west", "west-2": "west", "east-1": "east", "east-2": "east"},
+		Seeds:        func() []string { return []string{"a"} }, Directory: d, ConfigurationReader: fakeReader{},
+		Clock: labclock.NewBootClock(), Random: labrandom.NewSeeded(1), Log: zerolog.Nop(),
+	}
+
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+
+	go func() { _ = s.Run(ctx); close(ended) }()
+
+	calls := func() map[string]int {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+
+		return maps.Clone(n.calls)
+	}
+	eventually := func(check func() bool) {
+		t.Helper()
+
+		for end := time.Now().Add(5 * time.Second); !check(); time.Sleep(5 * time.Millisecond) {
+			assert.Assert(t, time.Now().Before(end), "%v", calls())
+		}
+	}
+
+	eventually(func() bool { return calls()["c"] > 10 })
+	assert.Assert(t, calls()["a"] <= 2 && calls()["b"] == 0 && calls()["d"] == 0, "%v", calls())
+
+	n.mutex.Lock()
+	n.unresponsive["c"] = true
+	n.mutex.Unlock()
+
+	eventually(func() bool { return calls()["b"] > 10 })
+	assert.Assert(t, calls()["a"] <= 2 && calls()["d"] == 0, "only the instance in the same region is asked: %v", calls())
+
+	cancel()
+	<-ended
+}
--- a/proxy/process/labtypedproxy/proxy.go
+++ b/proxy/process/labtypedproxy/proxy.go
@@ -37,7 +37,8 @@
 // Proxy is one proxy process; exported fields are set before Run.
 type Proxy struct {
 	Self          lab.Instance
-	ListenAddress string // host:port that the proxy listens on for clients
+	RegionByZone  map[string]string // name of the region by availability zone
+	ListenAddress string            // host:port that the proxy listens on for clients
 
 	Seeds               func() []string // returns the process addresses of some control instances
 	DrainGracePeriod    time.Duration   // time from the start of a stop until the process is killed
@@ -68,7 +69,7 @@
 
 	p.subscriber = &labsubscriber.Subscriber{
 		Proxy: p.Self, Peers: p.Transport, Seeds: p.Seeds, Directory: p.directory, ConfigurationReader: p.ConfigurationReader, Clock: p.Clock,
-		Log: p.Log,
+		RegionByZone: p.RegionByZone, Random: p.Random, Log: p.Log,
 	}
 	p.directory.OnPrimaryUnreachable = p.subscriber.ReportNow
 	p.counters.Latency = labmetrics.NewHistogram()
--- a/watch.go
+++ b/watch.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// MethodWatch is the method by which a proxy receives the configuration document and the members from the leader of
-// the control group, and reports the primaries that it observes.
+// MethodWatch is the method by which a proxy receives the configuration document and the members from the control group,
+// and reports the primaries that it observes. The leader answers, or another control instance that watches the leader.
 const MethodWatch Method = "watch"
 
 // WatchRequest is a long-polling request for changes. The leader responds as soon as there is a change, and at the
@@ -18,8 +18,19 @@
 	Draining             bool            `msgpack:"d"` // the sender is draining
 	Primaries            []PrimaryReport `msgpack:"s"` // primaries that the sender observes or can't reach
 	// Positions are the newest positions of the primaries that the sender observes. RequestedAt is on the clock of the
-	// leader of LeaderEpoch; other leaders ignore them.
-	Positions []PositionReport `msgpack:"x,omitempty"`
+	// process that identified itself with ClockEpoch; other processes ignore them.
+	Positions  []PositionReport `msgpack:"x,omitempty"`
+	ClockEpoch uint64           `msgpack:"k,omitempty"`
+	// Relay is true if the sender is a control instance that answers the watches of other proxies. Proxy is then empty.
+	Relay   bool           `msgpack:"y,omitempty"`
+	Relayed []RelayedProxy `msgpack:"z,omitempty"` // proxies that watch the sender
+}
+
+// RelayedProxy is what a control instance reports to the leader about a proxy that watches it.
+type RelayedProxy struct {
+	Proxy     Instance        `msgpack:"p"`
+	Draining  bool            `msgpack:"d,omitempty"`
+	Primaries []PrimaryReport `msgpack:"s,omitempty"`
 }
 
 // PrimaryReport is a proxy's observation of the primary of a service.
@@ -38,12 +49,12 @@
 
 	Service     string
 	Position    CommitPosition
-	RequestedAt time.Duration // the position was requested at this time or later; on the clock of the control group's leader
+	RequestedAt time.Duration // the position was requested at this time or later; see ClockEpoch of the message
 }
 
 // WatchResponse carries the changes that the leader of the control group knows.
 type WatchResponse struct {
-	// Leader is set if the responding instance is not the leader; all other fields are then empty.
+	// Leader is set if the responding instance can't answer because it isn't the leader; all other fields are then empty.
 	Leader           InstanceID `msgpack:"l"`
 	LeaderEpoch      uint64     `msgpack:"b"` // identifies the leader that numbered the revisions
 	MembersRevision  uint64     `msgpack:"r"` // revision of Members and MembersComplete
@@ -54,9 +65,11 @@
 	ProxyChanges     []byte     `msgpack:"y"` // compressed ProxyChanges, sent instead of Proxies if that is possible
 	MembersComplete  bool       `msgpack:"c"` // no other members exist: announcements were received for long enough
 	ControlAddresses []string   `msgpack:"a"` // process addresses of the control instances
+	ControlZones     []string   `msgpack:"e"` // availability zones of ControlAddresses; empty strings if unknown
 
-	ReceivedAt time.Duration    `msgpack:"t"` // time on the leader's clock at which it received the request
-	SentAt     time.Duration    `msgpack:"u"` // time on the leader's clock of the response
+	ClockEpoch uint64           `msgpack:"k"` // identifies the clock of the responding process
+	ReceivedAt time.Duration    `msgpack:"t"` // time on that clock at which the request was received
+	SentAt     time.Duration    `msgpack:"u"` // time on that clock of the response
 	Positions  []PositionReport `msgpack:"z"` // newest positions of the primaries
 }
 
