Answer requests that arrive during a drain, and survive a panic in one request

Cause: a drain decided to close an idle session and queued the close; a request that the event loop read in between ended without an answer. A panic in the handling of one client message or one call of a peer ended the process with all its sessions. Change: the event loop checks again at the close, also for bytes that have arrived but were not read. A client's session is then abandoned without its locks. Panics elsewhere, as in applying the log, still end the process.

--- a/process/labtransport/serve.go
+++ b/process/labtransport/serve.go
@@ -10,6 +10,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/process/labrecovery"
 )
 
 func (t *Transport) serve(ctx context.Context, c *quic.Conn) {
@@ -40,6 +41,7 @@
 	}
 
 	defer t.activeStreams.Add(-1)
+	defer labrecovery.Recover(t.Log, "stream of "+string(from), s.Cancel)
 
 	_ = s.SetReadDeadline(time.Now().Add(preambleTimeout))
 
--- a/process/labtransport/transport_test.go
+++ b/process/labtransport/transport_test.go
@@ -56,6 +56,10 @@
 			return nil, err
 		}
 
+		if e.Text == "panic" {
+			panic("malformed request")
+		}
+
 		if e.Text == "fail" {
 			return nil, lab.NotRunError(lab.ReasonOverload, io.ErrShortBuffer)
 		}
@@ -338,3 +342,16 @@
 	assert.NilError(t, s.CloseWrite())
 	assert.NilError(t, b.Drain(withTimeout(t, 5*time.Second)))
 }
+
+// TestPanic checks that a request whose handler panics fails alone: the process and the connection go on.
+func TestPanic(t *testing.T) {
+	folder := newKeysFolder(t, "a", "b")
+	a, b := startTransport(t, folder, "a"), startTransport(t, folder, "b")
+
+	assert.Assert(t, a.Call(t.Context(), b.BoundAddress(), lab.MethodPing, echo{Text: "panic"}, &echo{}) != nil)
+
+	var r echo
+
+	assert.NilError(t, a.Call(t.Context(), b.BoundAddress(), lab.MethodPing, echo{Text: "next"}, &r))
+	assert.Equal(t, r.Text, "a:next")
+}
--- a/proxy/process/labtypedlistener/connection.go
+++ b/proxy/process/labtypedlistener/connection.go
@@ -2,11 +2,14 @@
 
 import (
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labrecovery"
 	"laburnumlock.dev/lab/proxy/connection/labtypedsession"
 )
 
@@ -17,6 +20,8 @@
 	socket   gnet.Conn
 	codec    lab.ClientCodec
 	opened   time.Time
+	// abandoned is set after a panic. The mutex and the session must not be used any more.
+	abandoned atomic.Bool
 
 	mutex      sync.Mutex
 	pending    []byte // received bytes of messages that have not been handled
@@ -28,6 +33,10 @@
 // receive appends received bytes to the pending ones and starts process if it isn't running. It returns false when more
 // than maxPendingBytes would be pending.
 func (n *connection) receive(b []byte) bool {
+	if n.abandoned.Load() {
+		return false
+	}
+
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 
@@ -48,6 +57,12 @@
 
 // process handles messages until no complete one is left.
 func (n *connection) process() {
+	defer labrecovery.Recover(n.listener.Log, "client connection", func() {
+		// The panic may have left locks of the session held, so the session is abandoned without them.
+		n.abandoned.Store(true)
+		n.closeAfterWrites()
+	})
+
 	for {
 		o, ok := n.next()
 		if !ok {
@@ -191,6 +206,10 @@
 
 // startupTimedOut reports whether the client has not sent its startup message within startupTimeout.
 func (n *connection) startupTimedOut() bool {
+	if n.abandoned.Load() {
+		return false
+	}
+
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 
@@ -200,20 +219,51 @@
 // closeIfIdle closes the connection during a drain if no operation is running or pending, and no transaction is open.
 // If closeInTransaction is set, it also closes a connection whose session is idle in a transaction.
 func (n *connection) closeIfIdle() {
+	if !n.mayClose() {
+		return
+	}
+
+	// The event loop checks again: a request may have arrived since, and it would end without an answer.
+	_ = n.socket.AsyncWrite(nil, func(c gnet.Conn, err error) error {
+		if err != nil || !n.mayClose() || requestWaits(c) {
+			return nil //nolint:nilerr // the connection is already closed
+		}
+
+		return c.Close()
+	})
+}
+
+// mayClose reports whether a drain may close the connection now.
+func (n *connection) mayClose() bool {
+	if n.abandoned.Load() {
+		return true
+	}
+
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 
 	if n.processing || n.closed || len(n.pending) > 0 {
-		return
+		return false
 	}
 
-	if n.session == nil || n.session.Idle() || n.listener.closeInTransaction.Load() {
-		n.closeAfterWrites()
-	}
+	return n.session == nil || n.session.Idle() || n.listener.closeInTransaction.Load()
+}
+
+// requestWaits reports whether the socket has received bytes that have not been read.
+func requestWaits(c gnet.Conn) bool {
+	var one [1]byte
+
+	count, _, err := syscall.Recvfrom(c.Fd(), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+
+	return err == nil && count > 0
 }
 
 // close ends the session of a connection that has been closed.
 func (n *connection) close() {
+	if n.abandoned.Load() {
+		return
+	}
+
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 
