Check announcements at every entrance and by every reader

Cause: an entry of another writer could name a service that doesn't exist under the id or the address of a member, which replaced the member; a sequence or start near the largest number barred every later announcement; port 0, negative and huge slots passed. Entries that another instance or a damaged file brought reached the readers without a check. Numbers of milliseconds beyond the range of a duration had results that differ between processors. Change: Announcement.Validate, called by the HTTP entrance, the forwarded call, the registry, the broadcast, the stored list, heartbeats and the directory of a proxy; each drops the one entry with a log line and goes on. Announcements of services that the configuration doesn't name are refused.

--- a/control/process/labcontrol/heartbeat.go
+++ b/control/process/labcontrol/heartbeat.go
@@ -106,7 +106,7 @@
 			command.DrainingProxies = append(command.DrainingProxies, h.Instance.ID)
 		}
 		for _, a := range h.Announcements {
-			if s.Catalog.WouldChange(a) {
+			if a.Validate() == nil && s.Catalog.WouldChange(a) {
 				command.Announcements = append(command.Announcements, a)
 			}
 		}
--- a/control/process/labmembers/registry.go
+++ b/control/process/labmembers/registry.go
@@ -31,9 +31,14 @@
 	revision uint64
 }
 
-// Apply records an announcement. age is the time since a control instance received it from the member. Apply reports
-// whether the announcement is newer than the known one, and whether the two differ in more than the sequence.
+// Apply records an announcement, unless it is invalid. age is the time since a control instance received it from the
+// member. Apply reports whether the announcement is newer than the known one, and whether the two differ in more than
+// the sequence.
 func (r *Registry) Apply(a lab.Announcement, age time.Duration) (newer, changed bool) {
+	if a.Validate() != nil {
+		return false, false
+	}
+
 	r.mutex.Lock()
 	newer, changed = r.apply(a, r.Clock.Now()-age)
 	r.mutex.Unlock()
--- a/control/process/labplatformcontrol/announcements.go
+++ b/control/process/labplatformcontrol/announcements.go
@@ -8,6 +8,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labvoters"
+	"laburnumlock.dev/lab/process/labpack"
 )
 
 const (
@@ -26,6 +27,10 @@
 		a.Region = k.RegionByZone[a.AvailabilityZone]
 	}
 
+	if err := k.checkService(a); err != nil {
+		return err
+	}
+
 	if k.Leading() {
 		k.applyAnnouncement(a)
 
@@ -49,6 +54,60 @@
 	return nil
 }
 
+// checkService returns an error if the configuration has no service of the announced name. Such an entry comes from
+// another writer. It names no member, and it could have the id or the address of one.
+func (k *Controller) checkService(a lab.Announcement) error {
+	if a.Terminated {
+		return nil
+	}
+
+	if s := k.configuredServices(); s != nil && !s[a.Database] {
+		return errors.Mark(errors.Newf("member %q: service %q is not configured", a.Member, a.Database), ErrInvalid)
+	}
+
+	return nil
+}
+
+// configuredServices returns the names of the services in the newest document, or nil if no document names a service.
+func (k *Controller) configuredServices() map[string]bool {
+	d := k.participation().state.Document()
+	if d.Version == 0 {
+		return nil
+	}
+
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	if k.servicesVersion == d.Version {
+		return k.serviceNames
+	}
+
+	source, err := labpack.Unpack(d.Packed)
+	if err != nil {
+		k.Log.Error().Err(err).Uint64("version", d.Version).Msg("document_unreadable")
+
+		return nil
+	}
+
+	c, err := k.DocumentReader.Read(source)
+	if err != nil {
+		k.Log.Error().Err(err).Uint64("version", d.Version).Msg("document_unreadable")
+
+		return nil
+	}
+
+	k.servicesVersion, k.serviceNames = d.Version, nil
+	for _, s := range c.Services {
+		if k.serviceNames == nil {
+			k.serviceNames = map[string]bool{}
+		}
+
+		k.serviceNames[s.Name] = true
+	}
+
+	return k.serviceNames
+}
+
 func (k *Controller) applyAnnouncement(a lab.Announcement) {
 	newer, changed := k.registry.Apply(a, 0)
 	k.Counters.Announcements.Add(1)
@@ -69,10 +128,18 @@
 		return nil, err
 	}
 
+	if err := a.Validate(); err != nil {
+		return nil, errors.Newf("forwarded announcement: %w", err)
+	}
+
 	if !k.Leading() {
 		return nil, lab.ErrNotLeader
 	}
 
+	if err := k.checkService(a); err != nil {
+		return nil, err
+	}
+
 	k.applyAnnouncement(a)
 
 	return struct{}{}, nil
@@ -129,6 +196,12 @@
 	}
 
 	for _, s := range r.Observations {
+		if err := s.Announcement.Validate(); err != nil {
+			k.Log.Warn().Err(err).Msg("announcement_invalid")
+
+			continue
+		}
+
 		k.registry.Apply(s.Announcement, s.Age)
 	}
 
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -82,6 +82,9 @@
 	zones       map[lab.InstanceID]string        // availability zones of the control instances that have joined this leader
 	joinReports labvoters.Reports                // join requests received from control instances
 	replacing   map[string]bool                  // services with a primary replacement in progress
+	// serviceNames are the services in the document of version servicesVersion.
+	serviceNames    map[string]bool
+	servicesVersion uint64
 	// changed is closed and replaced after each change of the registry or the replicated state.
 	changed chan struct{}
 }
--- a/control/process/labplatformcontrol/members.go
+++ b/control/process/labplatformcontrol/members.go
@@ -63,6 +63,12 @@
 	k.loadList(proxiesFile, &proxies)
 
 	for _, a := range members {
+		if err := a.Validate(); err != nil {
+			k.Log.Warn().Err(err).Str("file", membersFile).Msg("announcement_invalid")
+
+			continue
+		}
+
 		k.registry.Apply(a, 0)
 	}
 
--- a/control/process/labplatformcontrol/relay_test.go
+++ b/control/process/labplatformcontrol/relay_test.go
@@ -61,15 +61,18 @@
 	t.Run("a follower answers", func(t *testing.T) {
 		c.eventually("members and document", func() bool {
 			var err error
+
 			a, err = c.watch(follower, lab.WatchRequest{Proxy: proxy("p")})
+			if err != nil || a.Leader != "" || len(a.Configuration) == 0 {
+				return false
+			}
 
-			return err == nil && a.Leader == "" && len(a.Members) > 0 && len(a.Configuration) > 0
-		})
+			var l lab.MemberList
 
-		var l lab.MemberList
+			assert.NilError(t, labpack.Decode(a.Members, &l))
 
-		assert.NilError(t, labpack.Decode(a.Members, &l))
-		assert.Equal(t, l.Primaries["s"], "m")
+			return l.Primaries["s"] == "m" // the first list is older than the announcement
+		})
 		assert.Equal(t, len(a.ControlAddresses), 3)
 	})
 
--- a/member.go
+++ b/member.go
@@ -1,6 +1,12 @@
 package lab
 
-import "time"
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Announcement is the description that a member periodically posts about itself.
 type Announcement struct {
@@ -21,6 +27,45 @@
 	Terminated bool `json:"gone,omitempty" msgpack:"g,omitempty"`
 }
 
+// Limits of the fields of an announcement. Sequences and incarnations above them can only come from a faulty sender; an
+// accepted one would bar every later announcement of the member.
+const (
+	maxNameBytes   = 255
+	maxIncarnation = 253_402_300_799_999 // 9999-12-31 in Unix milliseconds; members without a clock count from 1
+	maxSequence    = 1 << 53             // largest whole number that every JSON encoder writes exactly
+	maxSlots       = 1 << 20
+)
+
+// Validate returns an error if a field has a value that no member can have. Every reader of announcements calls it,
+// since one faulty entry in a list must not stop those who follow the list.
+func (a Announcement) Validate() error {
+	switch {
+	case a.Member == "" || len(a.Member) > maxNameBytes:
+		return errors.Newf("name of the member has %d bytes", len(a.Member))
+	case a.Incarnation > maxIncarnation:
+		return errors.Newf("member %q: incarnation %d is out of range", a.Member, a.Incarnation)
+	case a.Sequence > maxSequence:
+		return errors.Newf("member %q: sequence %d is out of range", a.Member, a.Sequence)
+	case a.Terminated:
+		return nil // the other fields may be unknown
+	case a.Database == "" || max(len(a.Database), len(a.Region), len(a.AvailabilityZone)) > maxNameBytes:
+		return errors.Newf("member %q: a name is missing or too long", a.Member)
+	case min(a.Slots, a.Connections) < 0 || max(a.Slots, a.Connections) > maxSlots:
+		return errors.Newf("member %q: %d slots and %d connections are out of range", a.Member, a.Slots, a.Connections)
+	}
+
+	host, port, err := net.SplitHostPort(a.Address)
+	if err != nil {
+		return errors.Newf("member %q: address: %w", a.Member, err)
+	}
+
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return errors.Newf("member %q: address %q needs a host and a port from 1 to 65535", a.Member, a.Address)
+	}
+
+	return nil
+}
+
 // MemberStatus is one observation of a member, read over the PostgreSQL protocol.
 type MemberStatus struct {
 	Database       string        `json:"database"    msgpack:"d"`
--- a/process/labannounce/handler.go
+++ b/process/labannounce/handler.go
@@ -61,6 +61,10 @@
 		return errors.Newf("address %q must be an IP address and port", a.Address)
 	}
 
+	if err := a.Validate(); err != nil {
+		return err
+	}
+
 	if a.Slots < 1 || a.Connections <= lab.ReservedConnections {
 		return errors.Newf("slots must be at least 1 and connections more than %d", lab.ReservedConnections)
 	}
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -136,6 +136,12 @@
 	present := map[string]bool{}
 
 	for _, a := range members {
+		if err := a.Validate(); err != nil {
+			d.Log.Warn().Err(err).Msg("announcement_invalid")
+
+			continue
+		}
+
 		if a.Terminated {
 			continue
 		}
