Forget members that left while a control instance was down

Cause: a restarted instance takes its stored members as just heard. A member that had left meanwhile, and whose farewell the others had already forgotten, was in its list again for a minute; proxies got it if that instance became the leader. Change: the leader's broadcast says when its list is complete; the others drop members that it lacks and that have been silent for 2 s. Result: TestLeftWhileDown fails without the change.

--- a/control/process/labmembers/registry.go
+++ b/control/process/labmembers/registry.go
@@ -158,6 +158,28 @@
 	}
 }
 
+// Retain removes the members that the leader doesn't know any more: those that are not in present and have not been heard
+// from for at least silence. An instance that was down for a while has stored members that have left since.
+func (r *Registry) Retain(present map[string]bool, silence time.Duration) {
+	r.mutex.Lock()
+	now, before := r.Clock.Now(), r.revision
+
+	for id, e := range r.entries {
+		if !present[id] && now-e.LastHeard >= silence {
+			delete(r.entries, id)
+
+			r.revision++
+		}
+	}
+
+	changed := r.revision != before
+	r.mutex.Unlock()
+
+	if changed && r.Changed != nil {
+		r.Changed()
+	}
+}
+
 // Entries returns copies of all entries sorted by member, including terminated members.
 func (r *Registry) Entries() []Entry {
 	r.mutex.Lock()
--- a/control/process/labplatformcontrol/announcements.go
+++ b/control/process/labplatformcontrol/announcements.go
@@ -16,6 +16,9 @@
 	// becomes the leader.
 	broadcastInterval = 400 * time.Millisecond
 	broadcastTimeout  = 400 * time.Millisecond
+	// retainSilence is how long a member that the leader doesn't list must have been silent to be dropped. The member may
+	// have announced itself here while the broadcast was on its way.
+	retainSilence = 2 * time.Second
 	// proxyListRounds is the interval, in broadcasts, at which a broadcast includes the proxy list. The list is long,
 	// changes little and stays valid for seconds.
 	proxyListRounds = 5
@@ -168,7 +171,7 @@
 }
 
 func (k *Controller) buildBroadcast() broadcastRequest {
-	var r broadcastRequest
+	r := broadcastRequest{MembersComplete: k.membersComplete()}
 
 	for _, e := range k.registry.Entries() {
 		r.Observations = append(r.Observations, observation{Announcement: e.Announcement, Age: k.Clock.Now() - e.LastHeard})
@@ -195,6 +198,8 @@
 		k.proxies.mergeInherited(r.Proxies, r.ProxiesComplete)
 	}
 
+	present := map[string]bool{}
+
 	for _, s := range r.Observations {
 		if err := s.Announcement.Validate(); err != nil {
 			k.Log.Warn().Err(err).Msg("announcement_invalid")
@@ -203,6 +208,11 @@
 		}
 
 		k.registry.Apply(s.Announcement, s.Age)
+		present[s.Announcement.Member] = true
+	}
+
+	if r.MembersComplete && !k.Leading() {
+		k.registry.Retain(present, retainSilence)
 	}
 
 	return struct{}{}, nil
--- a/control/process/labplatformcontrol/announcements_test.go
+++ b/control/process/labplatformcontrol/announcements_test.go
@@ -103,3 +103,50 @@
 		assert.Equal(t, len(k.members()), 1)
 	})
 }
+
+// TestLeftWhileDown checks that a member that left while a control instance was down is not in use again after the
+// instance has restarted with its stored list, even if it becomes the leader.
+func TestLeftWhileDown(t *testing.T) {
+	c := newCluster(t, 3)
+	c.put(0, `{"Version":4}`)
+
+	announce := func(a lab.Announcement) {
+		c.eventually("announcement accepted", func() bool {
+			for _, k := range c.controllers {
+				if k.Leading() {
+					return k.Announce(context.Background(), a) == nil
+				}
+			}
+
+			return false
+		})
+	}
+
+	leader := c.leaderIndex()
+	down := (leader + 1) % 3
+	stays := lab.Announcement{Database: "s", Member: "stays", Address: "127.0.0.1:1", Incarnation: 5, Sequence: 1}
+	leaves := lab.Announcement{Database: "s", Member: "leaves", Address: "127.0.0.1:2", Incarnation: 5, Sequence: 1}
+
+	announce(stays)
+	announce(leaves)
+	c.eventually("both members stored", func() bool {
+		var stored []lab.Announcement
+
+		c.controllers[down].loadList(membersFile, &stored)
+
+		return len(stored) == 2
+	})
+	c.stop(down)
+
+	announce(lab.Announcement{Member: "leaves", Terminated: true})
+
+	// The farewell is forgotten after a while, like every member that is silent.
+	c.controllers[leader].registry.Retain(map[string]bool{"stays": true}, 0)
+	c.restart(down)
+
+	c.eventually("the member that left is dropped", func() bool {
+		m := c.controllers[down].members()
+
+		return len(m) == 1 && m[0].Member == "stays"
+	})
+}
--- a/control/process/labplatformcontrol/message.go
+++ b/control/process/labplatformcontrol/message.go
@@ -39,8 +39,10 @@
 }
 
 type broadcastRequest struct {
-	Observations []observation  `msgpack:"s"`
-	Proxies      []lab.Instance `msgpack:"p"` // the leader's proxy list; empty in most broadcasts, see proxyListRounds
+	Observations []observation `msgpack:"s"`
+	// MembersComplete is true if there are no other members than those of Observations.
+	MembersComplete bool           `msgpack:"m"`
+	Proxies         []lab.Instance `msgpack:"p"` // the leader's proxy list; empty in most broadcasts, see proxyListRounds
 	// ProxiesComplete is true if Proxies is complete. Right after a start the leader knows only some proxies.
 	ProxiesComplete bool `msgpack:"c"`
 }
