--- a/control/process/labmembers/registry.go
+++ b/control/process/labmembers/registry.go
@@ -139,33 +139,21 @@
 
 // RemoveSilent removes members that have been silent for longer than ExpireAfter.
 func (r *Registry) RemoveSilent() {
-	r.mutex.Lock()
-	now, before := r.Clock.Now(), r.revision
-
-	for id, e := range r.entries {
-		if now-e.LastHeard > ExpireAfter {
-			delete(r.entries, id)
-
-			r.revision++
-		}
-	}
-
-	changed := r.revision != before
-	r.mutex.Unlock()
-
-	if changed && r.Changed != nil {
-		r.Changed()
-	}
+	r.removeIf(func(_ string, silentFor time.Duration) bool { return silentFor > ExpireAfter })
 }
 
 // Retain removes the members that the leader doesn't know any more: those that are not in present and have not been heard
 // from for at least silence. An instance that was down for a while has stored members that have left since.
 func (r *Registry) Retain(present map[string]bool, silence time.Duration) {
+	r.removeIf(func(id string, silentFor time.Duration) bool { return !present[id] && silentFor >= silence })
+}
+
+func (r *Registry) removeIf(condition func(id string, silentFor time.Duration) bool) {
 	r.mutex.Lock()
 	now, before := r.Clock.Now(), r.revision
 
 	for id, e := range r.entries {
-		if !present[id] && now-e.LastHeard >= silence {
+		if condition(id, now-e.LastHeard) {
 			delete(r.entries, id)
 
 			r.revision++
