Name the control instance in two log lines by a key of its own

Cause: control_lost and control_regained had the key instance twice: the logger adds it for the process itself. Change: the key is control. Result: tests of labsubscriber passed.

--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -124,7 +124,7 @@
 // recordFailure logs the first failure after a success, and makes the next watch search for the leader.
 func (s *Subscriber) recordFailure(err error) {
 	if !s.disconnected {
-		s.Log.Warn().Err(err).Str("instance", s.current).Msg("control_lost")
+		s.Log.Warn().Err(err).Str("control", s.current).Msg("control_lost")
 	}
 
 	s.disconnected = true
@@ -352,7 +352,7 @@
 // apply applies the response to a request sent at the given time to the directory.
 func (s *Subscriber) apply(a lab.WatchResponse, sentAt time.Duration) error {
 	if s.disconnected {
-		s.Log.Info().Str("instance", s.current).Msg("control_regained")
+		s.Log.Info().Str("control", s.current).Msg("control_regained")
 	}
 
 	s.disconnected, s.failedSearches = false, 0
