--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -369,10 +369,11 @@
 	return r, d.configuration.IdleTransactionTimeout, ok
 }
 
-// Ready reports whether requests can be served: a configuration is active and at least one service is known.
+// Ready reports whether requests can be served: a configuration is active, at least one service is known, and it is known
+// to which members this proxy may connect.
 func (d *Directory) Ready() bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	return d.configuration != nil && len(d.services) > 0
+	return d.configuration != nil && len(d.services) > 0 && (len(d.proxies) > 0 || d.listExpected < 0 || d.Peers == nil)
 }
--- a/proxy/process/labdirectory/directory_test.go
+++ b/proxy/process/labdirectory/directory_test.go
@@ -245,10 +245,12 @@
 	clock.now += listWait - 1
 	d.StopAwaitingProxies()
 	assertConnections(0)
+	assert.Assert(t, !d.Ready(), "a proxy without connections would refuse every statement")
 
 	clock.now++
 	d.StopAwaitingProxies()
 	assertConnections(1)
+	assert.Assert(t, d.Ready())
 
 	d.SetProxies(proxies(300))
 	assert.Equal(t, d.services["s"].members["a"].maxConnections.Load() > 0, len(d.services["s"].members["a"].gateways) == 159)
