review: case 4, proxies end over their memory limit

Cause: the answers to a client that doesn't read are kept without a bound. Eight sessions that send queries of 1,000 bytes and read nothing take a proxy over its memory limit within 8 s, and again after each restart.

--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -29,15 +30,18 @@
 // deployment runs laburnumlock as a small deployment: a control instance and a proxy on each of three machines, each
 // machine with a loopback address of its own.
 type deployment struct {
-	rec       *record
-	program   string
-	folder    string
-	offset    int
-	cloud     string // address of the platform's API
+	rec     *record
+	program string
+	folder  string
+	offset  int
+	cloud   string // address of the platform's API
+	memory  int    // memoryMb of the settings
+
+	mutex     sync.Mutex // guards processes
 	processes map[string]*exec.Cmd
 }
 
-func newDeployment(rec *record, cloud string) (*deployment, error) {
+func newDeployment(rec *record, cloud string, memory int) (*deployment, error) {
 	program, err := filepath.Abs("target/laburnumlock")
 	if err != nil {
 		return nil, err
@@ -52,7 +56,7 @@
 		return nil, err
 	}
 
-	d := &deployment{rec: rec, program: program, folder: folder, cloud: cloud, processes: map[string]*exec.Cmd{}}
+	d := &deployment{rec: rec, program: program, folder: folder, cloud: cloud, memory: memory, processes: map[string]*exec.Cmd{}}
 
 	return d, d.chooseOffset()
 }
@@ -142,7 +146,7 @@
 [limits]
 cpuQuota = 0.72
 cpuCores = 1
-memoryMb = 284
+memoryMb = %[14]d
 maxFds = 4200
 linkMbps = 1000.0
 diskMb = 64
@@ -172,7 +176,7 @@
 dutyPerS = 50.0
 `, zones[n], role, machineIP(n), regionOf(zones[n]), internalPort+d.offset, internalPort+d.offset+portStep-1,
 		strings.Join(seeds, ","), bootstrap, filepath.Join(d.folder, fmt.Sprintf("data-%d-%s", n, role)),
-		d.address(n, clientPort), d.address(n, readinessPort), d.address(n, controlPort), d.cloud)
+		d.address(n, clientPort), d.address(n, readinessPort), d.address(n, controlPort), d.cloud, d.memory)
 }
 
 func regionOf(zone string) string {
@@ -211,7 +215,10 @@
 		return fmt.Errorf("start %s: %w", name, err)
 	}
 
+	d.mutex.Lock()
 	d.processes[name] = c
+	d.mutex.Unlock()
+
 	d.rec.add("process %s started, pid %d", name, c.Process.Pid)
 
 	return nil
@@ -229,8 +236,18 @@
 	return nil
 }
 
+func (d *deployment) process(name string) *exec.Cmd {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.processes[name]
+}
+
 // stop kills all processes that start has started and removes the folder.
 func (d *deployment) stop() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
 	for _, c := range d.processes {
 		_ = c.Process.Kill()
 		_ = c.Wait()
--- a/review/harness/flood.go
+++ b/review/harness/flood.go
@@ -9,99 +9,140 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	floodPeers  = 8
-	floodTime   = 40 * time.Second
-	floodPause  = 10 * time.Millisecond // between two blocks of a peer
-	floodBlock  = 1000                  // queries in a block
-	memoryLimit = 284                   // memoryMb of the settings
+	floodMachines = 2
+	floodPeers    = 8                     // on each machine
+	floodTime     = 60 * time.Second      // bound of the flood
+	floodPause    = 10 * time.Millisecond // between two blocks of a peer
+	floodBlock    = 20                    // queries in a block
+	floodName     = 1000                  // bytes of the name in a query
+	floodLimit    = 184                   // memoryMb of the site rantavahti-rota-grown
+	floodEnds     = 3                     // ends of a process that the rule allows less than
+	restartDelay  = 500 * time.Millisecond
 )
 
-// runFlood lets peers send queries without a pause. With trouble, they don't read the responses.
+// runFlood lets peers send queries that name an unknown prepared statement. With trouble, they don't read the answers.
 func runFlood(x *run) (bool, error) {
 	l := startLoad(x)
 
 	time.Sleep(settleTime)
 
 	stop := make(chan struct{})
-	defer close(stop)
 
-	x.rec.note("%d peers flood the proxy in %s with SET, reading the responses: %t", floodPeers, zones[0], !x.trouble)
+	x.rec.note("%d peers on each of %d machines send queries of %d bytes, reading the answers: %t", floodPeers,
+		floodMachines, floodName, !x.trouble)
 
-	for i := range floodPeers {
-		go x.flood(i, stop)
+	ends := make([]atomic.Int64, floodMachines)
+	for n := range floodMachines {
+		for i := range floodPeers {
+			go x.flood(n, i, stop)
+		}
+
+		go x.enforceMemory(n, &ends[n], stop)
 	}
 
-	killed := x.watchMemory(processName(0, "proxy"))
+	enough := func() bool { return ends[0].Load() >= floodEnds && ends[1].Load() >= floodEnds }
+
+	broken := eventually(floodTime, enough)
+
+	close(stop)
 	l.end()
+	x.rec.note("ends of the proxy over its memory limit: %d in %s, %d in %s", ends[0].Load(), zones[0], ends[1].Load(), zones[1])
 
 	if len(l.succeeded()) < 100 {
 		return false, errors.New("too little was served")
 	}
 
-	return killed, nil
+	return broken, nil
 }
 
-// flood is one peer.
-func (x *run) flood(number int, stop chan struct{}) {
-	s, err := net.Dial("tcp", x.deployment.address(0, clientPort))
-	if err != nil {
-		x.rec.note("peer %d: %v", number, err)
+// flood is one peer. It connects again when its connection ends.
+func (x *run) flood(machine, number int, stop chan struct{}) {
+	name := strings.Repeat("n", floodName)
+	block := bytes.Repeat([]byte("QUERY f EXECUTE "+name+" x\r\n"), floodBlock)
 
-		return
-	}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+
+		s, err := net.Dial("tcp", x.deployment.address(machine, clientPort))
+		if err != nil {
+			continue
+		}
 
-	defer func() { _ = s.Close() }()
+		sent := x.floodSession(s, fmt.Sprintf("p%d-%d", machine, number), block, stop)
+		x.rec.add("peer %d at %s sent %d queries", number, zones[machine], sent)
+		_ = s.Close()
+	}
+}
 
-	if _, err := fmt.Fprintf(s, "STARTUP flags p%d\r\n", number); err != nil {
-		return
+func (x *run) floodSession(s net.Conn, name string, block []byte, stop chan struct{}) int {
+	if _, err := fmt.Fprintf(s, "STARTUP flags %s\r\n", name); err != nil {
+		return 0
 	}
 
 	if !x.trouble {
 		go func() { _, _ = io.Copy(io.Discard, s) }()
 	}
 
-	block := bytes.Repeat([]byte("QUERY f SET a b\r\n"), floodBlock)
-
 	for sent := 0; ; sent += floodBlock {
 		select {
 		case <-stop:
-			return
+			return sent
 		case <-time.After(floodPause):
 		}
 
 		if _, err := s.Write(block); err != nil {
-			x.rec.note("peer %d: after %d queries: %v", number, sent, err)
-
-			return
+			return sent
 		}
 	}
 }
 
-// watchMemory kills a process that uses more memory than memoryMb, as the infrastructure does.
-func (x *run) watchMemory(name string) bool {
-	p := x.deployment.processes[name]
-	start := x.rec.since()
+// enforceMemory kills a proxy that uses more memory than memoryMb, as the infrastructure does, and starts it again after
+// a short delay.
+func (x *run) enforceMemory(machine int, ends *atomic.Int64, stop chan struct{}) {
+	name, next := processName(machine, "proxy"), x.rec.since()
+
+	for ends.Load() < floodEnds {
+		select {
+		case <-stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
 
-	for next := start; x.rec.since()-start < floodTime; time.Sleep(100 * time.Millisecond) {
+		p := x.deployment.process(name)
 		used := residentMB(p.Process.Pid)
+
 		if x.rec.since() > next {
 			x.rec.note("%s uses %d MB", name, used)
+
 			next += 2 * time.Second
 		}
 
-		if used > memoryLimit {
-			x.rec.note("%s uses %d MB, more than memoryMb = %d: it is killed", name, used, memoryLimit)
-			_ = p.Process.Kill()
+		if used <= floodLimit {
+			continue
+		}
+
+		x.rec.note("%s uses %d MB, more than memoryMb = %d: it is killed", name, used, floodLimit)
+		_ = p.Process.Kill()
+		_ = p.Wait()
 
-			return true
+		ends.Add(1)
+		time.Sleep(restartDelay)
+
+		if err := x.deployment.start(machine, "proxy", false); err != nil {
+			x.rec.note("%v", err)
+
+			return
 		}
 	}
-
-	return false
 }
 
 // residentMB returns the memory of a process in megabytes, 0 if it can't be read.
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -37,6 +37,7 @@
 	platform   *platform
 	deployment *deployment
 	trouble    bool
+	memory     int // memoryMb of the settings
 }
 
 func main() {
@@ -65,7 +66,7 @@
 
 	defer rec.close()
 
-	x := &run{rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
+	x := &run{rec: rec, trouble: os.Getenv("TROUBLE") != "0", memory: memoryOf(name)}
 
 	defer x.stop()
 
@@ -94,6 +95,15 @@
 	return exitNotRun
 }
 
+// memoryOf returns memoryMb of the site that a scenario stands for.
+func memoryOf(name string) int {
+	if name == "flood" {
+		return floodLimit
+	}
+
+	return 284
+}
+
 func (x *run) play(s scenario) int {
 	broken, err := s(x)
 
@@ -126,7 +136,7 @@
 		return err
 	}
 
-	if x.deployment, err = newDeployment(x.rec, x.platform.address()); err != nil {
+	if x.deployment, err = newDeployment(x.rec, x.platform.address(), x.memory); err != nil {
 		return err
 	}
 
