--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 
 var scenarios = map[string]scenario{
 	"crashes": runCrashes,
+	"refused": runRefused,
 	"leaving": runLeaving,
 	"leaver":  runPromotedLeaver,
 	"drain":   runDrain,
--- a/review/harness/scenarios.go
+++ b/review/harness/scenarios.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Times of the day review/2/day.toml.
+// Times of the day review/3/day.toml.
 const (
 	deafTime    = 6500 * time.Millisecond // for_s of replica_lag, how = "deaf"
 	crashTime   = 7 * time.Second         // for_s of srv_crash
@@ -86,6 +86,51 @@
 	return x.checkLost(l)
 }
 
+// Times of runRefused, before the end of the leaving replica.
+const (
+	deafBeforeEnd  = 3200 * time.Millisecond // the other replica receives nothing from then on
+	crashBeforeEnd = 600 * time.Millisecond  // crash of the primary; control needs 0.35 s to order a promotion
+)
+
+// runRefused lets one replica leave as planned. 3.2 s before its end, the other replica begins to receive nothing for
+// 6.5 s, and the primary crashes so late that the leaving replica ends while its promotion is ordered.
+func runRefused(x *run) (bool, error) {
+	l := startLoad(x)
+
+	time.Sleep(settleTime)
+
+	primary, deaf, leaver := x.service.members[0], x.service.members[1], x.service.members[2]
+
+	x.rec.note("planned work: replica %s leaves", leaver.id)
+	leaver.leave()
+
+	if !x.awaitConfirmed(leaver) {
+		return false, errNotConfirmed
+	}
+
+	time.Sleep(drainTime + leaverStays - deafBeforeEnd)
+
+	if x.trouble {
+		deaf.setDeaf(true)
+		time.AfterFunc(deafTime, func() { deaf.setDeaf(false) })
+		time.AfterFunc(deafBeforeEnd-crashBeforeEnd, primary.crash)
+		time.AfterFunc(deafBeforeEnd-crashBeforeEnd+crashTime, primary.restart)
+	}
+
+	time.Sleep(deafBeforeEnd)
+	leaver.end()
+	time.Sleep(replacedLate)
+
+	if err := x.service.replace(leaver); err != nil {
+		return false, err
+	}
+
+	time.Sleep(crashTime)
+	l.end()
+
+	return x.checkLost(l)
+}
+
 var errNotConfirmed = errors.New("the departure was not confirmed")
 
 func (x *run) awaitConfirmed(m *member) bool {
@@ -194,7 +239,7 @@
 	return len(late) > 0, nil
 }
 
-// Times of runPromotedLeaver after the confirmation that the replica leaves, as in the day review/3/day.toml.
+// Times of runPromotedLeaver after the confirmation that the replica leaves, as in the day review/4/day.toml.
 const (
 	deafAfterLeave  = time.Second
 	crashAfterLeave = 4 * time.Second
