--- a/review/harness/scenarios.go
+++ b/review/harness/scenarios.go
@@ -7,7 +7,7 @@
 
 // Times of the day review/3/day.toml.
 const (
-	deafTime    = 6500 * time.Millisecond // for_s of replica_lag, how = "deaf"
+	deafTime    = 6500 * time.Millisecond // for_s of replica_lag, how = "deaf", in the list of troubles of the site
 	crashTime   = 7 * time.Second         // for_s of srv_crash
 	firstCrash  = 500 * time.Millisecond  // of the other replica, after the replication has stopped
 	secondCrash = 5600 * time.Millisecond // of the primary
@@ -37,6 +37,9 @@
 	return x.checkLost(l)
 }
 
+// deafCrashTime is for_s of replica_lag, how = "deaf crash", on a standard day of the site.
+const deafCrashTime = 6 * time.Second
+
 // leaverStays is how long a leaving member goes on serving beyond drainMs.
 const leaverStays = 2 * time.Second
 
@@ -47,7 +50,7 @@
 	replacedLate = 3 * time.Second         // a new member starts at the address with the log, later than reuseAfterS
 )
 
-// runLeaving lets one replica leave as planned. Before its end, the other replica begins to receive nothing for 6.5 s,
+// runLeaving lets one replica leave as planned. Before its end, the other replica begins to receive nothing for 6 s,
 // and 3 s after that the primary crashes for 7 s.
 func runLeaving(x *run) (bool, error) {
 	l := startLoad(x)
@@ -67,7 +70,7 @@
 
 	if x.trouble {
 		deaf.setDeaf(true)
-		time.AfterFunc(deafTime, func() { deaf.setDeaf(false) })
+		time.AfterFunc(deafCrashTime, func() { deaf.setDeaf(false) })
 		time.AfterFunc(deafBefore+crashAfter, primary.crash)
 		time.AfterFunc(deafBefore+crashAfter+crashTime, primary.restart)
 	}
@@ -93,7 +96,7 @@
 )
 
 // runRefused lets one replica leave as planned. 3.2 s before its end, the other replica begins to receive nothing for
-// 6.5 s, and the primary crashes so late that the leaving replica ends while its promotion is ordered.
+// 6 s, and the primary crashes so late that the leaving replica ends while its promotion is ordered.
 func runRefused(x *run) (bool, error) {
 	l := startLoad(x)
 
@@ -112,7 +115,7 @@
 
 	if x.trouble {
 		deaf.setDeaf(true)
-		time.AfterFunc(deafTime, func() { deaf.setDeaf(false) })
+		time.AfterFunc(deafCrashTime, func() { deaf.setDeaf(false) })
 		time.AfterFunc(deafBeforeEnd-crashBeforeEnd, primary.crash)
 		time.AfterFunc(deafBeforeEnd-crashBeforeEnd+crashTime, primary.restart)
 	}
@@ -245,7 +248,7 @@
 	crashAfterLeave = 4 * time.Second
 )
 
-// runPromotedLeaver lets one replica leave as planned. 1 s later, the other replica begins to receive nothing for 6.5 s,
+// runPromotedLeaver lets one replica leave as planned. 1 s later, the other replica begins to receive nothing for 6 s,
 // and 3 s after that the primary crashes for 7 s.
 func runPromotedLeaver(x *run) (bool, error) {
 	l := startLoad(x)
@@ -263,7 +266,7 @@
 
 	if x.trouble {
 		time.AfterFunc(deafAfterLeave, func() { deaf.setDeaf(true) })
-		time.AfterFunc(deafAfterLeave+deafTime, func() { deaf.setDeaf(false) })
+		time.AfterFunc(deafAfterLeave+deafCrashTime, func() { deaf.setDeaf(false) })
 		time.AfterFunc(crashAfterLeave, primary.crash)
 		time.AfterFunc(crashAfterLeave+crashTime, primary.restart)
 	}
