--- a/operation.go
+++ b/operation.go
@@ -22,6 +22,9 @@
 	// restart. It is not available to clients.
 	OperationPauseReplication
 	OperationResumeReplication // lets a replica receive the log again; not available to clients
+	// OperationStepDown makes the primary a replica, which ends its term without a successor. It is not available to
+	// clients.
+	OperationStepDown
 )
 
 // Operation is one statement, sent by a client or by the system itself.
@@ -34,7 +37,7 @@
 	Name         string         `msgpack:"n,omitempty"` // name of a session value or of a prepared statement
 	Argument     string         `msgpack:"a,omitempty"` // Set: value; Prepare: statement text; Execute: arguments
 	PreparedText string         `msgpack:"s,omitempty"` // Execute: text of the prepared statement
-	Term         uint64         `msgpack:"t,omitempty"` // PauseReplication: term above the latest that the member knows
+	Term         uint64         `msgpack:"t,omitempty"` // PauseReplication, StepDown: term above the latest that the member knows
 	MinPosition  CommitPosition `msgpack:"p"`           // position that the member's log must contain; zero for none
 }
 
--- a/watch.go
+++ b/watch.go
@@ -21,6 +21,9 @@
 	// process that identified itself with ClockEpoch; other processes ignore them.
 	Positions  []PositionReport `msgpack:"x,omitempty"`
 	ClockEpoch uint64           `msgpack:"k,omitempty"`
+	// Acknowledged are the newest positions up to which the sender, or a proxy that watches it, knows every commit to be
+	// acknowledged.
+	Acknowledged []AcknowledgedPosition `msgpack:"q,omitempty"`
 	// Relay is true if the sender is a control instance that answers the watches of other proxies. Proxy is then empty.
 	Relay   bool           `msgpack:"y,omitempty"`
 	Relayed []RelayedProxy `msgpack:"z,omitempty"` // proxies that watch the sender
@@ -52,6 +55,15 @@
 	RequestedAt time.Duration // the position was requested at this time or later; see ClockEpoch of the message
 }
 
+// AcknowledgedPosition is a lower bound of what the primary of a service has acknowledged: a commit that was sent to the
+// primary after it had reached this position was acknowledged, and replicas receive commits in order.
+type AcknowledgedPosition struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // option of the codec: no field names, since the leader gets it twice a second
+
+	Service  string
+	Position CommitPosition
+}
+
 // WatchResponse carries the changes that the leader of the control group knows.
 type WatchResponse struct {
 	// Leader is set if the responding instance can't answer because it isn't the leader; all other fields are then empty.
