labfailover: log what a promotion order is based on

Each order now logs its lower bound with the source, and every replica that was compared with its address, run, position, the age of the reading and whether it is paused; a started replacement logs for how long the instance has led and how many members it knows; a resumed replica logs whether the instance leads. No decision changes. labfailover and labplatformcontrol pass.

--- a/control/process/labfailover/choice.go
+++ b/control/process/labfailover/choice.go
@@ -1,6 +1,10 @@
 package labfailover
 
-import "laburnumlock.dev/lab"
+import (
+	"time"
+
+	"laburnumlock.dev/lab"
+)
 
 // ReplicaState is the last known state of one replica.
 type ReplicaState struct {
@@ -10,6 +14,8 @@
 	Down     bool               // the last status request showed that the replica doesn't run
 	Primary  bool               // the replica says that it is the primary, so an earlier order has taken effect
 	Ordered  bool               // an earlier order for the replica may still take effect
+	Paused   bool               // the replica receives nothing
+	ReadAt   time.Duration      // time of the last state, on the clock of the replacement
 }
 
 // Choose returns the replica to promote, which must have received at least as much as every other replica. An
--- a/control/process/labfailover/model_test.go
+++ b/control/process/labfailover/model_test.go
@@ -578,6 +578,7 @@
 		PrimaryAnnounced: unconfirmed && p.Primary && !p.Draining && w.clock.Now()-e.LastHeard < 2500*time.Millisecond,
 		Replicas:         w.replicas(p.Member), CurrentReplicas: func() []ReplicaState { return w.replicas(p.Member) },
 		Dialer: w, PromotionClient: w, Orders: modelOrders{w, w.leader}, Logs: ledger, Clock: w.clock, Log: zerolog.New(traceWriter{w}),
+		Leading:      func() bool { return ctx.Err() == nil },
 		OrderPending: unconfirmed && w.pending,
 	}
 
--- a/control/process/labfailover/replacement.go
+++ b/control/process/labfailover/replacement.go
@@ -79,7 +79,9 @@
 	Orders          OrderLog
 	Logs            MemberLogs
 	Clock           lab.Clock // the clock of Logs
-	Log             zerolog.Logger
+	// Leading reports whether this instance leads the control group.
+	Leading func() bool
+	Log     zerolog.Logger
 
 	mutex       sync.Mutex // guards the fields below while replicas are read concurrently
 	connections map[string]lab.MemberConnection
@@ -329,6 +331,8 @@
 // later, so each repetition has a new, higher token, which lets the platform reject the earlier ones.
 func (s *Replacement) promote(ctx context.Context, c lab.Announcement, received lab.CommitPosition) error {
 	for {
+		s.logEvidence(c, received)
+
 		t, err := s.Orders.Order(ctx, s.Service, c.Member, s.FormerPrimary.Member, received)
 		if err != nil {
 			return errors.Newf("record promotion order: %w", err)
@@ -376,6 +380,21 @@
 	}
 }
 
+// logEvidence logs what an order is based on: the lower bound, and each replica with its last position and its age.
+func (s *Replacement) logEvidence(c lab.Announcement, received lab.CommitPosition) {
+	b := s.Logs.Bound(s.Service)
+	s.Log.Info().Str("service", s.Service).Str("candidate", c.Member).Stringer("received", received).
+		Stringer("bound", b.Position).Str("bound_source", b.Source).Str("former", s.FormerPrimary.Member).
+		Bool("primary_serving", s.PrimaryServing).Bool("order_pending", s.OrderPending).Msg("promotion_evidence")
+
+	for _, r := range s.Replicas {
+		s.Log.Info().Str("service", s.Service).Str("member", r.Member.Member).Str("address", r.Member.Address).
+			Uint64("incarnation", r.Member.Incarnation).Bool("readable", r.Readable).Bool("down", r.Down).
+			Bool("paused", r.Paused).Bool("primary", r.Primary).Stringer("received", r.Received).
+			Dur("read_ago", s.Clock.Now()-r.ReadAt).Msg("replica_counted")
+	}
+}
+
 func (s *Replacement) orderPromotion(ctx context.Context, c lab.Announcement, token uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -468,6 +487,7 @@
 	}
 
 	r.Received, r.Primary, r.Ordered = st.Received, st.Primary, r.Member.Member == s.Ordered
+	r.Paused, r.ReadAt = st.Paused, s.Clock.Now()
 	s.Logs.RecordRunning(r.Member)
 	s.Logs.RecordReplica(s.Service, r.Member.Member, st.Received)
 	s.highestTerm = max(s.highestTerm, st.Term)
@@ -541,10 +561,13 @@
 		// Recorded first: the replica may receive again even if the response is lost.
 		s.Logs.RecordPaused(s.Replicas[r].Member, false)
 
-		if _, err := l.Run(time.Now().Add(probeTimeout), lab.Operation{Kind: lab.OperationResumeReplication}); err != nil {
+		_, err := l.Run(time.Now().Add(probeTimeout), lab.Operation{Kind: lab.OperationResumeReplication})
+		if err != nil {
 			s.Log.Warn().Err(err).Str("service", s.Service).Str("member", m).Msg("resume_failed")
 		}
 
+		s.Log.Info().Str("service", s.Service).Str("member", m).Bool("leading", s.Leading()).Msg("replica_resumed")
+
 		l.Close()
 	}
 }
--- a/control/process/labfailover/replacement_test.go
+++ b/control/process/labfailover/replacement_test.go
@@ -152,6 +152,7 @@
 	s := &Replacement{
 		Service: "s", PreferredRegion: "west", PrimaryServing: serves, Dialer: w,
 		PromotionClient: w, Orders: w, Logs: &w.logs, Clock: w.logs.Clock, Log: zerolog.Nop(),
+		Leading: func() bool { return true },
 	}
 	for _, m := range []string{"a", "b"} {
 		s.Replicas = append(s.Replicas, ReplicaState{
--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -167,6 +167,7 @@
 	defer cancel()
 
 	k.Log.Info().Str("service", service).Str("reason", string(v)).Str("former", p.Announcement.Member).
+		Dur("led", k.Clock.Now()-k.participation().group.Leadership().Since).Int("members", len(k.registry.Entries())).
 		Int("failing", e.FailingProxies).Int("reaching", e.ReachingProxies).Dur("probes_fail", e.ProbesFailedFor).
 		Dur("silent", k.silentFor(p)).Msg("replacement_started")
 
@@ -176,8 +177,8 @@
 		PrimaryAnnounced: v == labfailover.ReasonOrderUnconfirmed && p.Announcement.Primary && !p.Announcement.Draining &&
 			k.silentFor(p) < announcedMaxAge,
 		Dialer: k.Dialer, PromotionClient: k.PromotionClient, Orders: orderLog{k}, Logs: &k.memberLogs, Clock: k.Clock, Log: k.Log,
-		CurrentReplicas: func() []labfailover.ReplicaState { return k.replicas(service, p) },
-		OrderPending:    k.orderPending(service, e.OrderUnconfirmed),
+		CurrentReplicas: func() []labfailover.ReplicaState { return k.replicas(service, p) }, Leading: k.Leading,
+		OrderPending: k.orderPending(service, e.OrderUnconfirmed),
 	}
 	defer func() { k.recordReplacement(service, s.OrderPending) }()
 
