labpool: know which position a member's acknowledged writes prove

A connection remembers the newest position that the member was known to have before an operation was sent. If the member acknowledges a write outside a transaction, or the commit of a transaction that wrote, everything up to that position is at a replica, since replicas receive in order and the commit is after it. The position in the result itself is not used: it may include commits that no replica has. This covers prepared writes and statements relayed for other proxies, which use the same connections. The positions are kept under the lock that each operation takes anyway.

--- a/proxy/connection/labpool/conn.go
+++ b/proxy/connection/labpool/conn.go
@@ -19,6 +19,9 @@
 // maxPrepared bounds the prepared statements on a connection. A connection with more is reset before its next use.
 const maxPrepared = 200
 
+// noProof is sent by members in place of a proof.
+const noProof = "-"
+
 // Conn is a connection of a pool. At most one session uses it at a time.
 type Conn struct {
 	pool              *Pool
@@ -27,6 +30,8 @@
 	valuesUnconfirmed bool                    // values were sent but not confirmed, so those at the member are unknown
 	preparedNames     map[statementKey]string // names of the prepared statements on this connection, by content
 	lastUsed          time.Time
+	known             lab.CommitPosition // newest position of the member that was known before the next operation is sent
+	wrote             bool               // a write has run in the open transaction
 }
 
 var _ lab.PooledConnection = (*Conn)(nil)
@@ -65,8 +70,10 @@
 	r, err := c.connection.Run(deadline, sent...)
 	c.lastUsed = time.Now()
 
+	acknowledged := c.recordResults(sent, r, err)
+
 	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		c.pool.observeLatency(c.lastUsed.Sub(started)) // a timeout counts too, otherwise a busy member would seem fast
+		c.pool.observe(c, c.lastUsed.Sub(started), acknowledged) // a timeout counts too, otherwise a busy member would seem fast
 	}
 
 	if err != nil {
@@ -76,6 +83,48 @@
 	return c.withoutAdded(r, added), nil
 }
 
+// recordResults records the positions in the results of operations that were sent together. If the member acknowledged a
+// commit, recordResults returns the position that the member was known to have before the operations were sent: the
+// commit is after it, so a replica that has received the commit has everything up to there. The position in the result
+// of the commit may include commits of other sessions that no replica has received.
+func (c *Conn) recordResults(sent []lab.Operation, r []lab.OperationResult, err error) (acknowledged lab.CommitPosition) {
+	if err != nil {
+		c.wrote = false // the connection is closed or rolled back
+
+		return lab.CommitPosition{}
+	}
+
+	before := c.known
+
+	for i := range r {
+		// A log without the known position is not the one in which it was seen.
+		if c.commits(sent[i], r[i]) && before.Before(r[i].Position) {
+			acknowledged = before
+		}
+
+		c.known = latest(c.known, r[i].Position)
+	}
+
+	return acknowledged
+}
+
+// commits reports whether the result of an operation proves that the member has committed a write.
+func (c *Conn) commits(o lab.Operation, r lab.OperationResult) bool {
+	wrote, proven := c.wrote, r.Fault == lab.FaultNone && r.Proof != "" && r.Proof != noProof
+	writes := proven && (o.Kind == lab.OperationWrite || (o.Kind == lab.OperationExecute && o.Writes))
+	c.wrote = r.Status == lab.StatusInTransaction && (wrote || writes)
+
+	return r.Status == lab.StatusIdle && (writes || (proven && wrote && o.Kind == lab.OperationCommit))
+}
+
+func latest(a, b lab.CommitPosition) lab.CommitPosition {
+	if a.Before(b) {
+		return b
+	}
+
+	return a
+}
+
 // applyValues sets the session values at the member and waits for the confirmation. Without the wait, a statement could
 // run with the values of another session.
 func (c *Conn) applyValues(deadline time.Time, values map[string]string) error {
--- a/proxy/connection/labpool/pool.go
+++ b/proxy/connection/labpool/pool.go
@@ -40,6 +40,9 @@
 	conn     chan *Conn // receives the connection, or nil if the request must try again
 }
 
+// pingOperations are the operations of Ping.
+var pingOperations = []lab.Operation{{Kind: lab.OperationBegin}, {Kind: lab.OperationRollback}}
+
 // ErrNoConnection is returned when no connection became free before the deadline, the member is down or the pool is
 // closed.
 var ErrNoConnection = errors.New("no connection to the member is free")
@@ -62,9 +65,11 @@
 	typicalLatency    time.Duration // moving average of the time from sending operations to their response
 	lastObserved      time.Time     // time of the last change of typicalLatency
 	closed            bool
-	lastAboveRetained time.Time     // last time when a request made inUse exceed RetainedConnections
-	nextDial          time.Time     // time before which no dial starts; it is set after a failed dial
-	retryDelay        time.Duration // pause after the last failed dial, 0 after a successful one
+	lastAboveRetained time.Time          // last time when a request made inUse exceed RetainedConnections
+	nextDial          time.Time          // time before which no dial starts; it is set after a failed dial
+	retryDelay        time.Duration      // pause after the last failed dial, 0 after a successful one
+	known             lab.CommitPosition // newest position in any response of the member
+	acknowledged      lab.CommitPosition // position that Acknowledged returns
 }
 
 var _ lab.ConnectionPool = (*Pool)(nil)
@@ -122,6 +127,7 @@
 		}
 
 		p.countUseLocked()
+		p.joinKnownLocked(c)
 
 		return c, nil, nil
 	}
@@ -155,13 +161,29 @@
 	p.waiters = slices.Insert(p.waiters, at, w)
 }
 
-// observeLatency adds the duration of a round trip to the moving average.
-func (p *Pool) observeLatency(d time.Duration) {
+// observe adds the duration of a round trip to the moving average, and records the member's positions.
+func (p *Pool) observe(c *Conn, d time.Duration, acknowledged lab.CommitPosition) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
 	p.typicalLatency += (d - p.typicalLatency) / latencyWindow
 	p.lastObserved = time.Now()
+	p.acknowledged = latest(p.acknowledged, acknowledged)
+	p.joinKnownLocked(c)
+}
+
+func (p *Pool) joinKnownLocked(c *Conn) {
+	p.known = latest(p.known, c.known)
+	c.known = p.known
+}
+
+// Acknowledged returns the newest position up to which every commit is known to be acknowledged, from the responses to
+// writes on the pool's connections. It is zero if there is none.
+func (p *Pool) Acknowledged() lab.CommitPosition {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	return p.acknowledged
 }
 
 // TypicalLatency returns the moving average of the time from sending operations to their response. The value decays
@@ -266,6 +288,8 @@
 // offerLocked passes an unused connection to the first waiting request. If none waits, it adds the connection to the
 // idle ones.
 func (p *Pool) offerLocked(c *Conn) {
+	p.joinKnownLocked(c)
+
 	if len(p.waiters) > 0 {
 		p.waiters[0].conn <- c
 		p.waiters = p.waiters[1:]
@@ -341,8 +365,9 @@
 		return lab.OperationResult{}, false, nil
 	}
 
-	r, err := c.connection.Run(deadline, lab.Operation{Kind: lab.OperationBegin}, lab.Operation{Kind: lab.OperationRollback})
+	r, err := c.connection.Run(deadline, pingOperations...)
 	c.lastUsed = time.Now()
+	c.recordResults(pingOperations, r, err)
 
 	switch {
 	case err != nil:
