labdirectory: collect acknowledged positions by service

AcknowledgedPositions joins the positions of the pools of a service. Those of members that have ended or been replaced stay, also if a response comes after the end of the pool.

--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -77,6 +77,9 @@
 	history labpositionhistory.History
 	// lastRead is the time of the last read that needed a position of the primary.
 	lastRead time.Duration
+	// acknowledged is the newest position that a pool in closedPools or a removed one has seen acknowledged.
+	acknowledged lab.CommitPosition
+	closedPools  []*labpool.Pool // pools of former incarnations on which statements may still run
 }
 
 // member is the state of one incarnation of a member. Points in time are on the directory's clock.
@@ -207,7 +210,7 @@
 	}
 
 	if ok {
-		m.pool.Close()
+		s.closePool(m.pool)
 	}
 
 	n := &member{announcement: a, leavingSince: d.Clock.Now()}
@@ -254,7 +257,7 @@
 		return
 	}
 
-	m.pool.Close()
+	s.closePool(m.pool)
 	delete(s.members, id)
 	d.Log.Info().Str("service", name).Str("member", id).Msg("member_dropped")
 }
