labsubscriber: report acknowledged positions with each watch

A watch carries the positions that changed since the last request that the same run of the same control instance answered in the same leader epoch, and all of them otherwise, so that a new leader learns them with one watch. A primary that becomes unreachable interrupts the watch as before, so the newest positions come with the report of the failure.

TestSender and TestAcknowledged fail without the reset at another epoch, process, nearer instance or after a failure, and if a position counts as learned when it is sent.

--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labbounds"
 	"laburnumlock.dev/lab/process/labpack"
 	"laburnumlock.dev/lab/process/labpeerclock"
 	"laburnumlock.dev/lab/proxy/process/labdirectory"
@@ -73,6 +74,7 @@
 	disconnected     bool                     // whether the last watch failed
 	failedSearches   int                      // number of failed searches since the last response
 	controlClock     labpeerclock.Clock       // clock of the instance that answered last
+	bounds           labbounds.Sender         // acknowledged positions that the current instance has learned
 }
 
 func (s *Subscriber) prepare() {
@@ -128,6 +130,7 @@
 	}
 
 	s.disconnected = true
+	s.bounds.Reset()
 
 	if s.current != "" {
 		s.failedAt[s.current] = s.Clock.Now()
@@ -148,9 +151,9 @@
 
 	var a lab.WatchResponse
 
-	sentAt := s.Clock.Now()
+	sentAt, r := s.Clock.Now(), s.request(watchWait)
 
-	interrupted, err := s.callWatch(ctx, s.current, s.request(watchWait), &a)
+	interrupted, err := s.callWatch(ctx, s.current, r, &a)
 	if interrupted {
 		return nil
 	}
@@ -163,6 +166,8 @@
 		return errors.Newf("%s can't answer", s.current)
 	}
 
+	s.bounds.RecordResponse(a.ClockEpoch, a.LeaderEpoch, r.Acknowledged)
+
 	return s.apply(a, sentAt)
 }
 
@@ -174,6 +179,7 @@
 
 	if c := s.instances(); len(c) > 0 && s.distance(c[0]) < s.distance(s.current) && !s.failedRecently(c[0]) {
 		s.current = c[0]
+		s.bounds.Reset()
 	}
 }
 
@@ -223,6 +229,7 @@
 		ConfigurationVersion: s.Directory.Version(), MaxWait: wait,
 		Draining: s.draining.Load(), Primaries: s.Directory.PrimaryReports(),
 		Positions: s.positionReports(), ClockEpoch: s.controlClock.Epoch(),
+		Acknowledged: s.bounds.Changed(s.Directory.AcknowledgedPositions()),
 	}
 }
 
@@ -281,6 +288,7 @@
 		case f := <-responses:
 			if f != nil {
 				s.current = f.address
+				s.bounds.RecordResponse(f.response.ClockEpoch, f.response.LeaderEpoch, request.Acknowledged)
 
 				return s.apply(f.response, f.sentAt)
 			}
