labmemberlogs: forbid candidates below what proxies have seen acknowledged

RecordAcknowledged raises the bound of a service, with the source "proxies". A position that is known already changes nothing, so a report that is repeated doesn't prolong the bound.

--- a/control/process/labmemberlogs/ledger.go
+++ b/control/process/labmemberlogs/ledger.go
@@ -94,6 +94,17 @@
 	}
 }
 
+// RecordAcknowledged records a position up to which proxies have seen every commit acknowledged. It has no effect if the
+// position is known already.
+func (l *Ledger) RecordAcknowledged(name string, position lab.CommitPosition) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if s := l.serviceLocked(name); s.bound.Position.Before(position) {
+		s.bound, s.seenAt = Bound{position, "proxies"}, l.Clock.Now()
+	}
+}
+
 // RecordPromotion records the state of a member that has become the primary. What other members had beyond it is rolled
 // back, so earlier positions no longer count. The promotion also ends each pause.
 func (l *Ledger) RecordPromotion(name, member string, state lab.MemberState) {
--- a/control/process/labmemberlogs/ledger_test.go
+++ b/control/process/labmemberlogs/ledger_test.go
@@ -44,6 +44,27 @@
 		assert.Equal(t, l.Bound("s"), Bound{at(1, 8), "b"})
 	})
 
+	t.Run("acknowledged at proxies", func(t *testing.T) {
+		l, c := start()
+		l.RecordReplica("s", "a", at(1, 7))
+		l.RecordAcknowledged("s", at(1, 6))
+		assert.Equal(t, l.Bound("s"), Bound{at(1, 7), "a"})
+		l.RecordAcknowledged("s", at(1, 8))
+		assert.Equal(t, l.Bound("s"), Bound{at(1, 8), "proxies"})
+		assert.Equal(t, l.Bound("t"), Bound{})
+		c.now += labmembers.ExpireAfter
+		l.RecordAcknowledged("s", at(1, 8))
+		c.now++
+		assert.Equal(t, l.Bound("s"), Bound{}, "the same report is not a newer observation")
+	})
+
+	t.Run("acknowledged in a term that has ended", func(t *testing.T) {
+		l, _ := start()
+		l.RecordPromotion("s", "b", lab.MemberState{Term: 2, Received: at(2, 5)})
+		l.RecordAcknowledged("s", at(1, 9))
+		assert.Equal(t, l.Bound("s"), Bound{at(2, 5), "b"})
+	})
+
 	t.Run("a promotion rolls back what is beyond it", func(t *testing.T) {
 		l, _ := start()
 		l.RecordReplica("s", "a", at(1, 7))
