labplatformcontrol: pass acknowledged positions to each leader

Each control instance records the acknowledged positions in the watches that it receives, as bounds of its own ledger, and joins them by maximum. Its watch at the leader carries those that have changed, and all of them to another leader or in another epoch. Services that a new version of the document doesn't have are removed.

TestAcknowledgedPositions (three instances, the leader stops) and TestRelayAcknowledged fail with each guard taken out: maximum, passing on, reset at another leader, learned without a response, services removed, a service that is unknown here yet, ledger not told.

--- a/control/process/labplatformcontrol/relay.go
+++ b/control/process/labplatformcontrol/relay.go
@@ -13,6 +13,7 @@
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labpositions"
 	"laburnumlock.dev/lab/control/process/labvoters"
+	"laburnumlock.dev/lab/process/labbounds"
 	"laburnumlock.dev/lab/process/labpack"
 	"laburnumlock.dev/lab/process/labpeerclock"
 )
@@ -52,6 +53,11 @@
 	clock      labpeerclock.Clock
 	observed   labpositions.Board // positions reported by the watching proxies, on this process's clock
 	watching   map[lab.InstanceID]*watchingProxy
+	// acknowledged are the newest acknowledged positions in any watch at this instance, by service.
+	acknowledged map[string]lab.CommitPosition
+	// acknowledgedVersion is the version of the document by which services were last removed from acknowledged.
+	acknowledgedVersion uint64
+	bounds              labbounds.Sender // acknowledged positions that the leader has learned
 }
 
 // relayedChange is a change of the list of proxies as the leader sent it.
@@ -76,7 +82,10 @@
 }
 
 func newRelay(k *Controller) *relay {
-	return &relay{controller: k, interrupt: make(chan struct{}, 1), watching: map[lab.InstanceID]*watchingProxy{}}
+	return &relay{
+		controller: k, interrupt: make(chan struct{}, 1), watching: map[lab.InstanceID]*watchingProxy{},
+		acknowledged: map[string]lab.CommitPosition{},
+	}
 }
 
 // run watches the leader while another instance is the leader.
@@ -159,8 +168,12 @@
 				r.Positions = append(r.Positions, p)
 			}
 		}
+	} else {
+		y.bounds.Reset()
 	}
 
+	r.Acknowledged = y.bounds.Changed(y.acknowledgedLocked())
+
 	r.ConfigurationVersion = y.controller.participation().state.Document().Version
 
 	return r, y.addRelayed(&r, now)
@@ -205,6 +218,8 @@
 
 	now := y.controller.Clock.Now()
 
+	y.bounds.RecordResponse(a.ClockEpoch, a.LeaderEpoch, r.Acknowledged)
+
 	if err := y.storeProxies(r, a); err != nil {
 		return errors.Newf("read list of proxies: %w", err)
 	}
--- a/control/process/labplatformcontrol/watch.go
+++ b/control/process/labplatformcontrol/watch.go
@@ -74,6 +74,8 @@
 		k.recordPositions(r.Positions, receivedAt)
 	}
 
+	k.recordAcknowledged(r.Acknowledged)
+
 	if !k.Leading() {
 		k.relay.record(r, receivedAt)
 
