labfailover: resume no replica after the leader is deposed

Callers lost acknowledged commits: a promoted member lacked those that a running replica had. A leader that had been suspended in its attempt, or cut off, ended it when its order couldn't be recorded, and resumed the replicas it had paused. By then its successor, elected seconds before, had paused them for an order of its own; the former primary went on acknowledging through the resumed replica until that order took effect.

An instance that doesn't lead now leaves the replicas paused. TestRun, the leader is deposed, fails without the check.

--- a/control/process/labfailover/replacement.go
+++ b/control/process/labfailover/replacement.go
@@ -79,7 +79,7 @@
 	Orders          OrderLog
 	Logs            MemberLogs
 	Clock           lab.Clock // the clock of Logs
-	// Leading reports whether this instance leads the control group.
+	// Leading reports whether this instance leads the control group. An instance that doesn't must not resume replicas.
 	Leading func() bool
 	Log     zerolog.Logger
 
@@ -551,8 +551,9 @@
 			continue
 		}
 
-		if s.OrderPending {
-			s.Log.Info().Str("service", s.Service).Str("member", m).Msg("replica_left_paused")
+		// The next leader may have paused the replica for an order of its own.
+		if s.OrderPending || !s.Leading() {
+			s.Log.Info().Str("service", s.Service).Str("member", m).Bool("order_pending", s.OrderPending).Msg("replica_left_paused")
 			l.Close()
 
 			continue
@@ -566,7 +567,7 @@
 			s.Log.Warn().Err(err).Str("service", s.Service).Str("member", m).Msg("resume_failed")
 		}
 
-		s.Log.Info().Str("service", s.Service).Str("member", m).Bool("leading", s.Leading()).Msg("replica_resumed")
+		s.Log.Info().Str("service", s.Service).Str("member", m).Msg("replica_resumed")
 
 		l.Close()
 	}
--- a/control/process/labfailover/replacement_test.go
+++ b/control/process/labfailover/replacement_test.go
@@ -31,6 +31,7 @@
 	connections    map[string]*fakeConnection
 	rejectOrders   bool
 	ignoresPause   bool
+	deposed        bool                     // another instance leads the control group
 	onOrder        func(member string) bool // called with each order, with the mutex held; reports whether it takes effect
 	lastToken      uint64
 	confirmedToken uint64
@@ -124,6 +125,10 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
+	if w.deposed {
+		return 0, lab.ErrOutcomeUnknown
+	}
+
 	w.lastToken += 10
 
 	return w.lastToken, nil
@@ -152,7 +157,7 @@
 	s := &Replacement{
 		Service: "s", PreferredRegion: "west", PrimaryServing: serves, Dialer: w,
 		PromotionClient: w, Orders: w, Logs: &w.logs, Clock: w.logs.Clock, Log: zerolog.Nop(),
-		Leading: func() bool { return true },
+		Leading: func() bool { return !w.deposed },
 	}
 	for _, m := range []string{"a", "b"} {
 		s.Replicas = append(s.Replicas, ReplicaState{
@@ -269,6 +274,17 @@
 		assert.DeepEqual(t, ordered, []string{"b", "a"})
 	})
 
+	// Guards against losing commits that a replica acknowledges after a deposed leader, whose attempt fails at last, has
+	// resumed it: the next leader had paused it for an order of its own.
+	t.Run("the leader is deposed", func(t *testing.T) {
+		w := newFakeService(map[string]uint64{"a": 4, "b": 7})
+		w.deposed = true
+
+		_, err := w.replacement(false).Run(context.Background())
+		assert.ErrorIs(t, err, lab.ErrOutcomeUnknown)
+		assert.Assert(t, w.paused["a"])
+	})
+
 	// A pause with a term that the replica has left behind has no effect.
 	t.Run("a replica does not pause", func(t *testing.T) {
 		w := newFakeService(map[string]uint64{"a": 4, "b": 7})
