labgroupstate: record who can hold commits, who led, and open attempts

A new leader of the control group knew of the members only what it had heard itself or had on its own disk. The replicated state now has, for each service, the members whose logs can have acknowledged commits (one holder an address, since a successor has the log of the member before it), the last member that is known to have led with its address, and whether replicas may be paused. An order can be conditional on the newest order that its sender knows.

TestHolders, TestAttempt and TestConditionalOrder cover them.

--- a/control/version/labgroupstate/state.go
+++ b/control/version/labgroupstate/state.go
@@ -1,6 +1,9 @@
 package labgroupstate
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -14,16 +17,29 @@
 	Service       string `msgpack:"s"`
 	Member        string `msgpack:"m"`
 	FormerPrimary string `msgpack:"f"` // name of the primary when the order was recorded
+	Address       string `msgpack:"a"` // address of the member
 	Token         uint64 `msgpack:"t"` // fencing token of the order
 	Confirmed     bool   `msgpack:"d"` // the member has become the primary
 	// Received is the position of the last commit that the member had received when the order was recorded.
 	Received lab.CommitPosition `msgpack:"r"`
 }
 
+// Leader is a member that has led a service.
+type Leader struct {
+	Member  string `msgpack:"m"`
+	Address string `msgpack:"a"` // address at which it led
+}
+
+// ErrSuperseded is the result of an order if another one has been recorded since the sender last knew of one.
+var ErrSuperseded = errors.New("another order has been recorded")
+
 // contents holds the data of a State. A snapshot is its encoded form.
 type contents struct {
 	Document   Document             `msgpack:"d"`
 	Promotions map[string]Promotion `msgpack:"p"` // newest promotion order of each service, by service name
+	Holders    map[string][]Holder  `msgpack:"h"` // holders of each service, sorted by address
+	Primaries  map[string]Leader    `msgpack:"l"` // last member of each service that is known to have led
+	Attempts   map[string]bool      `msgpack:"a"` // services whose replicas may be paused
 }
 
 // State implements lab.StateMachine. Its methods are safe for concurrent use.
@@ -37,7 +53,7 @@
 
 var _ lab.StateMachine = (*State)(nil)
 
-// Apply applies a command. For an order, it returns the fencing token. For a document or a confirmation, it returns
+// Apply applies a command. For an order, it returns the fencing token, or ErrSuperseded. For a document or a confirmation, it returns
 // whether the command changed the state. For an entry that can't be decoded, it returns an error.
 func (r *State) Apply(index uint64, command []byte) any {
 	var c Command
@@ -58,9 +74,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 
-	if r.contents.Promotions == nil {
-		r.contents.Promotions = map[string]Promotion{}
-	}
+	r.contents.initialize()
 
 	switch {
 	case c.Document != nil:
@@ -72,9 +86,13 @@
 
 		return true
 	case c.Order != nil:
+		if c.Order.Conditional && c.Order.After != r.contents.Promotions[c.Order.Service].Token {
+			return ErrSuperseded
+		}
+
 		r.contents.Promotions[c.Order.Service] = Promotion{
-			Service: c.Order.Service, Member: c.Order.Member, FormerPrimary: c.Order.FormerPrimary, Token: index,
-			Received: c.Order.Received,
+			Service: c.Order.Service, Member: c.Order.Member, FormerPrimary: c.Order.FormerPrimary, Address: c.Order.Address,
+			Token: index, Received: c.Order.Received,
 		}
 
 		return index
@@ -85,7 +103,19 @@
 		}
 
 		p.Confirmed = true
-		r.contents.Promotions[c.OrderConfirmed.Service] = p
+		r.contents.Promotions[p.Service], r.contents.Primaries[p.Service] = p, Leader{p.Member, p.Address}
+
+		return true
+	case c.Holders != nil:
+		r.contents.changeHolders(c.Holders)
+
+		return true
+	case c.Attempt != nil:
+		if c.Attempt.Open {
+			r.contents.Attempts[c.Attempt.Service] = true
+		} else {
+			delete(r.contents.Attempts, c.Attempt.Service)
+		}
 
 		return true
 	}
@@ -93,6 +123,50 @@
 	return nil
 }
 
+// initialize creates the maps that a new state or an older snapshot lacks.
+func (c *contents) initialize() {
+	if c.Promotions == nil {
+		c.Promotions = map[string]Promotion{}
+	}
+
+	if c.Holders == nil {
+		c.Holders = map[string][]Holder{}
+	}
+
+	if c.Primaries == nil {
+		c.Primaries = map[string]Leader{}
+	}
+
+	if c.Attempts == nil {
+		c.Attempts = map[string]bool{}
+	}
+}
+
+func (c *contents) changeHolders(change *HoldersChange) {
+	for _, h := range change.Removed {
+		c.Holders[h.Service] = slices.DeleteFunc(slices.Clone(c.Holders[h.Service]), func(o Holder) bool {
+			return o.Address == h.Address && o.Member == h.Member
+		})
+
+		if len(c.Holders[h.Service]) == 0 {
+			delete(c.Holders, h.Service)
+			delete(c.Primaries, h.Service)
+		}
+	}
+
+	for _, h := range change.Set {
+		all := slices.DeleteFunc(slices.Clone(c.Holders[h.Service]), func(o Holder) bool { return o.Address == h.Address })
+		all = append(all, h)
+		slices.SortFunc(all, func(a, b Holder) int { return strings.Compare(a.Address, b.Address) })
+		c.Holders[h.Service] = all
+
+		// The first primary is the only one that no order names.
+		if _, known := c.Primaries[h.Service]; h.Primary && !known {
+			c.Primaries[h.Service] = Leader{h.Member, h.Address}
+		}
+	}
+}
+
 // Snapshot encodes the whole state.
 func (r *State) Snapshot() ([]byte, error) {
 	r.mutex.Lock()
@@ -141,3 +215,27 @@
 
 	return p, ok
 }
+
+// Holders returns the holders of all services, by service name.
+func (r *State) Holders() map[string][]Holder {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return maps.Clone(r.contents.Holders)
+}
+
+// Primary returns the last member of a service that is known to have led. It is empty if none is known.
+func (r *State) Primary(service string) Leader {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return r.contents.Primaries[service]
+}
+
+// AttemptOpen reports whether replicas of a service may be paused.
+func (r *State) AttemptOpen(service string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return r.contents.Attempts[service]
+}
--- a/control/version/labgroupstate/state_test.go
+++ b/control/version/labgroupstate/state_test.go
@@ -43,6 +43,22 @@
 	assert.Assert(t, p.Confirmed && p.Member == "b")
 }
 
+// TestConditionalOrder guards against an order that rests on what its sender knew before another leader's order.
+func TestConditionalOrder(t *testing.T) {
+	r := &State{}
+	order := func(after uint64) Command {
+		return Command{Order: &Order{Service: "s", Member: "a", After: after, Conditional: true}}
+	}
+
+	assert.Equal(t, apply(t, r, 7, order(0)), uint64(7))
+	assert.Equal(t, apply(t, r, 8, order(0)), ErrSuperseded)
+	assert.Equal(t, apply(t, r, 9, order(7)), uint64(9))
+	assert.Equal(t, apply(t, r, 10, order(7)), ErrSuperseded)
+
+	p, _ := r.Promotion("s")
+	assert.Equal(t, p.Token, uint64(9))
+}
+
 func TestSnapshot(t *testing.T) {
 	r := &State{}
 	apply(t, r, 1, document(5, "five"))
@@ -58,3 +74,71 @@
 	p, ok := o.Promotion("s")
 	assert.Assert(t, ok && p.Token == 2)
 }
+
+func holder(member, address string, primary bool) Holder {
+	return Holder{Service: "s", Member: member, Address: address, Primary: primary}
+}
+
+func TestHolders(t *testing.T) {
+	start := func(t *testing.T) *State {
+		t.Helper()
+
+		r := &State{}
+		apply(t, r, 1, Command{Holders: &HoldersChange{Set: []Holder{holder("b", "2", false), holder("a", "1", true)}}})
+
+		return r
+	}
+
+	t.Run("sorted by address", func(t *testing.T) {
+		assert.DeepEqual(t, start(t).Holders()["s"], []Holder{holder("a", "1", true), holder("b", "2", false)})
+	})
+
+	t.Run("a successor takes the place of the member before it", func(t *testing.T) {
+		r := start(t)
+		apply(t, r, 2, Command{Holders: &HoldersChange{Set: []Holder{holder("c", "2", false)}}})
+		apply(t, r, 3, Command{Holders: &HoldersChange{Removed: []Holder{holder("b", "2", false)}}})
+		assert.DeepEqual(t, r.Holders()["s"], []Holder{holder("a", "1", true), holder("c", "2", false)})
+	})
+
+	t.Run("removed", func(t *testing.T) {
+		r := start(t)
+		before := r.Holders()["s"]
+		apply(t, r, 2, Command{Holders: &HoldersChange{Removed: []Holder{holder("a", "1", true)}}})
+		assert.DeepEqual(t, r.Holders()["s"], []Holder{holder("b", "2", false)})
+		assert.Equal(t, len(before), 2, "a list that was handed out doesn't change")
+		apply(t, r, 3, Command{Holders: &HoldersChange{Removed: []Holder{holder("b", "2", false)}}})
+		assert.Equal(t, len(r.Holders()), 0)
+	})
+
+	t.Run("address of the primary", func(t *testing.T) {
+		r := start(t)
+		assert.Equal(t, r.Primary("s"), Leader{"a", "1"})
+		apply(t, r, 2, Command{Holders: &HoldersChange{Set: []Holder{holder("c", "2", true)}}})
+		assert.Equal(t, r.Primary("s"), Leader{"a", "1"}, "only an order changes the primary")
+		apply(t, r, 3, Command{Order: &Order{Service: "s", Member: "c", Address: "2"}})
+		assert.Equal(t, r.Primary("s"), Leader{"a", "1"})
+		apply(t, r, 4, Command{OrderConfirmed: &OrderConfirmed{Service: "s", Token: 3}})
+		assert.Equal(t, r.Primary("s"), Leader{"c", "2"})
+	})
+
+	t.Run("kept in a snapshot", func(t *testing.T) {
+		r, o := start(t), &State{}
+		apply(t, r, 2, Command{Attempt: &Attempt{Service: "s", Open: true}})
+
+		b, err := r.Snapshot()
+		assert.NilError(t, err)
+		assert.NilError(t, o.Restore(b))
+		assert.DeepEqual(t, o.Holders(), r.Holders())
+		assert.Equal(t, o.Primary("s"), Leader{"a", "1"})
+		assert.Assert(t, o.AttemptOpen("s"))
+	})
+}
+
+func TestAttempt(t *testing.T) {
+	r := &State{}
+	assert.Assert(t, !r.AttemptOpen("s"))
+	apply(t, r, 1, Command{Attempt: &Attempt{Service: "s", Open: true}})
+	assert.Assert(t, r.AttemptOpen("s") && !r.AttemptOpen("t"))
+	apply(t, r, 2, Command{Attempt: &Attempt{Service: "s"}})
+	assert.Assert(t, !r.AttemptOpen("s"))
+}
