labplatformcontrol: don't write the stored list in a test while the instance does

The test writes the list of an instance that is running, and the instance stores the change of the subtest before it up to 0.5 s later under the same temporary name. Only the instance's own loop writes the file in the product.

The test now waits until the instance has stored its own list. It still loads the odd list and checks what is listed.

--- a/control/process/labplatformcontrol/announcements_test.go
+++ b/control/process/labplatformcontrol/announcements_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -97,6 +99,13 @@
 
 		b, err := msgpack.Marshal(all)
 		assert.NilError(t, err)
+		c.eventually("the instance has stored its own list", func() bool {
+			var stored []lab.Announcement
+
+			b, err := os.ReadFile(filepath.Join(k.DataFolder, membersFile))
+
+			return err == nil && msgpack.Unmarshal(b, &stored) == nil && len(stored) == 1 && stored[0] == valid
+		})
 		assert.NilError(t, replaceFile(k.DataFolder, membersFile, b))
 		k.loadLists()
 		assertListed(follower)
