labmembers: follow a member that starts again with its clock set back

Callers' requests reached a leaving member up to 1.5 s after the end of its period. A member that had started again with its clock set back by minutes counted as an earlier start of itself, since starts are ordered by the member's clock: for up to a minute its announcements, that of its leaving among them, were acknowledged and had no effect.

An announcement of a lower incarnation now counts if the known one has been silent for 3 s; until then it is refused, so that the member isn't told that its leaving is known. A member that has ended stays so, and a late announcement of an earlier start has no effect while the later one is heard from. TestClockSetBack fails without the change (its second subtest).

--- a/control/process/labmembers/registry.go
+++ b/control/process/labmembers/registry.go
@@ -56,7 +56,7 @@
 	}
 
 	old, known := r.entries[a.Member]
-	if known && !supersedes(a, old.Announcement) {
+	if known && !supersedes(a, old.Announcement) && !startedAgain(a, old, heard) {
 		return false, false
 	}
 
@@ -102,6 +102,27 @@
 	return e
 }
 
+// silentAfter is how long a running member can be silent. It announces itself every 1.2 s, and a second later to another
+// instance if it gets no response.
+const silentAfter = 3 * time.Second
+
+// startedAgain reports whether an announcement of a lower incarnation is that of a member that has started again with its
+// clock set back. While the known incarnation is heard from, the announcement is a late one of an earlier start.
+func startedAgain(a lab.Announcement, old *Entry, heard time.Duration) bool {
+	return a.Incarnation > 0 && a.Incarnation < old.Announcement.Incarnation && !a.Terminated && !old.Announcement.Terminated &&
+		heard-old.LastHeard > silentAfter
+}
+
+// Outdated reports whether a later incarnation of a member is known than the one that an announcement is from.
+func (r *Registry) Outdated(a lab.Announcement) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	e, known := r.entries[a.Member]
+
+	return known && !a.Terminated && a.Incarnation < e.Announcement.Incarnation
+}
+
 // supersedes reports whether a is newer than b. An announcement with Terminated set and without an incarnation
 // terminates the known incarnation.
 func supersedes(a, b lab.Announcement) bool {
--- a/control/process/labmembers/registry_test.go
+++ b/control/process/labmembers/registry_test.go
@@ -137,6 +137,54 @@
 	assert.Equal(t, len(r.Entries()), 0)
 }
 
+// TestClockSetBack guards against ignoring a member that has started again with its clock set back: its leaving was
+// acknowledged, and it went on getting requests. TestPromotionSoak in platform showed this with the seeds 321 and 322.
+func TestClockSetBack(t *testing.T) {
+	start := func() (*Registry, *manualClock) {
+		c := &manualClock{now: time.Hour}
+		r := &Registry{Clock: c}
+		r.Apply(announcement("a", "1:1", 20, 5), 0)
+
+		return r, c
+	}
+
+	restarted := with(announcement("a", "1:1", 10, 1), leaving)
+
+	t.Run("the known incarnation was heard from", func(t *testing.T) {
+		r, c := start()
+		c.now += silentAfter
+		newer, _ := r.Apply(restarted, 0)
+		assert.Assert(t, !newer && r.Outdated(restarted))
+	})
+
+	t.Run("the known incarnation is silent", func(t *testing.T) {
+		r, c := start()
+		c.now += silentAfter + 1
+		newer, changed := r.Apply(restarted, 0)
+		assert.Assert(t, newer && changed && !r.Outdated(restarted))
+		assert.Assert(t, r.Entries()[0].Announcement.Draining)
+
+		restarted.Sequence++
+		newer, _ = r.Apply(restarted, 0)
+		assert.Assert(t, newer, "the next one follows")
+	})
+
+	t.Run("the member has ended", func(t *testing.T) {
+		r, c := start()
+		r.Apply(lab.Announcement{Member: "a", Terminated: true}, 0)
+		c.now += silentAfter + 1
+		newer, _ := r.Apply(restarted, 0)
+		assert.Assert(t, !newer)
+	})
+
+	t.Run("passed on late by another instance", func(t *testing.T) {
+		r, c := start()
+		c.now += silentAfter + 1
+		newer, _ := r.Apply(restarted, silentAfter)
+		assert.Assert(t, !newer)
+	})
+}
+
 func TestTerminated(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/control/process/labplatformcontrol/announcements.go
+++ b/control/process/labplatformcontrol/announcements.go
@@ -35,9 +35,7 @@
 	}
 
 	if k.Leading() {
-		k.applyAnnouncement(a)
-
-		return nil
+		return k.applyAnnouncement(a)
 	}
 
 	l, ok := k.leader()
@@ -111,7 +109,11 @@
 	return k.serviceNames
 }
 
-func (k *Controller) applyAnnouncement(a lab.Announcement) {
+// errOutdated is returned for an announcement of an incarnation before the known one. Since it has no effect, it isn't
+// acknowledged.
+var errOutdated = errors.New("a later start of the member is known")
+
+func (k *Controller) applyAnnouncement(a lab.Announcement) error {
 	newer, changed := k.registry.Apply(a, 0)
 	k.Counters.Announcements.Add(1)
 
@@ -122,7 +124,13 @@
 	} else if !newer {
 		k.Log.Info().Str("member", a.Member).Uint64("incarnation", a.Incarnation).Uint64("sequence", a.Sequence).
 			Msg("announcement_outdated")
+
+		if k.registry.Outdated(a) {
+			return errOutdated
+		}
 	}
+
+	return nil
 }
 
 func (k *Controller) handleAnnounce(_ context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
@@ -143,7 +151,9 @@
 		return nil, err
 	}
 
-	k.applyAnnouncement(a)
+	if err := k.applyAnnouncement(a); err != nil {
+		return nil, err
+	}
 
 	return struct{}{}, nil
 }
