labdirectory: give a leaving member that starts again no more time

The member had crashed while it left and was back just before its end. The proxy got the new start with the list of members, but the time for which it had been leaving came from an instance that relays for the leader and didn't know that start yet, so it counted from then on.

The proxy now keeps the time across a start. TestAboutToEnd, after it has started again, fails without it.

--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -214,6 +214,12 @@
 	}
 
 	n := &member{announcement: a, leavingSince: d.Clock.Now()}
+
+	// A member that starts again and still leaves has no more time than before.
+	if ok && m.announcement.Draining && a.Draining {
+		n.leavingSince = m.leavingSince
+	}
+
 	n.pool = &labpool.Pool{
 		Target: a, Dialer: d.Dialer, OnDial: d.recordDial,
 		MaxConnections:      func() int { return int(n.maxConnections.Load()) },
--- a/proxy/process/labdirectory/directory_test.go
+++ b/proxy/process/labdirectory/directory_test.go
@@ -312,6 +312,17 @@
 		assertUsed(t, d, false)
 	})
 
+	// Guards against requests at a leaving member that has started again, before control has told this proxy for how long that
+	// start has been leaving. TestPromotionSoak in platform showed this with seed 325.
+	t.Run("after it has started again", func(t *testing.T) {
+		d, clock := start()
+		clock.now += d.LeavingPeriod - leavingMargin
+		d.UpdateMembers([]lab.Announcement{
+			{Database: "s", Member: "p", Address: "127.0.0.1:1", Incarnation: 4, Draining: true},
+		}, map[string]string{"s": "p"}, true)
+		assert.Assert(t, d.PrimaryAboutToEnd("s"))
+	})
+
 	t.Run("another incarnation", func(t *testing.T) {
 		d, _ := start()
 		d.UpdateLeaving([]lab.LeavingMember{{Member: "p", Incarnation: 2, For: time.Minute}})
