labgateway: make the tests of waiting commits wait for the commit's wait

TestSuperseded, "term changes while the commit waits", failed once with "lost != superseded: outcome unknown (lost): read position: read from upstream: EOF". Its write counted as waiting as soon as the fake primary had committed it. The gateway may then still read the write's position, and the test killed the primary below it: the outcome is unknown either way, but the reason is the lost connection.

The test now waits until the transaction has released its connection, which the gateway does between the position and the wait for a replica. What is asserted is unchanged.

--- a/proxy/process/labgateway/term_test.go
+++ b/proxy/process/labgateway/term_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,6 +53,37 @@
 	return done
 }
 
+// startWaitingWrite starts a write and returns when its commit waits for a replica. By then the position of the write was
+// read and its connection was released.
+func (f *fixture) startWaitingWrite(t *testing.T, sql string) <-chan transactionResult {
+	t.Helper()
+
+	done := f.startTransaction(writeHeader(), query(sql, false))
+	waitUntil(t, func() bool { return f.primary.countCommitted(sql) == 1 && f.releasedTransactions() == 1 })
+
+	return done
+}
+
+// releasedTransactions returns the number of transactions that are registered and have no connection.
+func (f *fixture) releasedTransactions() int {
+	r := f.gateway.roles[f.role]
+	r.mu.Lock()
+	running := slices.Collect(maps.Keys(r.transactions))
+	r.mu.Unlock()
+
+	count := 0
+
+	for _, tx := range running {
+		tx.mu.Lock()
+		if tx.conn == nil {
+			count++
+		}
+		tx.mu.Unlock()
+	}
+
+	return count
+}
+
 // Guards against acknowledging a write to a primary that may have been superseded since the write was sent.
 func TestSuperseded(t *testing.T) {
 	t.Run("lease ends between sending and acknowledging", func(t *testing.T) {
@@ -81,9 +114,7 @@
 		f := newFixture(t)
 		f.setReplication(false)
 
-		done := f.startTransaction(writeHeader(), query("INSERT waits", false))
-		waitUntil(t, func() bool { return f.primary.countCommitted("INSERT waits") == 1 })
-
+		done := f.startWaitingWrite(t, "INSERT waits")
 		next := lab.Grant{Role: f.role, Epoch: 1, Term: 2, Writable: true}
 		f.control.setGrants(next)
 		f.gateway.Assign([]lab.Grant{next}, f.gateway.Clock.Now()+time.Hour)
@@ -97,10 +128,9 @@
 	t.Run("old lease ends while the commit waits", func(t *testing.T) {
 		f := newFixture(t)
 		f.setReplication(false)
-		f.renewLease(80*time.Millisecond, f.grant)
 
-		done := f.startTransaction(writeHeader(), query("INSERT waits", false))
-		waitUntil(t, func() bool { return f.primary.countCommitted("INSERT waits") == 1 })
+		done := f.startWaitingWrite(t, "INSERT waits")
+		f.renewLease(80*time.Millisecond, f.grant)
 		f.renewLease(time.Hour, lab.Grant{Role: f.role, Epoch: 1, Term: 2})
 		wantOutcome(t, (<-done).err, lab.OutcomeUnknown, lab.ReasonSuperseded)
 	})
