labinstance: isolate the instance that leads when the isolation begins

TestIsolatedLeader failed once with "no responses before the isolation". It chose the leader before its first 20 changes and requested the status of that instance only. A follower redirects the request, so after a change of leader, which a busy machine can cause, no status ever came.

The test now follows a change of leader until the isolation begins. It begins only when the instance leads and has answered with its own status, which was not checked before: an instance that no longer led could have been isolated. The other checks and the time limit are unchanged.

That the seen failure had a change of leader is not proven: it has no trace.

--- a/control/process/labinstance/isolation_test.go
+++ b/control/process/labinstance/isolation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -26,7 +27,6 @@
 	c := newCluster(t, "a", "b", "c")
 	c.run("a", "b", "c")
 	old := c.leader("a", "b", "c")
-	rest := slices.DeleteFunc([]string{"a", "b", "c"}, func(n string) bool { return n == old })
 	c.makeChanges(c.operator("a", "b", "c"), 20)
 
 	var accepted atomic.Uint64 // configuration version that operators know to be accepted
@@ -34,12 +34,19 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var watchers sync.WaitGroup
 	var faults, statuses, renewals textList
-	watchers.Go(func() { c.watchStatus(ctx, old, &accepted, &faults, &statuses) })
+	var watched atomic.Value // name of the instance whose status is requested
+	watched.Store(old)
+	watchers.Go(func() { c.watchStatus(ctx, &watched, &accepted, &faults, &statuses) })
 	watchers.Go(func() { c.watchProxy(ctx, &accepted, &faults, &renewals) })
-	for end := time.Now().Add(testTimeout); len(renewals.list()) < len(c.peers) || len(statuses.list()) == 0; time.Sleep(pollInterval) {
+	answered := func() bool { return len(renewals.list()) >= len(c.peers) && statuses.contains("status of "+old+" ") }
+	for end := time.Now().Add(testTimeout); !answered() || !c.instances[old].Leading(); time.Sleep(pollInterval) {
 		assert.Assert(t, time.Now().Before(end), "no responses before the isolation")
+		// A busy machine may change the leader, and only the leader answers with its status.
+		old = c.leader("a", "b", "c")
+		watched.Store(old)
 	}
 
+	rest := slices.DeleteFunc([]string{"a", "b", "c"}, func(n string) bool { return n == old })
 	id := lab.InstanceID(old)
 	c.isolated.Store(&id)
 	o := c.operator(rest...)
@@ -84,9 +91,15 @@
 	return f.texts
 }
 
-// watchStatus requests the status of one instance and follows no redirects. A response must include every change that
-// was accepted before the request.
-func (c *cluster) watchStatus(ctx context.Context, name string, accepted *atomic.Uint64, faults, statuses *textList) {
+func (f *textList) contains(prefix string) bool {
+	return slices.ContainsFunc(f.list(), func(s string) bool { return strings.HasPrefix(s, prefix) })
+}
+
+// watchStatus requests the status of the watched instance and follows no redirects. A response must include every
+// change that was accepted before the request.
+func (c *cluster) watchStatus(
+	ctx context.Context, watched *atomic.Value, accepted *atomic.Uint64, faults, statuses *textList,
+) {
 	i := &labkeys.Identity{Folder: c.authority.Folder, Name: "operator"}
 	if err := i.Load(); err != nil {
 		faults.add("%v", err)
@@ -98,7 +111,7 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	for ctx.Err() == nil {
-		known := accepted.Load()
+		known, name := accepted.Load(), watched.Load().(string)
 		r, _ := http.NewRequestWithContext(ctx, http.MethodGet,
 			"https://"+c.instances[name].Settings.OperatorAddress+"/v1/status", nil)
 		response, err := client.Do(r)
@@ -111,7 +124,7 @@
 		err = json.NewDecoder(response.Body).Decode(&s)
 		_ = response.Body.Close()
 		if response.StatusCode == http.StatusOK && err == nil {
-			statuses.add("status %d", s.Version)
+			statuses.add("status of %s %d", name, s.Version)
 			if s.Version < known {
 				faults.add("status response has version %d after %d was accepted", s.Version, known)
 			}
