labinstance: print the response of a refusal with an unexpected status

TestReplaceLostDisk failed once with "503 != 409" and left no trace: the comparison of the status didn't print the response, which names the reason. It does now; what is compared is unchanged.

--- a/control/process/labinstance/replacement_test.go
+++ b/control/process/labinstance/replacement_test.go
@@ -72,7 +72,7 @@
 	t.Helper()
 	var s *laboperator.StatusError
 	assert.Assert(t, errors.As(err, &s), "%v", err)
-	assert.Equal(t, s.Code, http.StatusConflict)
+	assert.Equal(t, s.Code, http.StatusConflict, "%v", err)
 	assert.ErrorContains(t, err, text)
 }
 
