--- a/control/process/labplatformcontrol/holders.go
+++ b/control/process/labplatformcontrol/holders.go
@@ -195,8 +195,8 @@
 	}
 }
 
-// dueHolders returns the holders that have ended for at least retireAfter without a successor, with a position that the primary had after that. A holder
-// is returned again after retireAfter.
+// dueHolders returns the holders that have ended and have had no successor for retireAfter, with a position that the primary
+// had after that. A holder is returned again after retireAfter.
 func (k *Controller) dueHolders() map[labgroupstate.Holder]lab.CommitPosition {
 	out, unseen := map[labgroupstate.Holder]lab.CommitPosition{}, map[labgroupstate.Holder]time.Duration{}
 	now, live := k.Clock.Now(), k.livePlaces()
