--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -26,7 +26,7 @@
 	probeRetryDelay = 60 * time.Millisecond // delay between two probes that fail at once
 	// announcedMaxAge is how old the last announcement of a running member may be. It covers two announcement intervals.
 	announcedMaxAge = 2500 * time.Millisecond
-	// recoveryInterval is the interval at which an unfinished attempt is tried to be ended.
+	// recoveryInterval is the interval between two tries to end an unfinished attempt.
 	recoveryInterval = time.Second
 	// deposedAfter is how long a primary may say that it is a replica. A member announces a change of its role at once, and
 	// otherwise announces itself every 1.2 s.
--- a/operation.go
+++ b/operation.go
@@ -62,6 +62,15 @@
 	return p.Number < q.Number
 }
 
+// Latest returns the later one of p and q.
+func (p CommitPosition) Latest(q CommitPosition) CommitPosition {
+	if p.Before(q) {
+		return q
+	}
+
+	return p
+}
+
 // String formats the position as term.number, or as a hyphen when it is unset.
 func (p CommitPosition) String() string {
 	if p.IsZero() {
--- a/proxy/connection/labpool/conn.go
+++ b/proxy/connection/labpool/conn.go
@@ -102,7 +102,7 @@
 			acknowledged = before
 		}
 
-		c.known = latest(c.known, r[i].Position)
+		c.known = c.known.Latest(r[i].Position)
 	}
 
 	return acknowledged
@@ -117,14 +117,6 @@
 	return r.Status == lab.StatusIdle && (writes || (proven && wrote && o.Kind == lab.OperationCommit))
 }
 
-func latest(a, b lab.CommitPosition) lab.CommitPosition {
-	if a.Before(b) {
-		return b
-	}
-
-	return a
-}
-
 // applyValues sets the session values at the member and waits for the confirmation. Without the wait, a statement could
 // run with the values of another session.
 func (c *Conn) applyValues(deadline time.Time, values map[string]string) error {
--- a/proxy/connection/labpool/pool.go
+++ b/proxy/connection/labpool/pool.go
@@ -168,12 +168,12 @@
 
 	p.typicalLatency += (d - p.typicalLatency) / latencyWindow
 	p.lastObserved = time.Now()
-	p.acknowledged = latest(p.acknowledged, acknowledged)
+	p.acknowledged = p.acknowledged.Latest(acknowledged)
 	p.joinKnownLocked(c)
 }
 
 func (p *Pool) joinKnownLocked(c *Conn) {
-	p.known = latest(p.known, c.known)
+	p.known = p.known.Latest(c.known)
 	c.known = p.known
 }
 
--- a/proxy/process/labdirectory/acknowledged.go
+++ b/proxy/process/labdirectory/acknowledged.go
@@ -33,7 +33,7 @@
 
 		p := s.acknowledged
 		for _, m := range s.members {
-			p = latest(p, m.pool.Acknowledged())
+			p = p.Latest(m.pool.Acknowledged())
 		}
 
 		if !p.IsZero() {
@@ -56,16 +56,8 @@
 func (s *service) joinClosedPools() {
 	s.closedPools = slices.DeleteFunc(s.closedPools, func(p *labpool.Pool) bool {
 		inProgress, _, _ := p.Load()
-		s.acknowledged = latest(s.acknowledged, p.Acknowledged())
+		s.acknowledged = s.acknowledged.Latest(p.Acknowledged())
 
 		return inProgress == 0
 	})
 }
-
-func latest(a, b lab.CommitPosition) lab.CommitPosition {
-	if a.Before(b) {
-		return b
-	}
-
-	return a
-}
