--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -83,6 +83,7 @@
 	nextRetirement   time.Duration
 	unseenSince      map[labgroupstate.Holder]time.Duration // time since which no member is known at the holder's address
 	unseenEpoch      uint64                                 // leader epoch of unseenSince
+	listedPrimaries  map[string]string                      // primaries that were logged last, by service
 
 	recordingHolders atomic.Bool // a change of the holders is being recorded
 
--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -42,6 +42,7 @@
 
 		k.registry.RemoveSilent()
 		k.recordHolders(ctx)
+		k.logPrimaries()
 
 		for _, s := range k.heldServices() {
 			k.reconcileService(ctx, s)
