bench: take the ports of TestProcesses from below the range of connections

The kernel gives out 32768 to 60999; the test now takes ports from 12000 to 27999 that are free for TCP and UDP.

--- a/bench/processes_test.go
+++ b/bench/processes_test.go
@@ -85,20 +85,38 @@
 	assert.NilError(p.t, p.running.Process.Signal(signal), p.name)
 }
 
-// freePorts returns distinct free loopback ports. It releases them on return, for the processes to listen on. Another
-// program can take a port before that.
+// Ports of the processes. They are below the range from which the kernel gives ports to connections, which would otherwise take
+// one before the process listens on it.
+const (
+	firstPort = 12000
+	portRange = 16000
+)
+
+// freePorts returns distinct free loopback ports. The first one depends on the process, so that concurrent runs rarely try the
+// same ones.
 func freePorts(t *testing.T, count int) []int {
 	t.Helper()
 
 	var ports []int
 
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		t.Cleanup(func() { _ = l.Close() })
+	for p := os.Getpid() * 2 * count; len(ports) < count; p++ {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+p%portRange)
+
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
 
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 		defer func() { _ = l.Close() }()
+
+		u, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+
+		defer func() { _ = u.Close() }()
+
+		ports = append(ports, firstPort+p%portRange)
 	}
 
 	return ports
