lab: messages that carry permissions to commit

A watch of a proxy carries which list of permissions it has and for which it has no commit under way any more; the response carries the newest list with the time for which it is valid. Nothing sends them yet.

--- a/watch.go
+++ b/watch.go
@@ -24,7 +24,9 @@
 	// Acknowledged are the newest positions up to which the sender, or a proxy that watches it, knows every commit to be
 	// acknowledged.
 	Acknowledged []AcknowledgedPosition `msgpack:"q,omitempty"`
-	// Relay is true if the sender is a control instance that answers the watches of other proxies. Proxy is then empty.
+	Permissions  PermissionReport       `msgpack:"c"` // lists of commit permissions that the sender has
+	// Relay is true if the sender is a control instance that answers the watches of other proxies. Of Proxy, only the ID is
+	// set then, which is that of the control instance.
 	Relay   bool           `msgpack:"y,omitempty"`
 	Relayed []RelayedProxy `msgpack:"z,omitempty"` // proxies that watch the sender
 }
@@ -84,7 +86,8 @@
 	SentAt     time.Duration    `msgpack:"u"` // time on that clock of the response
 	Positions  []PositionReport `msgpack:"z"` // newest positions of the primaries
 	// Leaving lists the members that are leaving. It is complete in each response, since the times go on.
-	Leaving []LeavingMember `msgpack:"g,omitempty"`
+	Leaving     []LeavingMember `msgpack:"g,omitempty"`
+	Permissions PermissionGrant `msgpack:"w"` // permissions to commit
 }
 
 // LeavingMember is a member that has announced that it will end.
