labpermission: hold the permissions to commit, and report them to control

Cause: a proxy committed at whatever member its directory named, so a commit could be acknowledged by a member that control was deposing. Change: labpermission holds the list that control grants, its end and the commits under way; the subscriber applies the grant of each response with the time of its request, and reports what is applied and confirmed. A list that waits for commits shortens the next watch to the rest of drainTime, and the last such commit interrupts it. The sessions don't use it yet.

--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -9,6 +9,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/connection/labpool"
+	"laburnumlock.dev/lab/proxy/process/labpermission"
 	"laburnumlock.dev/lab/proxy/process/labplacement"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
 	"laburnumlock.dev/lab/proxy/process/labreachability"
@@ -61,6 +62,11 @@
 	LeavingPeriod time.Duration
 	// OnPrimaryUnreachable is called when a primary becomes unreachable; it must not block.
 	OnPrimaryUnreachable func()
+	// OnCommitsDrained is called when the commits have ended that the control group waits for; it must not block.
+	OnCommitsDrained func()
+
+	permissionsOnce sync.Once
+	permissions     labpermission.Permissions // see Permissions
 
 	mutex         sync.Mutex
 	configuration *lab.Configuration
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -151,7 +151,7 @@
 
 	var a lab.WatchResponse
 
-	sentAt, r := s.Clock.Now(), s.request(watchWait)
+	sentAt, r := s.Clock.Now(), s.request(s.wait())
 
 	interrupted, err := s.callWatch(ctx, s.current, r, &a)
 	if interrupted {
@@ -230,9 +230,19 @@
 		Draining: s.draining.Load(), Primaries: s.Directory.PrimaryReports(),
 		Positions: s.positionReports(), ClockEpoch: s.controlClock.Epoch(),
 		Acknowledged: s.bounds.Changed(s.Directory.AcknowledgedPositions()),
+		Permissions:  s.Directory.Permissions().Report(),
 	}
 }
 
+// wait returns how long the next watch may wait for a change. It ends early when the report on permissions changes.
+func (s *Subscriber) wait() time.Duration {
+	if d, ok := s.Directory.Permissions().DrainsIn(); ok {
+		return min(d, watchWait)
+	}
+
+	return watchWait
+}
+
 // positionReports returns the observed positions with their times on the clock of the instance that answered last.
 func (s *Subscriber) positionReports() []lab.PositionReport {
 	var out []lab.PositionReport
@@ -364,6 +374,8 @@
 	}
 
 	s.disconnected, s.failedSearches = false, 0
+	// A configuration that can't be applied must not end the permissions to commit.
+	s.Directory.UpdatePermissions(a.Permissions, sentAt)
 
 	if len(a.Configuration) > 0 {
 		if err := s.applyConfiguration(a.Configuration); err != nil {
--- a/proxy/process/labtypedproxy/proxy.go
+++ b/proxy/process/labtypedproxy/proxy.go
@@ -74,6 +74,7 @@
 		RegionByZone: p.RegionByZone, Random: p.Random, Log: p.Log,
 	}
 	p.directory.OnPrimaryUnreachable = p.subscriber.ReportNow
+	p.directory.OnCommitsDrained = p.subscriber.ReportNow
 	p.counters.Latency = labmetrics.NewHistogram()
 	p.listener = &labtypedlistener.Listener{
 		ListenAddress: p.ListenAddress, Codec: p.Codec, Directory: p.directory, Clock: p.Clock, Log: p.Log,
@@ -90,6 +91,7 @@
 // Publish adds the process's counters to a map.
 func (p *Proxy) Publish(m *expvar.Map) {
 	p.counters.Publish(m)
+	p.directory.Permissions().Publish(m)
 	m.Set("callers", &p.listener.OpenConnections)
 	m.Set("startups_refused", &p.listener.RefusedStartups)
 }
