--- a/proxy/process/labpermission/permissions_test.go
+++ b/proxy/process/labpermission/permissions_test.go
@@ -1,7 +1,9 @@
 package labpermission
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -309,3 +311,43 @@
 		assert.Equal(t, f.drained, 0)
 	})
 }
+
+// TestLog checks that each change has one line, however many commits notice it.
+func TestLog(t *testing.T) {
+	f := newFixture(t)
+
+	var b bytes.Buffer
+
+	f.Log = zerolog.New(&b)
+	assertLogged := func(want ...string) {
+		t.Helper()
+
+		assert.Equal(t, strings.Count(b.String(), "\n"), len(want), b.String())
+
+		for _, w := range want {
+			assert.Assert(t, strings.Contains(b.String(), w), "%s: %s", w, b.String())
+		}
+
+		b.Reset()
+	}
+
+	f.grant(1, "s", "a", "t", "b")
+	assertLogged(`"term":1,"number":1,"opened":["s=a","t=b"],"closed":[],"message":"permissions_changed"`)
+	f.grant(2, "s", "c", "t", "b")
+	assertLogged(`"opened":["s=c"],"closed":["s=a"],"message":"permissions_changed"`)
+	f.grant(2)
+	f.grant(3, "s", "c", "t", "b")
+	assertLogged()
+
+	f.clock.now += validFor
+	f.assertAllows("s", "c", false)
+	f.assertAllows("s", "c", false)
+	f.assertReport(3, 3)
+	assertLogged(`"permissions_lapsed"`)
+
+	f.clock.now += time.Second
+	f.grant(3)
+	assertLogged(`"after":1000,"message":"permissions_regained"`)
+	assert.Equal(t, f.changes.Value(), int64(2))
+	assert.Equal(t, f.lapses.Value(), int64(1))
+}
