labtypedsession: commit only with the permission of control

Cause: a write was sent to, and reported as successful at, any member that the directory named as the primary, while control could be promoting another member. Change: a single write and the COMMIT of a transaction that wrote begin a commit under the permission for the connection's member, right before they are sent, and end it when the answer is there. A write without permission waits without a connection; a COMMIT without permission isn't sent, and the transaction aborts. A success whose permission has ended is reported as unknown, and neither the session nor the primary's history take its position. Reads and transactions that only read need no permission. The tests' fixture grants its primary.

--- a/proxy/connection/labtypedsession/attempt.go
+++ b/proxy/connection/labtypedsession/attempt.go
@@ -30,6 +30,7 @@
 	deadline       time.Time
 	triedMembers   map[string]bool     // members that refused the statement or did not respond
 	lastRefusal    lab.OperationResult // result of the last try that a member refused
+	notPermitted   bool                // whether the last try was not sent since there is no permission to commit
 	gaveUpWaiting  bool                // whether the attempt ends because no response can arrive before the deadline
 	failedTries    int                 // number of tries that were refused or got no response
 	lastMember     string              // member of the last failed try
@@ -49,6 +50,10 @@
 
 // notRunResult returns the result of a statement that has not run.
 func (a *attempt) notRunResult() lab.OperationResult {
+	if a.notPermitted {
+		return fault(lab.FaultBusy, noPermission)
+	}
+
 	if a.lastRefusal.Fault.NotRun() {
 		return fault(lab.FaultBusy, a.lastRefusal.Fault.String())
 	}
@@ -75,6 +80,10 @@
 // write runs a single write at the primary, at most once.
 func (a *attempt) write(o lab.Operation) lab.OperationResult {
 	for !a.mustStop() {
+		if !a.awaitPermission() {
+			continue
+		}
+
 		c, ok := a.acquirePrimary()
 		if !ok {
 			continue
@@ -84,9 +93,19 @@
 			continue
 		}
 
+		commit, ok := a.beginCommit(c)
+		if !ok {
+			c.Release()
+			a.pause(retryDelay)
+
+			continue
+		}
+
 		sentAt := a.session.Clock.Now()
 
 		r, err := a.execute(c, a.deadline, o)
+		permitted := commit.End()
+
 		if notRun(err) {
 			a.recordFailure(c, err)
 
@@ -109,11 +128,11 @@
 
 		releaseOrDiscard(c, r)
 
-		if r.Fault == lab.FaultNone {
-			a.recordCommit(c.Member(), sentAt, r.Position)
+		if r.Fault != lab.FaultNone {
+			return r
 		}
 
-		return r
+		return a.commitResult(c.Member(), r, sentAt, permitted)
 	}
 
 	return a.notRunResult()
--- a/proxy/connection/labtypedsession/counters.go
+++ b/proxy/connection/labtypedsession/counters.go
@@ -11,10 +11,14 @@
 // Counters count the operations of a proxy's sessions.
 type Counters struct {
 	Operations expvar.Int
-	Refusals   expvar.Int            // number of refusals by members; a refused operation is retried
-	Timeouts   expvar.Int            // number of reads that got no response before their deadline
-	Faults     expvar.Map            // number of faults returned to clients, by name of the fault
-	Latency    *labmetrics.Histogram // latency of reads, writes and executions
+	Refusals   expvar.Int // number of refusals by members; a refused operation is retried
+	Timeouts   expvar.Int // number of reads that got no response before their deadline
+	// NotPermitted is the number of COMMITs that were not sent since there was no permission.
+	NotPermitted expvar.Int
+	// PermissionEnded is the number of commits whose permission had ended when the member's answer arrived.
+	PermissionEnded expvar.Int
+	Faults          expvar.Map            // number of faults returned to clients, by name of the fault
+	Latency         *labmetrics.Histogram // latency of reads, writes and executions
 }
 
 // Publish adds the counters to a map.
@@ -22,6 +26,8 @@
 	m.Set("operations", &c.Operations)
 	m.Set("member_refusals", &c.Refusals)
 	m.Set("read_timeouts", &c.Timeouts)
+	m.Set("commits_not_permitted", &c.NotPermitted)
+	m.Set("commits_unconfirmed", &c.PermissionEnded)
 	m.Set("faults", &c.Faults)
 	m.Set("latency", c.Latency)
 }
--- a/proxy/connection/labtypedsession/fakes_test.go
+++ b/proxy/connection/labtypedsession/fakes_test.go
@@ -163,6 +163,7 @@
 	service   *fakeService
 	directory *labdirectory.Directory
 	session   *Session
+	revision  uint64 // number of the newest list of permissions
 }
 
 const testTimeout = 400 * time.Millisecond
@@ -196,6 +197,8 @@
 
 	d.UpdateMembers(members, map[string]string{"s": "a"}, true)
 
+	f.grant("a")
+
 	f.session = f.newSession()
 
 	return f
@@ -208,6 +211,18 @@
 	}
 }
 
+// grant permits commits at the given member only. Without a member, it permits none.
+func (f *fixture) grant(members ...string) {
+	f.revision++
+
+	g := lab.PermissionGrant{Revision: lab.PermissionRevision{Term: 1, Number: f.revision}, ValidFor: time.Minute}
+	for _, m := range members {
+		g.Permissions = append(g.Permissions, lab.CommitPermission{Service: "s", Member: m})
+	}
+
+	f.directory.UpdatePermissions(g, f.directory.Clock.Now())
+}
+
 // recordPosition records a position of the primary with the current time as the time of the request.
 func (f *fixture) recordPosition(number uint64) {
 	f.directory.PrimaryHistory("s").Record(f.directory.Clock.Now(), lab.CommitPosition{Term: 1, Number: number})
--- a/proxy/connection/labtypedsession/transaction.go
+++ b/proxy/connection/labtypedsession/transaction.go
@@ -237,9 +237,24 @@
 
 	for {
 		c := s.tx.conn
+		end := func() bool { return true }
+
+		if s.tx.wrote {
+			commit, ok := a.beginCommit(c)
+			if !ok {
+				s.Counters.NotPermitted.Add(1)
+
+				return a.abort(noPermission)
+			}
+
+			end = commit.End
+		}
+
 		sentAt := s.Clock.Now()
 
 		r, err := c.Run(a.deadline, s.values, o)
+		permitted := end()
+
 		if notRun(err) {
 			return a.abort("the commit was not sent")
 		}
@@ -259,11 +274,11 @@
 			s.tx.conn = nil
 			releaseOrDiscard(c, r[0])
 
-			if s.tx.wrote {
-				a.recordCommit(c.Member(), sentAt, r[0].Position)
+			if !s.tx.wrote {
+				return r[0]
 			}
 
-			return r[0]
+			return a.commitResult(c.Member(), r[0], sentAt, permitted)
 		case r[0].Fault.NotRun() && r[0].Status == lab.StatusInTransaction && !a.expired():
 			a.pause(retryDelay)
 		default:
