labpermission: count a commit that ends before its withdrawal is confirmed

An answer that came while the list without the member waited for the commits under way was reported as unknown, though control orders nothing before that list is confirmed: the commit is among those that the next primary must have. Each planned replacement would have made the commits under way unknown. A commit whose grant has lapsed, and one that ends after the list is confirmed, stay unknown.

--- a/proxy/process/labpermission/commit.go
+++ b/proxy/process/labpermission/commit.go
@@ -7,8 +7,8 @@
 }
 
 // End ends the commit when its result has arrived or is no longer awaited; it must be called once. It reports whether the
-// permission under which the commit began is still valid. If not, the member may have lost the commit, whatever it has
-// answered.
+// permission under which the commit began is still valid, or control can't act on its withdrawal yet since the list
+// without it is not confirmed. Otherwise the member may have lost the commit, whatever it has answered.
 func (c *Commit) End() bool {
 	p := c.permissions
 
@@ -27,7 +27,7 @@
 	defer p.mutex.Unlock()
 
 	now := p.Clock.Now()
-	valid = !p.hasEndedLocked(now) && !c.permission.former
+	valid = !p.hasEndedLocked(now) && (!c.permission.former || c.permission.awaited(now))
 	before := p.confirmedLocked(now)
 	c.permission.underWay--
 
--- a/proxy/process/labpermission/permissions.go
+++ b/proxy/process/labpermission/permissions.go
@@ -40,6 +40,7 @@
 	member   string
 	underWay int  // number of commits under way
 	former   bool // whether it was withdrawn or has lapsed
+	lapsed   bool // whether its grant ended without a renewal
 
 	draining  bool                   // whether the applied list waits for its commits
 	drainedAt time.Duration          // time at which the list stops to wait for them
@@ -82,6 +83,7 @@
 		for service, c := range p.current {
 			if c.underWay > 0 {
 				p.current[service] = &permission{service: c.service, member: c.member}
+				c.lapsed = true
 				p.retireLocked(c)
 			}
 		}
@@ -217,6 +219,11 @@
 	return lab.PermissionReport{Applied: p.applied, Confirmed: p.confirmedLocked(now)}
 }
 
+// awaited reports whether the permission was withdrawn and its commits keep the list without it from being confirmed.
+func (c *permission) awaited(now time.Duration) bool {
+	return c.draining && !c.lapsed && now < c.drainedAt
+}
+
 // confirmedLocked returns the newest list that waits for no commit. A commit that a list waits for holds up all later
 // lists as well, since the control group takes a later revision as a confirmation of the earlier ones.
 func (p *Permissions) confirmedLocked(now time.Duration) lab.PermissionRevision {
--- a/proxy/process/labpermission/permissions_test.go
+++ b/proxy/process/labpermission/permissions_test.go
@@ -230,6 +230,7 @@
 
 		c, other := f.begin("s", "a"), f.begin("t", "b")
 		f.grant(2, "t", "b")
+		f.clock.now += drainTime
 		assert.Assert(t, !c.End())
 		assert.Assert(t, other.End())
 	})
@@ -242,6 +243,30 @@
 		f.grant(2)
 		f.grant(3, "s", "a")
 		f.assertAllows("s", "a", true)
+		f.clock.now += drainTime
+		assert.Assert(t, !c.End())
+	})
+
+	// Control orders nothing before the list is confirmed, so the commit is among those that the next primary must have.
+	t.Run("ended before the list is confirmed", func(t *testing.T) {
+		f := newFixture(t)
+		f.grant(1, "s", "a")
+
+		c := f.begin("s", "a")
+		f.grant(2)
+		f.clock.now += drainTime - 1
+		f.assertReport(2, 1)
+		assert.Assert(t, c.End())
+		f.assertReport(2, 2)
+	})
+
+	t.Run("grant ends before the list is confirmed", func(t *testing.T) {
+		f := newFixture(t)
+		f.grant(1, "s", "a")
+
+		c := f.begin("s", "a")
+		f.clock.now += validFor - drainTime/2
+		f.Apply(lab.PermissionGrant{Revision: revision(2)}, f.clock.now)
 		assert.Assert(t, !c.End())
 	})
 
