labplatformcontrol: give proxies the permission to commit, and withdraw it before an order

The leader now lists the member of each service at which proxies may commit, grants the list with each watch for 2.5 s, and control instances pass it on. A withdrawal returns once each receiver has confirmed the list without the service, or its grant has ended. A new leader also waits for the grants of the former one, and makes no list before it has applied what that one committed.

A withdrawal ends after one more log entry, since an order whose recording had no known result may still be recorded.

--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -73,6 +73,9 @@
 	positions            labpositions.Board
 	memberLogs           labmemberlogs.Ledger
 	relay                *relay // answers watches while another instance is the leader
+	permissions          permissions
+	preparingPermissions atomic.Bool   // reconcilePermissions waits for the log of former leaders
+	changeCount          atomic.Uint64 // number of calls of notifyWaiters
 
 	memberLists packedList
 	proxyLists  packedList
@@ -281,6 +284,8 @@
 
 // notifyWaiters wakes all goroutines that wait for a change.
 func (k *Controller) notifyWaiters() {
+	k.changeCount.Add(1)
+
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
--- a/control/process/labplatformcontrol/orderlog.go
+++ b/control/process/labplatformcontrol/orderlog.go
@@ -71,9 +71,12 @@
 }
 
 func (o *orderLog) Confirm(ctx context.Context, service string, token uint64, answered bool) error {
-	_, err := o.controller.propose(ctx, labgroupstate.Command{
+	v, err := o.controller.propose(ctx, labgroupstate.Command{
 		OrderConfirmed: &labgroupstate.OrderConfirmed{Service: service, Token: token, Answered: answered},
 	})
+	if v == true {
+		o.controller.openService(service, true)
+	}
 
 	return err
 }
--- a/control/process/labplatformcontrol/primaries.go
+++ b/control/process/labplatformcontrol/primaries.go
@@ -5,6 +5,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labmembers"
+	"laburnumlock.dev/lab/control/version/labgroupstate"
 )
 
 // primaries returns the primary of each service that has a known one.
@@ -24,19 +25,19 @@
 // Otherwise it is the member that announces itself as the primary and whose announced role changed last. A former primary
 // that control can't hear from may still be known as one, so it counts only while no promotion is confirmed.
 func (k *Controller) primary(service string) (labmembers.Entry, bool) {
-	var (
-		best  labmembers.Entry
-		found bool
-	)
+	p, _ := k.participation().state.Promotion(service)
 
-	p, promoted := k.participation().state.Promotion(service)
+	return choosePrimary(k.registry.Service(service), p)
+}
 
-	for _, e := range k.registry.Service(service) {
+// choosePrimary returns the primary among the members of a service, given the newest promotion, which is empty if there is none.
+func choosePrimary(members []labmembers.Entry, p labgroupstate.Promotion) (best labmembers.Entry, found bool) {
+	for _, e := range members {
 		a := e.Announcement
 
 		switch {
 		case a.Terminated:
-		case promoted && p.Confirmed:
+		case p.Confirmed:
 			if a.Member == p.Member {
 				return e, true
 			}
--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -41,6 +41,7 @@
 		}
 
 		k.registry.RemoveSilent()
+		k.reconcilePermissions(ctx)
 		k.recordHolders(ctx)
 
 		for _, s := range k.heldServices() {
@@ -54,19 +55,30 @@
 	return nil
 }
 
-// reconcileService starts a replacement of a service's primary if one may be needed and none is in progress.
+// reconcileService starts a replacement of a service's primary if one may be needed and none is in progress. Without a need, it
+// ends a withdrawal that the last replacement could not end.
 func (k *Controller) reconcileService(ctx context.Context, service string) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
-	if k.replacing[service] || !k.mayNeedReplacement(service) {
+	if k.replacing[service] {
 		return
 	}
 
+	run := k.replace
+
+	if !k.mayNeedReplacement(service) {
+		if !k.withdrawn(service) {
+			return
+		}
+
+		run = k.endWithdrawal
+	}
+
 	k.replacing[service] = true
 
 	go func() {
-		k.replace(ctx, service)
+		run(ctx, service)
 
 		k.mutex.Lock()
 		defer k.mutex.Unlock()
@@ -116,6 +128,8 @@
 
 // replace replaces the primary if there is a reason for it. Without a reason, it probes the primary first.
 func (k *Controller) replace(ctx context.Context, service string) {
+	defer k.endWithdrawal(ctx, service)
+
 	k.mutex.Lock()
 	e, due := k.observations(service), k.recoveryDue(service)
 	k.mutex.Unlock()
--- a/control/process/labplatformcontrol/relay.go
+++ b/control/process/labplatformcontrol/relay.go
@@ -23,6 +23,8 @@
 	relayWait = 400 * time.Millisecond
 	// relayTimeout bounds a watch at the leader. It covers relayWait and a leader that is briefly busy.
 	relayTimeout = relayWait + 500*time.Millisecond
+	// unconfirmedRelayWait is relayWait while a proxy has not confirmed a list of commit permissions.
+	unconfirmedRelayWait = 50 * time.Millisecond
 	// relaySpacing is the minimum time between two watches at the leader. Reports of many proxies then travel together.
 	relaySpacing = 50 * time.Millisecond
 	// relayMaxAge is how old the leader's last response may be for watches to be answered from it. It covers one watch
@@ -58,6 +60,7 @@
 	// acknowledgedVersion is the version of the document by which services were last removed from acknowledged.
 	acknowledgedVersion uint64
 	bounds              labbounds.Sender // acknowledged positions that the leader has learned
+	permissions         relayedPermissions
 }
 
 // relayedChange is a change of the list of proxies as the leader sent it.
@@ -82,10 +85,13 @@
 }
 
 func newRelay(k *Controller) *relay {
-	return &relay{
+	y := &relay{
 		controller: k, interrupt: make(chan struct{}, 1), watching: map[lab.InstanceID]*watchingProxy{},
 		acknowledged: map[string]lab.CommitPosition{},
 	}
+	y.permissions.begin(k.startedAt)
+
+	return y
 }
 
 // run watches the leader while another instance is the leader.
@@ -115,6 +121,12 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 
+	// The request has all news up to now.
+	select {
+	case <-y.interrupt:
+	default:
+	}
+
 	r, reported := y.request(address)
 	sentAt := y.controller.Clock.Now()
 
@@ -156,6 +168,12 @@
 
 	now := y.controller.Clock.Now()
 	r := lab.WatchRequest{Relay: true, MaxWait: relayWait}
+	r.Proxy.ID, r.Permissions = y.controller.participation().identity.id, y.permissions.report(now)
+
+	// A proxy that doesn't confirm a list stops to count when its grant ends.
+	if r.Permissions.Confirmed != r.Permissions.Applied {
+		r.MaxWait = unconfirmedRelayWait
+	}
 
 	// Another leader has its own revisions and its own clock.
 	if address == y.leader {
@@ -232,6 +250,8 @@
 		a.ProxiesRevision = r.ProxiesRevision // unchanged
 	}
 
+	y.permissions.apply(a.Permissions, sentAt)
+
 	a.Proxies, a.ProxyChanges = nil, nil
 	y.leader, y.receivedAt, y.latest = address, now, a
 	y.clock.RecordExchange(a.ClockEpoch, sentAt, a.ReceivedAt, a.SentAt, now)
@@ -307,11 +327,13 @@
 		failing(r.Primaries) > failing(p.relayed.Primaries)
 	p.relayed, p.heardAt = lab.RelayedProxy{Proxy: r.Proxy, Draining: r.Draining, Primaries: r.Primaries}, now
 
-	if !urgent {
-		return
+	if urgent {
+		p.news++
 	}
 
-	p.news++
+	if !y.permissions.record(r, now) && !urgent {
+		return
+	}
 
 	select {
 	case y.interrupt <- struct{}{}:
@@ -366,6 +388,20 @@
 	return y.latest.ProxiesRevision
 }
 
+func (y *relay) permissionsRevision() lab.PermissionRevision {
+	y.mutex.Lock()
+	defer y.mutex.Unlock()
+
+	return y.permissions.revision
+}
+
+func (y *relay) grantPermissions(r lab.WatchRequest, receivedAt, _ time.Duration) lab.PermissionGrant {
+	y.mutex.Lock()
+	defer y.mutex.Unlock()
+
+	return y.permissions.grant(r, receivedAt)
+}
+
 func (y *relay) response(r lab.WatchRequest) (lab.WatchResponse, error) {
 	changed := proxyListChanged(y, r)
 
--- a/control/process/labplatformcontrol/view.go
+++ b/control/process/labplatformcontrol/view.go
@@ -1,6 +1,8 @@
 package labplatformcontrol
 
 import (
+	"time"
+
 	"laburnumlock.dev/lab"
 )
 
@@ -18,8 +20,12 @@
 	documentVersion() uint64
 	// proxiesRevision returns the revision of the list of proxies, or 0 while the list is incomplete.
 	proxiesRevision() uint64
-	// response returns the response to a watch, without positions and times.
+	// permissionsRevision returns the revision of the list of commit permissions, or zero while there is none.
+	permissionsRevision() lab.PermissionRevision
+	// response returns the response to a watch, without positions, times and permissions.
 	response(r lab.WatchRequest) (lab.WatchResponse, error)
+	// grantPermissions returns the permissions for the sender of a watch. The view was available at the time now or later.
+	grantPermissions(r lab.WatchRequest, receivedAt, now time.Duration) lab.PermissionGrant
 }
 
 // hasChanges reports whether there are changes that must be sent at once. Changes of the list of proxies wait for the
@@ -28,7 +34,13 @@
 func hasChanges(v view, r lab.WatchRequest) bool {
 	return r.LeaderEpoch != v.leaderEpoch() || r.MembersRevision != v.membersRevision() ||
 		r.ConfigurationVersion < v.documentVersion() ||
-		(r.ProxiesRevision == 0 && proxyListChanged(v, r))
+		(r.ProxiesRevision == 0 && proxyListChanged(v, r)) || permissionsChanged(v, r)
+}
+
+// permissionsChanged reports whether the sender of a watch must learn of a list of commit permissions at once. A sender that
+// has had a response of this leader and no list has nothing that could be withdrawn. It may be of a version without permissions.
+func permissionsChanged(v view, r lab.WatchRequest) bool {
+	return !r.Permissions.Applied.IsZero() && r.Permissions.Applied.Before(v.permissionsRevision())
 }
 
 // proxyListChanged reports whether the proxy list is complete and differs from the list that the sender of a watch has.
--- a/control/process/labplatformcontrol/watch.go
+++ b/control/process/labplatformcontrol/watch.go
@@ -43,7 +43,10 @@
 	k.recordWatch(r, receivedAt)
 	k.awaitChanges(ctx, v, r)
 
-	// The leader may have changed meanwhile.
+	// The leader may have changed meanwhile. What is granted counts from a time before that is checked, since the process may
+	// be suspended after the check.
+	now := k.Clock.Now()
+
 	if v = k.view(); !v.available() {
 		return nil, lab.ErrNotLeader
 	}
@@ -52,6 +55,10 @@
 	a.ClockEpoch, a.ReceivedAt, a.SentAt = k.epochBase, receivedAt, k.Clock.Now()
 	a.Positions, a.Leaving = k.positions.Newest(a.SentAt), k.registry.Leaving()
 
+	if err == nil {
+		a.Permissions = v.grantPermissions(r, receivedAt, now)
+	}
+
 	return a, err
 }
 
@@ -82,6 +89,8 @@
 		return
 	}
 
+	k.recordPermissions(r, receivedAt)
+
 	if !r.Relay {
 		k.proxies.record(r)
 	}
