--- a/control/version/labgroupstate/state_test.go
+++ b/control/version/labgroupstate/state_test.go
@@ -1,8 +1,10 @@
 package labgroupstate
 
 import (
+	"slices"
 	"testing"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 )
 
@@ -142,3 +144,115 @@
 	apply(t, r, 2, Command{Attempt: &Attempt{Service: "s"}})
 	assert.Assert(t, !r.AttemptOpen("s"))
 }
+
+// TestOpenOrders checks which orders count as ones that can still take effect.
+func TestOpenOrders(t *testing.T) {
+	order := func(member string) Command { return Command{Order: &Order{Service: "s", Member: member}} }
+	refused := func(token uint64) Command { return Command{OrderRefused: &OrderRefused{Service: "s", Token: token}} }
+	confirmed := func(token uint64, answered bool) Command {
+		return Command{OrderConfirmed: &OrderConfirmed{Service: "s", Token: token, Answered: answered}}
+	}
+	assertOpen := func(t *testing.T, r *State, want ...OpenOrders) {
+		t.Helper()
+		assert.Assert(t, slices.Equal(r.OpenOrders("s"), want), "%v", r.OpenOrders("s"))
+	}
+
+	// start returns a state with orders 1 and 3 for a, and order 2 for b.
+	start := func(t *testing.T) *State {
+		t.Helper()
+
+		r := &State{}
+		apply(t, r, 1, order("a"))
+		apply(t, r, 2, order("b"))
+		apply(t, r, 3, order("a"))
+
+		return r
+	}
+
+	t.Run("none", func(t *testing.T) { assertOpen(t, &State{}) })
+
+	t.Run("recorded", func(t *testing.T) {
+		r := start(t)
+		assertOpen(t, r, OpenOrders{"a", 3, 2}, OpenOrders{"b", 2, 1})
+		assert.Equal(t, len(r.OpenOrders("t")), 0)
+	})
+
+	t.Run("a superseded order is not open", func(t *testing.T) {
+		r := start(t)
+		apply(t, r, 4, Command{Order: &Order{Service: "s", Member: "c", After: 1, Conditional: true}})
+		assertOpen(t, r, OpenOrders{"a", 3, 2}, OpenOrders{"b", 2, 1})
+	})
+
+	t.Run("refused", func(t *testing.T) {
+		r := start(t)
+		before := r.OpenOrders("s")
+		apply(t, r, 4, refused(2))
+		assertOpen(t, r, OpenOrders{"a", 3, 2})
+		assert.Equal(t, len(before), 2, "a list that was handed out doesn't change")
+		apply(t, r, 5, refused(9))
+		assertOpen(t, r, OpenOrders{"a", 3, 2})
+		apply(t, r, 6, refused(3))
+		assertOpen(t, r, OpenOrders{"a", 3, 1})
+		apply(t, r, 7, refused(1))
+		assertOpen(t, r, OpenOrders{"a", 3, 1})
+	})
+
+	t.Run("an answered confirmation clears all", func(t *testing.T) {
+		r := start(t)
+		apply(t, r, 4, confirmed(3, true))
+		assertOpen(t, r)
+		apply(t, r, 5, order("b"))
+		assertOpen(t, r, OpenOrders{"b", 5, 1})
+	})
+
+	t.Run("an unanswered confirmation keeps the member's own", func(t *testing.T) {
+		r := &State{}
+		apply(t, r, 1, order("a"))
+		apply(t, r, 2, order("a"))
+		apply(t, r, 3, confirmed(2, false))
+		assertOpen(t, r, OpenOrders{"a", 2, 2})
+	})
+
+	t.Run("the confirmation of an earlier order clears nothing", func(t *testing.T) {
+		r := start(t)
+		assert.Equal(t, apply(t, r, 4, confirmed(2, true)), false)
+		assertOpen(t, r, OpenOrders{"a", 3, 2}, OpenOrders{"b", 2, 1})
+	})
+
+	t.Run("kept in a snapshot", func(t *testing.T) {
+		r, o := start(t), &State{}
+
+		b, err := r.Snapshot()
+		assert.NilError(t, err)
+		assert.NilError(t, o.Restore(b))
+		assertOpen(t, o, OpenOrders{"a", 3, 2}, OpenOrders{"b", 2, 1})
+	})
+
+	t.Run("a cleared list stays cleared in a snapshot", func(t *testing.T) {
+		r, o := start(t), &State{}
+		apply(t, r, 4, confirmed(3, true))
+
+		b, err := r.Snapshot()
+		assert.NilError(t, err)
+		assert.NilError(t, o.Restore(b))
+		assertOpen(t, o)
+	})
+
+	t.Run("a snapshot of an earlier version", func(t *testing.T) {
+		b, err := msgpack.Marshal(map[string]any{"p": map[string]Promotion{
+			"s": {Service: "s", Member: "a", Token: 7}, "t": {Service: "t", Member: "b", Token: 8, Confirmed: true},
+		}})
+		assert.NilError(t, err)
+
+		r := &State{}
+		assert.NilError(t, r.Restore(b))
+		assertOpen(t, r, OpenOrders{"a", 7, 1})
+		assert.Equal(t, len(r.OpenOrders("t")), 0)
+
+		// The first command may come before the list is read.
+		r = &State{}
+		assert.NilError(t, r.Restore(b))
+		apply(t, r, 9, order("b"))
+		assertOpen(t, r, OpenOrders{"a", 7, 1}, OpenOrders{"b", 9, 1})
+	})
+}
