--- a/control/process/labfailover/model_leader_test.go
+++ b/control/process/labfailover/model_leader_test.go
@@ -282,6 +282,7 @@
 
 func (*modelConnection) Drain(time.Time) (lab.TransactionStatus, error) { return lab.StatusIdle, nil }
 
+func (*modelConnection) InStep(time.Time) error { return nil }
 func (c *modelConnection) Alive() bool {
 	c.leader.mutex.Lock()
 	defer c.leader.mutex.Unlock()
--- a/control/process/labfailover/replacement_test.go
+++ b/control/process/labfailover/replacement_test.go
@@ -65,6 +65,7 @@
 func (*fakeConnection) Drain(time.Time) (lab.TransactionStatus, error) { return lab.StatusIdle, nil }
 func (*fakeConnection) Close()                                         {}
 
+func (*fakeConnection) InStep(time.Time) error { return nil }
 func (l *fakeConnection) Alive() bool {
 	l.service.mutex.Lock()
 	defer l.service.mutex.Unlock()
--- a/outcome.go
+++ b/outcome.go
@@ -60,6 +60,7 @@
 	ReasonCancelled      = "cancelled"   // the client cancelled the request
 	ReasonTooLarge       = "too_large"   // a message or result exceeds its size limit
 	ReasonStale          = "stale"       // no member reached the minimum position by the deadline
+	ReasonOutOfStep      = "out_of_step" // the member's answers do not belong to the operations
 	ReasonNoRegistry     = "no_registry" // too few registry replicas responded
 )
 
--- a/proxy/connection/labpool/conn.go
+++ b/proxy/connection/labpool/conn.go
@@ -32,6 +32,7 @@
 	lastUsed          time.Time
 	known             lab.CommitPosition // newest position of the member that was known before the next operation is sent
 	wrote             bool               // a write has run in the open transaction
+	faulted           bool               // a fault was returned that may be a second answer to an earlier operation
 }
 
 var _ lab.PooledConnection = (*Conn)(nil)
@@ -72,6 +73,12 @@
 
 	acknowledged := c.recordResults(sent, r, err)
 
+	if err == nil && mustBeInStep(sent, r) {
+		if err = c.inStep(deadline); err != nil {
+			return nil, err
+		}
+	}
+
 	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		c.pool.observe(c, c.lastUsed.Sub(started), acknowledged) // a timeout counts too, otherwise a busy member would seem fast
 	}
@@ -83,6 +90,45 @@
 	return c.withoutAdded(r, added), nil
 }
 
+// mustBeInStep reports whether the results may be returned only after the connection was shown to be in step. Without
+// that a client could be told that its write has not run although it has, and the next statement of a transaction could
+// get the answer to this one. A statement in a failed transaction needs no check, since its connection is closed.
+func mustBeInStep(sent []lab.Operation, r []lab.OperationResult) bool {
+	for i := range r {
+		if r[i].Fault == lab.FaultNone {
+			continue
+		}
+
+		changes := sent[i].Kind == lab.OperationCommit
+		if sent[i].Kind == lab.OperationWrite || (sent[i].Kind == lab.OperationExecute && sent[i].Writes) {
+			changes = r[i].Status != lab.StatusFailed
+		}
+
+		if (changes && r[i].Fault.NotRun()) || r[len(r)-1].Status == lab.StatusInTransaction {
+			return true
+		}
+	}
+
+	return false
+}
+
+// inStep shows that no fault on the connection was a second answer to an earlier operation.
+func (c *Conn) inStep(deadline time.Time) error {
+	if !c.faulted {
+		return nil
+	}
+
+	if err := c.connection.InStep(deadline); err != nil {
+		_, reason := lab.OutcomeOf(err)
+
+		return lab.UnknownOutcomeError(reason, err)
+	}
+
+	c.faulted = false
+
+	return nil
+}
+
 // recordResults records the positions in the results of operations that were sent together. If the member acknowledged a
 // commit, recordResults returns the position that the member was known to have before the operations were sent: the
 // commit is after it, so a replica that has received the commit has everything up to there. The position in the result
@@ -97,6 +143,8 @@
 	before := c.known
 
 	for i := range r {
+		c.faulted = c.faulted || r[i].Fault != lab.FaultNone
+
 		// A log without the known position is not the one in which it was seen.
 		if c.commits(sent[i], r[i]) && before.Before(r[i].Position) {
 			acknowledged = before
@@ -241,15 +289,25 @@
 	return n, []lab.Operation{{Kind: lab.OperationPrepare, Name: n, Writes: writes, Argument: text}}
 }
 
-// Release returns the connection to the pool; no transaction may be open on it.
+// Release returns the connection to the pool; no transaction may be open on it. After a fault it does so in the
+// background, once the connection was shown to be in step.
 func (c *Conn) Release() {
-	if c.valuesUnconfirmed {
+	switch {
+	case c.valuesUnconfirmed:
 		c.Discard()
+	case c.faulted:
+		go func() {
+			if err := c.inStep(time.Now().Add(drainTimeout)); err != nil {
+				c.Discard()
 
-		return
-	}
+				return
+			}
 
-	c.pool.release(c)
+			c.pool.release(c)
+		}()
+	default:
+		c.pool.release(c)
+	}
 }
 
 // ReleaseAfterDrain waits in the background for responses that missed their deadline, rolls back an open transaction
@@ -264,6 +322,8 @@
 
 	go func() {
 		s, err := c.connection.Drain(time.Now().Add(drainTimeout))
+		c.faulted = true // the drained results are not known here
+
 		if err == nil && s != lab.StatusIdle {
 			var r []lab.OperationResult
 
--- a/proxy/connection/labpool/pool_test.go
+++ b/proxy/connection/labpool/pool_test.go
@@ -50,6 +50,7 @@
 }
 
 func (*idleConnection) Drain(time.Time) (lab.TransactionStatus, error) { return lab.StatusIdle, nil }
+func (*idleConnection) InStep(time.Time) error                         { return nil }
 func (l *idleConnection) Alive() bool                                  { return !l.closedByPeer }
 func (l *idleConnection) Close()                                       { *l.closed = true }
 
--- a/proxy/connection/labtypedsession/fakes_test.go
+++ b/proxy/connection/labtypedsession/fakes_test.go
@@ -138,6 +138,7 @@
 }
 
 func (*fakeConnection) Drain(time.Time) (lab.TransactionStatus, error) { return 0, errConnectionLost }
+func (*fakeConnection) InStep(time.Time) error                         { return nil }
 func (*fakeConnection) Alive() bool                                    { return true }
 func (*fakeConnection) Close()                                         {}
 
--- a/proxy/connection/labtypedsession/release.go
+++ b/proxy/connection/labtypedsession/release.go
@@ -16,6 +16,7 @@
 	switch _, reason := lab.OutcomeOf(err); {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		a.recordTimeout(c)
+	case reason == lab.ReasonOutOfStep: // the member responds, and another connection to it may be in step
 	case !notRun(err) || reason == lab.ReasonConnectionLost:
 		a.recordConnectionLoss(c)
 	case reason == lab.ReasonOverload:
@@ -83,9 +84,12 @@
 // abandon gives up a connection on which a statement may still run, and records that the member did not respond or that
 // the connection broke.
 func (a *attempt) abandon(c lab.PooledConnection, err error) {
-	if releaseAfterError(c, err) {
+	_, reason := lab.OutcomeOf(err)
+
+	switch {
+	case releaseAfterError(c, err):
 		a.recordTimeout(c)
-	} else {
+	case reason != lab.ReasonOutOfStep:
 		a.recordConnectionLoss(c)
 	}
 }
--- a/proxy/process/labdirectory/directory_test.go
+++ b/proxy/process/labdirectory/directory_test.go
@@ -36,6 +36,7 @@
 }
 
 func (fakeConnection) Drain(time.Time) (lab.TransactionStatus, error) { return 0, errRefused }
+func (fakeConnection) InStep(time.Time) error                         { return nil }
 func (fakeConnection) Alive() bool                                    { return true }
 func (fakeConnection) Close()                                         {}
 
--- a/proxy/process/labsubscriber/acknowledged_test.go
+++ b/proxy/process/labsubscriber/acknowledged_test.go
@@ -60,6 +60,7 @@
 }
 
 func (*member) Drain(time.Time) (lab.TransactionStatus, error) { return lab.StatusIdle, nil }
+func (*member) InStep(time.Time) error                         { return nil }
 func (*member) Alive() bool                                    { return true }
 func (*member) Close()                                         {}
 
--- a/proxy/process/labtypedproxy/maintain_test.go
+++ b/proxy/process/labtypedproxy/maintain_test.go
@@ -42,6 +42,7 @@
 }
 
 func (*fakeMember) Drain(time.Time) (lab.TransactionStatus, error) { return 0, os.ErrDeadlineExceeded }
+func (*fakeMember) InStep(time.Time) error                         { return nil }
 func (*fakeMember) Alive() bool                                    { return true }
 func (*fakeMember) Close()                                         {}
 
