labtypedsession: no position of the primary from an unconfirmed begin

The position in the response to BEGIN was recorded as that of the primary at the time of the request. If the response was a second one to an earlier BEGIN, the position was older than the request, and replicas without newer commits could serve reads that must see them. The next response shows that, but only after the position was recorded. It is now recorded once the member has run a statement in the transaction.

TestPositionOfBegin failed before: the position of a begin whose statement found the connection out of step was recorded.

--- a/proxy/connection/labtypedsession/attempt.go
+++ b/proxy/connection/labtypedsession/attempt.go
@@ -35,9 +35,16 @@
 	lastMember     string              // member of the last failed try
 	minPosition    lab.CommitPosition  // position that the member of a read must have reached
 	typicalLatency time.Duration       // typical time between an operation and its response at the member of the last try
+	begun          begunTransaction    // transaction that the member has accepted last, until its next response
 	maxStaleness   time.Duration       // maximum staleness, if it determined minPosition; 0 if the session's commit did
 }
 
+// begunTransaction is the response of the primary to the begin of a transaction, zero if there is none.
+type begunTransaction struct {
+	sentAt   time.Duration
+	position lab.CommitPosition
+}
+
 // mustStop reports whether the attempt must end because the deadline has passed or no response can arrive before it.
 func (a *attempt) mustStop() bool {
 	return a.gaveUpWaiting || a.expired()
@@ -259,12 +266,22 @@
 	}
 
 	if !begin.ReadOnly {
-		s.Directory.PrimaryHistory(c.Member().Database).Record(sentAt, r[0].Position)
+		a.begun = begunTransaction{sentAt, r[0].Position}
 	}
 
 	return true
 }
 
+// confirmBegin records the position of the primary at the begin of the transaction if the member has run a statement in
+// it. The response to the begin alone could be a second one to an earlier begin, with an older position.
+func (a *attempt) confirmBegin(m lab.Announcement, ran bool) {
+	if ran {
+		a.session.Directory.PrimaryHistory(m.Database).Record(a.begun.sentAt, a.begun.position)
+	}
+
+	a.begun = begunTransaction{}
+}
+
 // recordBeginRefusal records that the member refused to begin a transaction and releases the connection.
 func (a *attempt) recordBeginRefusal(c lab.PooledConnection, r lab.OperationResult) {
 	s := a.session
@@ -321,6 +338,8 @@
 	}
 
 	r, err := c.Run(earlier(deadline, a.deadline), a.session.values, append([]lab.Operation{o}, then...)...)
+	a.confirmBegin(c.Member(), err == nil && r[0].Fault == lab.FaultNone)
+
 	if err != nil {
 		return lab.OperationResult{}, err
 	}
--- a/proxy/connection/labtypedsession/release.go
+++ b/proxy/connection/labtypedsession/release.go
@@ -13,6 +13,8 @@
 func (a *attempt) recordFailure(c lab.PooledConnection, err error) {
 	releaseAfterError(c, err)
 
+	a.begun = begunTransaction{}
+
 	switch _, reason := lab.OutcomeOf(err); {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		a.recordTimeout(c)
