labtypedproxy: a member out of step isn't unreachable after a ping

A ping that finds its connection out of step has got an answer, so the member responds. It was recorded as unreachable, which can lead to its replacement. Before, the case 'out of step' of TestQueryPosition failed.

--- a/proxy/process/labtypedproxy/maintain.go
+++ b/proxy/process/labtypedproxy/maintain.go
@@ -125,7 +125,10 @@
 	}
 
 	if err != nil {
-		p.directory.RecordUnreachable(pool.Member())
+		// A member that is out of step on one connection does respond.
+		if _, reason := lab.OutcomeOf(err); reason != lab.ReasonOutOfStep {
+			p.directory.RecordUnreachable(pool.Member())
+		}
 
 		return
 	}
--- a/proxy/process/labtypedproxy/maintain_test.go
+++ b/proxy/process/labtypedproxy/maintain_test.go
@@ -18,7 +18,10 @@
 )
 
 // fakeMember responds, or times out while unresponsive is set. It implements lab.MemberDialer and lab.MemberConnection.
-type fakeMember struct{ unresponsive atomic.Bool }
+type fakeMember struct {
+	unresponsive atomic.Bool
+	err          error // returned by Run, if not nil
+}
 
 func (m *fakeMember) Dial(context.Context, lab.Announcement) (lab.MemberConnection, error) {
 	return m, nil
@@ -33,6 +36,10 @@
 		return nil, os.ErrDeadlineExceeded
 	}
 
+	if m.err != nil {
+		return nil, m.err
+	}
+
 	out := make([]lab.OperationResult, len(o))
 	for i := range out {
 		out[i].Status = lab.StatusIdle
@@ -94,3 +101,22 @@
 
 	assert.Assert(t, !p.directory.Unreachable(pool.Member()))
 }
+
+// TestQueryPosition checks that a primary that answers is not recorded as unreachable, which could replace it.
+func TestQueryPosition(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		err         error
+		unreachable bool
+	}{
+		{"position", nil, false},
+		{"timeout", os.ErrDeadlineExceeded, true},
+		{"out of step", lab.UnknownOutcomeError(lab.ReasonOutOfStep, os.ErrInvalid), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, pool := newProxy(t, &fakeMember{err: c.err})
+			p.queryPosition("s", pool)
+			assert.Equal(t, p.directory.Unreachable(pool.Member()), c.unreachable)
+		})
+	}
+}
