labplatformcontrol: close a service before looking whether an order is unconfirmed

A confirmation whose recording had no known result may be applied after the look. The service was then open for its new primary while the attempt went on, without a withdrawal, to order another one. Found by reading; no run has shown it.

--- a/control/process/labplatformcontrol/permissions.go
+++ b/control/process/labplatformcontrol/permissions.go
@@ -233,13 +233,14 @@
 		return err
 	}
 
+	// The mark comes first: a confirmation whose recording had no known result may be applied at any time.
+	v := k.closeService(service)
+	k.notifyWaiters()
+
 	if o, ordered := k.participation().state.Promotion(service); ordered && !o.Confirmed {
 		return nil
 	}
 
-	v := k.closeService(service)
-	k.notifyWaiters()
-
 	started, logged := k.Clock.Now(), false
 
 	for {
