labfailover: resume replicas in a fixed order

The order followed the iteration of a map, so two runs of one sequence of the model differed from there on.

--- a/control/process/labfailover/pause.go
+++ b/control/process/labfailover/pause.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -196,7 +197,8 @@
 		return
 	}
 
-	for m, l := range s.connections {
+	for _, m := range slices.Sorted(maps.Keys(s.connections)) { // in a fixed order, so that a model sees the same each time
+		l := s.connections[m]
 		if m == s.FormerPrimary.Member && !s.paused[m] {
 			continue
 		}
