labfailover: a model of late orders, of permissions to commit, and of one result for each sequence

The model's late orders were all late by the same time, and its clients committed wherever the platform let a member lead. Now each order of a time has its own lateness (0 to 12 s) and effect, is answered or refused or neither, and replicas that a promotion rolls back are busy for a time. Clients commit only through two proxies with a permission of the leader, one of which can lose contact with control. A success that a client has seen and that is lost is a failure, as is a commit that a replica has received though no client saw its success.

--- a/control/process/labfailover/model_leader_test.go
+++ b/control/process/labfailover/model_leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,12 @@
 	replacing, recording, replaced, pending bool
 	unreachableSince, missingSince          time.Duration
 	recoveredAt                             time.Duration
+
+	// The list of permissions, guarded by the model's mutex.
+	epoch, number uint64
+	listed        string
+	withdrawn     bool
+	holders       map[int]modelHolder
 }
 
 // elect lets a control instance lead that knows the given members and the replicated state, but no positions. The former
@@ -52,8 +59,9 @@
 		old.group.Store(w.frozenState())
 	}
 
+	w.epochs++
 	l := &modelLeader{
-		model: w, since: w.clock.Now(), ledger: &labmemberlogs.Ledger{Clock: w.clock}, registry: &labmembers.Registry{Clock: w.clock},
+		model: w, epoch: w.epochs, holders: map[int]modelHolder{}, since: w.clock.Now(), ledger: &labmemberlogs.Ledger{Clock: w.clock}, registry: &labmembers.Registry{Clock: w.clock},
 	}
 	l.group.Store(w.state)
 
@@ -126,47 +134,9 @@
 // leading is what the leader takes for true. A deposed one learns it late.
 func (l *modelLeader) leading() bool { return !l.deposed.Load() }
 
-// Promote implements lab.PromotionClient.
-func (l *modelLeader) Promote(ctx context.Context, _, id string, token uint64) error {
-	w := l.model
-
-	time.Sleep(modelRoundTrip)
-	l.waitSuspended()
-	w.mutex.Lock()
-	w.note("order for %s with token %d", id, token)
-
-	carryOut := func() error {
-		m := w.find(id)
-		if token < w.token || m == nil || !m.running || m.dark {
-			return lab.NotRunError(lab.ReasonRejected, errors.New("conflict"))
-		}
-
-		w.token = token
-		w.effects++
-		w.after(modelPromotion, func() {
-			w.effects--
-			w.promoted(m, token)
-		})
-
-		return nil
-	}
-
-	if w.late > 0 {
-		w.after(w.late, func() { _ = carryOut() })
-		w.mutex.Unlock()
-		<-ctx.Done()
-
-		return ctx.Err()
-	}
-
-	defer w.mutex.Unlock()
-
-	return carryOut()
-}
-
 // propose applies a command to the replicated state if the instance still leads.
 func (l *modelLeader) propose(c labgroupstate.Command) (any, error) {
-	time.Sleep(modelRoundTrip)
+	time.Sleep(modelRoundTrip + l.offset(offsetProposal))
 	l.waitSuspended()
 
 	l.mutex.Lock()
@@ -201,7 +171,7 @@
 // Begin implements OrderLog. If the attempt is open, only the leadership is verified.
 func (l *modelOrders) Begin(_ context.Context, service string) (bool, error) {
 	if l.group.Load().AttemptOpen(service) {
-		time.Sleep(modelRoundTrip)
+		time.Sleep(modelRoundTrip + l.offset(offsetProposal))
 		l.waitSuspended()
 
 		var err error
@@ -258,6 +228,12 @@
 	_, err := l.propose(labgroupstate.Command{
 		OrderConfirmed: &labgroupstate.OrderConfirmed{Service: service, Token: token, Answered: answered},
 	})
+	if err == nil {
+		l.locked(func() {
+			l.withdrawn = false
+			l.notify()
+		})
+	}
 
 	return err
 }
@@ -278,9 +254,6 @@
 	return out
 }
 
-// Withdraw implements CommitPermissions.
-func (l *modelLeader) Withdraw(context.Context, string) error { return nil }
-
 // End implements OrderLog.
 func (l *modelOrders) End(_ context.Context, service string) error {
 	_, err := l.propose(labgroupstate.Command{Attempt: &labgroupstate.Attempt{Service: service}})
@@ -315,7 +288,7 @@
 func (l *modelLeader) Dial(ctx context.Context, a lab.Announcement) (lab.MemberConnection, error) {
 	w := l.model
 
-	time.Sleep(modelRoundTrip)
+	time.Sleep(modelRoundTrip + l.memberOffset(a))
 	l.waitSuspended()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -326,6 +299,7 @@
 	case m != nil && (m.dark || w.isCut(m)):
 		w.mutex.Unlock()
 		<-ctx.Done()
+		time.Sleep(l.memberOffset(a))
 		w.mutex.Lock()
 
 		return nil, ctx.Err()
@@ -356,14 +330,14 @@
 	c := connection.(*modelConnection)
 	w, m := l.model, c.member
 
-	time.Sleep(modelRoundTrip)
+	time.Sleep(modelRoundTrip + l.memberOffset(m.announcement))
 	l.waitSuspended()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
 	if w.isCut(m) {
 		w.mutex.Unlock()
-		time.Sleep(time.Until(deadline))
+		time.Sleep(time.Until(deadline) + l.memberOffset(m.announcement))
 		w.mutex.Lock()
 
 		return lab.MemberState{}, errNoResponse
@@ -494,7 +468,10 @@
 
 	known := l.group.Load().Holders()[modelService]
 
-	for _, a := range l.live() {
+	live := l.live()
+
+	for _, address := range slices.Sorted(maps.Keys(live)) {
+		a := live[address]
 		if !slices.ContainsFunc(known, func(h labgroupstate.Holder) bool { return h.Address == a.Address && h.Member == a.Member }) {
 			c.Set = append(c.Set, labgroupstate.Holder{
 				Service: modelService, Member: a.Member, Address: a.Address, Region: a.Region, Primary: a.Primary,
@@ -525,6 +502,8 @@
 
 // lead replaces the primary when that is due, as the leader of the control group does.
 func (l *modelLeader) lead() {
+	time.Sleep(l.offset(offsetTick))
+
 	for !l.stopped.Load() {
 		time.Sleep(modelTick)
 		l.waitSuspended()
@@ -558,6 +537,7 @@
 	l.replacing = true
 
 	go func() {
+		time.Sleep(l.offset(offsetAttempt))
 		l.replace(o.ReplacementReason())
 		l.locked(func() { l.replacing = false })
 	}()
@@ -617,7 +597,7 @@
 	defer cancel()
 
 	s := l.newReplacement(v)
-	defer func() { l.locked(func() { l.replaced, l.pending = true, s.OrderPending }) }()
+	defer func() { l.locked(func() { l.replaced, l.pending, l.withdrawn = true, s.OrderPending, false }) }()
 
 	if v == ReasonNone {
 		err := s.Recover(ctx)
--- a/control/process/labfailover/model_sequences_test.go
+++ b/control/process/labfailover/model_sequences_test.go
@@ -13,9 +13,9 @@
 	"laburnumlock.dev/lab"
 )
 
-// TestModelSequences plays sequences that have lost acknowledged commits or have left a service without a primary.
-func TestModelSequences(t *testing.T) {
-	for _, s := range []struct{ name, steps string }{
+// modelSequences are sequences that have lost acknowledged commits or have left a service without a primary.
+func modelSequences() []modelSequence {
+	return []modelSequence{
 		// A replica that was down acknowledged a commit alone in a run that nobody saw.
 		{"unseen_run", `write 0 800ms, crash 2 6s, write 0 5s, write 0 5s, unheard 2 5s, deaf 1 3.6s, write 0 100ms, crash 2 4s,
 			dark 0 6s`},
@@ -58,18 +58,63 @@
 		// A deposed leader paused the only other replica after its successor had ended the attempt.
 		{"paused_by_deposed", `unheard 1 200ms, cut_off 2 4.5s, write 1 4.2s, leave 2 100ms, write 2 4.6s, deaf 2 100ms, dark 2 5.3s,
 			leave 0 200ms, write 0 600ms, lost 1 200ms, suspended_leader 2 4.6s`},
-	} {
+		// The order for the one member with all commits was late, the successor of the former primary was read, and its last
+		// commit counted as acknowledged.
+		{"bound_by_successor", `leave 0 200ms, write 2 100ms, crash 1 4.9s, empty_leader 0 200ms, write 0 4.8s, lost 2 1.7s`},
+		// Late orders for several members took effect in turn, and clients committed at each of them.
+		{"late_orders_in_turn", `write 2 4.5s, silent_platform 1 5s, leave 0 5.5s, write 1 300ms`},
+		{"late_after_answered", `write 0 4.5s, own_fates 2 4s, leave 0 1.7s, crash 1 1.1s`},
+		{"late_after_crash", `write 0 200ms, own_fates 2 6s, write 2 1.7s, write 2 2s, silent_platform 0 1.6s, own_fates 0 4.3s, leave 0 6s,
+			dark 2 300ms, late_orders 0 500ms, write 0 6s`},
+		{"late_with_cut_off", `write 0 4s, cut_off 0 200ms, silent_platform 1 4.3s, write 0 400ms, write 0 1.5s, leave 2 300ms, write 2 4.2s,
+			dark 0 1.2s, leave 0 200ms, late_orders 0 700ms, own_fates 0 4.5s, silent_platform 2 2.3s, cut_off 2 700ms, dark 1 5.4s,
+			crash 2 3.3s, write 1 2.3s, write 1 3.2s, write 2 800ms, write 0 200ms`},
+		{"late_with_suspended_leader", `suspended_leader 2 700ms, write 0 200ms, series 0 1.1s, leave 1 100ms, silent_platform 2 1.7s,
+			write 1 100ms, suspended_leader 1 100ms, empty_leader 0 200ms, write 0 6s, empty_leader 2 600ms, write 1 200ms`},
+		{"late_with_successors", `leave 1 100ms, deaf 0 100ms, silent_platform 2 3.4s, deaf 2 2.7s, crash 0 200ms, own_fates 1 4.3s,
+			leave 1 100ms, write 1 900ms, write 1 3.4s, write 2 1.5s, leave 0 800ms, new_leader 1 3.1s`},
+	}
+}
+
+// modelSequence is a sequence with a name.
+type modelSequence struct{ name, steps string }
+
+func TestModelSequences(t *testing.T) {
+	for _, s := range modelSequences() {
 		t.Run(s.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := newModel()
-				if v := w.run(parseSteps(t, s.steps)); len(v) > 0 {
-					t.Errorf("%v\n%s", v, strings.Join(w.trace, "\n"))
-				}
-			})
+			if v, trace := play(t, s.steps); len(v) > 0 {
+				t.Errorf("%v\n%s", v, strings.Join(trace, "\n"))
+			}
 		})
 	}
 }
 
+// TestModelRepeats guards against sequences with another result in each run.
+func TestModelRepeats(t *testing.T) {
+	for _, s := range modelSequences() {
+		t.Run(s.name, func(t *testing.T) {
+			_, first := play(t, s.steps)
+			for range 2 {
+				_, again := play(t, s.steps)
+				assert.DeepEqual(t, again, first)
+			}
+		})
+	}
+}
+
+// play plays a sequence and returns its violations and its trace.
+func play(t *testing.T, steps string) (violations, trace []string) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		w := newModel()
+		violations = w.run(parseSteps(t, steps))
+		trace = w.trace
+	})
+
+	return violations, trace
+}
+
 // parseSteps reads steps of the form "kind place pause".
 func parseSteps(t *testing.T, list string) (out []modelStep) {
 	t.Helper()
@@ -115,7 +160,7 @@
 		assert.NilError(t, err)
 		assert.Assert(t, !st.Primary)
 
-		w.locked(w.write)
+		w.locked(func() { w.write() })
 		assert.Equal(t, w.commits, 0)
 
 		w.locked(func() { w.restart(m) })
--- a/control/process/labfailover/model_steps_test.go
+++ b/control/process/labfailover/model_steps_test.go
@@ -27,10 +27,10 @@
 
 // modelStepKinds are the kinds of steps. Disruptions end after the step's pause.
 var modelStepKinds = []modelStepKind{
-	{"write", 0, func(w *model, _ *modelMember, _ time.Duration) { w.write() }},
-	{"write", 0, func(w *model, _ *modelMember, _ time.Duration) { w.write() }},
-	{"write", 0, func(w *model, _ *modelMember, _ time.Duration) { w.write() }},
-	{"write", 0, func(w *model, _ *modelMember, _ time.Duration) { w.write() }},
+	{"write", 0, func(w *model, _ *modelMember, _ time.Duration) { w.writeThroughProxy() }},
+	{"write", 0, func(w *model, _ *modelMember, _ time.Duration) { w.writeThroughProxy() }},
+	{"write", 0, func(w *model, _ *modelMember, _ time.Duration) { w.writeThroughProxy() }},
+	{"write", 0, func(w *model, _ *modelMember, _ time.Duration) { w.writeThroughProxy() }},
 	{"deaf", 0, (*model).playDeaf},
 	{"crash", 0, func(w *model, m *modelMember, pause time.Duration) { w.playStop(m, pause, false) }},
 	{"dark", 0, func(w *model, m *modelMember, pause time.Duration) { w.playStop(m, pause, true) }},
@@ -69,6 +69,15 @@
 		m.clockSetBack += modelClockStep
 	}},
 	{"lost", kindLost, (*model).playLost},
+	{"own_fates", kindOrders, func(w *model, m *modelMember, pause time.Duration) { w.playOrders(m, pause, false) }},
+	{"silent_platform", kindOrders, func(w *model, m *modelMember, pause time.Duration) { w.playOrders(m, pause, true) }},
+	{"proxy_cut", kindProxyCut, func(w *model, _ *modelMember, pause time.Duration) {
+		w.note("a proxy is cut off for %s", pause)
+
+		p := w.clients[1]
+		p.cut++
+		w.after(pause, func() { p.cut-- })
+	}},
 }
 
 func enabledKinds(bits uint) (out []int) {
--- a/control/process/labfailover/model_test.go
+++ b/control/process/labfailover/model_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,6 +40,8 @@
 	kindClock                   // 32: a member's clock is set back
 	kindLost                    // 64: a member is lost for good
 	kindLeadsAgain              // 128: a primary that has stepped down leads again after a restart
+	kindOrders                  // 256: each order has its own lateness and result
+	kindProxyCut                // 512: a proxy is cut off from control
 	kindAll         = 1<<iota - 1
 )
 
@@ -105,6 +109,7 @@
 	term          uint64
 	running, dark bool
 	deaf, paused  bool
+	behind        int // promotions that the member is still rolled back for
 	leads, gone   bool
 	lost          bool   // never starts again
 	steppedDown   bool   // was the primary and nobody has been promoted since
@@ -119,25 +124,37 @@
 	term    uint64
 	token   uint64 // highest token that the platform has seen
 	late    time.Duration
-	acked   map[string]int // position of each acknowledged commit
-	commits int
-	lost    []string
-	trace   []string
-	leader  *modelLeader // the leader that the group has elected last
-	state   *labgroupstate.State
-	index   uint64             // of the replicated log
-	proxies lab.CommitPosition // up to which proxies know commits to be acknowledged
-	stopped atomic.Bool
-	anyLost bool
-	starts  uint64
-	unheard map[string]int // by address: disturbances in effect that lose announcements
-	cut     map[string]int // by address: disturbances in effect that cut a member off from control
-	effects int            // number of accepted orders that wait for their effect
+	trouble orderTrouble
+	// lateUntil is the time until which an order can be carried out late.
+	lateUntil                    time.Duration
+	writing                      bool           // clients commit steadily
+	acked                        map[string]int // position of each acknowledged commit
+	commits                      int
+	lost                         []string
+	trace                        []string
+	leader                       *modelLeader // the leader that the group has elected last
+	state                        *labgroupstate.State
+	index                        uint64                 // of the replicated log
+	clients                      [2]*modelProxy         // proxies; the second one can lose contact with control
+	sent                         map[string]*modelProxy // by id: proxies that wait for the answer to a commit
+	seen                         map[string]bool        // commits that clients know to be successful
+	rolledBack                   map[string]bool        // acknowledged commits that are lost
+	unseen                       []string               // lost commits that no client knows to be successful
+	attempts, successes, unknown int                    // commits: tried, successful, and answered after the permission ended
+	timers                       time.Duration          // number of timers
+	epochs                       uint64                 // number of elections
+	stopped                      atomic.Bool
+	anyLost                      bool
+	starts                       uint64
+	unheard                      map[string]int // by address: disturbances in effect that lose announcements
+	cut                          map[string]int // by address: disturbances in effect that cut a member off from control
+	effects                      int            // number of accepted orders that wait for their effect
 }
 
-// after calls a function with the mutex held after a time.
+// after calls a function with the mutex held after a time. No two calls are due at the same instant: their order would be random.
 func (w *model) after(d time.Duration, call func()) {
-	time.AfterFunc(d, func() { w.locked(call) })
+	w.timers++
+	time.AfterFunc(d+w.timers, func() { w.locked(call) })
 }
 
 func (w *model) locked(call func()) {
@@ -152,7 +169,14 @@
 }
 
 func newModel() *model {
-	w := &model{clock: bubbleClock{time.Now()}, state: &labgroupstate.State{}, acked: map[string]int{}, term: 1, unheard: map[string]int{}, cut: map[string]int{}}
+	w := &model{
+		clock: bubbleClock{time.Now()}, state: &labgroupstate.State{}, acked: map[string]int{}, term: 1, unheard: map[string]int{}, cut: map[string]int{},
+		sent: map[string]*modelProxy{}, seen: map[string]bool{}, rolledBack: map[string]bool{},
+	}
+	for i := range w.clients {
+		w.clients[i] = &modelProxy{index: i, under: map[string]modelCommit{}}
+	}
+
 	w.elect(nil)
 	w.leader.since = 0
 
@@ -221,19 +245,6 @@
 	}
 }
 
-// reportPeriodically plays the reports of the proxies on acknowledged commits.
-func (w *model) reportPeriodically() {
-	for !w.stopped.Load() {
-		w.locked(func() {
-			if !w.proxies.IsZero() {
-				w.leader.ledger.RecordAcknowledged(modelService, w.proxies)
-			}
-		})
-
-		time.Sleep(modelReport)
-	}
-}
-
 func (w *model) primary() *modelMember {
 	for _, m := range w.members {
 		if m.leads {
@@ -245,7 +256,7 @@
 }
 
 func (m *modelMember) receives() bool {
-	return m.running && !m.dark && !m.leads && !m.deaf && !m.paused
+	return m.running && !m.dark && !m.leads && !m.deaf && !m.paused && m.behind == 0
 }
 
 // replicate sends the primary's log to a member.
@@ -268,48 +279,41 @@
 		if p.running && p.leads && p.term == term {
 			for i, id := range m.log {
 				w.acked[id] = i
-			}
 
-			w.proxiesLearn(p, len(m.log))
+				if !p.dark {
+					w.answered(id, i, term)
+				}
+			}
 		}
 	})
 }
 
-// proxiesLearn records what proxies know after commits up to a number were acknowledged: the position that was known
-// before the last one was sent.
-func (w *model) proxiesLearn(p *modelMember, number int) {
-	if c := (lab.CommitPosition{Term: p.term, Number: uint64(max(number, 1) - 1)}); !p.dark && w.proxies.Before(c) {
-		w.proxies = c
-	}
-}
-
-func (w *model) write() {
+// write appends a commit to the primary's log and returns its id, or nothing if there is no primary.
+func (w *model) write() string {
 	p := w.primary()
 	if p == nil || !p.running || p.dark {
-		return
+		return ""
 	}
 
 	w.commits++
-	p.log = append(p.log, fmt.Sprintf("c%d.%d", p.term, w.commits))
+	id := fmt.Sprintf("c%d.%d", p.term, w.commits)
+	p.log = append(p.log, id)
 
 	for _, m := range w.members {
 		w.replicate(m)
 	}
+
+	return id
 }
 
 func (w *model) promoted(m *modelMember, token uint64) {
-	if !m.running || m.dark || m.leads || token < w.token {
+	if !m.running || m.dark || m.leads {
 		return
 	}
 
 	w.note("%s leads with %d commits, token %d", m.announcement.Member, len(m.log), token)
 
-	for id, i := range w.acked {
-		if i >= len(m.log) || m.log[i] != id {
-			w.lost = append(w.lost, fmt.Sprintf("%s lacks %s", m.announcement.Member, id))
-			delete(w.acked, id)
-		}
-	}
+	w.recordLost(m)
 
 	w.term++
 
@@ -318,6 +322,8 @@
 		o.log = o.log[:min(len(o.log), len(m.log))]
 		w.announce(o)
 	}
+
+	w.rollBack(token)
 }
 
 func (w *model) find(id string) *modelMember {
@@ -330,6 +336,26 @@
 	return nil
 }
 
+// recordLost records the acknowledged commits that a new primary lacks.
+func (w *model) recordLost(m *modelMember) {
+	for _, id := range slices.Sorted(maps.Keys(w.acked)) {
+		if i := w.acked[id]; i < len(m.log) && m.log[i] == id {
+			continue
+		}
+
+		delete(w.acked, id)
+
+		w.rolledBack[id] = true
+		lost := fmt.Sprintf("%s lacks %s", m.announcement.Member, id)
+
+		if w.seen[id] {
+			w.lost = append(w.lost, lost)
+		} else {
+			w.unseen = append(w.unseen, "without a client's knowledge: "+lost)
+		}
+	}
+}
+
 // run plays a sequence and then waits for a primary. It returns the violations.
 func (w *model) run(steps []modelStep) (violations []string) {
 	w.locked(func() {
@@ -339,7 +365,8 @@
 	})
 
 	go w.announcePeriodically()
-	go w.reportPeriodically()
+	w.watchPeriodically()
+
 	go w.leader.lead()
 
 	time.Sleep(modelStart)
@@ -351,23 +378,28 @@
 
 	time.Sleep(12 * time.Second) // longer than any disruption
 
-	served := false
+	var (
+		served bool
+		before int
+	)
+
+	w.locked(func() { before = w.successes })
 
 	for end := time.Now().Add(modelProgress); time.Now().Before(end) && !served; {
-		w.locked(w.write)
+		w.locked(w.writeThroughProxy)
 		time.Sleep(modelTick)
-		w.locked(func() { served = w.served() })
+		w.locked(func() { served = w.successes > before && w.served() })
 	}
 
 	w.stopped.Store(true)
 
-	time.Sleep(20 * time.Second) // the attempt under way and late orders end
+	time.Sleep(26 * time.Second) // the attempt under way and late orders end
 
 	if !served {
 		violations = append(violations, "no commit is acknowledged after the last disruption")
 	}
 
-	return append(violations, w.lost...)
+	return append(append(violations, w.lost...), w.unseen...)
 }
 
 // served reports whether the newest commit of the primary is acknowledged and no order is unconfirmed.
@@ -424,6 +456,7 @@
 		})
 		time.Sleep(2 * modelReplication)
 		w.locked(func() { w.promoted(w.members[1], 1) })
-		assert.Equal(t, len(w.lost), 1)
+		assert.Equal(t, len(w.unseen), 1)
+		assert.Equal(t, len(w.lost), 0, "no client wrote the commit")
 	})
 }
