--- a/control/process/labfailover/replacement_test.go
+++ b/control/process/labfailover/replacement_test.go
@@ -42,7 +42,9 @@
 	open           []string // members for which an order is open
 	withdrawals    int      // number of times that the permission to commit was withdrawn
 	withdrawErr    error
-	deposed        bool // another instance leads the control group
+	onWithdraw     func() // called with each withdrawal, with the mutex held
+	answered       bool   // the platform has answered the confirmed order
+	deposed        bool   // another instance leads the control group
 	attemptOpen    bool
 	succeeded      []string // replicas at whose address another member has responded
 	current        []ReplicaState
@@ -181,7 +183,7 @@
 }
 
 func (w *fakeService) Confirm(_ context.Context, _ string, token uint64, answered bool) error {
-	w.confirmedToken = token
+	w.confirmedToken, w.answered = token, answered
 
 	if answered {
 		w.open = nil
@@ -204,6 +206,10 @@
 
 	w.withdrawals++
 
+	if w.onWithdraw != nil {
+		w.onWithdraw()
+	}
+
 	return w.withdrawErr
 }
 
