--- a/control/process/labfailover/model_sequences_test.go
+++ b/control/process/labfailover/model_sequences_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -66,6 +65,8 @@
 		{"late_after_answered", `write 0 4.5s, own_fates 2 4s, leave 0 1.7s, crash 1 1.1s`},
 		{"late_after_crash", `write 0 200ms, own_fates 2 6s, write 2 1.7s, write 2 2s, silent_platform 0 1.6s, own_fates 0 4.3s, leave 0 6s,
 			dark 2 300ms, late_orders 0 500ms, write 0 6s`},
+		// A proxy without contact to control goes on committing. The replica that was paused started again and received the commits.
+		{"cut_off_proxy", `silent_platform 1 5.2s, proxy_cut 0 2s, dark 0 1.5s, deaf 1 4s, crash 2 200ms, deaf 0 3s`},
 		{"late_with_cut_off", `write 0 4s, cut_off 0 200ms, silent_platform 1 4.3s, write 0 400ms, write 0 1.5s, leave 2 300ms, write 2 4.2s,
 			dark 0 1.2s, leave 0 200ms, late_orders 0 700ms, own_fates 0 4.5s, silent_platform 2 2.3s, cut_off 2 700ms, dark 1 5.4s,
 			crash 2 3.3s, write 1 2.3s, write 1 3.2s, write 2 800ms, write 0 200ms`},
@@ -129,7 +130,7 @@
 			t.Fatalf("step %q: %v", text, err)
 		}
 
-		s.kind = slices.IndexFunc(modelStepKinds, func(k modelStepKind) bool { return k.name == name })
+		s.kind = kindNamed(name)
 
 		d, err := time.ParseDuration(pause)
 		if err != nil || s.kind < 0 {
--- a/control/process/labfailover/model_steps_test.go
+++ b/control/process/labfailover/model_steps_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"laburnumlock.dev/lab"
@@ -80,6 +81,11 @@
 	}},
 }
 
+// kindNamed returns the index of a kind, or -1.
+func kindNamed(name string) int {
+	return slices.IndexFunc(modelStepKinds, func(k modelStepKind) bool { return k.name == name })
+}
+
 func enabledKinds(bits uint) (out []int) {
 	for i, k := range modelStepKinds {
 		if k.bit == 0 || k.bit&bits != 0 {
--- a/control/process/labfailover/model_test.go
+++ b/control/process/labfailover/model_test.go
@@ -419,7 +419,27 @@
 // the kinds of steps in the flag -model.kinds.
 // No acknowledged commit may be lost, and commits must be acknowledged again soon after the last disruption.
 func TestModel(t *testing.T) {
-	kinds := enabledKinds(*modelKinds)
+	checkSequences(t, enabledKinds(*modelKinds), nil)
+}
+
+// TestModelOrders plays random sequences in which each order has its own fate, while clients commit steadily, replicas lag,
+// and primaries stop.
+func TestModelOrders(t *testing.T) {
+	var kinds []int
+
+	for _, n := range []string{
+		"deaf", "deaf", "deaf", "crash", "crash", "dark", "leave", "proxy_cut", "proxy_cut", "cut_off", "new_leader", "suspended_leader",
+		"own_fates", "silent_platform",
+	} {
+		kinds = append(kinds, kindNamed(n))
+	}
+
+	checkSequences(t, kinds, []modelStep{{kind: kindNamed("silent_platform"), pause: 6 * time.Second}})
+}
+
+// checkSequences plays random sequences of the given kinds, each after the same first steps.
+func checkSequences(t *testing.T, kinds []int, first []modelStep) {
+	t.Helper()
 
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) modelStep {
@@ -428,6 +448,7 @@
 				pause: time.Duration(rapid.IntRange(1, 60).Draw(rt, "pause")) * 100 * time.Millisecond,
 			}
 		}), 1, *modelSteps).Draw(rt, "steps")
+		steps = append(slices.Clone(first), steps...)
 
 		var (
 			violations []string
