--- a/control/process/labfailover/model_sequences_test.go
+++ b/control/process/labfailover/model_sequences_test.go
@@ -67,6 +67,9 @@
 			dark 2 300ms, late_orders 0 500ms, write 0 6s`},
 		// A proxy without contact to control goes on committing. The replica that was paused started again and received the commits.
 		{"cut_off_proxy", `silent_platform 1 5.2s, proxy_cut 0 2s, dark 0 1.5s, deaf 1 4s, crash 2 200ms, deaf 0 3s`},
+		// A member that led by an earlier order was confirmed while an order for another one was open.
+		{"confirmed_with_open_order", `silent_platform 0 6s, deaf 1 100ms, deaf 0 400ms, dark 0 900ms, deaf 1 5.7s, suspended_leader 1 5.9s,
+			deaf 1 4.6s`},
 		{"late_with_cut_off", `write 0 4s, cut_off 0 200ms, silent_platform 1 4.3s, write 0 400ms, write 0 1.5s, leave 2 300ms, write 2 4.2s,
 			dark 0 1.2s, leave 0 200ms, late_orders 0 700ms, own_fates 0 4.5s, silent_platform 2 2.3s, cut_off 2 700ms, dark 1 5.4s,
 			crash 2 3.3s, write 1 2.3s, write 1 3.2s, write 2 800ms, write 0 200ms`},
@@ -103,12 +106,46 @@
 	}
 }
 
+// TestModelLeaderChanges plays sequences of late orders in which the leader changes at any point.
+func TestModelLeaderChanges(t *testing.T) {
+	const limit = 10 * time.Second
+
+	for _, s := range modelSequences() {
+		if !strings.Contains(s.steps, "silent_platform") && !strings.Contains(s.steps, "own_fates") {
+			continue
+		}
+
+		t.Run(s.name, func(t *testing.T) {
+			for at := time.Duration(0); at < limit; at += modelTick {
+				v, trace := playPrepared(t, s.steps, func(w *model) {
+					w.after(modelStart+at, func() {
+						w.note("new leader")
+						w.leader.deposed.Store(true)
+						w.replaceLeader(false)
+					})
+				})
+				if len(v) > 0 {
+					t.Fatalf("new leader after %s: %v\n%s", at, v, strings.Join(trace, "\n"))
+				}
+			}
+		})
+	}
+}
+
 // play plays a sequence and returns its violations and its trace.
 func play(t *testing.T, steps string) (violations, trace []string) {
 	t.Helper()
 
+	return playPrepared(t, steps, func(*model) {})
+}
+
+func playPrepared(t *testing.T, steps string, prepare func(*model)) (violations, trace []string) {
+	t.Helper()
+
 	synctest.Test(t, func(t *testing.T) {
 		w := newModel()
+		w.locked(func() { prepare(w) })
+
 		violations = w.run(parseSteps(t, steps))
 		trace = w.trace
 	})
