--- a/control/process/labfailover/model_sequences_test.go
+++ b/control/process/labfailover/model_sequences_test.go
@@ -67,6 +67,7 @@
 			dark 2 300ms, late_orders 0 500ms, write 0 6s`},
 		// A proxy without contact to control goes on committing. The replica that was paused started again and received the commits.
 		{"cut_off_proxy", `silent_platform 1 5.2s, proxy_cut 0 2s, dark 0 1.5s, deaf 1 4s, crash 2 200ms, deaf 0 3s`},
+		{"cut_off_proxy_for_long", `silent_platform 1 4.4s, proxy_cut 0 6s, dark 0 3s, write 0 4s, deaf 1 4s, crash 2 200ms, deaf 0 3s`},
 		// A member that led by an earlier order was confirmed while an order for another one was open.
 		{"confirmed_with_open_order", `silent_platform 0 6s, deaf 1 100ms, deaf 0 400ms, dark 0 900ms, deaf 1 5.7s, suspended_leader 1 5.9s,
 			deaf 1 4.6s`},
