--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -41,6 +41,7 @@
 		}
 
 		k.registry.RemoveSilent()
+		k.reconcilePermissions(ctx)
 		k.recordHolders(ctx)
 		k.logPrimaries()
 
@@ -55,19 +56,30 @@
 	return nil
 }
 
-// reconcileService starts a replacement of a service's primary if one may be needed and none is in progress.
+// reconcileService starts a replacement of a service's primary if one may be needed and none is in progress. Without a need, it
+// ends a withdrawal that the last replacement could not end.
 func (k *Controller) reconcileService(ctx context.Context, service string) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
-	if k.replacing[service] || !k.mayNeedReplacement(service) {
+	if k.replacing[service] {
 		return
 	}
 
+	run := k.replace
+
+	if !k.mayNeedReplacement(service) {
+		if !k.withdrawn(service) {
+			return
+		}
+
+		run = k.endWithdrawal
+	}
+
 	k.replacing[service] = true
 
 	go func() {
-		k.replace(ctx, service)
+		run(ctx, service)
 
 		k.mutex.Lock()
 		defer k.mutex.Unlock()
@@ -117,6 +129,8 @@
 
 // replace replaces the primary if there is a reason for it. Without a reason, it probes the primary first.
 func (k *Controller) replace(ctx context.Context, service string) {
+	defer k.endWithdrawal(ctx, service)
+
 	k.mutex.Lock()
 	e, due := k.observations(service), k.recoveryDue(service)
 	k.mutex.Unlock()
@@ -191,7 +205,7 @@
 		PrimaryServing: v == labfailover.ReasonLeaving, PrimaryCertain: !unconfirmed || o.Address == address, Replicas: k.replicas(service),
 		PrimaryAnnounced: v == labfailover.ReasonOrderUnconfirmed && p.Announcement.Primary && !p.Announcement.Draining &&
 			k.silentFor(p) < announcedMaxAge,
-		Dialer: k.Dialer, PromotionClient: k.PromotionClient, Orders: &orderLog{k, o.Token}, Logs: &k.memberLogs, Clock: k.Clock, Log: k.Log,
+		Dialer: k.Dialer, PromotionClient: k.PromotionClient, Orders: &orderLog{k, o.Token}, Permissions: commitPermissions{k}, Logs: &k.memberLogs, Clock: k.Clock, Log: k.Log,
 		CurrentReplicas: func() []labfailover.ReplicaState { return k.replicas(service) },
 		Leading:         func() bool { return k.Leading() && k.leaderEpoch() == epoch },
 		Succeeded:       k.endSucceeded,
@@ -204,7 +218,7 @@
 	}
 
 	if ordered {
-		k.memberLogs.RecordOrder(service, o.Member, o.Received)
+		k.memberLogs.RecordOrder(service, o.Member, o.Bound)
 
 		if s.OrderPending {
 			s.Ordered = o.Member
--- a/proxy/connection/labtypedsession/attempt.go
+++ b/proxy/connection/labtypedsession/attempt.go
@@ -30,14 +30,22 @@
 	deadline       time.Time
 	triedMembers   map[string]bool     // members that refused the statement or did not respond
 	lastRefusal    lab.OperationResult // result of the last try that a member refused
+	notPermitted   bool                // whether the last try was not sent since there is no permission to commit
 	gaveUpWaiting  bool                // whether the attempt ends because no response can arrive before the deadline
 	failedTries    int                 // number of tries that were refused or got no response
 	lastMember     string              // member of the last failed try
 	minPosition    lab.CommitPosition  // position that the member of a read must have reached
 	typicalLatency time.Duration       // typical time between an operation and its response at the member of the last try
+	begun          begunTransaction    // transaction that the member has accepted last, until its next response
 	maxStaleness   time.Duration       // maximum staleness, if it determined minPosition; 0 if the session's commit did
 }
 
+// begunTransaction is the response of the primary to the begin of a transaction, zero if there is none.
+type begunTransaction struct {
+	sentAt   time.Duration
+	position lab.CommitPosition
+}
+
 // mustStop reports whether the attempt must end because the deadline has passed or no response can arrive before it.
 func (a *attempt) mustStop() bool {
 	return a.gaveUpWaiting || a.expired()
@@ -49,6 +57,10 @@
 
 // notRunResult returns the result of a statement that has not run.
 func (a *attempt) notRunResult() lab.OperationResult {
+	if a.notPermitted {
+		return fault(lab.FaultBusy, noPermission)
+	}
+
 	if a.lastRefusal.Fault.NotRun() {
 		return fault(lab.FaultBusy, a.lastRefusal.Fault.String())
 	}
@@ -75,6 +87,10 @@
 // write runs a single write at the primary, at most once.
 func (a *attempt) write(o lab.Operation) lab.OperationResult {
 	for !a.mustStop() {
+		if !a.awaitPermission() {
+			continue
+		}
+
 		c, ok := a.acquirePrimary()
 		if !ok {
 			continue
@@ -84,9 +100,19 @@
 			continue
 		}
 
+		commit, ok := a.beginCommit(c)
+		if !ok {
+			c.Release()
+			a.pause(retryDelay)
+
+			continue
+		}
+
 		sentAt := a.session.Clock.Now()
 
 		r, err := a.execute(c, a.deadline, o)
+		permitted := commit.End()
+
 		if notRun(err) {
 			a.recordFailure(c, err)
 
@@ -109,11 +135,11 @@
 
 		releaseOrDiscard(c, r)
 
-		if r.Fault == lab.FaultNone {
-			a.recordCommit(c.Member(), sentAt, r.Position)
+		if r.Fault != lab.FaultNone {
+			return r
 		}
 
-		return r
+		return a.commitResult(c.Member(), r, sentAt, permitted)
 	}
 
 	return a.notRunResult()
@@ -259,12 +285,22 @@
 	}
 
 	if !begin.ReadOnly {
-		s.Directory.PrimaryHistory(c.Member().Database).Record(sentAt, r[0].Position)
+		a.begun = begunTransaction{sentAt, r[0].Position}
 	}
 
 	return true
 }
 
+// confirmBegin records the position of the primary at the begin of the transaction if the member has run a statement in
+// it. The response to the begin alone could be a second one to an earlier begin, with an older position.
+func (a *attempt) confirmBegin(m lab.Announcement, ran bool) {
+	if ran {
+		a.session.Directory.PrimaryHistory(m.Database).Record(a.begun.sentAt, a.begun.position)
+	}
+
+	a.begun = begunTransaction{}
+}
+
 // recordBeginRefusal records that the member refused to begin a transaction and releases the connection.
 func (a *attempt) recordBeginRefusal(c lab.PooledConnection, r lab.OperationResult) {
 	s := a.session
@@ -321,6 +357,8 @@
 	}
 
 	r, err := c.Run(earlier(deadline, a.deadline), a.session.values, append([]lab.Operation{o}, then...)...)
+	a.confirmBegin(c.Member(), err == nil && r[0].Fault == lab.FaultNone)
+
 	if err != nil {
 		return lab.OperationResult{}, err
 	}
