labplatformcontrol: keep commits withdrawn while a lost primary has no candidate, and refuse a superseded confirmation

Each attempt without a candidate closed the service and opened it again, at most 150 ms apart: two lists for all proxies each, for as long as the evidence is missing. The withdrawal now lasts until there is no reason for an attempt, or one has another end. A primary that is leaving and serves is not concerned. orderLog.Confirm took a confirmation that changed nothing, since a later order exists, for a success; it returns ErrSuperseded. Found by the author of the permissions' control side; the subtest fails without the check.

--- a/control/process/labplatformcontrol/orderlog.go
+++ b/control/process/labplatformcontrol/orderlog.go
@@ -74,11 +74,17 @@
 	v, err := o.controller.propose(ctx, labgroupstate.Command{
 		OrderConfirmed: &labgroupstate.OrderConfirmed{Service: service, Token: token, Answered: answered},
 	})
-	if v == true {
-		o.controller.openService(service, true)
+	if err != nil {
+		return err
 	}
 
-	return err
+	if v != true {
+		return labgroupstate.ErrSuperseded
+	}
+
+	o.controller.openService(service, true)
+
+	return nil
 }
 
 func (o *orderLog) Open(service string) []string {
--- a/control/process/labplatformcontrol/permissions_test.go
+++ b/control/process/labplatformcontrol/permissions_test.go
@@ -355,6 +355,8 @@
 		c.withdraw("s").assertReturns(testSlack)
 
 		token := c.order("s", "m1")
+		superseded := (&orderLog{controller: c.controllers[c.leaderIndex()]}).Confirm(t.Context(), "s", token-1, true)
+		assert.ErrorIs(t, superseded, labgroupstate.ErrSuperseded)
 
 		c.reopen("s")
 		c.setReplacing("s", true)
--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -129,7 +129,13 @@
 
 // replace replaces the primary if there is a reason for it. Without a reason, it probes the primary first.
 func (k *Controller) replace(ctx context.Context, service string) {
-	defer k.endWithdrawal(ctx, service)
+	again := false
+
+	defer func() {
+		if !again {
+			k.endWithdrawal(ctx, service)
+		}
+	}()
 
 	k.mutex.Lock()
 	e, due := k.observations(service), k.recoveryDue(service)
@@ -175,6 +181,10 @@
 	m, err := s.Run(ctx)
 	k.recordWait(service, err)
 
+	// While a lost primary has no candidate, the next attempt follows at once. Commits stay withdrawn until there is no
+	// reason for one, so that the proxies don't get two lists for each attempt.
+	again = errors.Is(err, labfailover.ErrNoCandidate) && v != labfailover.ReasonLeaving
+
 	if err != nil {
 		k.Counters.Failures.Add(1)
 		k.Log.Warn().Err(err).Str("service", service).Dur("after", k.Clock.Now()-started).Msg("replacement_failed")
