labpermission: a lapsed commit stays unknown when the list is replaced

A proxy without contact could report a commit as a success after another member was promoted: its grant lapsed, the next list that it applied named no or another member, and an answer within drainTime after that counted as awaited. Only permissions that the new list still had were marked as lapsed. All with commits under way are marked now before a list is applied. Found by the review; the two subtests fail on the code before.

--- a/proxy/process/labpermission/permissions.go
+++ b/proxy/process/labpermission/permissions.go
@@ -58,37 +58,46 @@
 	}
 
 	now, end := p.Clock.Now(), sentAt+g.ValidFor
+
 	lapsed := p.hasEndedLocked(now)
+	if lapsed && (g.Revision != p.applied || end > p.end) {
+		p.lapseLocked()
+	}
 
 	if g.Revision == p.applied {
 		if end <= p.end {
 			return false
 		}
 
-		p.renewLocked(now, end, lapsed)
+		p.renewLocked(now, end)
 
 		return lapsed
 	}
 
 	p.replaceLocked(g, now)
-	p.renewLocked(now, end, lapsed)
+	p.renewLocked(now, end)
 
 	return true
 }
 
-// renewLocked sets the end of the grant. If the former grant has lapsed, the permissions are others than before: the
-// control group may have let another member commit in between.
-func (p *Permissions) renewLocked(now, end time.Duration, lapsed bool) {
-	if lapsed {
-		for service, c := range p.current {
-			if c.underWay > 0 {
-				p.current[service] = &permission{service: c.service, member: c.member}
-				c.lapsed = true
-				p.retireLocked(c)
-			}
+// lapseLocked ends the permissions of a grant that has lapsed and is renewed or replaced: the control group may have let
+// another member commit in between.
+func (p *Permissions) lapseLocked() {
+	for f := range p.former {
+		f.lapsed = true
+	}
+
+	for service, c := range p.current {
+		if c.underWay > 0 {
+			p.current[service] = &permission{service: c.service, member: c.member}
+			c.lapsed = true
+			p.retireLocked(c)
 		}
 	}
+}
 
+// renewLocked sets the end of the grant.
+func (p *Permissions) renewLocked(now, end time.Duration) {
 	previous := p.end
 	p.end = end
 
--- a/proxy/process/labpermission/permissions_test.go
+++ b/proxy/process/labpermission/permissions_test.go
@@ -209,6 +209,32 @@
 		f.assertAllows("s", "a", false)
 	})
 
+	// Another member may have been promoted and confirmed while the proxy was without contact.
+	t.Run("lapsed commit whose list is replaced", func(t *testing.T) {
+		for _, list := range [][]string{nil, {"s", "b"}, {"s", "a"}} {
+			f := newFixture(t)
+			f.grant(1, "s", "a")
+
+			c := f.begin("s", "a")
+			f.clock.now += validFor
+			f.grant(2, list...)
+			f.clock.now += drainTime / 2
+			assert.Assert(t, !c.End(), "list %v", list)
+		}
+	})
+
+	t.Run("withdrawn commit whose grant lapses", func(t *testing.T) {
+		f := newFixture(t)
+		f.grant(1, "s", "a")
+
+		c := f.begin("s", "a")
+		f.clock.now += validFor - drainTime/2
+		f.Apply(lab.PermissionGrant{Revision: revision(2), ValidFor: drainTime / 4}, f.clock.now)
+		f.clock.now += drainTime / 2
+		f.grant(3)
+		assert.Assert(t, !c.End())
+	})
+
 	t.Run("lapsed commit still drains", func(t *testing.T) {
 		f := newFixture(t)
 		f.grant(1, "s", "a")
