labplatformcontrol: record the steps of an attempt only in the term in which it began

An attempt withdrew the permission as the leader of one term; if another instance led for a moment, opened the service, and this one was elected again within the attempt's 8 s, its order was accepted though the service had been open since. Commands of an attempt name their term now, which the goroutine of the consensus group checks before it appends them. TestProposeInTerm is new.

--- a/control/process/labconsensus/group_test.go
+++ b/control/process/labconsensus/group_test.go
@@ -104,6 +104,20 @@
 	assert.Assert(t, err != nil)
 }
 
+// Guards against a command that rests on an earlier leadership of the same instance.
+func TestProposeInTerm(t *testing.T) {
+	c := newCluster(t)
+	g := c.waitLeader()
+	term := g.Leadership().Term
+
+	_, err := g.ProposeInTerm(context.Background(), term+1, incrementCommand())
+	assert.ErrorIs(t, err, lab.ErrNotLeader)
+
+	v, err := g.ProposeInTerm(context.Background(), term, incrementCommand())
+	assert.NilError(t, err)
+	assert.Equal(t, v, uint64(1), "the first proposal was not appended")
+}
+
 // Guards against an instance that continues to run after its journal failed.
 func TestJournalFailure(t *testing.T) {
 	j := &countingJournal{Journal: labjournal.Journal{Folder: t.TempDir()}, appendErr: errors.New("no space")}
--- a/control/process/labconsensus/request.go
+++ b/control/process/labconsensus/request.go
@@ -13,6 +13,7 @@
 // request is an operation for the goroutine that executes Run. Exactly one of command, change and barrier is set.
 type request struct {
 	command        []byte
+	term           uint64 // consensus term in which command may be proposed, 0 for any
 	change         *labreplica.Change
 	barrier        bool
 	interruptedErr error // error that submit returns when the context or Run ends before there is a result
@@ -56,6 +57,12 @@
 		return
 	}
 
+	if c.term != 0 && c.term != g.replica.Term() {
+		c.done <- result{err: lab.ErrNotLeader}
+
+		return
+	}
+
 	i, t, err := g.replica.Propose(g.Clock.Now(), c.command)
 	g.addWaiter(g.waiters, c, i, t, err)
 }
@@ -107,6 +114,17 @@
 	return v, nil
 }
 
+// ProposeInTerm is like Propose, but returns ErrNotLeader unless the consensus term is the given one. A command that rests on
+// what this instance did as the leader of a term must not be appended after another instance has led.
+func (g *Group) ProposeInTerm(ctx context.Context, term uint64, command []byte) (any, error) {
+	v, err := g.submit(ctx, request{command: command, term: term, interruptedErr: lab.ErrOutcomeUnknown})
+	if err != nil {
+		return nil, errors.Newf("propose in term %d: %w", term, err)
+	}
+
+	return v, nil
+}
+
 // Barrier returns once two conditions hold: a quorum has confirmed after the call that this instance is the leader, and
 // this instance has applied all entries that were committed before the call. It returns ErrNotLeader when this instance
 // is not the leader, or when its leadership, the context or Run ends first.
--- a/control/process/labplatformcontrol/documents.go
+++ b/control/process/labplatformcontrol/documents.go
@@ -82,6 +82,16 @@
 	return k.participation().group.Propose(ctx, b)
 }
 
+// proposeInTerm proposes a command unless another instance may have led since the term.
+func (k *Controller) proposeInTerm(ctx context.Context, term uint64, c labgroupstate.Command) (any, error) {
+	b, err := c.Encode()
+	if err != nil {
+		return nil, err
+	}
+
+	return k.participation().group.ProposeInTerm(ctx, term, b)
+}
+
 func (k *Controller) handlePut(ctx context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
 	var r putRequest
 	if err := decode(&r); err != nil {
--- a/control/process/labplatformcontrol/orderlog.go
+++ b/control/process/labplatformcontrol/orderlog.go
@@ -13,6 +13,7 @@
 type orderLog struct {
 	controller *Controller
 	token      uint64 // fencing token of the newest order that the replacement rests on, 0 for none
+	term       uint64 // consensus term in which the replacement began, 0 for any: its steps rest on each other
 }
 
 func (o *orderLog) Begin(ctx context.Context, service string) (bool, error) {
@@ -27,7 +28,7 @@
 	open := state.AttemptOpen(service)
 	if !open {
 		c := labgroupstate.Command{Attempt: &labgroupstate.Attempt{Service: service, Open: true}}
-		if _, err := o.controller.propose(ctx, c); err != nil {
+		if _, err := o.controller.proposeInTerm(ctx, o.term, c); err != nil {
 			return false, err
 		}
 	}
@@ -42,7 +43,7 @@
 func (o *orderLog) Order(
 	ctx context.Context, service string, member lab.Announcement, former string, bound lab.CommitPosition,
 ) (uint64, error) {
-	v, err := o.controller.propose(ctx, labgroupstate.Command{Order: &labgroupstate.Order{
+	v, err := o.controller.proposeInTerm(ctx, o.term, labgroupstate.Command{Order: &labgroupstate.Order{
 		Service: service, Member: member.Member, Address: member.Address, FormerPrimary: former, Bound: bound,
 		After: o.token, Conditional: true,
 	}})
@@ -63,7 +64,7 @@
 }
 
 func (o *orderLog) Refused(ctx context.Context, service string, token uint64) error {
-	_, err := o.controller.propose(ctx, labgroupstate.Command{
+	_, err := o.controller.proposeInTerm(ctx, o.term, labgroupstate.Command{
 		OrderRefused: &labgroupstate.OrderRefused{Service: service, Token: token},
 	})
 
@@ -71,7 +72,7 @@
 }
 
 func (o *orderLog) Confirm(ctx context.Context, service string, token uint64, answered bool) error {
-	v, err := o.controller.propose(ctx, labgroupstate.Command{
+	v, err := o.controller.proposeInTerm(ctx, o.term, labgroupstate.Command{
 		OrderConfirmed: &labgroupstate.OrderConfirmed{Service: service, Token: token, Answered: answered},
 	})
 	if err != nil {
@@ -98,7 +99,7 @@
 }
 
 func (o *orderLog) End(ctx context.Context, service string) error {
-	_, err := o.controller.propose(ctx, labgroupstate.Command{Attempt: &labgroupstate.Attempt{Service: service}})
+	_, err := o.controller.proposeInTerm(ctx, o.term, labgroupstate.Command{Attempt: &labgroupstate.Attempt{Service: service}})
 
 	return err
 }
--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -208,16 +208,16 @@
 	unconfirmed := ordered && !o.Confirmed
 
 	former, address := k.formerPrimary(service)
-	epoch := k.leaderEpoch()
+	term := k.participation().group.Leadership().Term
 
 	s := &labfailover.Replacement{
 		Service: service, PreferredRegion: former.Region, FormerPrimary: former,
 		PrimaryServing: v == labfailover.ReasonLeaving, PrimaryCertain: !unconfirmed || o.Address == address, Replicas: k.replicas(service),
 		PrimaryAnnounced: v == labfailover.ReasonOrderUnconfirmed && p.Announcement.Primary && !p.Announcement.Draining &&
 			k.silentFor(p) < announcedMaxAge,
-		Dialer: k.Dialer, PromotionClient: k.PromotionClient, Orders: &orderLog{k, o.Token}, Permissions: commitPermissions{k}, Logs: &k.memberLogs, Clock: k.Clock, Log: k.Log,
+		Dialer: k.Dialer, PromotionClient: k.PromotionClient, Orders: &orderLog{k, o.Token, term}, Permissions: commitPermissions{k}, Logs: &k.memberLogs, Clock: k.Clock, Log: k.Log,
 		CurrentReplicas: func() []labfailover.ReplicaState { return k.replicas(service) },
-		Leading:         func() bool { return k.Leading() && k.leaderEpoch() == epoch },
+		Leading:         func() bool { return k.Leading() && k.participation().group.Leadership().Term == term },
 		Succeeded:       k.endSucceeded,
 		OrderPending:    k.orderPending(service, unconfirmed), GivenUp: k.givenUp(service),
 	}
