labplatformcontrol: wake the watches for a list that another watch has made

The reconciler compares with the list that it announced last. Withdraw also refuses to go on if the service could not be closed. The existing tests of the package pass; the wake has no test of its own.

--- a/control/process/labplatformcontrol/permissions.go
+++ b/control/process/labplatformcontrol/permissions.go
@@ -43,6 +43,7 @@
 	term      uint64                 // term in which this instance has applied everything that former leaders committed
 	revision  lab.PermissionRevision // zero before the first list of the term
 	list      []lab.CommitPermission
+	announced lab.PermissionRevision // list for which watches were woken last; a watch may make a later one
 	madeAt    time.Duration
 	madeFrom  uint64          // value of Controller.changeCount from which the list was made
 	withdrawn map[string]bool // services without permission until their replacement ends
@@ -116,8 +117,9 @@
 	}
 
 	k.permissions.mutex.Lock()
-	before := k.permissions.revision
-	changed := k.refreshPermissions(false) != before
+	v := k.refreshPermissions(false)
+	changed := v != k.permissions.announced
+	k.permissions.announced = v
 	k.permissions.mutex.Unlock()
 
 	if changed {
@@ -235,6 +237,10 @@
 
 	// The mark comes first: a confirmation whose recording had no known result may be applied at any time.
 	v := k.closeService(service)
+	if v.IsZero() {
+		return lab.ErrNotLeader
+	}
+
 	k.notifyWaiters()
 
 	if o, ordered := k.participation().state.Promotion(service); ordered && !o.Confirmed {
--- a/control/process/labplatformcontrol/permissions_test.go
+++ b/control/process/labplatformcontrol/permissions_test.go
@@ -197,7 +197,7 @@
 
 		var err error
 
-		token, err = (&orderLog{k, o.Token}).Order(ctx, service, a, "", lab.CommitPosition{})
+		token, err = (&orderLog{controller: k, token: o.Token}).Order(ctx, service, a, "", lab.CommitPosition{})
 
 		return err == nil
 	})
