labfailover: read the members again after a lead was lost, and close orders that were never sent

Found by the review: if the member that led when it was read had lost the lead, the attempt recorded one order after the other for it (1,370 in 3 s) until its time was over, with commits closed. An order that was recorded but not sent stayed open and made the next one for another member wait for an answer and 1.5 s. With an order unconfirmed and no successor left, no attempt began, and the service stayed closed though its primary served. TestLeadLostWhileRecorded doesn't end on the code before (killed after 60 s); the row of TestReplacementReason fails there.

--- a/control/process/labfailover/choice_test.go
+++ b/control/process/labfailover/choice_test.go
@@ -84,6 +84,7 @@
 		{"overloaded: probes succeed", Observations{PrimaryKnown: true, Successors: 2, FailingProxies: 9}, ReasonNone},
 		{"unknown for a short time", Observations{Successors: 2, PrimaryMissingFor: MissingAfter}, ReasonNone},
 		{"unknown for a long time", Observations{Successors: 2, PrimaryMissingFor: MissingAfter + 1}, ReasonNoPrimary},
+		{"order without response, and no successor is left", Observations{PrimaryKnown: true, OrderUnconfirmed: true}, ReasonOrderUnconfirmed},
 		{"order without response", Observations{PrimaryKnown: true, Successors: 2, OrderUnconfirmed: true, ReachingProxies: 9}, ReasonOrderUnconfirmed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/control/process/labfailover/observations.go
+++ b/control/process/labfailover/observations.go
@@ -52,10 +52,10 @@
 // minority whose network path is broken.
 func (e *Observations) ReplacementReason() Reason {
 	switch {
-	case e.Successors == 0:
-		return ReasonNone
 	case e.OrderUnconfirmed:
 		return ReasonOrderUnconfirmed
+	case e.Successors == 0:
+		return ReasonNone
 	case !e.PrimaryKnown && e.PrimaryMissingFor > MissingAfter:
 		return ReasonNoPrimary
 	case e.PrimaryKnown && e.PrimaryLeaving:
--- a/control/process/labfailover/order.go
+++ b/control/process/labfailover/order.go
@@ -145,6 +145,8 @@
 	}
 
 	if s.pauseAgain(ctx, c.Member) || found || !s.holds(ctx, c) {
+		s.recordRefused(ctx, token) // it is never sent
+
 		return 0, errOvertaken
 	}
 
--- a/control/process/labfailover/order_test.go
+++ b/control/process/labfailover/order_test.go
@@ -165,3 +165,18 @@
 		assert.Equal(t, w.refusedToken, uint64(10))
 	})
 }
+
+// TestLeadLostWhileRecorded guards against recording orders without end for a member that has led when it was read, and against
+// an order that stays open though it was never sent.
+func TestLeadLostWhileRecorded(t *testing.T) {
+	var w orderTest
+
+	m, err := w.run(t, false, func() {
+		w.primary = "a"
+		w.onRecord = func() { w.primary, w.onRecord = "b", nil }
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, m, "b")
+	assert.DeepEqual(t, w.calls, []uint64{20})
+	assert.Equal(t, w.refusedToken, uint64(10))
+}
--- a/control/process/labfailover/replacement.go
+++ b/control/process/labfailover/replacement.go
@@ -38,7 +38,7 @@
 	// Order records a promotion order for a member, with the position up to which commits are known to be acknowledged, and
 	// returns the order's fencing token. From then on the order is open: it can take effect.
 	Order(ctx context.Context, service string, member lab.Announcement, former string, bound lab.CommitPosition) (uint64, error)
-	// Refused records that the platform has refused an order, so that it can't take effect.
+	// Refused records that an order can't take effect, since the platform has refused it or it was never sent.
 	Refused(ctx context.Context, service string, token uint64) error
 	// Confirm records that the member of the order with this token has become the primary, which lets proxies commit there.
 	// If the platform has answered the order, no earlier one can take effect.
@@ -150,16 +150,16 @@
 	for {
 		c, err := s.replaceOnce(ctx)
 
-		switch {
-		case errors.Is(err, errDeposed):
-			s.runOnReplicas(ctx, lab.Operation{Kind: lab.OperationStatus}, "")
-		case !errors.Is(err, errOvertaken):
+		if !errors.Is(err, errOvertaken) && !errors.Is(err, errDeposed) {
 			return c, err
 		}
 
 		if err := ctx.Err(); err != nil {
 			return lab.Announcement{}, errors.Newf("replace primary: %w", err)
 		}
+
+		// Another member may lead than the one that did when the replicas were read.
+		s.runOnReplicas(ctx, lab.Operation{Kind: lab.OperationStatus}, "")
 	}
 }
 
--- a/control/version/labgroupstate/command.go
+++ b/control/version/labgroupstate/command.go
@@ -46,7 +46,7 @@
 	Answered bool `msgpack:"a,omitempty"`
 }
 
-// OrderRefused records that the platform has refused an order, which then can't take effect.
+// OrderRefused records that an order can't take effect, since the platform has refused it or it was never sent.
 type OrderRefused struct {
 	Service string `msgpack:"s"`
 	Token   uint64 `msgpack:"t"` // fencing token of the order
