--- a/control/process/labfailover/model_leader_test.go
+++ b/control/process/labfailover/model_leader_test.go
@@ -266,6 +266,8 @@
 	leader *modelLeader
 	member *modelMember
 	run    uint64
+	// announcement is that of the member when the connection was opened; the member's own is guarded by the model's mutex.
+	announcement lab.Announcement
 }
 
 func (c *modelConnection) Run(deadline time.Time, o ...lab.Operation) ([]lab.OperationResult, error) {
@@ -310,7 +312,7 @@
 		return nil, lab.NotRunError(lab.ReasonMisrouted, &lab.OtherMemberError{Member: m.announcement.Member})
 	}
 
-	return &modelConnection{l, m, m.announcement.Incarnation}, nil
+	return &modelConnection{l, m, m.announcement.Incarnation, m.announcement}, nil
 }
 
 // at returns the member at an address.
@@ -331,14 +333,14 @@
 	c := connection.(*modelConnection)
 	w, m := l.model, c.member
 
-	time.Sleep(modelRoundTrip + l.memberOffset(m.announcement))
+	time.Sleep(modelRoundTrip + l.memberOffset(c.announcement))
 	l.waitSuspended()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
 	if w.isCut(m) {
 		w.mutex.Unlock()
-		time.Sleep(time.Until(deadline) + l.memberOffset(m.announcement))
+		time.Sleep(time.Until(deadline) + l.memberOffset(c.announcement))
 		w.mutex.Lock()
 
 		return lab.MemberState{}, errNoResponse
--- a/control/process/labfailover/model_sequences_test.go
+++ b/control/process/labfailover/model_sequences_test.go
@@ -148,7 +148,7 @@
 		w.locked(func() { prepare(w) })
 
 		violations = w.run(parseSteps(t, steps))
-		trace = w.trace
+		w.locked(func() { trace = w.trace })
 	})
 
 	return violations, trace
--- a/control/process/labfailover/replacement_test.go
+++ b/control/process/labfailover/replacement_test.go
@@ -184,6 +184,9 @@
 }
 
 func (w *fakeService) Confirm(_ context.Context, _ string, token uint64, answered bool) error {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
 	w.confirmedToken, w.answered = token, answered
 
 	if answered {
@@ -194,12 +197,20 @@
 }
 
 func (w *fakeService) Refused(_ context.Context, _ string, token uint64) error {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
 	w.refusedToken = token
 
 	return nil
 }
 
-func (w *fakeService) Open(string) []string { return w.open }
+func (w *fakeService) Open(string) []string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	return w.open
+}
 
 func (w *fakeService) Withdraw(context.Context, string) error {
 	w.mutex.Lock()
