--- a/proxy/connection/labpool/instep_test.go
+++ b/proxy/connection/labpool/instep_test.go
@@ -11,15 +11,15 @@
 	"laburnumlock.dev/lab"
 )
 
-// stutteringMember answers with the given results. It counts the calls of InStep, which return err.
-type stutteringMember struct {
+// repeatingMember answers with the given results. It counts the calls of InStep, which return err.
+type repeatingMember struct {
 	memberScript
 
 	err   error
 	calls atomic.Int32
 }
 
-func (l *stutteringMember) InStep(time.Time) error {
+func (l *repeatingMember) InStep(time.Time) error {
 	l.calls.Add(1)
 
 	return l.err
@@ -71,7 +71,7 @@
 		for _, err := range []error{nil, errDown, os.ErrDeadlineExceeded} {
 			t.Run(c.name, func(t *testing.T) {
 				n, _ := newConn(nil)
-				l := &stutteringMember{memberScript: memberScript{idleConnection{closed: new(bool)}, c.results, errDown}, err: err}
+				l := &repeatingMember{memberScript: memberScript{idleConnection{closed: new(bool)}, c.results, errDown}, err: err}
 				n.connection = l
 
 				r, failure := n.Run(time.Now().Add(time.Second), nil, c.operation)
@@ -103,7 +103,7 @@
 
 	t.Run("drained results", func(t *testing.T) {
 		n, _ := newConn(nil)
-		l := &stutteringMember{memberScript: memberScript{idleConnection{closed: new(bool)}, nil, errDown}, err: errDown}
+		l := &repeatingMember{memberScript: memberScript{idleConnection{closed: new(bool)}, nil, errDown}, err: errDown}
 		n.connection = l
 
 		n.ReleaseAfterDrain()
