--- a/connectionpool.go
+++ b/connectionpool.go
@@ -28,13 +28,21 @@
 	ReleaseAfterDrain()
 }
 
+// AcquireRequest describes the statement or transaction that needs a connection.
+type AcquireRequest struct {
+	Organisation  string        // organisation that the connection must belong to; empty if the deployment has none
+	Priority      int           // 0 is the highest
+	Deadline      time.Time     // time by which the statement must have its response; zero if unknown
+	TargetLatency time.Duration // time within which the whole operation should end, 0 for no target
+}
+
 // ConnectionPool provides connections to one member.
 type ConnectionPool interface {
 	// Member returns the member.
 	Member() Announcement
-	// Acquire returns a connection. It waits until one is free or the context ends. Waiting requests are served by
-	// priority, then by arrival; 0 is the highest priority.
-	Acquire(ctx context.Context, priority int) (PooledConnection, error)
+	// Acquire returns a connection that belongs to the organisation of the request. It waits until one is free or the
+	// context ends. Waiting requests are served by priority, then by arrival.
+	Acquire(ctx context.Context, request AcquireRequest) (PooledConnection, error)
 	// Load returns the load of the pool: inProgress is the number of requests that use or wait for a connection, and free
 	// reports whether a request could get a connection without waiting for another request to release one. reachable
 	// reports whether the member is reachable.
--- a/control/process/labfailover/members.go
+++ b/control/process/labfailover/members.go
@@ -105,7 +105,7 @@
 		defer cancel()
 
 		var err error
-		if l, err = s.Dialer.Dial(dialing, m); err != nil {
+		if l, err = s.Dialer.Dial(dialing, m, ""); err != nil {
 			return lab.MemberState{}, errors.Newf("connect to %s: %w", m.Member, err)
 		}
 
--- a/control/process/labfailover/model_leader_test.go
+++ b/control/process/labfailover/model_leader_test.go
@@ -288,7 +288,7 @@
 func (*modelConnection) Close() {}
 
 // Dial implements lab.MemberDialer.
-func (l *modelLeader) Dial(ctx context.Context, a lab.Announcement) (lab.MemberConnection, error) {
+func (l *modelLeader) Dial(ctx context.Context, a lab.Announcement, _ string) (lab.MemberConnection, error) {
 	w := l.model
 
 	time.Sleep(modelRoundTrip + l.memberOffset(a))
--- a/control/process/labfailover/model_sequences_test.go
+++ b/control/process/labfailover/model_sequences_test.go
@@ -188,7 +188,7 @@
 		l, m := w.leader, w.members[0]
 
 		// A dial by address alone reaches whichever member is there.
-		c, err := l.Dial(t.Context(), lab.Announcement{Address: m.announcement.Address})
+		c, err := l.Dial(t.Context(), lab.Announcement{Address: m.announcement.Address}, "")
 		assert.NilError(t, err)
 
 		st, err := l.State(time.Time{}, c, lab.Operation{Kind: lab.OperationStepDown, Term: 1})
--- a/control/process/labfailover/order.go
+++ b/control/process/labfailover/order.go
@@ -282,7 +282,7 @@
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 
-		l, err := s.Dialer.Dial(ctx, p)
+		l, err := s.Dialer.Dial(ctx, p, "")
 		if err != nil {
 			return
 		}
--- a/control/process/labfailover/replacement_test.go
+++ b/control/process/labfailover/replacement_test.go
@@ -79,7 +79,7 @@
 	return !l.lost
 }
 
-func (w *fakeService) Dial(_ context.Context, m lab.Announcement) (lab.MemberConnection, error) {
+func (w *fakeService) Dial(_ context.Context, m lab.Announcement, _ string) (lab.MemberConnection, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
--- a/control/process/labplatformcontrol/controller_test.go
+++ b/control/process/labplatformcontrol/controller_test.go
@@ -32,7 +32,7 @@
 
 type unavailablePlatform struct{}
 
-func (unavailablePlatform) Dial(context.Context, lab.Announcement) (lab.MemberConnection, error) {
+func (unavailablePlatform) Dial(context.Context, lab.Announcement, string) (lab.MemberConnection, error) {
 	return nil, errors.New("no member")
 }
 
--- a/control/process/labplatformcontrol/holders.go
+++ b/control/process/labplatformcontrol/holders.go
@@ -240,7 +240,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 
-	l, err := k.Dialer.Dial(ctx, lab.Announcement{Database: h.Service, Address: h.Address})
+	l, err := k.Dialer.Dial(ctx, lab.Announcement{Database: h.Service, Address: h.Address}, "")
 	if err == nil {
 		l.Close()
 		k.Log.Info().Str("service", h.Service).Str("member", h.Member).Str("address", h.Address).Msg("holder_responds")
@@ -255,7 +255,7 @@
 
 // hasReceived reports whether a replica has received the log up to a position.
 func (k *Controller) hasReceived(ctx context.Context, m lab.Announcement, position lab.CommitPosition) bool {
-	l, err := k.Dialer.Dial(ctx, m)
+	l, err := k.Dialer.Dial(ctx, m, "")
 	if err != nil {
 		return false
 	}
--- a/control/process/labplatformcontrol/holders_test.go
+++ b/control/process/labplatformcontrol/holders_test.go
@@ -34,7 +34,7 @@
 
 func (scriptedConnection) Close() {}
 
-func (m scriptedMembers) Dial(_ context.Context, a lab.Announcement) (lab.MemberConnection, error) {
+func (m scriptedMembers) Dial(_ context.Context, a lab.Announcement, _ string) (lab.MemberConnection, error) {
 	n, ok := m[a.Address]
 	if !ok {
 		return nil, errors.New("connection refused")
--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -334,7 +334,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 
-	l, err := k.Dialer.Dial(ctx, m)
+	l, err := k.Dialer.Dial(ctx, m, "")
 	if err != nil {
 		o, _ := lab.OutcomeOf(err)
 		k.Log.Info().Err(err).Str("member", m.Member).Msg("probe_failed")
--- a/memberconnection.go
+++ b/memberconnection.go
@@ -39,9 +39,10 @@
 // MemberDialer opens connections to members.
 type MemberDialer interface {
 	// Dial connects to the announced address and checks that the announced member responds there, or any member of the
-	// service if none is named. If the member refuses the connection, the error is an *OutcomeError. If another member
-	// responds, the error also wraps an *OtherMemberError.
-	Dial(ctx context.Context, member Announcement) (MemberConnection, error)
+	// service if none is named. The connection belongs to the organisation for its whole life; it is empty for a connection
+	// of the system itself. If the member refuses the connection, the error is an *OutcomeError. If another member responds,
+	// the error also wraps an *OtherMemberError.
+	Dial(ctx context.Context, member Announcement, organisation string) (MemberConnection, error)
 	// State runs an operation whose response contains the member's state, such as OperationStatus, and returns the state.
 	// If the member is too busy to run it, the error has the outcome OutcomeNotRun.
 	State(deadline time.Time, connection MemberConnection, operation Operation) (MemberState, error)
@@ -50,8 +51,8 @@
 // ClientCodec decodes the messages of one client connection into operations and encodes the responses.
 type ClientCodec interface {
 	// Startup decodes the first message of a connection and returns its size in bytes, 0 when data holds only a part of
-	// the message.
-	Startup(data []byte) (database string, size int, err error)
+	// the message. The key identifies the client's organisation; it is empty if the message has none.
+	Startup(data []byte) (database, key string, size int, err error)
 	// Next decodes one message and returns its size in bytes, 0 when data holds only a part of the message. End is true
 	// when the message closes the session.
 	Next(data []byte) (operation Operation, end bool, size int, err error)
--- a/operation.go
+++ b/operation.go
@@ -99,6 +99,7 @@
 	FaultMalformed          // the operation can't be decoded or is not valid in the session's state
 	FaultNoDatabase         // no route has the database name
 	FaultUnavailable        // the process is stopping
+	FaultUnauthorized       // the client's key is not valid
 )
 
 // NotRun reports whether the fault guarantees that the operation has not run.
@@ -110,7 +111,7 @@
 func (f Fault) String() string {
 	names := [...]string{
 		"none", "busy", "lagging", "read_only", "misrouted", "too_many", "aborted", "unprepared", "failed", "timeout",
-		"unknown", "malformed", "no_database", "unavailable",
+		"unknown", "malformed", "no_database", "unavailable", "unauthorized",
 	}
 	if int(f) < len(names) {
 		return names[f]
--- a/proxy/connection/labpool/conn_test.go
+++ b/proxy/connection/labpool/conn_test.go
@@ -249,7 +249,7 @@
 
 		_, _ = n.Run(time.Now().Add(time.Second), nil, read)
 
-		acquired, err := n.pool.Acquire(t.Context(), 0)
+		acquired, err := n.pool.Acquire(t.Context(), lab.AcquireRequest{})
 		assert.NilError(t, err)
 
 		_, _ = acquired.Run(time.Now().Add(time.Second), nil, write)
@@ -294,7 +294,7 @@
 	b.ReportAllocs()
 
 	for b.Loop() {
-		c, err := p.Acquire(b.Context(), 0)
+		c, err := p.Acquire(b.Context(), lab.AcquireRequest{})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/proxy/connection/labpool/pool.go
+++ b/proxy/connection/labpool/pool.go
@@ -80,9 +80,9 @@
 }
 
 // Acquire returns a connection. Waiting requests get connections by priority, then by arrival, until the context ends.
-func (p *Pool) Acquire(ctx context.Context, priority int) (lab.PooledConnection, error) {
+func (p *Pool) Acquire(ctx context.Context, r lab.AcquireRequest) (lab.PooledConnection, error) {
 	for {
-		c, wait, err := p.tryAcquire(priority)
+		c, wait, err := p.tryAcquire(r.Priority)
 		if err != nil {
 			return nil, err
 		}
@@ -241,7 +241,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 
-	l, err := p.Dialer.Dial(ctx, p.Target)
+	l, err := p.Dialer.Dial(ctx, p.Target, "")
 	p.OnDial(p.Target, err)
 
 	p.mutex.Lock()
--- a/proxy/connection/labpool/pool_test.go
+++ b/proxy/connection/labpool/pool_test.go
@@ -27,7 +27,7 @@
 	closed       *bool
 }
 
-func (d *dialer) Dial(context.Context, lab.Announcement) (lab.MemberConnection, error) {
+func (d *dialer) Dial(context.Context, lab.Announcement, string) (lab.MemberConnection, error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
@@ -64,7 +64,7 @@
 func acquire(t *testing.T, p *Pool, priority int) lab.PooledConnection {
 	t.Helper()
 
-	c, err := p.Acquire(t.Context(), priority)
+	c, err := p.Acquire(t.Context(), lab.AcquireRequest{Priority: priority})
 	assert.NilError(t, err)
 
 	return c
@@ -79,7 +79,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 		defer cancel()
 
-		_, err := p.Acquire(ctx, 0)
+		_, err := p.Acquire(ctx, lab.AcquireRequest{})
 		assert.ErrorIs(t, err, ErrNoConnection)
 		a.Release()
 		b.Release()
@@ -135,7 +135,7 @@
 
 		for i, priority := range []int{2, 2, 1} {
 			go func() {
-				c, err := p.Acquire(t.Context(), priority)
+				c, err := p.Acquire(t.Context(), lab.AcquireRequest{Priority: priority})
 				if err == nil {
 					order <- i
 					c.Release()
@@ -156,7 +156,7 @@
 		p := newPool(d, &limit)
 
 		for range 20 {
-			_, err := p.Acquire(t.Context(), 0)
+			_, err := p.Acquire(t.Context(), lab.AcquireRequest{})
 			assert.ErrorIs(t, err, ErrNoConnection)
 		}
 
@@ -179,7 +179,7 @@
 		done := make(chan error, 1)
 
 		go func() {
-			_, err := p.Acquire(t.Context(), 0)
+			_, err := p.Acquire(t.Context(), lab.AcquireRequest{})
 			done <- err
 		}()
 
--- a/proxy/connection/labtypedsession/acquire.go
+++ b/proxy/connection/labtypedsession/acquire.go
@@ -48,7 +48,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 
-	c, err := p.Acquire(ctx, a.route.Priority)
+	c, err := p.Acquire(ctx, lab.AcquireRequest{
+		Priority: a.route.Priority, Deadline: a.deadline, TargetLatency: a.route.TargetLatency,
+	})
 	if err != nil {
 		if ctx.Err() != nil {
 			a.gaveUpWaiting = true
--- a/proxy/connection/labtypedsession/fakes_test.go
+++ b/proxy/connection/labtypedsession/fakes_test.go
@@ -47,7 +47,7 @@
 	prepared map[string]bool
 }
 
-func (s *fakeService) Dial(_ context.Context, m lab.Announcement) (lab.MemberConnection, error) {
+func (s *fakeService) Dial(_ context.Context, m lab.Announcement, _ string) (lab.MemberConnection, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
--- a/proxy/process/labdirectory/acknowledged_test.go
+++ b/proxy/process/labdirectory/acknowledged_test.go
@@ -18,7 +18,7 @@
 	number uint64
 }
 
-func (m *writableMember) Dial(context.Context, lab.Announcement) (lab.MemberConnection, error) {
+func (m *writableMember) Dial(context.Context, lab.Announcement, string) (lab.MemberConnection, error) {
 	return m, nil
 }
 
@@ -46,7 +46,7 @@
 		p, ok := d.LocalPrimaryPool("s")
 		assert.Assert(t, ok)
 
-		c, err := p.Acquire(t.Context(), 0)
+		c, err := p.Acquire(t.Context(), lab.AcquireRequest{})
 		assert.NilError(t, err)
 
 		return d, c
--- a/proxy/process/labdirectory/directory_test.go
+++ b/proxy/process/labdirectory/directory_test.go
@@ -23,7 +23,7 @@
 
 type fakeConnection struct{}
 
-func (m *fakeDialer) Dial(context.Context, lab.Announcement) (lab.MemberConnection, error) {
+func (m *fakeDialer) Dial(context.Context, lab.Announcement, string) (lab.MemberConnection, error) {
 	return fakeConnection{}, m.err
 }
 
@@ -134,7 +134,7 @@
 		m.err = lab.NotRunError(lab.ReasonOverload, errRefused)
 
 		p, _ := d.LocalPrimaryPool("s")
-		_, err := p.Acquire(t.Context(), 0)
+		_, err := p.Acquire(t.Context(), lab.AcquireRequest{})
 		assert.Assert(t, err != nil)
 		assertLocalSource(t, d, false)
 	})
--- a/proxy/process/labrelay/relay_test.go
+++ b/proxy/process/labrelay/relay_test.go
@@ -53,7 +53,7 @@
 func (*fakeGateway) IdleTime() time.Duration       { return 0 }
 func (*fakeGateway) Direct() bool                  { return true }
 
-func (g *fakeGateway) Acquire(ctx context.Context, _ int) (lab.PooledConnection, error) {
+func (g *fakeGateway) Acquire(ctx context.Context, _ lab.AcquireRequest) (lab.PooledConnection, error) {
 	select {
 	case g.slots <- struct{}{}:
 		return g, nil
@@ -189,7 +189,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	t.Cleanup(cancel)
 
-	c, err := s.Acquire(ctx, 1)
+	c, err := s.Acquire(ctx, lab.AcquireRequest{Priority: 1})
 	assert.NilError(t, err)
 
 	return c
--- a/proxy/process/labrelay/server.go
+++ b/proxy/process/labrelay/server.go
@@ -108,7 +108,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 
-	c, err := p.Acquire(ctx, s.header.Priority)
+	c, err := p.Acquire(ctx, lab.AcquireRequest{Priority: s.header.Priority})
 	if err != nil {
 		return errors.Newf("wait for connection: %w", err)
 	}
--- a/proxy/process/labrelay/source.go
+++ b/proxy/process/labrelay/source.go
@@ -60,7 +60,7 @@
 // Acquire returns a connection that is not yet bound to a gateway. The gateway is chosen when the first operations run.
 // The time left until the context's deadline, taken when Acquire is called, bounds how long these operations wait for a
 // connection at the gateways.
-func (s *Source) Acquire(ctx context.Context, priority int) (lab.PooledConnection, error) {
+func (s *Source) Acquire(ctx context.Context, r lab.AcquireRequest) (lab.PooledConnection, error) {
 	if len(s.Gateways()) == 0 {
 		return nil, errNoGateway
 	}
@@ -75,7 +75,7 @@
 
 	s.connections++
 
-	return &connection{source: s, priority: priority, wait: wait}, nil
+	return &connection{source: s, priority: r.Priority, wait: wait}, nil
 }
 
 // chooseGateway chooses the gateway for the next try. Suitable gateways are connected, respond, are not being avoided
@@ -218,7 +218,7 @@
 
 // RefreshPosition requests the primary's position from a gateway.
 func (s *Source) RefreshPosition() {
-	c, err := s.Acquire(context.Background(), 0)
+	c, err := s.Acquire(context.Background(), lab.AcquireRequest{})
 	if err != nil {
 		return
 	}
--- a/proxy/process/labsubscriber/acknowledged_test.go
+++ b/proxy/process/labsubscriber/acknowledged_test.go
@@ -43,7 +43,7 @@
 // member commits each operation under the next number.
 type member struct{ number uint64 }
 
-func (m *member) Dial(context.Context, lab.Announcement) (lab.MemberConnection, error) {
+func (m *member) Dial(context.Context, lab.Announcement, string) (lab.MemberConnection, error) {
 	return m, nil
 }
 
@@ -84,7 +84,7 @@
 			p, ok := d.PrimarySource("s")
 			assert.Assert(t, ok)
 
-			c, err := p.Acquire(t.Context(), 0)
+			c, err := p.Acquire(t.Context(), lab.AcquireRequest{})
 			assert.NilError(t, err)
 
 			_, err = c.Run(time.Now().Add(time.Second), nil, lab.Operation{Kind: lab.OperationWrite})
--- a/proxy/process/labtypedlistener/connection.go
+++ b/proxy/process/labtypedlistener/connection.go
@@ -121,7 +121,7 @@
 // startLocked handles the startup message and reports whether the connection has a session. It returns false when the
 // message is incomplete or the startup is refused.
 func (n *connection) startLocked() bool {
-	database, size, err := n.codec.Startup(n.pending)
+	database, _, size, err := n.codec.Startup(n.pending)
 
 	switch {
 	case err != nil:
--- a/proxy/process/labtypedproxy/maintain_test.go
+++ b/proxy/process/labtypedproxy/maintain_test.go
@@ -23,7 +23,7 @@
 	err          error // returned by Run, if not nil
 }
 
-func (m *fakeMember) Dial(context.Context, lab.Announcement) (lab.MemberConnection, error) {
+func (m *fakeMember) Dial(context.Context, lab.Announcement, string) (lab.MemberConnection, error) {
 	return m, nil
 }
 
@@ -68,7 +68,7 @@
 	p, ok := d.LocalPrimaryPool("s")
 	assert.Assert(t, ok)
 
-	c, err := p.Acquire(t.Context(), 0)
+	c, err := p.Acquire(t.Context(), lab.AcquireRequest{})
 	assert.NilError(t, err)
 	c.Release()
 
@@ -89,7 +89,7 @@
 
 	m.unresponsive.Store(false)
 
-	c, err := pool.Acquire(t.Context(), 0)
+	c, err := pool.Acquire(t.Context(), lab.AcquireRequest{})
 	assert.NilError(t, err)
 	c.Release()
 	p.directory.RecordUnreachable(pool.Member())
