Clients identify themselves by the key of an organisation

On routes that aren't public the second field of STARTUP is a key. It was ignored, so members ran statements under a name that is not the organisation's, and clients with unknown or removed keys were served.

--- a/configuration.go
+++ b/configuration.go
@@ -98,7 +98,7 @@
 // OrganisationOfKey returns the organisation that holds the key.
 func (c *Configuration) OrganisationOfKey(key string) (OrganisationPolicy, bool) {
 	i, ok := c.organisationByKey[key]
-	if !ok {
+	if !ok || key == "" {
 		return OrganisationPolicy{}, false
 	}
 
--- a/proxy/connection/labtypedsession/acquire.go
+++ b/proxy/connection/labtypedsession/acquire.go
@@ -49,7 +49,7 @@
 	defer cancel()
 
 	c, err := p.Acquire(ctx, lab.AcquireRequest{
-		Priority: a.route.Priority, Deadline: a.deadline, TargetLatency: a.route.TargetLatency,
+		Organisation: a.session.organisation.Name, Priority: a.route.Priority, Deadline: a.deadline, TargetLatency: a.route.TargetLatency,
 	})
 	if err != nil {
 		if ctx.Err() != nil {
--- a/proxy/connection/labtypedsession/session.go
+++ b/proxy/connection/labtypedsession/session.go
@@ -24,6 +24,7 @@
 // Session is the session of one client. Do must not be called concurrently.
 type Session struct {
 	Database  string
+	Key       string // key by which the client identified itself
 	Directory *labdirectory.Directory
 	Clock     lab.Clock
 	Log       zerolog.Logger
@@ -34,8 +35,10 @@
 	prepared   map[string]preparedStatement // prepared statements by name
 	lastCommit lab.CommitPosition           // position of the session's newest commit
 	tx         *transaction                 // open transaction, nil if there is none
-	busy       bool                         // whether Do is running
-	closed     bool                         // whether Close has been called
+	// organisation is that of the key at the start of the current operation.
+	organisation lab.OrganisationPolicy
+	busy         bool // whether Do is running
+	closed       bool // whether Close has been called
 }
 
 // preparedStatement is the content of a client's prepared statement.
@@ -86,6 +89,10 @@
 		return fault(lab.FaultMalformed, "the transaction has failed")
 	}
 
+	if f := s.authorise(o); f != lab.FaultNone {
+		return fault(f, "the key is not valid")
+	}
+
 	switch o.Kind {
 	case lab.OperationSet:
 		s.set(o)
@@ -108,6 +115,39 @@
 	}
 }
 
+// authorise checks the client's key in the active configuration and returns the fault of the operation, if any. A
+// transaction that is open ends when the key is removed or moves to another organisation, since its connection belongs to
+// the former one.
+func (s *Session) authorise(o lab.Operation) lab.Fault {
+	if o.Kind == lab.OperationRollback {
+		return lab.FaultNone
+	}
+
+	p, f := s.Directory.Organisation(s.Database, s.Key)
+	if s.tx == nil {
+		s.organisation = p
+
+		return f
+	}
+
+	if f == lab.FaultNone && p.Name != s.organisation.Name {
+		f = lab.FaultAborted
+	}
+
+	if f != lab.FaultNone {
+		s.failTransaction()
+	}
+
+	return f
+}
+
+// Authorised reports whether the client's key is valid in the active configuration.
+func (s *Session) Authorised() bool {
+	_, f := s.Directory.Organisation(s.Database, s.Key)
+
+	return f == lab.FaultNone
+}
+
 func (s *Session) set(o lab.Operation) {
 	if s.values == nil {
 		s.values = map[string]string{}
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -410,6 +410,28 @@
 	return r, d.configuration.IdleTransactionTimeout, ok
 }
 
+// Organisation returns the organisation as which a client with the key may use a database. It is the zero policy if the
+// clients of the database need no key. The fault is lab.FaultUnauthorized if the key isn't valid.
+func (d *Directory) Organisation(database, key string) (lab.OrganisationPolicy, lab.Fault) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.configuration == nil || !d.configuration.KeysRequired {
+		return lab.OrganisationPolicy{}, lab.FaultNone
+	}
+
+	if r, ok := d.configuration.Route(database); ok && r.Public {
+		return lab.OrganisationPolicy{}, lab.FaultNone
+	}
+
+	o, ok := d.configuration.OrganisationOfKey(key)
+	if !ok {
+		return lab.OrganisationPolicy{}, lab.FaultUnauthorized
+	}
+
+	return o, lab.FaultNone
+}
+
 // Ready reports whether requests can be served: a configuration is active, at least one service is known, and it is known
 // to which members this proxy may connect.
 func (d *Directory) Ready() bool {
--- a/proxy/process/labtypedlistener/connection.go
+++ b/proxy/process/labtypedlistener/connection.go
@@ -71,6 +71,10 @@
 
 		r := n.session.Do(o)
 		n.send(n.codec.AppendResult(nil, r))
+
+		if r.Fault == lab.FaultUnauthorized {
+			n.closeAfterWrites()
+		}
 	}
 }
 
@@ -121,7 +125,7 @@
 // startLocked handles the startup message and reports whether the connection has a session. It returns false when the
 // message is incomplete or the startup is refused.
 func (n *connection) startLocked() bool {
-	database, _, size, err := n.codec.Startup(n.pending)
+	database, key, size, err := n.codec.Startup(n.pending)
 
 	switch {
 	case err != nil:
@@ -152,8 +156,15 @@
 	}
 
 	l := n.listener
+
+	if _, f := l.Directory.Organisation(database, key); f != lab.FaultNone {
+		n.refuse(f, "the key is not valid")
+
+		return false
+	}
+
 	n.session = &labtypedsession.Session{
-		Database: database, Directory: l.Directory, Clock: l.Clock, Log: l.RequestLog, Counters: l.Counters,
+		Database: database, Key: key, Directory: l.Directory, Clock: l.Clock, Log: l.RequestLog, Counters: l.Counters,
 	}
 	n.send(n.codec.AppendReady(nil))
 
@@ -226,6 +237,19 @@
 	return n.session == nil && time.Since(n.opened) > startupTimeout
 }
 
+// unauthorised reports whether the client's key is no longer valid and the connection can be closed without losing an
+// answer. An operation that is running, or an open transaction, ends with a fault instead.
+func (n *connection) unauthorised() bool {
+	if n.abandoned.Load() {
+		return false
+	}
+
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+
+	return n.session != nil && !n.processing && len(n.pending) == 0 && n.session.Idle() && !n.session.Authorised()
+}
+
 // closeIfIdle closes the connection during a drain if no operation is running or pending, and no transaction is open.
 // If closeInTransaction is set, it also closes a connection whose session is idle in a transaction.
 func (n *connection) closeIfIdle() {
--- a/proxy/process/labtypedlistener/listener.go
+++ b/proxy/process/labtypedlistener/listener.go
@@ -149,10 +149,11 @@
 	return gnet.None
 }
 
-// OnTick closes the connections that have sent no startup message within startupTimeout.
+// OnTick closes the connections that have sent no startup message within startupTimeout, and idle ones whose client's key
+// was removed from the configuration.
 func (l *Listener) OnTick() (time.Duration, gnet.Action) {
 	for _, n := range l.connectionList() {
-		if n.startupTimedOut() {
+		if n.startupTimedOut() || n.unauthorised() {
 			n.closeAfterWrites()
 		}
 	}
