Connections to members belong to one organisation, and meet at few gateways

Members check that the statements on a connection are those of the organisation named at its start, so a pool serves each organisation with connections of its own and replaces the one that is idle longest. With 87 proxies and 83 organisations each proxy can't hold one for each; four gateways a member, mostly in its zone, get a share of its connections each, and the statements of an organisation go to the same one. Deployments without organisations keep their placement.

--- a/proxy/connection/labpool/conn.go
+++ b/proxy/connection/labpool/conn.go
@@ -26,6 +26,7 @@
 type Conn struct {
 	pool              *Pool
 	connection        lab.MemberConnection
+	organisation      string                  // organisation whose statements run on the connection
 	values            map[string]string       // session values that the member confirmed
 	valuesUnconfirmed bool                    // values were sent but not confirmed, so those at the member are unknown
 	preparedNames     map[statementKey]string // names of the prepared statements on this connection, by content
--- a/proxy/connection/labpool/pool.go
+++ b/proxy/connection/labpool/pool.go
@@ -32,12 +32,17 @@
 	// low while at most RetainedConnections are in use. A new connection occupies a slot of the member for 12 ms, so
 	// connections stay open when the load is low for only a short time.
 	shrinkAfter = time.Second
+	// exchangeCost is how much longer than a request of the same organisation another one must have waited to get a
+	// released connection, which is then replaced: a member needs 12 ms for a new connection, in one of its slots.
+	exchangeCost = 12 * time.Millisecond
 )
 
 // waiter is a request that waits for a connection.
 type waiter struct {
-	priority int        // 0 is the highest priority
-	conn     chan *Conn // receives the connection, or nil if the request must try again
+	priority     int // 0 is the highest priority
+	organisation string
+	since        time.Time
+	conn         chan *Conn // receives the connection, or nil if the request must try again
 }
 
 // pingOperations are the operations of Ping.
@@ -47,7 +52,8 @@
 // closed.
 var ErrNoConnection = errors.New("no connection to the member is free")
 
-// Pool holds the connections to one incarnation of a member; exported fields are set before use.
+// Pool holds the connections to one incarnation of a member. A connection belongs to one organisation, whose statements
+// alone run on it. Exported fields are set before use.
 type Pool struct {
 	Target              lab.Announcement // the member
 	Dialer              lab.MemberDialer
@@ -55,15 +61,18 @@
 	RetainedConnections func() int // returns the number of connections that stay open when fewer are in use
 	// OnDial is called with the result of each dial.
 	OnDial func(member lab.Announcement, err error)
+	// Exists reports whether an organisation is configured, if it is not nil. Idle connections of others are closed.
+	Exists func(organisation string) bool
 
 	mutex             sync.Mutex
-	idle              []*Conn       // idle connections; the most recently used one is the last
-	open              int           // number of connections, including those in use and those being dialled
-	inUse             int           // number of requests that use or wait for a connection
-	preparedCount     uint64        // number of statements prepared so far, used for unique names
-	waiters           []waiter      // waiting requests, sorted by priority, then by arrival
-	typicalLatency    time.Duration // moving average of the time from sending operations to their response
-	lastObserved      time.Time     // time of the last change of typicalLatency
+	idle              []*Conn        // idle connections; the most recently used one is the last
+	open              int            // number of connections, including those in use and those being dialled
+	inUse             int            // number of requests that use or wait for a connection
+	dials             map[string]int // number of dials in progress by organisation
+	preparedCount     uint64         // number of statements prepared so far, used for unique names
+	waiters           []waiter       // waiting requests, sorted by priority, then by arrival
+	typicalLatency    time.Duration  // moving average of the time from sending operations to their response
+	lastObserved      time.Time      // time of the last change of typicalLatency
 	closed            bool
 	lastAboveRetained time.Time          // last time when a request made inUse exceed RetainedConnections
 	nextDial          time.Time          // time before which no dial starts; it is set after a failed dial
@@ -82,7 +91,7 @@
 // Acquire returns a connection. Waiting requests get connections by priority, then by arrival, until the context ends.
 func (p *Pool) Acquire(ctx context.Context, r lab.AcquireRequest) (lab.PooledConnection, error) {
 	for {
-		c, wait, err := p.tryAcquire(r.Priority)
+		c, wait, err := p.tryAcquire(r)
 		if err != nil {
 			return nil, err
 		}
@@ -104,9 +113,10 @@
 	}
 }
 
-// tryAcquire returns an idle connection if there is one. Otherwise it adds the request to the queue and returns the
-// channel that receives the request's connection. If the pool may open another connection, it also starts a dial.
-func (p *Pool) tryAcquire(priority int) (*Conn, chan *Conn, error) {
+// tryAcquire returns an idle connection of the organisation if there is one. Otherwise it adds the request to the queue
+// and returns the channel that receives the request's connection. If the pool may open another connection, or replace an
+// idle one of another organisation, it also starts a dial.
+func (p *Pool) tryAcquire(r lab.AcquireRequest) (*Conn, chan *Conn, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
@@ -114,10 +124,7 @@
 		return nil, nil, errors.Newf("%w: pool is closed", ErrNoConnection)
 	}
 
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-
+	for c := p.takeIdleLocked(r.Organisation); c != nil; c = p.takeIdleLocked(r.Organisation) {
 		if c.IdleTime() > livenessCheckAfter && !c.connection.Alive() {
 			p.open--
 
@@ -137,13 +144,26 @@
 	}
 
 	w := make(chan *Conn, 1)
-	p.enqueueLocked(waiter{priority, w})
+	p.enqueueLocked(waiter{r.Priority, r.Organisation, time.Now(), w})
 	p.countUseLocked()
-	p.growLocked()
+	p.growLocked(r.Organisation)
 
 	return nil, w, nil
 }
 
+// takeIdleLocked removes and returns the most recently used idle connection of an organisation, or nil if there is none.
+func (p *Pool) takeIdleLocked(organisation string) *Conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; c.organisation == organisation {
+			p.idle = slices.Delete(p.idle, i, i+1)
+
+			return c
+		}
+	}
+
+	return nil
+}
+
 func (p *Pool) countUseLocked() {
 	p.inUse++
 
@@ -227,26 +247,77 @@
 	return p.MaxConnections()
 }
 
-func (p *Pool) growLocked() {
-	if p.open >= p.limitLocked() || time.Now().Before(p.nextDial) {
+// growLocked opens a connection for an organisation if that is possible now. In place of one beyond RetainedConnections,
+// it replaces the connection of another organisation that has been idle for the longest time.
+func (p *Pool) growLocked(organisation string) {
+	if time.Now().Before(p.nextDial) || p.enoughDialsLocked(organisation) {
+		return
+	}
+
+	if p.open >= min(p.limitLocked(), p.RetainedConnections()) {
+		p.closeOtherIdleLocked(organisation)
+	}
+
+	if p.open >= p.limitLocked() {
 		return
 	}
 
 	p.open++
+	p.countDialLocked(organisation, 1)
+
+	go p.dial(organisation)
+}
+
+// enoughDialsLocked reports whether a connection is being dialled for each waiting request of the organisation. Without
+// this check, each connection of another organisation that is released meanwhile would be replaced.
+func (p *Pool) enoughDialsLocked(organisation string) bool {
+	dials := p.dials[organisation]
+	if organisation == "" || dials == 0 {
+		return false
+	}
+
+	for _, w := range p.waiters {
+		if w.organisation == organisation {
+			dials--
+		}
+	}
+
+	return dials >= 0
+}
+
+func (p *Pool) countDialLocked(organisation string, change int) {
+	if p.dials == nil {
+		p.dials = map[string]int{}
+	}
+
+	if p.dials[organisation] += change; p.dials[organisation] == 0 {
+		delete(p.dials, organisation)
+	}
+}
+
+func (p *Pool) closeOtherIdleLocked(organisation string) {
+	i := slices.IndexFunc(p.idle, func(c *Conn) bool { return c.organisation != organisation })
+	if i < 0 {
+		return
+	}
 
-	go p.dial()
+	p.idle[i].connection.Close()
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.open--
 }
 
-func (p *Pool) dial() {
+func (p *Pool) dial(organisation string) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 
-	l, err := p.Dialer.Dial(ctx, p.Target, "")
+	l, err := p.Dialer.Dial(ctx, p.Target, organisation)
 	p.OnDial(p.Target, err)
 
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
+	p.countDialLocked(organisation, -1)
+
 	if err != nil {
 		p.open--
 		p.recordDialFailureLocked()
@@ -263,7 +334,7 @@
 	}
 
 	p.retryDelay = 0
-	p.offerLocked(&Conn{pool: p, connection: l, lastUsed: time.Now()})
+	p.offerLocked(&Conn{pool: p, connection: l, organisation: organisation, lastUsed: time.Now()})
 }
 
 // recordDialFailureLocked starts the backoff after a failed dial. When no connection is open, it also wakes all waiting
@@ -285,19 +356,34 @@
 	p.waiters = nil
 }
 
-// offerLocked passes an unused connection to the first waiting request. If none waits, it adds the connection to the
-// idle ones.
+// offerLocked passes an unused connection to the first waiting request of its organisation. If none waits, it adds the
+// connection to the idle ones. If another organisation's request comes first, the connection is replaced by one for that.
 func (p *Pool) offerLocked(c *Conn) {
 	p.joinKnownLocked(c)
 
-	if len(p.waiters) > 0 {
-		p.waiters[0].conn <- c
-		p.waiters = p.waiters[1:]
+	if len(p.waiters) == 0 {
+		p.idle = append(p.idle, c)
+
+		return
+	}
+
+	first := p.waiters[0]
+	i := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.organisation == c.organisation })
+
+	if i >= 0 && !first.before(p.waiters[i]) {
+		p.waiters[i].conn <- c
+		p.waiters = slices.Delete(p.waiters, i, i+1)
 
 		return
 	}
 
 	p.idle = append(p.idle, c)
+	p.growLocked(first.organisation)
+}
+
+// before reports whether w must be served before o even though that costs a new connection.
+func (w waiter) before(o waiter) bool {
+	return w.organisation != o.organisation && (w.priority < o.priority || o.since.Sub(w.since) > exchangeCost)
 }
 
 func (p *Pool) release(c *Conn) {
@@ -327,7 +413,7 @@
 	p.open--
 
 	if len(p.waiters) > 0 {
-		p.growLocked()
+		p.growLocked(p.waiters[0].organisation)
 	}
 }
 
@@ -341,10 +427,15 @@
 		return
 	}
 
-	if p.open == 0 || len(p.waiters) > 0 {
-		p.growLocked()
+	switch {
+	case len(p.waiters) > 0:
+		p.growLocked(p.waiters[0].organisation)
+	case p.open == 0:
+		p.growLocked("")
 	}
 
+	p.closeRemovedLocked()
+
 	limit := p.limitLocked()
 	if time.Since(p.lastAboveRetained) > shrinkAfter {
 		limit = min(limit, p.RetainedConnections())
@@ -357,6 +448,24 @@
 	}
 }
 
+// closeRemovedLocked closes the idle connections of organisations that are no longer configured.
+func (p *Pool) closeRemovedLocked() {
+	if p.Exists == nil {
+		return
+	}
+
+	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
+		removed := c.organisation != "" && !p.Exists(c.organisation)
+		if removed {
+			c.connection.Close()
+
+			p.open--
+		}
+
+		return removed
+	})
+}
+
 // Ping begins and rolls back a transaction on the connection that has been idle for the longest time, and returns the
 // result of the begin operation. It returns false when no connection is idle.
 func (p *Pool) Ping(deadline time.Time) (lab.OperationResult, bool, error) {
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -68,6 +68,9 @@
 	permissionsOnce sync.Once
 	permissions     labpermission.Permissions // see Permissions
 
+	// active is the configuration for pools, which must not lock the directory while they hold their own lock.
+	active atomic.Pointer[lab.Configuration]
+
 	mutex         sync.Mutex
 	configuration *lab.Configuration
 	services      map[string]*service
@@ -98,6 +101,7 @@
 	observer            bool               // whether this proxy checks the member continuously
 	placed              bool               // whether the placement is current
 	placedConnections   int                // number of connections that the member accepts, as of the placement
+	placedByKey         bool               // whether the placement is that of a deployment with organisations
 	pool                *labpool.Pool      // direct connections
 	relay               *labrelay.Source   // connections through gateways; nil if Directory.Peers is nil
 	avoidUntil          time.Duration      // time until which other members are preferred
@@ -119,6 +123,7 @@
 	}
 
 	d.configuration = configuration
+	d.active.Store(configuration)
 	d.updatePlacementLocked()
 	d.Log.Info().Uint64("version", configuration.Version).Int("routes", len(configuration.Routes)).Msg("document_in_force")
 	d.notifyLocked()
@@ -230,11 +235,12 @@
 		Target: a, Dialer: d.Dialer, OnDial: d.recordDial,
 		MaxConnections:      func() int { return int(n.maxConnections.Load()) },
 		RetainedConnections: func() int { return int(n.retainedConnections.Load()) },
+		Exists:              d.organisationExists,
 	}
 	if d.Peers != nil {
 		n.relay = &labrelay.Source{
 			Target: a, Peers: d.Peers, History: &s.history, Reachability: d.Reachability, Clock: d.Clock,
-			Gateways: func() []lab.Instance { return d.gatewaysOf(n) },
+			Gateways: func(organisation string) []lab.Instance { return d.gatewaysOf(n, organisation) }, Version: d.Version,
 		}
 	}
 
@@ -330,7 +336,7 @@
 		}
 
 		for _, m := range s.members {
-			if !m.placed || m.placedConnections != v.MaxConnections {
+			if !m.placed || m.placedConnections != v.MaxConnections || m.placedByKey != d.configuration.KeysRequired {
 				d.updateMemberPlacementLocked(m, v.MaxConnections)
 			}
 		}
@@ -338,7 +344,7 @@
 }
 
 func (d *Directory) updateMemberPlacementLocked(m *member, connections int) {
-	m.placed, m.placedConnections = true, connections
+	m.placed, m.placedConnections, m.placedByKey = true, connections, d.configuration.KeysRequired
 
 	// Values until the list of proxies is known.
 	maxConnections, retained := 0, 1
@@ -349,7 +355,12 @@
 	m.observer = true
 
 	if len(d.proxies) > 0 {
-		p := labplacement.Place(m.announcement, connections, d.proxies)
+		place := labplacement.Place
+		if m.placedByKey {
+			place = labplacement.PlaceGateways
+		}
+
+		p := place(m.announcement, connections, d.proxies)
 		m.gateways = labplacement.Gateways(d.Self, m.announcement, p.DirectProxies)
 		m.observer = labplacement.Observes(d.Self, m.announcement, p.DirectProxies)
 		maxConnections, retained = p.MaxPerProxy, p.RetainedPerProxy
@@ -370,11 +381,35 @@
 	}
 }
 
-func (d *Directory) gatewaysOf(m *member) []lab.Instance {
+// gatewaysOf returns the gateways of a member in the order in which the statements of an organisation prefer them.
+func (d *Directory) gatewaysOf(m *member, organisation string) []lab.Instance {
 	d.mutex.Lock()
-	defer d.mutex.Unlock()
+	gateways := m.gateways
+	d.mutex.Unlock()
+
+	if organisation == "" {
+		return gateways
+	}
+
+	return labplacement.GatewaysOf(organisation, m.announcement, gateways)
+}
+
+// organisationExists reports whether an organisation is configured.
+func (d *Directory) organisationExists(name string) bool {
+	c := d.active.Load()
+	if c == nil {
+		return false
+	}
+
+	_, ok := c.Organisation(name)
+
+	return ok
+}
 
-	return m.gateways
+// MayServe reports whether statements of an organisation may run here, which another proxy knows from the configuration
+// with the given version. An older configuration here says nothing about a new organisation.
+func (d *Directory) MayServe(organisation string, version uint64) bool {
+	return organisation == "" || d.organisationExists(organisation) || d.Version() < version
 }
 
 func (d *Directory) notifyLocked() {
--- a/proxy/process/labplacement/place.go
+++ b/proxy/process/labplacement/place.go
@@ -19,6 +19,16 @@
 	// observersPerZone is the number of proxies in each availability zone that check a member continuously. With two,
 	// the restart of one leaves another.
 	observersPerZone = 2
+	// maxGateways and minGateways bound the gateways of a member whose connections belong to organisations: each further
+	// one means more connections between proxies, while a single one would stop the member's clients when it is lost.
+	maxGateways = 4
+	minGateways = 2
+	// minPerGateway is the number of connections that a gateway needs for the organisations that have much to do, so that
+	// it doesn't open a connection for each statement.
+	minPerGateway = 16
+	// retainedNumerator/retainedDenominator of a gateway's connections stay open without load.
+	retainedNumerator   = 2
+	retainedDenominator = 3
 )
 
 // Placement is the distribution of the connections that one member accepts over the proxies.
@@ -51,6 +61,56 @@
 	return p
 }
 
+// PlaceGateways distributes the connections that a member accepts over few proxies, for a deployment in which connections
+// belong to organisations. The statements of all proxies meet there, so that few connections suffice for each
+// organisation, and the members of a zone have the same gateways, so that a proxy needs connections to few others.
+//
+// All but one of the gateways are in the member's availability zone; the last one, in another zone of the region, serves
+// while those of the zone are lost. Each retains a part of its connections, which leaves room for new ones after a
+// power loss: a member counts lost connections for seconds.
+func PlaceGateways(member lab.Announcement, connections int, proxies []lab.Instance) Placement {
+	free := max(1, connections-reservedConnections)
+	count := min(max(minGateways, min(maxGateways, free/minPerGateway)), free, len(proxies))
+
+	var inZone, elsewhere []lab.Instance
+
+	// The key is the zone, not the member: see above.
+	for _, i := range ranked(member.AvailabilityZone, member.Region, proxies) {
+		if i.AvailabilityZone == member.AvailabilityZone {
+			inZone = append(inZone, i)
+		} else {
+			elsewhere = append(elsewhere, i)
+		}
+	}
+
+	local := min(len(inZone), max(count-1, count-len(elsewhere)))
+	p := Placement{DirectProxies: slices.Concat(inZone[:local], elsewhere[:min(len(elsewhere), count-local)])}
+	p.MaxPerProxy = max(1, free/max(1, len(p.DirectProxies)))
+	p.RetainedPerProxy = max(1, p.MaxPerProxy*retainedNumerator/retainedDenominator)
+
+	return p
+}
+
+// GatewaysOf returns the gateways of a member in the order in which the statements of an organisation prefer them. All
+// proxies use the same order, so that the statements meet the open connections of their organisation.
+func GatewaysOf(organisation string, member lab.Announcement, gateways []lab.Instance) []lab.Instance {
+	out := ranked(organisation+"\x00"+member.Member, member.Region, gateways)
+	slices.SortStableFunc(out, func(a, b lab.Instance) int {
+		return cmp.Compare(outside(a, member), outside(b, member))
+	})
+
+	return out
+}
+
+// outside returns 1 for an instance outside the member's availability zone, else 0.
+func outside(i lab.Instance, member lab.Announcement) int {
+	if i.AvailabilityZone == member.AvailabilityZone {
+		return 0
+	}
+
+	return 1
+}
+
 // Gateways returns the direct proxies of a member in the order in which the proxy self prefers them as gateways.
 // Proxies in the member's region come first. Within a region the order depends only on self. It differs between
 // proxies, which spreads the load, and it is the same for all members, so that a proxy uses the same few gateways for
--- a/proxy/process/labrelay/connection.go
+++ b/proxy/process/labrelay/connection.go
@@ -27,9 +27,9 @@
 // connection is a connection to a member through a gateway. It stays bound to the first gateway that ran operations for
 // it.
 type connection struct {
-	source   *Source
-	priority int
-	wait     time.Duration // maximum total wait for a connection at the gateways that are tried
+	source  *Source
+	request lab.AcquireRequest
+	wait    time.Duration // maximum total wait for a connection at the gateways that are tried
 
 	gateway lab.Instance // gateway that was chosen last
 	bound   bool         // whether the gateway has run operations
@@ -101,7 +101,7 @@
 
 // openNext chooses the next gateway, adds it to tried and opens a stream to it.
 func (c *connection) openNext(ctx context.Context, tried map[lab.InstanceID]bool) error {
-	g, ok := c.source.chooseGateway(tried)
+	g, ok := c.source.chooseGateway(c.request.Organisation, tried)
 	if !ok {
 		return lab.NotRunError(lab.ReasonMisrouted, errNotConnected)
 	}
@@ -124,7 +124,8 @@
 	t := c.source.Target
 
 	s, err := c.source.Peers.Open(ctx, c.gateway.Address, Method, header{
-		Service: t.Database, Member: t.Member, Incarnation: t.Incarnation, Priority: c.priority,
+		Service: t.Database, Member: t.Member, Incarnation: t.Incarnation, Priority: c.request.Priority,
+		Organisation: c.request.Organisation, Version: c.source.version(),
 	})
 	if err != nil {
 		return err
--- a/proxy/process/labrelay/message.go
+++ b/proxy/process/labrelay/message.go
@@ -15,6 +15,9 @@
 	Member      string `msgpack:"m"`
 	Incarnation uint64 `msgpack:"i"`
 	Priority    int    `msgpack:"p"`
+	// Organisation is empty if the deployment has none. Version is that of the configuration in which the sender found it.
+	Organisation string `msgpack:"o,omitempty"`
+	Version      uint64 `msgpack:"v,omitempty"`
 }
 
 // request asks the gateway to run operations. The gateway binds a connection to the stream for the request, and keeps
--- a/proxy/process/labrelay/relay_test.go
+++ b/proxy/process/labrelay/relay_test.go
@@ -44,6 +44,8 @@
 	return g, !g.missing
 }
 
+func (*fakeGateway) MayServe(string, uint64) bool { return true }
+
 func (g *fakeGateway) PrimaryHistory(string) *labpositionhistory.History { return &g.history }
 
 func (*fakeGateway) Member() lab.Announcement { return lab.Announcement{} }
@@ -176,7 +178,7 @@
 
 	return &Source{
 		Target: lab.Announcement{Database: "s", Member: "m", Incarnation: 1}, Peers: p, Clock: labclock.NewBootClock(),
-		Gateways: func() []lab.Instance { return all }, History: &labpositionhistory.History{},
+		Gateways: func(string) []lab.Instance { return all }, History: &labpositionhistory.History{},
 		Reachability: &labreachability.Tracker{Clock: labclock.NewBootClock()},
 	}
 }
--- a/proxy/process/labrelay/server.go
+++ b/proxy/process/labrelay/server.go
@@ -19,6 +19,9 @@
 	LocalPool(service, member string, incarnation uint64) (lab.ConnectionPool, bool)
 	// PrimaryHistory returns the recorded positions of a service's primary.
 	PrimaryHistory(service string) *labpositionhistory.History
+	// MayServe reports whether statements of the organisation may run here, which the sender knows from the configuration
+	// with the given version.
+	MayServe(organisation string, version uint64) bool
 }
 
 // Server runs the statements that other proxies relay through this one, on the connections of this proxy.
@@ -105,10 +108,14 @@
 		return errors.Newf("no connections to %s here", s.header.Member)
 	}
 
+	if !s.server.Directory.MayServe(s.header.Organisation, s.header.Version) {
+		return lab.NotRunError(lab.ReasonRejected, errors.Newf("organisation %q is not configured here", s.header.Organisation))
+	}
+
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 
-	c, err := p.Acquire(ctx, lab.AcquireRequest{Priority: s.header.Priority})
+	c, err := p.Acquire(ctx, lab.AcquireRequest{Organisation: s.header.Organisation, Priority: s.header.Priority})
 	if err != nil {
 		return errors.Newf("wait for connection: %w", err)
 	}
--- a/proxy/process/labrelay/source.go
+++ b/proxy/process/labrelay/source.go
@@ -31,9 +31,12 @@
 
 // Source provides connections to one member through gateways; exported fields are set before use.
 type Source struct {
-	Target       lab.Announcement // the member
-	Peers        lab.PersistentPeerClient
-	Gateways     func() []lab.Instance       // returns the gateways of the member in order of preference
+	Target lab.Announcement // the member
+	Peers  lab.PersistentPeerClient
+	// Gateways returns the gateways of the member in the order in which the statements of an organisation prefer them. The
+	// organisation is empty if the deployment has none.
+	Gateways     func(organisation string) []lab.Instance
+	Version      func() uint64               // returns the version of the active configuration; nil if it doesn't matter
 	History      *labpositionhistory.History // receives the positions that gateways report
 	Reachability *labreachability.Tracker    // tracks which gateways respond; shared by the sources of all members
 	Clock        lab.Clock
@@ -61,7 +64,7 @@
 // The time left until the context's deadline, taken when Acquire is called, bounds how long these operations wait for a
 // connection at the gateways.
 func (s *Source) Acquire(ctx context.Context, r lab.AcquireRequest) (lab.PooledConnection, error) {
-	if len(s.Gateways()) == 0 {
+	if len(s.Gateways("")) == 0 {
 		return nil, errNoGateway
 	}
 
@@ -75,25 +78,30 @@
 
 	s.connections++
 
-	return &connection{source: s, priority: r.Priority, wait: wait}, nil
+	return &connection{source: s, request: r, wait: wait}, nil
 }
 
 // chooseGateway chooses the gateway for the next try. Suitable gateways are connected, respond, are not being avoided
-// and have not been tried; if there are none, all connected gateways are suitable. Among the first activeGateways
-// suitable gateways it returns the one that the fewest connections use. If no gateway is connected, it returns false
+// and have not been tried; if there are none, all connected gateways are suitable. It returns the first suitable one for
+// an organisation, else the one of the first activeGateways that the fewest connections use. If no gateway is connected, it returns false
 // instead of waiting for a handshake: a retry of the statement takes less time.
-func (s *Source) chooseGateway(tried map[lab.InstanceID]bool) (lab.Instance, bool) {
-	all := s.connected(s.Gateways())
+func (s *Source) chooseGateway(organisation string, tried map[lab.InstanceID]bool) (lab.Instance, bool) {
+	all := s.connected(s.Gateways(organisation))
+	spread := activeGateways
+
+	if organisation != "" {
+		spread = 1 // the open connections of an organisation are at its first gateway
+	}
 
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	g, ok := s.leastLoadedLocked(all, func(g lab.Instance) bool {
+	g, ok := s.leastLoadedLocked(all, spread, func(g lab.Instance) bool {
 		return !tried[g.ID] && s.Reachability.Reachable(g.ID) && s.Clock.Now() >= s.avoidUntil[g.ID]
 	})
 	if !ok {
 		// A gateway that has failed or was busy is better than none.
-		g, ok = s.leastLoadedLocked(all, func(lab.Instance) bool { return true })
+		g, ok = s.leastLoadedLocked(all, spread, func(lab.Instance) bool { return true })
 	}
 
 	if !ok {
@@ -130,9 +138,11 @@
 	return out
 }
 
-// leastLoadedLocked returns the gateway that the fewest connections use, among the first activeGateways gateways for
-// which suitable returns true.
-func (s *Source) leastLoadedLocked(all []lab.Instance, suitable func(lab.Instance) bool) (lab.Instance, bool) {
+// leastLoadedLocked returns the gateway that the fewest connections use, among the first spread gateways for which
+// suitable returns true.
+func (s *Source) leastLoadedLocked(
+	all []lab.Instance, spread int, suitable func(lab.Instance) bool,
+) (lab.Instance, bool) {
 	var (
 		best  lab.Instance
 		count int
@@ -147,7 +157,7 @@
 			best = g
 		}
 
-		if count++; count == activeGateways {
+		if count++; count == spread {
 			break
 		}
 	}
@@ -155,9 +165,17 @@
 	return best, count > 0
 }
 
+func (s *Source) version() uint64 {
+	if s.Version == nil {
+		return 0
+	}
+
+	return s.Version()
+}
+
 // Warm starts connections to the first gateways before a statement needs one.
 func (s *Source) Warm() {
-	s.connected(s.Gateways())
+	s.connected(s.Gateways(""))
 }
 
 // releaseGateway decrements the number of connections that use a gateway.
@@ -199,7 +217,7 @@
 // Load returns the number of connections in use. The other results only say whether a gateway is known, since the
 // gateways decide whether a connection is free.
 func (s *Source) Load() (inProgress int, free, reachable bool) {
-	known := len(s.Gateways()) > 0
+	known := len(s.Gateways("")) > 0
 
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
