labplacement: gateways in each zone where connections belong to organisations

Four gateways for all zones had 87 proxies connect to each: the handshakes filled links of 2 Mbit/s before traffic began, a proxy lost control for 10 s (CONFIG), and relayed statements crossed regions as datagrams. Two gateways for each zone and member keep the relay in the zone, and the way to the member is its own protocol.

--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -240,7 +240,7 @@
 	if d.Peers != nil {
 		n.relay = &labrelay.Source{
 			Target: a, Peers: d.Peers, History: &s.history, Reachability: d.Reachability, Clock: d.Clock,
-			Gateways: func(organisation string) []lab.Instance { return d.gatewaysOf(n, organisation) }, Version: d.Version,
+			Gateways: func(organisation string) ([]lab.Instance, int) { return d.gatewaysOf(n, organisation) }, Version: d.Version,
 		}
 	}
 
@@ -381,17 +381,19 @@
 	}
 }
 
-// gatewaysOf returns the gateways of a member in the order in which the statements of an organisation prefer them.
-func (d *Directory) gatewaysOf(m *member, organisation string) []lab.Instance {
+// gatewaysOf returns the gateways of a member in the order in which the statements of an organisation prefer them, and
+// the number of those to which connections stay open.
+func (d *Directory) gatewaysOf(m *member, organisation string) ([]lab.Instance, int) {
 	d.mutex.Lock()
-	gateways := m.gateways
+	gateways, byKey := m.gateways, m.placedByKey
 	d.mutex.Unlock()
 
-	if organisation == "" {
-		return gateways
+	if !byKey {
+		return gateways, labrelay.MaxWarmGateways
 	}
 
-	return labplacement.GatewaysOf(organisation, m.announcement, gateways)
+	return labplacement.GatewaysOf(organisation, m.announcement, d.AvailabilityZone, d.Region, gateways),
+		labplacement.GatewaysPerZone
 }
 
 // organisationExists reports whether an organisation is configured.
--- a/proxy/process/labplacement/place.go
+++ b/proxy/process/labplacement/place.go
@@ -19,18 +19,14 @@
 	// observersPerZone is the number of proxies in each availability zone that check a member continuously. With two,
 	// the restart of one leaves another.
 	observersPerZone = 2
-	// maxGateways and minGateways bound the gateways of a member whose connections belong to organisations: each further
-	// one means more connections between proxies, while a single one would stop the member's clients when it is lost.
-	maxGateways = 4
-	minGateways = 2
-	// minPerGateway is the number of connections that a gateway needs for the organisations that have much to do, so that
-	// it doesn't open a connection for each statement.
-	minPerGateway = 16
-	// retainedNumerator/retainedDenominator of a gateway's connections stay open without load.
-	retainedNumerator   = 2
-	retainedDenominator = 3
+	// minPerGateway is the number of connections below which a gateway would open a new one for almost each statement.
+	minPerGateway = 4
 )
 
+// GatewaysPerZone is the number of gateways of a member in each availability zone where connections belong to
+// organisations: a single one would stop the zone's clients when it is lost.
+const GatewaysPerZone = 2
+
 // Placement is the distribution of the connections that one member accepts over the proxies.
 type Placement struct {
 	DirectProxies    []lab.Instance // proxies with direct connections; the other proxies relay statements through them
@@ -61,50 +57,51 @@
 	return p
 }
 
-// PlaceGateways distributes the connections that a member accepts over few proxies, for a deployment in which connections
-// belong to organisations. The statements of all proxies meet there, so that few connections suffice for each
-// organisation, and the members of a zone have the same gateways, so that a proxy needs connections to few others.
+// PlaceGateways distributes the connections that a member accepts over a few proxies of each availability zone, for a
+// deployment in which connections belong to organisations. The statements of a zone meet there, so that few connections
+// suffice for the organisations, a relayed statement stays in its zone, and the loss of a gateway concerns one zone. The
+// gateways differ between members, which spreads the load.
 //
-// All but one of the gateways are in the member's availability zone; the last one, in another zone of the region, serves
-// while those of the zone are lost. Each retains a part of its connections, which leaves room for new ones after a
-// power loss: a member counts lost connections for seconds.
+// With few gateways for all zones, hundreds of proxies would connect to each of them after a power loss, which fills a
+// link of 2 Mbit/s for seconds.
 func PlaceGateways(member lab.Announcement, connections int, proxies []lab.Instance) Placement {
 	free := max(1, connections-reservedConnections)
-	count := min(max(minGateways, min(maxGateways, free/minPerGateway)), free, len(proxies))
-
-	var inZone, elsewhere []lab.Instance
-
-	// The key is the zone, not the member: see above.
-	for _, i := range ranked(member.AvailabilityZone, member.Region, proxies) {
-		if i.AvailabilityZone == member.AvailabilityZone {
-			inZone = append(inZone, i)
-		} else {
-			elsewhere = append(elsewhere, i)
+	taken := map[string]int{}
+	order := ranked(member.Member, member.Region, proxies)
+
+	var p Placement
+
+	// The first gateway of each zone comes before the second ones, those of the member's region first.
+	for round := 1; round <= GatewaysPerZone; round++ {
+		for _, i := range order {
+			if taken[i.AvailabilityZone] == round-1 && (len(p.DirectProxies)+1)*minPerGateway <= max(free, minPerGateway) {
+				taken[i.AvailabilityZone]++
+				p.DirectProxies = append(p.DirectProxies, i)
+			}
 		}
 	}
 
-	local := min(len(inZone), max(count-1, count-len(elsewhere)))
-	p := Placement{DirectProxies: slices.Concat(inZone[:local], elsewhere[:min(len(elsewhere), count-local)])}
 	p.MaxPerProxy = max(1, free/max(1, len(p.DirectProxies)))
-	p.RetainedPerProxy = max(1, p.MaxPerProxy*retainedNumerator/retainedDenominator)
+	p.RetainedPerProxy = p.MaxPerProxy
 
 	return p
 }
 
-// GatewaysOf returns the gateways of a member in the order in which the statements of an organisation prefer them. All
-// proxies use the same order, so that the statements meet the open connections of their organisation.
-func GatewaysOf(organisation string, member lab.Announcement, gateways []lab.Instance) []lab.Instance {
-	out := ranked(organisation+"\x00"+member.Member, member.Region, gateways)
+// GatewaysOf returns the gateways of a member in the order in which a proxy in the zone and region prefers them for the
+// statements of an organisation. The proxies of a zone use the same order, so that the statements meet the open
+// connections of their organisation.
+func GatewaysOf(organisation string, member lab.Announcement, zone, region string, gateways []lab.Instance) []lab.Instance {
+	out := ranked(organisation+"\x00"+member.Member, region, gateways)
 	slices.SortStableFunc(out, func(a, b lab.Instance) int {
-		return cmp.Compare(outside(a, member), outside(b, member))
+		return cmp.Compare(outside(a, zone), outside(b, zone))
 	})
 
 	return out
 }
 
-// outside returns 1 for an instance outside the member's availability zone, else 0.
-func outside(i lab.Instance, member lab.Announcement) int {
-	if i.AvailabilityZone == member.AvailabilityZone {
+// outside returns 1 for an instance outside an availability zone, else 0.
+func outside(i lab.Instance, zone string) int {
+	if i.AvailabilityZone == zone {
 		return 0
 	}
 
--- a/proxy/process/labrelay/relay_test.go
+++ b/proxy/process/labrelay/relay_test.go
@@ -178,7 +178,7 @@
 
 	return &Source{
 		Target: lab.Announcement{Database: "s", Member: "m", Incarnation: 1}, Peers: p, Clock: labclock.NewBootClock(),
-		Gateways: func(string) []lab.Instance { return all }, History: &labpositionhistory.History{},
+		Gateways: func(string) ([]lab.Instance, int) { return all, MaxWarmGateways }, History: &labpositionhistory.History{},
 		Reachability: &labreachability.Tracker{Clock: labclock.NewBootClock()},
 	}
 }
--- a/proxy/process/labrelay/source.go
+++ b/proxy/process/labrelay/source.go
@@ -29,13 +29,17 @@
 	standbyGateways = 4
 )
 
+// MaxWarmGateways is the number of gateways to which a proxy keeps connections open at the most.
+const MaxWarmGateways = activeGateways + standbyGateways
+
 // Source provides connections to one member through gateways; exported fields are set before use.
 type Source struct {
 	Target lab.Announcement // the member
 	Peers  lab.PersistentPeerClient
-	// Gateways returns the gateways of the member in the order in which the statements of an organisation prefer them. The
-	// organisation is empty if the deployment has none.
-	Gateways     func(organisation string) []lab.Instance
+	// Gateways returns the gateways of the member in the order in which the statements of an organisation prefer them, and
+	// the number of those to which connections stay open, at most MaxWarmGateways. The organisation is empty if the
+	// deployment has none.
+	Gateways     func(organisation string) (gateways []lab.Instance, warm int)
 	Version      func() uint64               // returns the version of the active configuration; nil if it doesn't matter
 	History      *labpositionhistory.History // receives the positions that gateways report
 	Reachability *labreachability.Tracker    // tracks which gateways respond; shared by the sources of all members
@@ -64,7 +68,7 @@
 // The time left until the context's deadline, taken when Acquire is called, bounds how long these operations wait for a
 // connection at the gateways.
 func (s *Source) Acquire(ctx context.Context, r lab.AcquireRequest) (lab.PooledConnection, error) {
-	if len(s.Gateways("")) == 0 {
+	if !s.gatewayKnown() {
 		return nil, errNoGateway
 	}
 
@@ -86,9 +90,7 @@
 // an organisation, else the one of the first activeGateways that the fewest connections use. If no gateway is connected, it returns false
 // instead of waiting for a handshake: a retry of the statement takes less time.
 func (s *Source) chooseGateway(organisation string, tried map[lab.InstanceID]bool) (lab.Instance, bool) {
-	all := s.connected(s.Gateways(organisation))
-	spread := activeGateways
-
+	all, spread := s.connected(organisation), activeGateways
 	if organisation != "" {
 		spread = 1 // the open connections of an organisation are at its first gateway
 	}
@@ -117,20 +119,24 @@
 	return g, true
 }
 
-// connected returns the gateways to which a connection is open. It starts connections to those of the first
-// activeGateways+standbyGateways gateways that have none.
-func (s *Source) connected(all []lab.Instance) []lab.Instance {
+// connected returns the gateways to which a connection is open, in the order that an organisation prefers. It starts
+// connections to those of the first gateways that have none, and to further ones while none that is open responds.
+func (s *Source) connected(organisation string) []lab.Instance {
 	var out []lab.Instance
 
+	all, warm := s.Gateways(organisation)
+	responds := false
+
 	for i, g := range all {
 		switch {
 		case s.Peers.Connected(g.Address):
 			out = append(out, g)
-		case i < activeGateways+standbyGateways && s.Reachability.AllowConnect(g.ID):
+			responds = responds || s.Reachability.Reachable(g.ID)
+		case (i < warm || (warm < MaxWarmGateways && !responds)) && s.Reachability.AllowConnect(g.ID):
 			s.Peers.Connect(g.Address)
 		}
 
-		if len(out) == activeGateways+standbyGateways {
+		if len(out) == MaxWarmGateways {
 			break
 		}
 	}
@@ -165,6 +171,12 @@
 	return best, count > 0
 }
 
+func (s *Source) gatewayKnown() bool {
+	g, _ := s.Gateways("")
+
+	return len(g) > 0
+}
+
 func (s *Source) version() uint64 {
 	if s.Version == nil {
 		return 0
@@ -175,7 +187,7 @@
 
 // Warm starts connections to the first gateways before a statement needs one.
 func (s *Source) Warm() {
-	s.connected(s.Gateways(""))
+	s.connected("")
 }
 
 // releaseGateway decrements the number of connections that use a gateway.
@@ -217,7 +229,7 @@
 // Load returns the number of connections in use. The other results only say whether a gateway is known, since the
 // gateways decide whether a connection is free.
 func (s *Source) Load() (inProgress int, free, reachable bool) {
-	known := len(s.Gateways("")) > 0
+	known := s.gatewayKnown()
 
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
