Quotas of organisations: buckets at the leader, tokens at control instances and proxies

The leader of the control group grants tokens from a bucket for each organisation. Control instances hold tokens for the proxies that ask them, proxies for their operations. A session takes a token before anything of an operation is sent to a member and refuses the operation as busy if there is none.

Reports name the grant that the tokens are from. A grant that ends without a report counts as spent: its holder may be cut off after it has used the tokens. The interface has End instead of Return, since a token counts as held until the operation has sent something or given it back.

--- a/control/process/labplatformcontrol/announcements.go
+++ b/control/process/labplatformcontrol/announcements.go
@@ -71,33 +71,57 @@
 
 // configuredServices returns the names of the services in the newest document, or nil if no document names a service.
 func (k *Controller) configuredServices() map[string]bool {
-	d := k.participation().state.Document()
-	if d.Version == 0 {
-		return nil
-	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	k.readConfigurationLocked()
 
+	return k.serviceNames
+}
+
+// configuration returns the newest document. It is empty if there is none or it is unreadable.
+func (k *Controller) configuration() *lab.Configuration {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
-	if k.servicesVersion == d.Version {
-		return k.serviceNames
+	k.readConfigurationLocked()
+
+	if k.configurationRead == nil {
+		return &lab.Configuration{}
+	}
+
+	return k.configurationRead
+}
+
+// readConfigurationLocked reads the newest document unless it has been read. The mutex must be held.
+func (k *Controller) readConfigurationLocked() {
+	d := k.participation().state.Document()
+	if d.Version == k.readVersion {
+		return
+	}
+
+	k.readVersion, k.configurationRead, k.serviceNames = d.Version, nil, nil
+
+	if d.Version == 0 {
+		return
 	}
 
 	source, err := labpack.Unpack(d.Packed)
 	if err != nil {
 		k.Log.Error().Err(err).Uint64("version", d.Version).Msg("document_unreadable")
 
-		return nil
+		return
 	}
 
 	c, err := k.DocumentReader.Read(source)
 	if err != nil {
 		k.Log.Error().Err(err).Uint64("version", d.Version).Msg("document_unreadable")
 
-		return nil
+		return
 	}
 
-	k.servicesVersion, k.serviceNames = d.Version, nil
+	k.configurationRead = c
+
 	for _, s := range c.Services {
 		if k.serviceNames == nil {
 			k.serviceNames = map[string]bool{}
@@ -105,8 +129,6 @@
 
 		k.serviceNames[s.Name] = true
 	}
-
-	return k.serviceNames
 }
 
 // errOutdated is returned for an announcement of an incarnation before the known one. Since it has no effect, it isn't
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -55,6 +55,7 @@
 	NewDeployment   bool            // true if the deployment starts for the first time
 	ToleratedLosses int             // number of control instances that may be lost at the same time
 	DataFolder      string
+	QuotaTolerance  lab.QuotaTolerance // what is tolerated beyond the rates and bursts of organisations
 
 	Transport       *labtransport.Transport
 	Clock           lab.Clock
@@ -74,6 +75,7 @@
 	memberLogs           labmemberlogs.Ledger
 	relay                *relay // answers watches while another instance is the leader
 	permissions          permissions
+	quota                *quota
 	preparingPermissions atomic.Bool   // reconcilePermissions waits for the log of former leaders
 	changeCount          atomic.Uint64 // number of calls of notifyWaiters
 
@@ -92,17 +94,17 @@
 
 	missingSince map[string]time.Duration // by service, the time when it was first observed without a primary
 
-	mutex            sync.Mutex
-	lastContact      map[lab.InstanceID]time.Duration // by control instance, the time of its last message
-	zones            map[lab.InstanceID]string        // availability zones of the control instances that have joined this leader
-	joinReports      labvoters.Reports                // join requests received from control instances
-	replacing        map[string]bool                  // services with a primary replacement in progress
-	lastReplacements map[string]replacementResult     // by service
-	recoveredAt      map[string]time.Duration         // by service, the time of the last attempt to end an unfinished one
-	waitingSince     map[string]time.Duration         // by service, the time since which no candidate was found
-	// serviceNames are the services in the document of version servicesVersion.
-	serviceNames    map[string]bool
-	servicesVersion uint64
+	mutex             sync.Mutex
+	lastContact       map[lab.InstanceID]time.Duration // by control instance, the time of its last message
+	zones             map[lab.InstanceID]string        // availability zones of the control instances that have joined this leader
+	joinReports       labvoters.Reports                // join requests received from control instances
+	replacing         map[string]bool                  // services with a primary replacement in progress
+	lastReplacements  map[string]replacementResult     // by service
+	recoveredAt       map[string]time.Duration         // by service, the time of the last attempt to end an unfinished one
+	waitingSince      map[string]time.Duration         // by service, the time since which no candidate was found
+	configurationRead *lab.Configuration               // newest document, nil if it is unreadable
+	readVersion       uint64                           // version of the document that was read last
+	serviceNames      map[string]bool                  // services in configurationRead, nil if it names none
 	// changed is closed and replaced after each change of the registry or the replicated state.
 	changed chan struct{}
 }
@@ -148,6 +150,7 @@
 	k.registry = &labmembers.Registry{Clock: k.Clock, Changed: k.notifyWaiters}
 	k.proxies.clock, k.memberLogs.Clock = k.Clock, k.Clock
 	k.relay = newRelay(k)
+	k.quota = newQuota(k)
 	k.loadLists()
 
 	k.Transport.HandleCall(lab.MethodConsensus, k.handleConsensus)
@@ -157,6 +160,8 @@
 	k.Transport.HandleCall(methodGet, k.handleGet)
 	k.Transport.HandleCall(methodAnnounce, k.handleAnnounce)
 	k.Transport.HandleCall(methodBroadcast, k.handleBroadcast)
+	k.Transport.HandleCall(lab.MethodQuota, k.quota.handle)
+	k.Transport.HandleCall(methodQuota, k.quota.handleControl)
 }
 
 // runParticipation takes part in the group under one identity until the context ends, the disk fails or the identity is
@@ -197,6 +202,7 @@
 	e.Go(func() error { return k.logLeadership(ctx, g) })
 	e.Go(func() error { return k.broadcast(ctx) })
 	e.Go(func() error { return k.relay.run(ctx) })
+	e.Go(func() error { return k.quota.run(ctx) })
 	e.Go(func() error { return k.persist(ctx) })
 	e.Go(func() error {
 		select {
--- a/control/process/labplatformcontrol/counters.go
+++ b/control/process/labplatformcontrol/counters.go
@@ -21,3 +21,9 @@
 	m.Set("promotions_failed", &c.Failures)
 	m.Set("membership_changes", &c.Memberships)
 }
+
+// Publish adds the counters of the controller to a metrics map. It is called after Prepare.
+func (k *Controller) Publish(m *expvar.Map) {
+	k.Counters.Publish(m)
+	k.quota.recorder.Publish(m)
+}
--- a/control/process/labplatformcontrol/message.go
+++ b/control/process/labplatformcontrol/message.go
@@ -13,6 +13,7 @@
 	methodGet       lab.Method = "keeper_get"
 	methodAnnounce  lab.Method = "keeper_announce"
 	methodBroadcast lab.Method = "keeper_spread"
+	methodQuota     lab.Method = "control_quota"
 )
 
 // joinRequest is sent periodically by each control instance to the leader.
--- a/proxy/connection/labtypedsession/attempt.go
+++ b/proxy/connection/labtypedsession/attempt.go
@@ -38,6 +38,9 @@
 	typicalLatency time.Duration       // typical time between an operation and its response at the member of the last try
 	begun          begunTransaction    // transaction that the member has accepted last, until its next response
 	maxStaleness   time.Duration       // maximum staleness, if it determined minPosition; 0 if the session's commit did
+	token          lab.QuotaToken      // token of the operation, until endToken
+	sent           bool                // whether anything may have been sent to a member
+	refused        bool                // whether the organisation's quota allows no operation now
 }
 
 // begunTransaction is the response of the primary to the begin of a transaction, zero if there is none.
@@ -270,6 +273,8 @@
 	sentAt := s.Clock.Now()
 
 	r, err := c.Run(earlier(a.deadline, time.Now().Add(setupTimeout)), s.values, begin)
+	a.recordSent(err)
+
 	if err != nil {
 		a.recordFailure(c, err)
 
@@ -357,6 +362,7 @@
 	}
 
 	r, err := c.Run(earlier(deadline, a.deadline), a.session.values, append([]lab.Operation{o}, then...)...)
+	a.recordSent(err)
 	a.confirmBegin(c.Member(), err == nil && r[0].Fault == lab.FaultNone)
 
 	if err != nil {
--- a/proxy/connection/labtypedsession/counters.go
+++ b/proxy/connection/labtypedsession/counters.go
@@ -17,6 +17,7 @@
 	NotPermitted expvar.Int
 	// PermissionEnded is the number of commits whose permission had ended when the member's answer arrived.
 	PermissionEnded expvar.Int
+	QuotaRefusals   expvar.Int            // number of operations that the quota of their organisation did not allow
 	Faults          expvar.Map            // number of faults returned to clients, by name of the fault
 	Latency         *labmetrics.Histogram // latency of reads, writes and executions
 }
@@ -28,6 +29,7 @@
 	m.Set("read_timeouts", &c.Timeouts)
 	m.Set("commits_not_permitted", &c.NotPermitted)
 	m.Set("commits_unconfirmed", &c.PermissionEnded)
+	m.Set("operations_over_quota", &c.QuotaRefusals)
 	m.Set("faults", &c.Faults)
 	m.Set("latency", c.Latency)
 }
--- a/proxy/connection/labtypedsession/session.go
+++ b/proxy/connection/labtypedsession/session.go
@@ -29,6 +29,7 @@
 	Clock     lab.Clock
 	Log       zerolog.Logger
 	Counters  *Counters
+	Quota     lab.OperationQuota // quotas of the organisations; nil if operations need no tokens
 
 	mutex      sync.Mutex                   // guards the fields below against the idle timer and Close
 	values     map[string]string            // session values by name
@@ -197,7 +198,13 @@
 	}
 
 	a := s.newAttempt(o, route)
+
+	if !a.takeToken() {
+		return quotaRefusal()
+	}
+
 	r := a.runSingle(o)
+	a.endToken()
 	a.report(o, r)
 
 	return r
--- a/proxy/connection/labtypedsession/transaction.go
+++ b/proxy/connection/labtypedsession/transaction.go
@@ -48,9 +48,14 @@
 
 	var r lab.OperationResult
 
-	if s.tx.conn != nil || a.bind() {
+	switch {
+	case s.tx.conn != nil || a.bind():
 		r = a.runBound(o)
-	} else {
+	case a.refused:
+		s.failTransaction()
+
+		return quotaRefusal()
+	default:
 		s.failTransaction()
 
 		r = a.notRunResult()
@@ -61,10 +66,17 @@
 	return r
 }
 
-// bind binds a member connection to the transaction and begins the transaction there.
+// bind binds a member connection to the transaction and begins the transaction there. It takes the token of the operation,
+// since nothing of the transaction was sent before.
 func (a *attempt) bind() bool {
 	t := a.session.tx
 
+	if !a.takeToken() {
+		return false
+	}
+
+	defer a.endToken()
+
 	for !a.mustStop() {
 		c, begin, ok := a.acquireForTransaction(t)
 		if !ok || !a.begin(c, begin) {
@@ -221,7 +233,10 @@
 func (s *Session) commit(o lab.Operation) lab.OperationResult {
 	a := s.newAttempt(o, s.tx.route)
 	r := a.commit(o)
-	a.report(o, r)
+
+	if !a.refused {
+		a.report(o, r)
+	}
 
 	return r
 }
@@ -232,6 +247,10 @@
 	// The result of a commit contains the member's proof that it ran the commit. A transaction without statements
 	// therefore needs a connection too.
 	if s.tx.conn == nil && !a.bind() {
+		if a.refused {
+			return quotaRefusal()
+		}
+
 		return a.notRunResult()
 	}
 
--- /dev/null
+++ b/proxy/process/labquotaclient/client.go
@@ -0,0 +1,400 @@
+package labquotaclient
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labquotaholder"
+	"laburnumlock.dev/lab/process/labquotarecorder"
+)
+
+const (
+	// horizon is the time of usual use for which tokens are held. Control instances hold more for a failure of the leader.
+	horizon = time.Second
+	average = time.Second
+	// minimum is the number of operations of an organisation in a second below which no tokens are requested in advance. Some
+	// ninety proxies would otherwise bind most tokens of a small organisation for operations that come at other proxies.
+	minimum = 2
+	// firstWait is how long an operation waits for the first control instance, maxWait how long for the first and a second.
+	firstWait = 130 * time.Millisecond
+	maxWait   = 250 * time.Millisecond
+	// reportInterval is the interval at which tokens are requested in advance and reports are sent if no operation waits.
+	reportInterval = 200 * time.Millisecond
+	// callTimeout bounds a call. Tokens that arrive after the operation has given up serve later ones. A call that times out
+	// ends the connection to the instance, which the watches use too.
+	callTimeout = time.Second
+	// maxCalls bounds the calls under way. A call can wait for the leader while operations of other organisations need tokens
+	// that the control instance has.
+	maxCalls = 4
+	// unreachedTime is the time for which operations are refused at once after two instances had no contact to the leader.
+	unreachedTime = 100 * time.Millisecond
+	// endedInterval is the interval at which ended refusals are looked for.
+	endedInterval = time.Second
+)
+
+// The errors of operations that get no token.
+var (
+	errLimit     = errors.New("the limit of the organisation is reached")
+	errNoContact = errors.New("no control instance has tokens")
+)
+
+// Client implements lab.OperationQuota. Its exported fields are set before Run.
+type Client struct {
+	Instance  lab.InstanceID
+	Peers     lab.PeerClient
+	Instances func() []string // returns the process addresses of the control instances, the preferred one first
+	Clock     lab.Clock
+	Recorder  *labquotarecorder.Recorder
+
+	mutex   sync.Mutex
+	holder  labquotaholder.Holder
+	waiters map[string][]*waiter // by organisation, the longest waiting first
+	// unreached are the times until which a second instance is not asked for the tokens of an organisation.
+	unreached map[string]time.Duration
+	calls     int           // number of calls to the preferred instance that are under way
+	calledAt  time.Duration // time of the last of them
+}
+
+// waiter is an operation that waits for a token.
+type waiter struct {
+	result chan result // has room for all results
+	told   bool        // whether the result says that the first instance had no contact
+	second bool        // whether a second instance is asked
+}
+
+// result is what a waiter gets: a token, an error, or neither if a second instance should be asked.
+type result struct {
+	token lab.QuotaToken
+	err   error
+}
+
+// Prepare initializes the client. It must be called once, before all other methods.
+func (c *Client) Prepare() {
+	c.holder = labquotaholder.Holder{
+		Instance: c.Instance, Horizon: horizon, Average: average, Minimum: minimum, OnExpired: c.Recorder.Expired,
+	}
+	c.waiters, c.unreached = map[string][]*waiter{}, map[string]time.Duration{}
+}
+
+// Take takes a token for one operation of the organisation. It waits for at most maxWait if this proxy holds none.
+func (c *Client) Take(ctx context.Context, organisation lab.OrganisationPolicy) (lab.QuotaToken, error) {
+	if organisation.Name == "" || organisation.Rate <= 0 {
+		return lab.QuotaToken{}, nil
+	}
+
+	token, w, err := c.begin(organisation.Name)
+	if w != nil {
+		token, err = c.await(ctx, organisation.Name, w)
+	}
+
+	if err != nil {
+		c.Recorder.Refused(organisation.Name, 1, !errors.Is(err, errLimit))
+
+		return lab.QuotaToken{}, lab.NotRunError(lab.ReasonOverload, err)
+	}
+
+	c.Recorder.Granted(organisation.Name, 1)
+
+	return token, nil
+}
+
+// begin takes a token that this proxy holds, or returns a waiter if it holds none and may ask for one.
+func (c *Client) begin(organisation string) (lab.QuotaToken, *waiter, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	now := c.Clock.Now()
+
+	if len(c.waiters[organisation]) == 0 {
+		if token, n, _ := c.holder.Take(organisation, 1, 0, now); n > 0 {
+			if c.holder.Low(organisation, now) {
+				c.callLocked(now)
+			}
+
+			return token, nil, nil
+		}
+	}
+
+	f, refused := c.holder.Refused(organisation, now)
+
+	switch {
+	case refused && !f.NoContact:
+		return lab.QuotaToken{}, nil, errLimit
+	case refused && now < c.unreached[organisation]:
+		return lab.QuotaToken{}, nil, errNoContact
+	}
+
+	w := &waiter{result: make(chan result, 2)} // one without and one with a token or an error
+	c.waiters[organisation] = append(c.waiters[organisation], w)
+	c.holder.Await(organisation, 1, now)
+
+	if refused {
+		w.tell()
+	} else {
+		c.callLocked(now)
+	}
+
+	return lab.QuotaToken{}, w, nil
+}
+
+// tell makes the operation of a waiter ask a second instance. The client's mutex must be held.
+func (w *waiter) tell() {
+	if !w.told {
+		w.told = true
+		w.result <- result{}
+	}
+}
+
+// await waits for the result of a waiter. It asks a second instance if the first has no contact to the leader or doesn't
+// answer in time.
+func (c *Client) await(ctx context.Context, organisation string, w *waiter) (lab.QuotaToken, error) {
+	timer := time.NewTimer(firstWait)
+	defer timer.Stop()
+
+	end := c.Clock.Now() + maxWait
+
+	for asked := false; ; {
+		select {
+		case r := <-w.result:
+			if r != (result{}) {
+				return r.token, r.err
+			}
+
+			if asked {
+				continue
+			}
+		case <-timer.C:
+			if asked {
+				return c.giveUp(organisation, w)
+			}
+		case <-ctx.Done():
+			return c.giveUp(organisation, w)
+		}
+
+		if !c.askSecond(organisation) {
+			return c.giveUp(organisation, w)
+		}
+
+		asked = true
+
+		timer.Reset(end - c.Clock.Now())
+	}
+}
+
+// giveUp removes a waiter. It may have got a result in the meantime.
+func (c *Client) giveUp(organisation string, w *waiter) (lab.QuotaToken, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	for {
+		select {
+		case r := <-w.result:
+			if r != (result{}) {
+				return r.token, r.err
+			}
+		default:
+			c.removeLocked(organisation, slices.Index(c.waiters[organisation], w))
+
+			return lab.QuotaToken{}, errNoContact
+		}
+	}
+}
+
+// removeLocked removes the waiter with the index, if there is one. The mutex must be held.
+func (c *Client) removeLocked(organisation string, i int) {
+	if i < 0 {
+		return
+	}
+
+	c.holder.Await(organisation, -1, c.Clock.Now())
+
+	c.waiters[organisation] = slices.Delete(c.waiters[organisation], i, i+1)
+	if len(c.waiters[organisation]) == 0 {
+		delete(c.waiters, organisation)
+	}
+}
+
+// askSecond asks a second instance for the tokens of all waiters of the organisation for which it has not been asked. It
+// returns false if there is no second instance.
+func (c *Client) askSecond(organisation string) bool {
+	instances := c.Instances()
+	if len(instances) < 2 {
+		return false
+	}
+
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	need := 0
+
+	for _, w := range c.waiters[organisation] {
+		if !w.second {
+			w.second = true
+			need++
+		}
+	}
+
+	if need > 0 {
+		r := lab.QuotaRequest{Instance: c.Instance, Items: []lab.QuotaItem{{Organisation: organisation, Need: need}}}
+		c.holder.Expect(r)
+
+		go c.call(instances[1], r, true)
+	}
+
+	return true
+}
+
+// End ends the use of a token.
+func (c *Client) End(token lab.QuotaToken, used bool) {
+	if token == (lab.QuotaToken{}) {
+		return
+	}
+
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	now := c.Clock.Now()
+
+	if used {
+		c.holder.Settle(token, 1, 0, now)
+
+		return
+	}
+
+	c.holder.Settle(token, 0, 1, now)
+	c.serveLocked(token.Organisation, now)
+}
+
+// Run requests tokens in advance and sends reports until the context ends.
+func (c *Client) Run(ctx context.Context) error {
+	var ended time.Duration
+
+	for c.Clock.Sleep(ctx, reportInterval) == nil {
+		now := c.Clock.Now()
+
+		c.mutex.Lock()
+		if now-c.calledAt >= reportInterval {
+			c.callLocked(now)
+		}
+		c.mutex.Unlock()
+
+		if now-ended >= endedInterval {
+			ended = now
+
+			c.Recorder.LogEnded()
+		}
+	}
+
+	return nil
+}
+
+// callLocked sends a request to the preferred instance in the background if there is something to request or report. The
+// mutex must be held.
+func (c *Client) callLocked(now time.Duration) {
+	if c.calls >= maxCalls {
+		return
+	}
+
+	instances := c.Instances()
+	if len(instances) == 0 {
+		return
+	}
+
+	r, ok := c.holder.Request(instances[0], now)
+	if !ok {
+		return
+	}
+
+	c.calls++
+	c.calledAt = now
+
+	go c.call(instances[0], r, false)
+}
+
+// call sends a request to an instance and applies the response.
+func (c *Client) call(address string, r lab.QuotaRequest, second bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+
+	sentAt := c.Clock.Now()
+
+	var a lab.QuotaResponse
+
+	err := c.Peers.Call(ctx, address, lab.MethodQuota, r, &a)
+
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	now := c.Clock.Now()
+
+	if err == nil {
+		c.holder.Apply(address, r, a, sentAt, now)
+	} else {
+		c.holder.Fail(r)
+	}
+
+	noContact := map[int]bool{}
+	for _, f := range a.Refusals {
+		noContact[f.Item] = f.NoContact
+	}
+
+	for i, t := range r.Items {
+		c.serveLocked(t.Organisation, now)
+
+		if t.Need > 0 && (err != nil || noContact[i]) {
+			c.unreachedLocked(t.Organisation, second, now)
+		}
+	}
+
+	if second {
+		return
+	}
+
+	c.calls--
+
+	if len(c.waiters) > 0 {
+		c.callLocked(now)
+	}
+}
+
+// serveLocked gives tokens to the waiters of an organisation, or refuses them if the limit is reached. The mutex must be
+// held.
+func (c *Client) serveLocked(organisation string, now time.Duration) {
+	for len(c.waiters[organisation]) > 0 {
+		w := c.waiters[organisation][0]
+
+		token, n, _ := c.holder.Take(organisation, 1, 0, now)
+		if n > 0 {
+			w.result <- result{token: token}
+		} else if f, refused := c.holder.Refused(organisation, now); refused && !f.NoContact {
+			w.result <- result{err: errLimit}
+		} else {
+			return
+		}
+
+		c.removeLocked(organisation, 0)
+	}
+}
+
+// unreachedLocked records that an instance had no contact to the leader or did not answer. The mutex must be held.
+func (c *Client) unreachedLocked(organisation string, second bool, now time.Duration) {
+	if second {
+		c.unreached[organisation] = now + unreachedTime
+	}
+
+	for i := len(c.waiters[organisation]) - 1; i >= 0; i-- {
+		w := c.waiters[organisation][i]
+
+		if second && w.second {
+			w.result <- result{err: errNoContact}
+			c.removeLocked(organisation, i)
+		} else if !second {
+			w.tell()
+		}
+	}
+}
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -75,6 +75,8 @@
 	failedSearches   int                      // number of failed searches since the last response
 	controlClock     labpeerclock.Clock       // clock of the instance that answered last
 	bounds           labbounds.Sender         // acknowledged positions that the current instance has learned
+
+	ordered atomic.Pointer[[]string] // control instances as ControlInstances returns them
 }
 
 func (s *Subscriber) prepare() {
@@ -136,6 +138,8 @@
 		s.failedAt[s.current] = s.Clock.Now()
 		s.current = ""
 	}
+
+	s.orderInstances()
 }
 
 var errNoInstance = errors.New("no control instance answers")
@@ -217,6 +221,31 @@
 	return 2
 }
 
+// ControlInstances returns the process addresses of the control instances: the one that answered last, then the others, the
+// nearest first and those that have failed recently last. It may be called concurrently with Run.
+func (s *Subscriber) ControlInstances() []string {
+	if o := s.ordered.Load(); o != nil {
+		return *o
+	}
+
+	return nil
+}
+
+// orderInstances updates what ControlInstances returns.
+func (s *Subscriber) orderInstances() {
+	all := s.instances()
+	slices.SortStableFunc(all, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(boolBit(a != s.current), boolBit(b != s.current)),
+			cmp.Compare(boolBit(s.failedRecently(a)), boolBit(s.failedRecently(b))),
+		)
+	})
+
+	if o := s.ordered.Load(); o == nil || !slices.Equal(*o, all) {
+		s.ordered.Store(&all)
+	}
+}
+
 func (s *Subscriber) failedRecently(address string) bool {
 	t, ok := s.failedAt[address]
 
@@ -398,6 +427,8 @@
 		}
 	}
 
+	s.orderInstances()
+
 	return nil
 }
 
--- a/proxy/process/labtypedlistener/connection.go
+++ b/proxy/process/labtypedlistener/connection.go
@@ -165,6 +165,7 @@
 
 	n.session = &labtypedsession.Session{
 		Database: database, Key: key, Directory: l.Directory, Clock: l.Clock, Log: l.RequestLog, Counters: l.Counters,
+		Quota: l.Quota,
 	}
 	n.send(n.codec.AppendReady(nil))
 
--- a/proxy/process/labtypedlistener/listener.go
+++ b/proxy/process/labtypedlistener/listener.go
@@ -44,6 +44,7 @@
 	Log           zerolog.Logger
 	RequestLog    zerolog.Logger // receives the log lines about single requests
 	Counters      *labtypedsession.Counters
+	Quota         lab.OperationQuota // quotas of the organisations
 	// StartupWait is how long a startup waits for the first configuration.
 	StartupWait time.Duration
 
--- a/proxy/process/labtypedproxy/proxy.go
+++ b/proxy/process/labtypedproxy/proxy.go
@@ -13,9 +13,11 @@
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/lablog"
 	"laburnumlock.dev/lab/process/labmetrics"
+	"laburnumlock.dev/lab/process/labquotarecorder"
 	"laburnumlock.dev/lab/process/labtransport"
 	"laburnumlock.dev/lab/proxy/connection/labtypedsession"
 	"laburnumlock.dev/lab/proxy/process/labdirectory"
+	"laburnumlock.dev/lab/proxy/process/labquotaclient"
 	"laburnumlock.dev/lab/proxy/process/labreachability"
 	"laburnumlock.dev/lab/proxy/process/labrelay"
 	"laburnumlock.dev/lab/proxy/process/labsubscriber"
@@ -54,6 +56,7 @@
 	directory  *labdirectory.Directory
 	subscriber *labsubscriber.Subscriber
 	listener   *labtypedlistener.Listener
+	quota      *labquotaclient.Client
 	counters   labtypedsession.Counters
 	stopping   atomic.Bool
 }
@@ -76,10 +79,15 @@
 	p.directory.OnPrimaryUnreachable = p.subscriber.ReportNow
 	p.directory.OnCommitsDrained = p.subscriber.ReportNow
 	p.counters.Latency = labmetrics.NewHistogram()
+	p.quota = &labquotaclient.Client{
+		Instance: p.Self.ID, Peers: p.Transport, Instances: p.subscriber.ControlInstances, Clock: p.Clock,
+		Recorder: &labquotarecorder.Recorder{Clock: p.Clock, Log: p.Log},
+	}
+	p.quota.Prepare()
 	p.listener = &labtypedlistener.Listener{
 		ListenAddress: p.ListenAddress, Codec: p.Codec, Directory: p.directory, Clock: p.Clock, Log: p.Log,
 		RequestLog: lablog.NewRequestLogger(p.Log), Counters: &p.counters,
-		StartupWait: startupWait,
+		Quota: p.quota, StartupWait: startupWait,
 	}
 }
 
@@ -91,6 +99,7 @@
 // Publish adds the process's counters to a map.
 func (p *Proxy) Publish(m *expvar.Map) {
 	p.counters.Publish(m)
+	p.quota.Recorder.Publish(m)
 	p.directory.Permissions().Publish(m)
 	m.Set("callers", &p.listener.OpenConnections)
 	m.Set("startups_refused", &p.listener.RefusedStartups)
@@ -106,6 +115,7 @@
 	g.Go(func() error { return p.listener.Run(serving) })
 	g.Go(func() error { return p.subscriber.Run(serving) })
 	g.Go(func() error { return p.maintain(serving) })
+	g.Go(func() error { return p.quota.Run(serving) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
