--- a/control/process/labplatformcontrol/quota.go
+++ b/control/process/labplatformcontrol/quota.go
@@ -17,7 +17,7 @@
 
 const (
 	// quotaHorizon is the time of usual use for which a control instance holds tokens. It covers a change of the leader.
-	quotaHorizon = 1500 * time.Millisecond
+	quotaHorizon = 1700 * time.Millisecond
 	// quotaAverage is the time constant of the average use by which tokens are held.
 	quotaAverage = 3 * time.Second
 	// quotaReserve is the number of further tokens for each organisation in use, so that a rare operation seldom waits for the
--- a/control/process/labquotabucket/buckets.go
+++ b/control/process/labquotabucket/buckets.go
@@ -9,11 +9,19 @@
 )
 
 const (
-	// validity is the time from the sending of a request until the granted tokens expire. It covers a change of the leader.
-	validity = 2 * time.Second
+	// validity is the time from the sending of a request until the granted tokens expire. Control instances hold tokens for
+	// about 1.7 s of use, so that service goes on while a leader is elected; those that they use last must still be valid.
+	validity = 2500 * time.Millisecond
 	// accountingMargin is the time for which a grant stays open after its tokens have expired, counted from the response. It
 	// covers clocks that drift apart by 10%, and the last report, which passes through a control instance.
 	accountingMargin = validity/10 + 600*time.Millisecond
+	// reserveShare is the part of the capacity that is not granted in advance. It serves operations at instances that have no
+	// tokens left while others hold many.
+	reserveShare = 0.1
+	// overlapShare is the part of the tolerated operations that covers two leaders at once, and initialShare the part that a
+	// new leader may grant at once. With both, two elections in one window stay within what the capacity leaves.
+	overlapShare = 0.25
+	initialShare = 0.125
 	// minRetryAfter and maxRetryAfter bound the time for which a holder doesn't ask again. Hundreds of refused operations
 	// then cause a few requests, and tokens that other holders return are found soon.
 	minRetryAfter = 50 * time.Millisecond
@@ -102,8 +110,9 @@
 	free := max(0, int(math.Floor(u.level)))
 	granted := min(t.Need, free)
 
-	// Tokens in advance take at most half of the rest, so that operations at other instances needn't wait for those to expire.
-	granted += min(t.Want, (free-granted)/2)
+	// Tokens in advance take at most half of the rest, so that one instance doesn't bind the tokens that others need.
+	reserve := int(b.Tolerance.Capacity(p) * reserveShare)
+	granted += max(0, min(t.Want, (free-granted)/2, free-granted-reserve))
 
 	if granted > 0 {
 		u.level -= float64(granted)
@@ -119,9 +128,11 @@
 func (b *Buckets) bucket(p lab.OrganisationPolicy) *bucket {
 	u, ok := b.buckets[p.Name]
 	if !ok {
-		// A former leader may go on for the overlap. A part of the tolerance covers what both grant in that time.
-		debt := p.Rate*b.Overlap.Seconds() - b.Tolerance.Tolerated(p)/4
-		u = &bucket{level: min(0, -debt), refilledAt: b.Since, policy: p}
+		// A former leader may go on to grant tokens for the overlap.
+		tolerated := b.Tolerance.Tolerated(p)
+		level := min(overlapShare*tolerated-p.Rate*b.Overlap.Seconds(), initialShare*tolerated)
+
+		u = &bucket{level: level, refilledAt: b.Since, policy: p}
 		b.buckets[p.Name] = u
 	}
 
--- a/proxy/process/labquotaclient/client.go
+++ b/proxy/process/labquotaclient/client.go
@@ -14,17 +14,17 @@
 )
 
 const (
-	// horizon is the time of usual use for which tokens are held. Control instances hold more for a failure of the leader.
-	horizon = time.Second
+	// horizon is the time of average use for which tokens are held, and minimum the number below which none are. Tokens that
+	// are spread over some ninety proxies serve few operations, whereas a control instance has them for all proxies of its
+	// zone: with twice the horizon, the tokens in use last 0.4 s instead of 1.3 s without a leader.
+	horizon = 500 * time.Millisecond
 	average = time.Second
-	// minimum is the number of operations of an organisation in a second below which no tokens are requested in advance. Some
-	// ninety proxies would otherwise bind most tokens of a small organisation for operations that come at other proxies.
-	minimum = 2
+	minimum = 3
 	// firstWait is how long an operation waits for the first control instance, maxWait how long for the first and a second.
 	firstWait = 130 * time.Millisecond
 	maxWait   = 250 * time.Millisecond
 	// reportInterval is the interval at which tokens are requested in advance and reports are sent if no operation waits.
-	reportInterval = 200 * time.Millisecond
+	reportInterval = 500 * time.Millisecond
 	// callTimeout bounds a call. Tokens that arrive after the operation has given up serve later ones. A call that times out
 	// ends the connection to the instance, which the watches use too.
 	callTimeout = time.Second
