Quotas: a control instance that doesn't answer no longer keeps operations from asking others

Cause: requests to a second instance counted as under way for the organisation until they timed out after 1 s. While the second instance was frozen, the first one was not asked for the tokens of later operations, which were refused for lack of contact. Requests also counted after their operations had given up.

Change: only requests to the first instance count, and never more than operations wait. Waiting operations skip instances that have not answered lately.

--- a/control/process/labplatformcontrol/quota.go
+++ b/control/process/labplatformcontrol/quota.go
@@ -243,9 +243,9 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 
-	if err != nil {
-		q.holder.Fail(r)
+	q.holder.Done(r)
 
+	if err != nil {
 		return errors.Newf("request tokens from %s: %w", address, err)
 	}
 
--- a/control/process/labquotalender/model_test.go
+++ b/control/process/labquotalender/model_test.go
@@ -263,7 +263,7 @@
 
 	m.after(time.Second, func() {
 		if !answered {
-			p.holder.Fail(r)
+			p.holder.Done(r)
 		}
 	})
 	m.send(i.zone, i.zone, func() {
@@ -275,6 +275,7 @@
 
 				answered = true
 
+				p.holder.Done(r)
 				p.holder.Apply("i", r, a, sentAt, m.now)
 
 				for _, t := range r.Items {
@@ -365,7 +366,7 @@
 
 	m.after(700*time.Millisecond, func() {
 		if !answered {
-			i.holder.Fail(r)
+			i.holder.Done(r)
 
 			i.calling = false
 		}
@@ -384,6 +385,7 @@
 
 			answered = true
 
+			i.holder.Done(r)
 			i.holder.Apply(string(rune('0'+leader)), r, a, sentAt, m.now)
 			i.serve()
 			m.after(modelSpacing, func() {
--- a/process/labquotaholder/holder.go
+++ b/process/labquotaholder/holder.go
@@ -137,10 +137,12 @@
 	}
 }
 
-// Await changes the number of tokens that operations wait for by n.
+// Await changes the number of tokens that operations wait for by n. Requests under way for operations that have given up
+// don't keep later operations from being requested for.
 func (h *Holder) Await(organisation string, n int, now time.Duration) {
 	s := h.stock(organisation, now)
 	s.waiting = max(0, s.waiting+n)
+	s.requested = min(s.requested, s.waiting)
 }
 
 // Refused returns the newest refusal of an organisation's tokens if it is still in force.
@@ -165,7 +167,7 @@
 }
 
 // Request returns a request to an instance for the tokens that are missing, with the reports on earlier ones of that
-// instance. It returns false if there is nothing to request or report. Each request must be given to Apply or Fail.
+// instance. It returns false if there is nothing to request or report. Each request must be given to Done.
 func (h *Holder) Request(source string, now time.Duration) (lab.QuotaRequest, bool) {
 	h.sweep(now)
 
@@ -185,26 +187,17 @@
 			continue
 		}
 
+		s.requested += t.Need
+		s.advance += t.Want
+
 		r.Items = append(r.Items, t)
 	}
 
-	h.Expect(r)
-
 	return r, len(r.Items) > 0
 }
 
-// Expect records that a request is sent that Request has not made.
-func (h *Holder) Expect(r lab.QuotaRequest) {
-	for _, t := range r.Items {
-		if s, ok := h.stocks[t.Organisation]; ok {
-			s.requested += t.Need
-			s.advance += t.Want
-		}
-	}
-}
-
-// Fail records that a request got no response.
-func (h *Holder) Fail(r lab.QuotaRequest) {
+// Done records that a request of Request has got its response or gets none. It must be called once for each, before Apply.
+func (h *Holder) Done(r lab.QuotaRequest) {
 	for _, t := range r.Items {
 		if s, ok := h.stocks[t.Organisation]; ok {
 			s.requested = max(0, s.requested-t.Need)
@@ -215,8 +208,6 @@
 
 // Apply records the response to a request that was sent to an instance at the given time.
 func (h *Holder) Apply(source string, r lab.QuotaRequest, a lab.QuotaResponse, sentAt, now time.Duration) {
-	h.Fail(r)
-
 	for _, t := range r.Items {
 		s := h.stock(t.Organisation, now)
 		s.recordReported(source, t.Reports)
--- a/proxy/process/labquotaclient/client.go
+++ b/proxy/process/labquotaclient/client.go
@@ -33,6 +33,8 @@
 	maxCalls = 4
 	// unreachedTime is the time for which operations are refused at once after two instances had no contact to the leader.
 	unreachedTime = 100 * time.Millisecond
+	// avoidTime is the time for which an instance is not asked by waiting operations after it has not answered.
+	avoidTime = 3 * time.Second
 	// endedInterval is the interval at which ended refusals are looked for.
 	endedInterval = time.Second
 )
@@ -56,8 +58,17 @@
 	waiters map[string][]*waiter // by organisation, the longest waiting first
 	// unreached are the times until which a second instance is not asked for the tokens of an organisation.
 	unreached map[string]time.Duration
-	calls     int           // number of calls to the preferred instance that are under way
-	calledAt  time.Duration // time of the last of them
+	peers     map[string]*peer // by process address
+	calls     int              // number of calls to the preferred instance that are under way
+	calledAt  time.Duration    // time of the last of them
+}
+
+// peer is a control instance.
+type peer struct {
+	open     int           // number of calls under way
+	since    time.Duration // time since which there are any, or of the last response while there are
+	failed   bool          // whether the last call got no response
+	failedAt time.Duration
 }
 
 // waiter is an operation that waits for a token.
@@ -78,7 +89,7 @@
 	c.holder = labquotaholder.Holder{
 		Instance: c.Instance, Horizon: horizon, Average: average, Minimum: minimum, OnExpired: c.Recorder.Expired,
 	}
-	c.waiters, c.unreached = map[string][]*waiter{}, map[string]time.Duration{}
+	c.waiters, c.unreached, c.peers = map[string][]*waiter{}, map[string]time.Duration{}, map[string]*peer{}
 }
 
 // Take takes a token for one operation of the organisation. It waits for at most maxWait if this proxy holds none.
@@ -133,15 +144,23 @@
 	c.waiters[organisation] = append(c.waiters[organisation], w)
 	c.holder.Await(organisation, 1, now)
 
-	if refused {
+	// While the first instance is silent it is still asked, since only a response shows that it is back.
+	if instances := c.Instances(); refused || (len(instances) > 0 && c.silentLocked(instances[0], now)) {
 		w.tell()
-	} else {
-		c.callLocked(now)
 	}
 
+	c.callLocked(now)
+
 	return lab.QuotaToken{}, w, nil
 }
 
+// silentLocked reports whether an instance has not answered lately. The mutex must be held.
+func (c *Client) silentLocked(address string, now time.Duration) bool {
+	p, ok := c.peers[address]
+
+	return ok && ((p.open > 0 && now-p.since > firstWait) || (p.failed && now-p.failedAt < avoidTime))
+}
+
 // tell makes the operation of a waiter ask a second instance. The client's mutex must be held.
 func (w *waiter) tell() {
 	if !w.told {
@@ -230,6 +249,14 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
+	now := c.Clock.Now()
+
+	// If all are silent, the nearest is as good as any other.
+	second := instances[1]
+	if i := slices.IndexFunc(instances[1:], func(a string) bool { return !c.silentLocked(a, now) }); i >= 0 {
+		second = instances[1+i]
+	}
+
 	need := 0
 
 	for _, w := range c.waiters[organisation] {
@@ -241,9 +268,7 @@
 
 	if need > 0 {
 		r := lab.QuotaRequest{Instance: c.Instance, Items: []lab.QuotaItem{{Organisation: organisation, Need: need}}}
-		c.holder.Expect(r)
-
-		go c.call(instances[1], r, true)
+		c.startLocked(second, r, true, now)
 	}
 
 	return true
@@ -312,8 +337,37 @@
 
 	c.calls++
 	c.calledAt = now
+	c.startLocked(instances[0], r, false, now)
+}
+
+// startLocked sends a request to an instance in the background. The mutex must be held.
+func (c *Client) startLocked(address string, r lab.QuotaRequest, second bool, now time.Duration) {
+	p, ok := c.peers[address]
+	if !ok {
+		p = &peer{}
+		c.peers[address] = p
+	}
+
+	if p.open == 0 {
+		p.since = now
+	}
 
-	go c.call(instances[0], r, false)
+	p.open++
+
+	go c.call(address, r, second)
+}
+
+// endLocked records the end of a call. The mutex must be held.
+func (c *Client) endLocked(address string, err error, now time.Duration) {
+	p := c.peers[address]
+	p.open--
+	p.failed = err != nil
+
+	if err != nil {
+		p.failedAt = now
+	} else {
+		p.since = now
+	}
 }
 
 // call sends a request to an instance and applies the response.
@@ -332,10 +386,14 @@
 
 	now := c.Clock.Now()
 
+	c.endLocked(address, err, now)
+
+	if !second {
+		c.holder.Done(r)
+	}
+
 	if err == nil {
 		c.holder.Apply(address, r, a, sentAt, now)
-	} else {
-		c.holder.Fail(r)
 	}
 
 	noContact := map[int]bool{}
