labpool: serve waiting statements whose connection is free, and count each once

- A released connection stayed idle, unused, while statements of its own organisation waited, if the statement of another organisation came first and its connection was being dialled or dials backed off.
- A released connection served the first waiting statement alone, so that the next organisation waited although a connection was idle.
- Statements of public routes had every released connection of an organisation replaced, not one for each statement.
- The connection of a removed organisation was offered to its waiting statements when it was released, and stayed open until the next maintenance.
- A member that refused a connection got further attempts while idle connections of other organisations counted against it; one of them is replaced now.
- A statement whose time ended just as the pool woke it was subtracted from the load twice.
The load became negative, and the member seemed less busy than it was.

Pools without organisations dial and serve as before.

--- a/proxy/connection/labpool/pool.go
+++ b/proxy/connection/labpool/pool.go
@@ -61,7 +61,8 @@
 	RetainedConnections func() int // returns the number of connections that stay open when fewer are in use
 	// OnDial is called with the result of each dial.
 	OnDial func(member lab.Announcement, err error)
-	// Exists reports whether an organisation is configured, if it is not nil. Idle connections of others are closed.
+	// Exists reports whether an organisation is configured, if it is not nil. Connections of others are closed when no
+	// statement uses them.
 	Exists func(organisation string) bool
 
 	mutex             sync.Mutex
@@ -77,6 +78,7 @@
 	lastAboveRetained time.Time          // last time when a request made inUse exceed RetainedConnections
 	nextDial          time.Time          // time before which no dial starts; it is set after a failed dial
 	retryDelay        time.Duration      // pause after the last failed dial, 0 after a successful one
+	refused           bool               // whether the member refused the last dial, since it has too many connections
 	known             lab.CommitPosition // newest position in any response of the member
 	acknowledged      lab.CommitPosition // position that Acknowledged returns
 }
@@ -219,27 +221,21 @@
 func (p *Pool) cancelWait(w chan *Conn) {
 	p.mutex.Lock()
 
-	p.inUse--
-
-	for i, o := range p.waiters {
-		if o.conn == w {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-
-			break
-		}
+	i := slices.IndexFunc(p.waiters, func(o waiter) bool { return o.conn == w })
+	if i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+		p.inUse--
 	}
 
 	p.mutex.Unlock()
 
-	select {
-	case c := <-w:
-		if c != nil {
-			p.mutex.Lock()
-			p.inUse++
-			p.mutex.Unlock()
-			p.release(c)
-		}
-	default:
+	if i >= 0 {
+		return
+	}
+
+	// A request that must try again is no longer counted in inUse.
+	if c := <-w; c != nil {
+		p.release(c)
 	}
 }
 
@@ -250,11 +246,13 @@
 // growLocked opens a connection for an organisation if that is possible now. In place of one beyond RetainedConnections,
 // it replaces the connection of another organisation that has been idle for the longest time.
 func (p *Pool) growLocked(organisation string) {
-	if time.Now().Before(p.nextDial) || p.enoughDialsLocked(organisation) {
+	enough := p.enoughDialsLocked(organisation)
+	if time.Now().Before(p.nextDial) || (enough && organisation != "") {
 		return
 	}
 
-	if p.open >= min(p.limitLocked(), p.RetainedConnections()) {
+	// A member that has refused a connection accepts one in place of another.
+	if !enough && (p.refused || p.open >= min(p.limitLocked(), p.RetainedConnections())) {
 		p.closeOtherIdleLocked(organisation)
 	}
 
@@ -268,11 +266,25 @@
 	go p.dial(organisation)
 }
 
+// growWaitingLocked opens connections for the waiting requests, in their order, as far as that is possible now. Of those
+// without an organisation, it serves the first alone if that one is the first of all.
+func (p *Pool) growWaitingLocked() {
+	for i, w := range p.waiters {
+		if p.open >= p.limitLocked() && len(p.idle) == 0 {
+			return
+		}
+
+		if i == 0 || w.organisation != "" || p.waiters[0].organisation != "" {
+			p.growLocked(w.organisation)
+		}
+	}
+}
+
 // enoughDialsLocked reports whether a connection is being dialled for each waiting request of the organisation. Without
 // this check, each connection of another organisation that is released meanwhile would be replaced.
 func (p *Pool) enoughDialsLocked(organisation string) bool {
 	dials := p.dials[organisation]
-	if organisation == "" || dials == 0 {
+	if dials == 0 {
 		return false
 	}
 
@@ -319,6 +331,8 @@
 	p.countDialLocked(organisation, -1)
 
 	if err != nil {
+		o, _ := lab.OutcomeOf(err)
+		p.refused = o == lab.OutcomeNotRun
 		p.open--
 		p.recordDialFailureLocked()
 
@@ -333,7 +347,7 @@
 		return
 	}
 
-	p.retryDelay = 0
+	p.retryDelay, p.refused = 0, false
 	p.offerLocked(&Conn{pool: p, connection: l, organisation: organisation, lastUsed: time.Now()})
 }
 
@@ -357,20 +371,25 @@
 }
 
 // offerLocked passes an unused connection to the first waiting request of its organisation. If none waits, it adds the
-// connection to the idle ones. If another organisation's request comes first, the connection is replaced by one for that.
+// connection to the idle ones, which may be replaced. If another organisation's request comes first, the connection is
+// replaced by one for that.
 func (p *Pool) offerLocked(c *Conn) {
 	p.joinKnownLocked(c)
 
-	if len(p.waiters) == 0 {
-		p.idle = append(p.idle, c)
+	i := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.organisation == c.organisation })
+
+	if i > 0 {
+		p.growWaitingLocked() // other connections may be idle
 
-		return
-	}
+		if o, ok := p.overdueLocked(i); ok {
+			p.idle = slices.Insert(p.idle, 0, c)
+			p.growLocked(o)
 
-	first := p.waiters[0]
-	i := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.organisation == c.organisation })
+			return
+		}
+	}
 
-	if i >= 0 && !first.before(p.waiters[i]) {
+	if i >= 0 {
 		p.waiters[i].conn <- c
 		p.waiters = slices.Delete(p.waiters, i, i+1)
 
@@ -378,7 +397,23 @@
 	}
 
 	p.idle = append(p.idle, c)
-	p.growLocked(first.organisation)
+	p.growWaitingLocked()
+}
+
+// overdueLocked returns the organisation of the first request that must be served before request i and for which a
+// connection can be dialled now, or false if there is none.
+func (p *Pool) overdueLocked(i int) (string, bool) {
+	if time.Now().Before(p.nextDial) {
+		return "", false
+	}
+
+	for _, w := range p.waiters[:i] {
+		if w.before(p.waiters[i]) && !p.enoughDialsLocked(w.organisation) {
+			return w.organisation, true
+		}
+	}
+
+	return "", false
 }
 
 // before reports whether w must be served before o even though that costs a new connection.
@@ -402,9 +437,23 @@
 		return
 	}
 
+	if p.removed(c) {
+		p.open--
+
+		c.connection.Close()
+		p.growWaitingLocked()
+
+		return
+	}
+
 	p.offerLocked(c)
 }
 
+// removed reports whether a connection belongs to an organisation that is no longer configured.
+func (p *Pool) removed(c *Conn) bool {
+	return p.Exists != nil && c.organisation != "" && !p.Exists(c.organisation)
+}
+
 func (p *Pool) discard() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -412,9 +461,7 @@
 	p.inUse--
 	p.open--
 
-	if len(p.waiters) > 0 {
-		p.growLocked(p.waiters[0].organisation)
-	}
+	p.growWaitingLocked()
 }
 
 // Maintain is called periodically. It opens a first connection, so that the first request needn't wait for a dial. It
@@ -427,15 +474,15 @@
 		return
 	}
 
+	p.closeRemovedLocked()
+
 	switch {
 	case len(p.waiters) > 0:
-		p.growLocked(p.waiters[0].organisation)
+		p.growWaitingLocked()
 	case p.open == 0:
 		p.growLocked("")
 	}
 
-	p.closeRemovedLocked()
-
 	limit := p.limitLocked()
 	if time.Since(p.lastAboveRetained) > shrinkAfter {
 		limit = min(limit, p.RetainedConnections())
@@ -450,12 +497,8 @@
 
 // closeRemovedLocked closes the idle connections of organisations that are no longer configured.
 func (p *Pool) closeRemovedLocked() {
-	if p.Exists == nil {
-		return
-	}
-
 	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
-		removed := c.organisation != "" && !p.Exists(c.organisation)
+		removed := p.removed(c)
 		if removed {
 			c.connection.Close()
 
