--- a/proxy/process/labplacement/place_test.go
+++ b/proxy/process/labplacement/place_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"laburnumlock.dev/lab"
 )
@@ -180,3 +181,133 @@
 		Gateways("proxy-1-1", westernMember("m"), p.DirectProxies)
 	}
 }
+
+// drawProxies returns 1 to 300 proxies in 1 to 6 zones of two regions. The zones may have different numbers of proxies.
+func drawProxies(t *rapid.T) []lab.Instance {
+	zones := rapid.IntRange(1, 6).Draw(t, "zones")
+
+	var out []lab.Instance
+
+	for n := range rapid.IntRange(1, 300).Draw(t, "proxies") {
+		z := n % zones
+		if n >= zones {
+			z = rapid.IntRange(0, zones-1).Draw(t, "zone")
+		}
+
+		out = append(out, lab.Instance{
+			ID: lab.InstanceID(fmt.Sprintf("proxy-%d", n)), AvailabilityZone: fmt.Sprintf("zone-%d", z),
+			Region: []string{"west", "east"}[z%2],
+		})
+	}
+
+	return out
+}
+
+func countByZone(all []lab.Instance) map[string]int {
+	out := map[string]int{}
+	for _, i := range all {
+		out[i.AvailabilityZone]++
+	}
+
+	return out
+}
+
+// TestPlaceGateways checks placements from one proxy to hundreds. Too many connections in all are refused by the member,
+// and a zone with one gateway loses it with that proxy.
+func TestPlaceGateways(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := drawProxies(t)
+		connections := rapid.IntRange(5, 216).Draw(t, "connections")
+		p := PlaceGateways(westernMember("m"), connections, all)
+		gateways := len(p.DirectProxies)
+
+		ids := map[lab.InstanceID]bool{}
+		for _, i := range p.DirectProxies {
+			ids[i.ID] = true
+		}
+
+		assert.Equal(t, len(ids), gateways, "no gateway counts twice")
+		assert.Assert(t, gateways >= 1)
+		assert.Assert(t, gateways*p.MaxPerProxy <= connections-reservedConnections)
+		assert.Assert(t, p.RetainedPerProxy <= p.MaxPerProxy)
+		assert.Assert(t, gateways == 1 || p.MaxPerProxy >= minPerGateway)
+
+		// Two gateways in each zone, or all of its proxies, if the connections suffice; else the member's region comes first.
+		want, first := 0, 0
+		present := countByZone(all)
+
+		for _, n := range present {
+			want += min(n, GatewaysPerZone)
+			first++
+		}
+
+		room := max(1, (connections-reservedConnections)/minPerGateway)
+		assert.Equal(t, gateways, min(want, room))
+
+		for z, n := range countByZone(p.DirectProxies) {
+			assert.Assert(t, n <= GatewaysPerZone, "%s has %d", z, n)
+			assert.Assert(t, n == 1 || gateways > first, "a second gateway before the first one of another zone")
+		}
+
+		// The proxies agree, in whatever order they know each other.
+		slices.Reverse(all)
+		assert.DeepEqual(t, PlaceGateways(westernMember("m"), connections, all), p)
+	})
+}
+
+// TestGatewayMoves guards against a placement that moves many connections when a proxy comes or goes. Each of them takes
+// a slot of the member for 12 ms.
+func TestGatewayMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := drawProxies(t)
+		if len(all) == 1 {
+			t.Skip("no proxy is left")
+		}
+
+		lost := rapid.IntRange(0, len(all)-1).Draw(t, "lost")
+		left := slices.Delete(slices.Clone(all), lost, lost+1)
+		connections := rapid.IntRange(5, 216).Draw(t, "connections")
+		before := PlaceGateways(westernMember("m"), connections, all).DirectProxies
+		after := PlaceGateways(westernMember("m"), connections, left).DirectProxies
+		moved := 0
+
+		for _, p := range after {
+			if !slices.Contains(before, p) {
+				moved++
+			}
+		}
+
+		assert.Assert(t, moved <= 1, "%d gateways moved", moved)
+
+		if !slices.Contains(before, all[lost]) {
+			assert.DeepEqual(t, after, before)
+		}
+	})
+}
+
+// TestGatewaysOf checks that the proxies of a zone send the statements of an organisation to the same gateway of their zone,
+// where its connections are open, and that the organisations are spread over the gateways.
+func TestGatewaysOf(t *testing.T) {
+	gateways := PlaceGateways(westernMember("m"), 70, proxies(6, 15)).DirectProxies
+	first := map[lab.InstanceID]int{}
+
+	for n := range 84 {
+		organisation := fmt.Sprintf("organisation-%d", n)
+		order := GatewaysOf(organisation, westernMember("m"), "zone-3", "east", gateways)
+		assert.Equal(t, len(order), len(gateways))
+		assert.Equal(t, order[0].AvailabilityZone, "zone-3")
+		assert.Equal(t, order[1].AvailabilityZone, "zone-3")
+		assert.Equal(t, countInRegion("east", order[:6]), 6, "the region's gateways come before distant ones")
+
+		first[order[0].ID]++
+
+		lost := slices.DeleteFunc(slices.Clone(gateways), func(i lab.Instance) bool { return i.ID == order[0].ID })
+		assert.DeepEqual(t, GatewaysOf(organisation, westernMember("m"), "zone-3", "east", lost), order[1:])
+	}
+
+	assert.Equal(t, len(first), GatewaysPerZone)
+
+	for id, n := range first {
+		assert.Assert(t, n >= 84/4, "%s comes first for %d organisations", id, n)
+	}
+}
