labrelay: a gateway that lacks the organisation rejects the statement alone

Its refusal counted as a lack of connections: for a second, the sender preferred other gateways for all organisations, and it sent the statement of a removed organisation to three gateways in turn. Tests of the header, of the order of gateways and of a gateway that is lost.

--- a/proxy/process/labrelay/connection.go
+++ b/proxy/process/labrelay/connection.go
@@ -190,6 +190,8 @@
 	switch {
 	case a.Busy:
 		return lab.NotRunError(lab.ReasonOverload, err)
+	case a.Rejected: // the gateway still serves the other organisations
+		return lab.NotRunError(lab.ReasonRejected, err)
 	case a.NotRun:
 		c.source.avoidGateway(c.gateway.ID)
 
--- a/proxy/process/labrelay/message.go
+++ b/proxy/process/labrelay/message.go
@@ -36,6 +36,8 @@
 	NotRun   bool                  `msgpack:"n,omitempty"` // whether the request failed before any operation ran
 	TimedOut bool                  `msgpack:"l,omitempty"` // whether the request failed because its deadline passed
 	Busy     bool                  `msgpack:"b,omitempty"` // whether no connection became free in time for the request
+	// Rejected reports that the organisation isn't configured at the gateway, which is set together with NotRun.
+	Rejected bool `msgpack:"x,omitempty"`
 	// Position is the newest position of the primary known to the gateway, and Age the time since the gateway requested
 	// it. Both are zero when the gateway knows no position.
 	Position lab.CommitPosition `msgpack:"p"`
--- a/proxy/process/labrelay/relay_test.go
+++ b/proxy/process/labrelay/relay_test.go
@@ -34,6 +34,9 @@
 	values   map[string]string // session values of the last Run
 	ended    []string          // how each use of the connection ended: released, discarded or drained
 	received []lab.Operation
+	acquired lab.AcquireRequest // request of the last Acquire
+	version  uint64             // version of the sender's configuration in the last header
+	unknown  string             // organisation that is not configured here
 }
 
 func newFakeGateway() *fakeGateway {
@@ -44,7 +47,14 @@
 	return g, !g.missing
 }
 
-func (*fakeGateway) MayServe(string, uint64) bool { return true }
+func (g *fakeGateway) MayServe(organisation string, version uint64) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	g.version = version
+
+	return organisation != g.unknown || organisation == ""
+}
 
 func (g *fakeGateway) PrimaryHistory(string) *labpositionhistory.History { return &g.history }
 
@@ -55,7 +65,11 @@
 func (*fakeGateway) IdleTime() time.Duration       { return 0 }
 func (*fakeGateway) Direct() bool                  { return true }
 
-func (g *fakeGateway) Acquire(ctx context.Context, _ lab.AcquireRequest) (lab.PooledConnection, error) {
+func (g *fakeGateway) Acquire(ctx context.Context, r lab.AcquireRequest) (lab.PooledConnection, error) {
+	g.mutex.Lock()
+	g.acquired = r
+	g.mutex.Unlock()
+
 	select {
 	case g.slots <- struct{}{}:
 		return g, nil
--- a/proxy/process/labrelay/server.go
+++ b/proxy/process/labrelay/server.go
@@ -85,7 +85,12 @@
 
 	if s.conn == nil {
 		if err := s.bind(ctx, min(r.Wait, r.Deadline)); err != nil {
-			return response{Failure: err.Error(), NotRun: true, Busy: errors.Is(err, context.DeadlineExceeded)}
+			_, reason := lab.OutcomeOf(err)
+
+			return response{
+				Failure: err.Error(), NotRun: true, Busy: errors.Is(err, context.DeadlineExceeded),
+				Rejected: reason == lab.ReasonRejected,
+			}
 		}
 	}
 
