labtypedlistener, labtypedsession: ends of sessions whose key was removed or moved

The event loop checks again before it closes, as a drain does.
- A commit after the key had moved to another organisation left the transaction open for the client, and each later statement was refused until a rollback.
- On a route that was removed, the sessions of a public route and those of removed keys got NOAUTH instead of NODB.

--- a/proxy/connection/labtypedsession/organisation_test.go
+++ b/proxy/connection/labtypedsession/organisation_test.go
@@ -78,6 +78,43 @@
 		assert.Equal(t, f.session.organisation.Name, "p")
 	})
 
+	// The transaction stayed open for the client, whose later statements were all refused.
+	t.Run("commit after the key has moved", func(t *testing.T) {
+		f := start(t)
+		f.do(lab.OperationBegin)
+		assert.Equal(t, f.do(lab.OperationWrite).Fault, lab.FaultNone)
+		f.install(3, map[string]string{"k": "p"}, false)
+
+		r := f.do(lab.OperationCommit)
+		assert.Equal(t, r.Fault, lab.FaultAborted)
+		assert.Equal(t, r.Status, lab.StatusIdle)
+		assert.Equal(t, f.do(lab.OperationWrite).Fault, lab.FaultNone)
+	})
+
+	t.Run("commit of the transaction that failed when the key moved", func(t *testing.T) {
+		f := start(t)
+		f.do(lab.OperationBegin)
+		f.install(3, map[string]string{"k": "p"}, false)
+		assert.Equal(t, f.do(lab.OperationWrite).Fault, lab.FaultAborted)
+
+		r := f.do(lab.OperationCommit)
+		assert.Equal(t, r.Fault, lab.FaultAborted)
+		assert.Equal(t, r.Status, lab.StatusIdle)
+	})
+
+	t.Run("removed route", func(t *testing.T) {
+		for _, public := range []bool{true, false} {
+			f := start(t)
+			f.install(3, map[string]string{"k": "o"}, public)
+			assert.Equal(t, f.do(lab.OperationWrite).Fault, lab.FaultNone)
+
+			c := &lab.Configuration{Version: 4, KeysRequired: true}
+			assert.NilError(t, c.IndexOrganisations())
+			f.directory.Install(c)
+			assert.Equal(t, f.do(lab.OperationWrite).Fault, lab.FaultNoDatabase)
+		}
+	})
+
 	t.Run("removed and added again", func(t *testing.T) {
 		f := start(t)
 		f.install(3, nil, false)
--- a/proxy/connection/labtypedsession/session.go
+++ b/proxy/connection/labtypedsession/session.go
@@ -89,7 +89,11 @@
 		return fault(lab.FaultMalformed, "the transaction has failed")
 	}
 
-	if f := s.authorise(o); f != lab.FaultNone {
+	switch f := s.authorise(o); f {
+	case lab.FaultNone:
+	case lab.FaultAborted:
+		return fault(f, "the key belongs to another organisation now")
+	default:
 		return fault(f, "the key is not valid")
 	}
 
@@ -115,9 +119,9 @@
 	}
 }
 
-// authorise checks the client's key in the active configuration and returns the fault of the operation, if any. A
-// transaction that is open ends when the key is removed or moves to another organisation, since its connection belongs to
-// the former one.
+// authorise checks the client's key in the active configuration and returns the fault of the operation, if any. An open
+// transaction fails when the key is removed or moves to another organisation, since its connection belongs to the former
+// one; a commit then also ends it.
 func (s *Session) authorise(o lab.Operation) lab.Fault {
 	if o.Kind == lab.OperationRollback {
 		return lab.FaultNone
@@ -134,7 +138,14 @@
 		f = lab.FaultAborted
 	}
 
-	if f != lab.FaultNone {
+	switch {
+	case f == lab.FaultNone:
+	case o.Kind == lab.OperationCommit:
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+
+		s.discardTransactionLocked()
+	default:
 		s.failTransaction()
 	}
 
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -448,7 +448,8 @@
 }
 
 // Organisation returns the organisation as which a client with the key may use a database. It is the zero policy if the
-// clients of the database need no key. The fault is lab.FaultUnauthorized if the key isn't valid.
+// clients of the database need no key, or if the key isn't valid and the database has no route, so that the client is told
+// of the route first. The fault is lab.FaultUnauthorized if the key isn't valid.
 func (d *Directory) Organisation(database, key string) (lab.OrganisationPolicy, lab.Fault) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -457,12 +458,13 @@
 		return lab.OrganisationPolicy{}, lab.FaultNone
 	}
 
-	if r, ok := d.configuration.Route(database); ok && r.Public {
+	r, routed := d.configuration.Route(database)
+	if r.Public {
 		return lab.OrganisationPolicy{}, lab.FaultNone
 	}
 
 	o, ok := d.configuration.OrganisationOfKey(key)
-	if !ok {
+	if !ok && routed {
 		return lab.OrganisationPolicy{}, lab.FaultUnauthorized
 	}
 
--- a/proxy/process/labtypedlistener/connection.go
+++ b/proxy/process/labtypedlistener/connection.go
@@ -250,6 +250,22 @@
 	return n.session != nil && !n.processing && len(n.pending) == 0 && n.session.Idle() && !n.session.Authorised()
 }
 
+// closeIfUnauthorised closes the connection if its client's key is no longer valid and no request waits for an answer.
+func (n *connection) closeIfUnauthorised() {
+	if !n.unauthorised() {
+		return
+	}
+
+	// The event loop checks again: a request may have arrived since, and it would end without an answer.
+	_ = n.socket.AsyncWrite(nil, func(c gnet.Conn, err error) error {
+		if err != nil || !n.unauthorised() || requestWaits(c) {
+			return nil //nolint:nilerr // the connection is already closed
+		}
+
+		return c.Close()
+	})
+}
+
 // closeIfIdle closes the connection during a drain if no operation is running or pending, and no transaction is open.
 // If closeInTransaction is set, it also closes a connection whose session is idle in a transaction.
 func (n *connection) closeIfIdle() {
--- a/proxy/process/labtypedlistener/listener.go
+++ b/proxy/process/labtypedlistener/listener.go
@@ -153,9 +153,11 @@
 // was removed from the configuration.
 func (l *Listener) OnTick() (time.Duration, gnet.Action) {
 	for _, n := range l.connectionList() {
-		if n.startupTimedOut() || n.unauthorised() {
+		if n.startupTimedOut() {
 			n.closeAfterWrites()
 		}
+
+		n.closeIfUnauthorised()
 	}
 
 	return sweepInterval, gnet.None
