--- a/control/process/labplatformcontrol/controller_test.go
+++ b/control/process/labplatformcontrol/controller_test.go
@@ -27,7 +27,11 @@
 func (jsonReader) Read(source []byte) (*lab.Configuration, error) {
 	d := &lab.Configuration{Source: source}
 
-	return d, json.Unmarshal(source, d)
+	if err := json.Unmarshal(source, d); err != nil {
+		return d, err
+	}
+
+	return d, d.IndexOrganisations()
 }
 
 type unavailablePlatform struct{}
--- a/proxy/connection/labtypedsession/organisation_test.go
+++ b/proxy/connection/labtypedsession/organisation_test.go
@@ -12,6 +12,12 @@
 // install activates a configuration in which each key belongs to the named organisation.
 func (f *fixture) install(version uint64, organisations map[string]string, public bool) {
 	f.t.Helper()
+	f.installRate(version, organisations, public, 0)
+}
+
+// installRate does the same with a rate for each organisation.
+func (f *fixture) installRate(version uint64, organisations map[string]string, public bool, rate float64) {
+	f.t.Helper()
 
 	c := &lab.Configuration{
 		Version: version, KeysRequired: true,
@@ -22,7 +28,7 @@
 		}},
 	}
 	for k, o := range organisations {
-		c.Organisations = append(c.Organisations, lab.OrganisationPolicy{Name: o, Keys: []string{k}})
+		c.Organisations = append(c.Organisations, lab.OrganisationPolicy{Name: o, Keys: []string{k}, Rate: rate})
 	}
 
 	assert.NilError(f.t, c.IndexOrganisations())
