labplatformcontrol: a holder isn't removed because a replica knows a later term

The place of a member that has ended is removed once a replica has what the primary had after that. A replica that had learned of a later term but lacked commits counted as having them. TestRetire "the replica is behind and has learned of a later term" failed before.

--- a/control/process/labplatformcontrol/holders.go
+++ b/control/process/labplatformcontrol/holders.go
@@ -263,7 +263,7 @@
 
 	st, err := k.Dialer.State(time.Now().Add(probeTimeout), l, lab.Operation{Kind: lab.OperationStatus})
 
-	return err == nil && !st.Primary && !st.Received.Before(position)
+	return err == nil && !st.Primary && st.Received.Covers(position)
 }
 
 // dropMissing removes the holders that a replacement has given up. A member that comes back is recorded again.
--- a/control/process/labplatformcontrol/holders_test.go
+++ b/control/process/labplatformcontrol/holders_test.go
@@ -24,27 +24,27 @@
 func (c *steppedClock) Now() time.Duration { return c.now }
 
 // scriptedMembers answers status requests with the position of the member at an address.
-type scriptedMembers map[string]uint64
+type scriptedMembers map[string]lab.CommitPosition
 
 type scriptedConnection struct {
 	lab.MemberConnection
 
-	number uint64
+	received lab.CommitPosition
 }
 
 func (scriptedConnection) Close() {}
 
 func (m scriptedMembers) Dial(_ context.Context, a lab.Announcement, _ string) (lab.MemberConnection, error) {
-	n, ok := m[a.Address]
+	p, ok := m[a.Address]
 	if !ok {
 		return nil, errors.New("connection refused")
 	}
 
-	return scriptedConnection{number: n}, nil
+	return scriptedConnection{received: p}, nil
 }
 
 func (scriptedMembers) State(_ time.Time, l lab.MemberConnection, _ lab.Operation) (lab.MemberState, error) {
-	return lab.MemberState{Received: lab.CommitPosition{Term: 1, Number: l.(scriptedConnection).number}}, nil
+	return lab.MemberState{Received: l.(scriptedConnection).received}, nil
 }
 
 // knowledge is what an instance knows of service s.
@@ -279,7 +279,7 @@
 		k.record("b", "h:3", false)
 		k.announce("b", "h:3", 10, false)
 		k.registry.Apply(lab.Announcement{Member: "b", Terminated: true}, 0)
-		k.Dialer = scriptedMembers{"h:2": 7}
+		k.Dialer = scriptedMembers{"h:2": {Term: 1, Number: 7}}
 		k.dueHolders()
 
 		return k
@@ -337,13 +337,20 @@
 
 	t.Run("the replica is behind", func(t *testing.T) {
 		k := start(t)
-		k.Dialer = scriptedMembers{"h:2": 6}
+		k.Dialer = scriptedMembers{"h:2": {Term: 1, Number: 6}}
+		assert.Assert(t, !k.retirable(t.Context(), holder, position))
+	})
+
+	// A position of a later term doesn't show that the replica has what was kept when that term began.
+	t.Run("the replica is behind and has learned of a later term", func(t *testing.T) {
+		k := start(t)
+		k.Dialer = scriptedMembers{"h:2": {Term: 2, Number: 6}}
 		assert.Assert(t, !k.retirable(t.Context(), holder, position))
 	})
 
 	t.Run("a member responds at the address", func(t *testing.T) {
 		k := start(t)
-		k.Dialer = scriptedMembers{"h:2": 7, "h:3": 1}
+		k.Dialer = scriptedMembers{"h:2": {Term: 1, Number: 7}, "h:3": {Term: 1, Number: 1}}
 		assert.Assert(t, !k.retirable(t.Context(), holder, position))
 	})
 }
