labplatformcontrol: a broadcast of a former leader changes no list

The leader broadcasts its list of members to the other control instances. The broadcast had no epoch, so one that was delayed, for example because its sender was suspended, was applied after those of the next leader: a member that had been removed was back for up to a minute, and one that had appeared since was dropped. It now carries the consensus term in which the sender led, and a receiver that knows a later term from the group or from a broadcast refuses it with its list of proxies. Senders of versions without the field are accepted as before.

--- a/control/process/labplatformcontrol/announcements.go
+++ b/control/process/labplatformcontrol/announcements.go
@@ -161,11 +161,14 @@
 // broadcast keeps the member registries of the other control instances up to date while this instance is the leader.
 func (k *Controller) broadcast(ctx context.Context) error {
 	for round := 0; k.Clock.Sleep(ctx, broadcastInterval) == nil; round++ {
-		if !k.Leading() {
+		l := k.leadership()
+		if !l.IsLeader {
 			continue
 		}
 
 		r := k.buildBroadcast()
+		r.Term = l.Term
+
 		if round%proxyListRounds == 0 {
 			r.Proxies, r.ProxiesComplete = k.proxies.list(), k.proxiesComplete()
 		}
@@ -198,12 +201,27 @@
 	_ = k.Transport.Call(ctx, address, methodBroadcast, r, nil)
 }
 
+// errOutdatedBroadcast is returned for a broadcast of a former leader. It could bring back a member that has been removed
+// since, and remove one that has appeared since.
+var errOutdatedBroadcast = errors.New("broadcast of a former leader")
+
 func (k *Controller) handleBroadcast(_ context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
 	var r broadcastRequest
 	if err := decode(&r); err != nil {
 		return nil, err
 	}
 
+	k.broadcasts.Lock()
+	defer k.broadcasts.Unlock()
+
+	if known := max(k.broadcastTerm, k.leadership().Term); r.Term > 0 && r.Term < known {
+		k.Log.Info().Uint64("term", r.Term).Uint64("known", known).Msg("broadcast_outdated")
+
+		return nil, errors.Newf("%w: term %d, term %d is known", errOutdatedBroadcast, r.Term, known)
+	}
+
+	k.broadcastTerm = max(k.broadcastTerm, r.Term)
+
 	if !k.Leading() {
 		k.proxies.mergeInherited(r.Proxies, r.ProxiesComplete)
 	}
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -90,6 +90,9 @@
 
 	recordingHolders atomic.Bool // a change of the holders is being recorded
 
+	broadcasts    sync.Mutex // held while a broadcast is applied
+	broadcastTerm uint64     // highest term of a broadcast
+
 	missingSince map[string]time.Duration // by service, the time when it was first observed without a primary
 
 	mutex            sync.Mutex
@@ -303,9 +306,17 @@
 
 // Leading reports whether this instance is the leader and has recently heard from a quorum.
 func (k *Controller) Leading() bool {
+	return k.leadership().IsLeader
+}
+
+// leadership returns the current leader as known to this instance, and the zero value before it takes part in the group.
+func (k *Controller) leadership() lab.Leadership {
 	g := k.participation().group
+	if g == nil {
+		return lab.Leadership{}
+	}
 
-	return g != nil && g.Leadership().IsLeader
+	return g.Leadership()
 }
 
 // leader returns the leader if it is known and is another instance.
--- a/control/process/labplatformcontrol/message.go
+++ b/control/process/labplatformcontrol/message.go
@@ -39,6 +39,8 @@
 }
 
 type broadcastRequest struct {
+	// Term is the consensus term in which the sender led, or 0 if the sender is of a version without it.
+	Term         uint64        `msgpack:"e,omitempty"`
 	Observations []observation `msgpack:"s"`
 	// MembersComplete is true if there are no other members than those of Observations.
 	MembersComplete bool                `msgpack:"m"`
