The proxy keeps to its memory and descriptor limits when clients misbehave

A crowd whose messages are each of legal size made the proxy exceed the memory limit of its settings, and one that only connects used all descriptors, which made gnet end without an error and left the proxy without a listener. Received bytes are kept in chunks and searched once. A message without a new byte for 60 s, or of more than 10 min, ends its connection. The listener is opened again if gnet ends.

The test codec of labtypedlistener has the new method MayEnd, and its connections a budget without a limit.

--- a/memberconnection.go
+++ b/memberconnection.go
@@ -56,6 +56,9 @@
 	// Next decodes one message and returns its size in bytes, 0 when data holds only a part of the message. End is true
 	// when the message closes the session.
 	Next(data []byte) (operation Operation, end bool, size int, err error)
+	// MayEnd reports whether the message that consists of earlier bytes, in number, and the bytes received after them may be
+	// complete or is longer than allowed. If not, Startup and Next needn't be called yet.
+	MayEnd(earlier int, received []byte) bool
 	// AppendResult appends the response to an operation.
 	AppendResult(out []byte, result OperationResult) []byte
 	// AppendReady appends the response to an accepted startup message.
--- a/proxy/connection/labtypedsession/session.go
+++ b/proxy/connection/labtypedsession/session.go
@@ -34,6 +34,7 @@
 	values     map[string]string            // session values by name
 	prepared   map[string]preparedStatement // prepared statements by name
 	lastCommit lab.CommitPosition           // position of the session's newest commit
+	held       int                          // bytes of the session values and prepared statements
 	tx         *transaction                 // open transaction, nil if there is none
 	// organisation is that of the key at the start of the current operation.
 	organisation lab.OrganisationPolicy
@@ -153,15 +154,33 @@
 		s.values = map[string]string{}
 	}
 
+	if former, ok := s.values[o.Name]; ok {
+		s.held -= entryBytes(o.Name, former)
+	}
+
 	s.values[o.Name] = o.Argument
+	s.held += entryBytes(o.Name, o.Argument)
+}
+
+// entryBytes returns the bytes that a session value or prepared statement holds, including its part of the map.
+func entryBytes(name, text string) int {
+	const mapEntryBytes = 100
+
+	return len(name) + len(text) + mapEntryBytes
 }
 
+// HeldBytes returns the bytes of the session values and prepared statements. It must not be called during Do.
+func (s *Session) HeldBytes() int { return s.held }
+
 func (s *Session) prepare(o lab.Operation) {
 	if s.prepared == nil {
 		s.prepared = map[string]preparedStatement{}
 	}
 
+	s.forget(o.Name)
+
 	s.prepared[o.Name] = preparedStatement{writes: o.Writes, text: o.Argument}
+	s.held += entryBytes(o.Name, o.Argument)
 }
 
 func (s *Session) deallocate(o lab.Operation) lab.OperationResult {
@@ -169,11 +188,20 @@
 		return fault(lab.FaultNotPrepared, o.Name)
 	}
 
-	delete(s.prepared, o.Name)
+	s.forget(o.Name)
 
 	return lab.OperationResult{}
 }
 
+// forget removes a prepared statement, if there is one of the name.
+func (s *Session) forget(name string) {
+	if p, ok := s.prepared[name]; ok {
+		s.held -= entryBytes(name, p.text)
+
+		delete(s.prepared, name)
+	}
+}
+
 // statement runs a read, write or execute.
 func (s *Session) statement(o lab.Operation) lab.OperationResult {
 	if o.Kind == lab.OperationExecute {
--- a/proxy/process/labtypedlistener/connection.go
+++ b/proxy/process/labtypedlistener/connection.go
@@ -1,6 +1,7 @@
 package labtypedlistener
 
 import (
+	"container/list"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -10,6 +11,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labrecovery"
+	"laburnumlock.dev/lab/proxy/connection/labreceivebuffer"
 	"laburnumlock.dev/lab/proxy/connection/labtypedsession"
 )
 
@@ -23,15 +25,22 @@
 	// abandoned is set after a panic. The mutex and the session must not be used any more.
 	abandoned atomic.Bool
 
-	mutex      sync.Mutex
-	pending    []byte // received bytes of messages that have not been handled
-	processing bool   // whether a goroutine runs process
-	closed     bool
-	session    *labtypedsession.Session // session of the client, nil before the startup
+	account lab.MemoryAccount
+	unsent  atomic.Int64  // bytes of memory that hold unsent responses in gnet, as counted; the event loop changes it
+	waiting *list.Element // in the listener's list of connections without a session, nil with one; the listener's mutex guards it
+
+	mutex        sync.Mutex
+	pending      labreceivebuffer.Buffer // received bytes of messages that have not been handled
+	pendingBytes int                     // memory of pending, as counted
+	begun        time.Time               // when the first pending message began
+	received     time.Time               // when the latest bytes arrived
+	processing   bool                    // whether a goroutine runs process
+	closed       bool
+	session      *labtypedsession.Session // session of the client, nil before the startup
 }
 
-// receive appends received bytes to the pending ones and starts process if it isn't running. It returns false when more
-// than maxPendingBytes would be pending.
+// receive appends received bytes to the pending ones, and starts process if it isn't running and a message may be
+// complete. It returns false when more than maxPendingBytes would be pending.
 func (n *connection) receive(b []byte) bool {
 	if n.abandoned.Load() {
 		return false
@@ -40,13 +49,20 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 
-	if len(n.pending)+len(b) > maxPendingBytes {
+	if n.pending.Len()+len(b) > maxPendingBytes {
 		return false
 	}
 
-	n.pending = append(n.pending, b...)
+	n.received = time.Now()
+	if n.pending.Len() == 0 {
+		n.begun = n.received
+	}
+
+	mayEnd := n.codec.MayEnd(n.pending.Len(), b)
+	n.pending.Append(b)
+	n.countPendingLocked()
 
-	if !n.processing && !n.closed {
+	if mayEnd && !n.processing && !n.closed {
 		n.processing = true
 
 		go n.process()
@@ -64,38 +80,77 @@
 	})
 
 	for {
-		o, ok := n.next()
+		o, size, ok := n.next()
 		if !ok {
 			return
 		}
 
-		r := n.session.Do(o)
-		n.send(n.codec.AppendResult(nil, r))
-
-		if r.Fault == lab.FaultUnauthorized {
-			n.closeAfterWrites()
+		if !n.run(o, size*operationCopies) {
+			n.closeForMemory("operation_exceeds_memory", size)
 		}
 	}
 }
 
-// next returns the next operation, or false when process must end.
-func (n *connection) next() (lab.Operation, bool) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+// run runs an operation that takes a number of bytes, and sends the response. It returns false if the memory budget has
+// too little for the operation, which is not run then, or for the response.
+func (n *connection) run(o lab.Operation, bytes int) bool {
+	if !n.listener.Memory.Reserve(bytes) {
+		return false
+	}
 
-	if n.closed {
-		n.processing = false
+	before := n.session.HeldBytes()
+	r := n.session.Do(o)
+
+	n.account.Add(n.session.HeldBytes() - before)
+	n.listener.Memory.Release(bytes)
+
+	size := responseBytes(r)
+	if !n.listener.Memory.Reserve(size) {
+		return false
+	}
 
-		return lab.Operation{}, false
+	n.send(n.codec.AppendResult(make([]byte, 0, size), r))
+	n.listener.Memory.Release(size)
+
+	if r.Fault == lab.FaultUnauthorized {
+		n.closeAfterWrites()
+	}
+
+	return true
+}
+
+// responseBytes returns about the size of an encoded response in bytes.
+func responseBytes(r lab.OperationResult) int {
+	const (
+		rowOverhead      = 16
+		responseOverhead = 64
+	)
+
+	size := responseOverhead + len(r.Detail) + len(r.Proof)
+	for _, w := range r.Rows {
+		size += len(w) + rowOverhead
 	}
 
-	if n.session == nil && !n.startLocked() {
+	return size
+}
+
+// next returns the next operation and the size of its message, or false when process must end.
+func (n *connection) next() (lab.Operation, int, bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+
+	defer n.countPendingLocked()
+
+	if n.closed || (n.session == nil && !n.startLocked()) {
 		n.processing = false
 
-		return lab.Operation{}, false
+		return lab.Operation{}, 0, false
 	}
 
-	o, end, size, err := n.codec.Next(n.pending)
+	o, end, size, err := n.codec.Next(n.pending.First())
+	for err == nil && !end && size == 0 && n.pending.Join() {
+		o, end, size, err = n.codec.Next(n.pending.First())
+	}
 
 	switch {
 	case err != nil:
@@ -107,25 +162,33 @@
 	case size > 0:
 		n.consumeLocked(size)
 
-		return o, true
+		return o, size, true
 	}
 
 	n.processing = false
 
-	return lab.Operation{}, false
+	return lab.Operation{}, 0, false
 }
 
 func (n *connection) consumeLocked(size int) {
-	n.pending = n.pending[size:]
-	if len(n.pending) == 0 {
-		n.pending = nil // frees the buffer of idle sessions
-	}
+	n.pending.Discard(size)
+	n.begun = n.received
+}
+
+// countPendingLocked updates the account with the memory of the pending bytes.
+func (n *connection) countPendingLocked() {
+	before := n.pendingBytes
+	n.pendingBytes = n.pending.Capacity()
+	n.account.Add(n.pendingBytes - before)
 }
 
 // startLocked handles the startup message and reports whether the connection has a session. It returns false when the
 // message is incomplete or the startup is refused.
 func (n *connection) startLocked() bool {
-	database, key, size, err := n.codec.Startup(n.pending)
+	database, key, size, err := n.codec.Startup(n.pending.First())
+	for err == nil && size == 0 && n.pending.Join() {
+		database, key, size, err = n.codec.Startup(n.pending.First())
+	}
 
 	switch {
 	case err != nil:
@@ -166,6 +229,7 @@
 	n.session = &labtypedsession.Session{
 		Database: database, Key: key, Directory: l.Directory, Clock: l.Clock, Log: l.RequestLog, Counters: l.Counters,
 	}
+	l.sessionStarted(n)
 	n.send(n.codec.AppendReady(nil))
 
 	return true
@@ -204,14 +268,90 @@
 func (n *connection) send(b []byte) {
 	// Fails only when the connection is closed.
 	_ = n.socket.AsyncWrite(b, func(c gnet.Conn, err error) error {
-		if err != nil || c.OutboundBuffered()-len(b) <= maxUnreadBytes {
+		if err != nil {
 			return nil //nolint:nilerr // the connection is already closed
 		}
 
+		n.account.Add(-len(b))
+		n.countUnsent(c)
+
+		if c.OutboundBuffered()-len(b) <= maxUnreadBytes {
+			return nil
+		}
+
 		n.listener.RequestLog.Info().Int("unread", c.OutboundBuffered()).Msg("client_does_not_read")
 
 		return c.Close()
 	})
+
+	// If this evicts the connection, the event loop gets to the eviction after the write, and sees what the client has read.
+	n.account.Add(len(b))
+}
+
+// countUnsent updates the account with the memory of unsent responses. It runs on the event loop.
+func (n *connection) countUnsent(c gnet.Conn) {
+	unsent := int64(c.OutboundBuffered() * unsentCopies)
+	n.account.Add(int(unsent - n.unsent.Swap(unsent)))
+}
+
+// countUnsentLater updates the account on the event loop if the client had not read all responses.
+func (n *connection) countUnsentLater() {
+	if n.unsent.Load() == 0 {
+		return
+	}
+
+	_ = n.socket.AsyncWrite(nil, func(c gnet.Conn, err error) error {
+		if err == nil {
+			n.countUnsent(c)
+		}
+
+		return nil
+	})
+}
+
+// evict closes the connection to free memory, unless the client has read its responses meanwhile.
+func (n *connection) evict() {
+	before := n.account.Bytes()
+
+	_ = n.socket.AsyncWrite(nil, func(c gnet.Conn, err error) error {
+		if err != nil {
+			return nil //nolint:nilerr // the connection is already closed
+		}
+
+		n.countUnsent(c)
+
+		if now := n.account.Bytes(); now < before/2 {
+			n.account.Keep()
+
+			return nil
+		}
+
+		n.listener.ClosedForMemory.Add(1)
+		n.listener.RequestLog.Warn().Int("bytes", before).Msg("client_closed_for_memory")
+
+		return c.Close()
+	})
+}
+
+// closeForMemory closes the connection since a message of size bytes or its response can't be handled.
+func (n *connection) closeForMemory(event string, size int) {
+	n.listener.ClosedForMemory.Add(1)
+	n.listener.RequestLog.Warn().Int("bytes", size).Msg(event)
+	n.discard()
+	n.closeAfterWrites()
+}
+
+// discard ends the session and frees the pending messages.
+func (n *connection) discard() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+
+	n.closed = true
+	n.pending.Reset()
+
+	if n.session != nil {
+		n.session.Close()
+	}
 }
 
 // closeAfterWrites closes the connection once all earlier writes are sent.
@@ -237,6 +377,22 @@
 	return n.session == nil && time.Since(n.opened) > startupTimeout
 }
 
+// messageTimedOut reports whether the client has begun a message and does not go on with it.
+func (n *connection) messageTimedOut() bool {
+	if n.abandoned.Load() {
+		return false
+	}
+
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+
+	if n.processing || n.pending.Len() == 0 {
+		return false
+	}
+
+	return time.Since(n.received) > messagePauseTimeout || time.Since(n.begun) > messageTimeout
+}
+
 // unauthorised reports whether the client's key is no longer valid and the connection can be closed without losing an
 // answer. An operation that is running, or an open transaction, ends with a fault instead.
 func (n *connection) unauthorised() bool {
@@ -247,7 +403,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 
-	return n.session != nil && !n.processing && len(n.pending) == 0 && n.session.Idle() && !n.session.Authorised()
+	return n.session != nil && !n.processing && n.pending.Len() == 0 && n.session.Idle() && !n.session.Authorised()
 }
 
 // closeIfIdle closes the connection during a drain if no operation is running or pending, and no transaction is open.
@@ -276,7 +432,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 
-	if n.processing || n.closed || len(n.pending) > 0 {
+	if n.processing || n.closed || n.pending.Len() > 0 {
 		return false
 	}
 
@@ -294,16 +450,11 @@
 
 // close ends the session of a connection that has been closed.
 func (n *connection) close() {
+	n.account.Close()
+
 	if n.abandoned.Load() {
 		return
 	}
 
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-
-	n.closed = true
-
-	if n.session != nil {
-		n.session.Close()
-	}
+	n.discard()
 }
--- a/proxy/process/labtypedlistener/drain_test.go
+++ b/proxy/process/labtypedlistener/drain_test.go
@@ -13,6 +13,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/process/labmemorybudget"
 	"laburnumlock.dev/lab/process/labrecovery"
 	"laburnumlock.dev/lab/proxy/connection/labtypedsession"
 	"laburnumlock.dev/lab/proxy/process/labdirectory"
@@ -87,6 +88,8 @@
 
 func (fakeCodec) AppendResult(out []byte, _ lab.OperationResult) []byte { return append(out, '.') }
 
+func (fakeCodec) MayEnd(int, []byte) bool { return true }
+
 func (c fakeCodec) Next(b []byte) (o lab.Operation, end bool, size int, err error) {
 	if c.panics {
 		panic("malformed message")
@@ -110,8 +113,9 @@
 
 	socket = &fakeSocket{fd: pair[0]}
 	clock := labclock.NewBootClock()
+	budget := &labmemorybudget.Budget{Clock: clock}
 	n = &connection{
-		listener: &Listener{Log: zerolog.Nop()}, socket: socket, codec: codec, opened: time.Now(),
+		listener: &Listener{Log: zerolog.Nop(), Memory: budget}, account: budget.Open(func() {}), socket: socket, codec: codec, opened: time.Now(),
 		session: &labtypedsession.Session{
 			Directory: &labdirectory.Directory{Clock: clock}, Clock: clock, Counters: &labtypedsession.Counters{},
 		},
--- a/proxy/process/labtypedlistener/listener.go
+++ b/proxy/process/labtypedlistener/listener.go
@@ -1,6 +1,7 @@
 package labtypedlistener
 
 import (
+	"container/list"
 	"context"
 	"expvar"
 	"net"
@@ -29,6 +30,18 @@
 	maxUnreadBytes = 256 << 10
 	// startupTimeout bounds the time from the opening of a connection until its startup message.
 	startupTimeout = 5 * time.Second
+	// messagePauseTimeout bounds the time in which no byte of a message that has begun arrives. A client that sends a message
+	// pauses only while its packets are lost and sent again.
+	messagePauseTimeout = time.Minute
+	// messageTimeout bounds the time for one message: 1 MiB in 10 minutes is 14 kbit/s.
+	messageTimeout = 10 * time.Minute
+	// operationCopies is the number of copies of a message that its operation takes: the decoded text, the statement
+	// for the member, and two while it is encoded for another proxy.
+	operationCopies = 4
+	// unsentCopies is the memory for a byte of an unsent response: gnet keeps responses in buffers with a power of two.
+	unsentCopies = 2
+	// restartPause is the time before the listener is opened again after gnet has ended.
+	restartPause = 100 * time.Millisecond
 	// sweepInterval is the interval at which connections are checked for startupTimeout.
 	sweepInterval     = time.Second
 	stopTimeout       = 2 * time.Second // bounds the wait for gnet to stop
@@ -47,17 +60,28 @@
 	// StartupWait is how long a startup waits for the first configuration.
 	StartupWait time.Duration
 
-	OpenConnections expvar.Int
-	RefusedStartups expvar.Int
+	// Memory bounds what is received from clients and not sent to them yet.
+	Memory lab.MemoryBudget
+	// MaxConnections bounds the open connections, 0 for no limit. Beyond it, connections without a session are closed, the
+	// oldest first, and new ones are refused if all have a session.
+	MaxConnections int
+
+	OpenConnections    expvar.Int
+	RefusedStartups    expvar.Int
+	RefusedConnections expvar.Int // connections refused or closed because of MaxConnections
+	ClosedForMemory    expvar.Int // connections closed because the memory budget was exceeded
+	UnfinishedMessages expvar.Int // connections closed because a message did not end
 
 	gnet.BuiltinEventEngine
 
-	engine             gnet.Engine
+	engine             gnet.Engine   // of the first run of gnet, or of a later one; mutex guards it
 	started            chan struct{} // closed when engine is set
+	start              sync.Once
 	draining           atomic.Bool
 	closeInTransaction atomic.Bool // whether a drain also closes sessions that are idle in a transaction
 	mutex              sync.Mutex
 	connections        map[*connection]struct{}
+	waiting            list.List // connections without a session, the oldest first
 }
 
 // Run serves until the context ends.
@@ -82,40 +106,103 @@
 		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 		defer cancel()
 
-		_ = l.engine.Stop(limited) // connections that are still open are closed when the process exits
+		l.mutex.Lock()
+		e := l.engine
+		l.mutex.Unlock()
+
+		_ = e.Stop(limited) // connections that are still open are closed when the process exits
 	})
 	defer stop()
 
-	err = gnet.Run(l, "tcp://"+l.ListenAddress,
-		gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithReadBufferCap(readBufferBytes), gnet.WithWriteBufferCap(readBufferBytes), gnet.WithTicker(true),
-		gnet.WithLogLevel(logging.ErrorLevel),
-	)
+	for first := true; ; first = false {
+		err = gnet.Run(l, "tcp://"+l.ListenAddress,
+			gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			gnet.WithReadBufferCap(readBufferBytes), gnet.WithWriteBufferCap(readBufferBytes), gnet.WithTicker(true),
+			gnet.WithLogLevel(logging.ErrorLevel),
+		)
+		if ctx.Err() != nil || (first && err != nil) {
+			return errors.Wrap(err, "serve clients")
+		}
 
-	return errors.Wrap(err, "serve clients")
+		// gnet closes all connections and returns without an error when it can't accept one since no descriptor is left.
+		l.Log.Error().AnErr("error", err).Msg("client_listener_restarted")
+		time.Sleep(restartPause)
+	}
 }
 
 // OnBoot stores the engine, which Run needs to stop it.
 func (l *Listener) OnBoot(engine gnet.Engine) gnet.Action {
+	l.mutex.Lock()
 	l.engine = engine
-	close(l.started)
+	l.mutex.Unlock()
+
+	l.start.Do(func() { close(l.started) })
 
 	return gnet.None
 }
 
 // OnOpen registers a new client connection.
 func (l *Listener) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if !l.makeRoom() {
+		return l.Codec().AppendRefusal(nil, lab.FaultTooManyConnections, "the proxy has too many clients"), gnet.Close
+	}
+
 	n := &connection{listener: l, socket: c, codec: l.Codec(), opened: time.Now()}
+	n.account = l.Memory.Open(n.evict)
 	c.SetContext(n)
 	l.OpenConnections.Add(1)
 
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
 	l.connections[n] = struct{}{}
-	l.mutex.Unlock()
+	n.waiting = l.waiting.PushBack(n)
 
 	return nil, gnet.None
 }
 
+// makeRoom reports whether a new connection may be opened. At the limit it closes the oldest connection without a session.
+func (l *Listener) makeRoom() bool {
+	l.mutex.Lock()
+
+	full := l.MaxConnections > 0 && len(l.connections) >= l.MaxConnections
+	first := l.waiting.Front()
+
+	if full && first != nil {
+		l.waiting.Remove(first)
+	}
+
+	l.mutex.Unlock()
+
+	if !full {
+		return true
+	}
+
+	l.RefusedConnections.Add(1)
+	l.RequestLog.Warn().Int("limit", l.MaxConnections).Bool("closed_other", first != nil).Msg("too_many_clients")
+
+	if first == nil {
+		return false
+	}
+
+	if n, ok := first.Value.(*connection); ok {
+		n.closeAfterWrites()
+	}
+
+	return true
+}
+
+// sessionStarted records that a connection has a session.
+func (l *Listener) sessionStarted(n *connection) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if n.waiting != nil {
+		l.waiting.Remove(n.waiting)
+		n.waiting = nil
+	}
+}
+
 // OnTraffic passes received bytes to the connection.
 func (l *Listener) OnTraffic(c gnet.Conn) gnet.Action {
 	n, ok := c.Context().(*connection)
@@ -144,16 +231,24 @@
 	delete(l.connections, n)
 	l.mutex.Unlock()
 
+	l.sessionStarted(n) // it no longer waits for one
 	n.close()
 
 	return gnet.None
 }
 
-// OnTick closes the connections that have sent no startup message within startupTimeout, and idle ones whose client's key
-// was removed from the configuration.
+// OnTick closes the connections that have sent no startup message within startupTimeout or don't go on with a message, and
+// idle ones whose client's key was removed from the configuration.
 func (l *Listener) OnTick() (time.Duration, gnet.Action) {
 	for _, n := range l.connectionList() {
-		if n.startupTimedOut() || n.unauthorised() {
+		n.countUnsentLater()
+
+		switch {
+		case n.startupTimedOut() || n.unauthorised():
+			n.closeAfterWrites()
+		case n.messageTimedOut():
+			l.UnfinishedMessages.Add(1)
+			l.RequestLog.Info().Msg("message_not_finished")
 			n.closeAfterWrites()
 		}
 	}
--- a/proxy/process/labtypedproxy/proxy.go
+++ b/proxy/process/labtypedproxy/proxy.go
@@ -49,6 +49,8 @@
 	ConfigurationReader lab.ConfigurationReader
 	Dialer              lab.MemberDialer
 	Codec               func() lab.ClientCodec // creates the codec of a client connection
+	Memory              lab.MemoryBudget       // bounds what is held for clients
+	MaxClients          int                    // maximum number of client connections, 0 for no limit
 	Log                 zerolog.Logger
 
 	directory  *labdirectory.Directory
@@ -79,7 +81,7 @@
 	p.listener = &labtypedlistener.Listener{
 		ListenAddress: p.ListenAddress, Codec: p.Codec, Directory: p.directory, Clock: p.Clock, Log: p.Log,
 		RequestLog: lablog.NewRequestLogger(p.Log), Counters: &p.counters,
-		StartupWait: startupWait,
+		StartupWait: startupWait, Memory: p.Memory, MaxConnections: p.MaxClients,
 	}
 }
 
@@ -94,6 +96,9 @@
 	p.directory.Permissions().Publish(m)
 	m.Set("callers", &p.listener.OpenConnections)
 	m.Set("startups_refused", &p.listener.RefusedStartups)
+	m.Set("clients_over_limit", &p.listener.RefusedConnections)
+	m.Set("clients_closed_for_memory", &p.listener.ClosedForMemory)
+	m.Set("messages_not_finished", &p.listener.UnfinishedMessages)
 }
 
 // Run serves until the context ends, then stops gracefully.
