control keeps to its memory and descriptor limits when HTTP clients misbehave

Requests that never end took as much memory as their clients sent, and connections as many descriptors as were opened. The HTTP servers of the platform's programs count requests in the budget of the process and limit their connections; beyond a limit the largest request is closed, or the connection that has waited longest for a complete one. The servers of the PostgreSQL programs set no limits and stay as they are.

--- a/process/labhttp/server.go
+++ b/process/labhttp/server.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"crypto/tls"
+	"expvar"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"laburnumlock.dev/lab"
 )
 
 const (
@@ -22,7 +26,18 @@
 	Handler http.Handler
 	TLS     *tls.Config // nil for plain HTTP
 
+	// Memory bounds the bytes of requests that are being read; nil for no limits at all.
+	Memory lab.MemoryBudget
+	// MaxConnections bounds the open connections if Memory is set, 0 for no limit. Beyond it, the connection that has
+	// waited longest for a complete request is closed.
+	MaxConnections int
+	Log            zerolog.Logger // receives a line for each connection that is closed because of a limit
+
+	ClosedForMemory expvar.Int // connections closed because the memory budget was exceeded
+	OverLimit       expvar.Int // connections closed because of MaxConnections
+
 	listener net.Listener
+	limited  *limitedListener // nil without limits
 }
 
 // Listen opens the listener. It must be called before BoundAddress and Run.
@@ -34,6 +49,11 @@
 		return errors.Newf("listen for HTTP: %w", err)
 	}
 
+	if s.Memory != nil {
+		s.limited = &limitedListener{Listener: l, server: s}
+		l = s.limited
+	}
+
 	if s.TLS != nil {
 		l = tls.NewListener(l, s.TLS)
 	}
@@ -57,6 +77,10 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 
+	if s.limited != nil {
+		h.WriteTimeout, h.ConnState = writeTimeout, s.limited.observe
+	}
+
 	stopped := make(chan struct{})
 
 	stop := context.AfterFunc(ctx, func() {
