--- a/process/labmemorybudget/budget.go
+++ b/process/labmemorybudget/budget.go
@@ -17,8 +17,9 @@
 	// smallReservation is the largest reservation that is never refused, in bytes: that of a message of SmallBytes.
 	smallReservation = 4 * SmallBytes
 	// processShare is the part of a process's memory limit that its budget has. Go's heap may use two thirds of the memory
-	// limit, of which the garbage collector needs up to a third, and the rest of the process has about 20 MB.
-	processShare = 4
+	// limit. While 24 members send rows without end, garbage takes two to three times the budget: with a quarter a proxy
+	// came to 90 MB of 96.
+	processShare = 6
 	// An eviction frees memory down to lowNumerator/lowDenominator of the limit, so that one search for accounts serves
 	// many messages.
 	lowNumerator   = 7
--- a/proxy/connection/labpool/conn.go
+++ b/proxy/connection/labpool/conn.go
@@ -19,6 +19,10 @@
 // maxPrepared bounds the prepared statements on a connection. A connection with more is reset before its next use.
 const maxPrepared = 200
 
+// maxHeldBytes bounds the bytes of session values and prepared statements that a connection remembers between sessions. A
+// connection with more is closed when it is released. An ordinary one has maxPrepared statements of a few hundred bytes.
+const maxHeldBytes = 128 << 10
+
 // noProof is sent by members in place of a proof.
 const noProof = "-"
 
@@ -30,6 +34,7 @@
 	values            map[string]string       // session values that the member confirmed
 	valuesUnconfirmed bool                    // values were sent but not confirmed, so those at the member are unknown
 	preparedNames     map[statementKey]string // names of the prepared statements on this connection, by content
+	preparedBytes     int                     // bytes of the texts in preparedNames
 	lastUsed          time.Time
 	known             lab.CommitPosition // newest position of the member that was known before the next operation is sent
 	wrote             bool               // a write has run in the open transaction
@@ -188,7 +193,7 @@
 	}
 
 	if operations[0].Kind == lab.OperationReset {
-		c.preparedNames = nil
+		c.preparedNames, c.preparedBytes = nil, 0
 	}
 
 	c.values, c.valuesUnconfirmed = maps.Clone(values), false
@@ -259,7 +264,7 @@
 		}
 
 		if r[i].Fault == lab.FaultNotPrepared {
-			c.preparedNames = nil
+			c.preparedNames, c.preparedBytes = nil, 0
 		}
 
 		out = append(out, r[i])
@@ -286,6 +291,7 @@
 	c.pool.mutex.Unlock()
 
 	c.preparedNames[s] = n
+	c.preparedBytes += len(text)
 
 	return n, []lab.Operation{{Kind: lab.OperationPrepare, Name: n, Writes: writes, Argument: text}}
 }
@@ -294,7 +300,7 @@
 // background, once the connection was shown to be in step.
 func (c *Conn) Release() {
 	switch {
-	case c.valuesUnconfirmed:
+	case c.valuesUnconfirmed || c.heldBytes() > maxHeldBytes:
 		c.Discard()
 	case c.faulted:
 		go func() {
@@ -311,6 +317,16 @@
 	}
 }
 
+// heldBytes returns the bytes of session values and prepared statements that the connection remembers.
+func (c *Conn) heldBytes() int {
+	size := c.preparedBytes
+	for n, v := range c.values {
+		size += len(n) + len(v)
+	}
+
+	return size
+}
+
 // ReleaseAfterDrain waits in the background for responses that missed their deadline, rolls back an open transaction
 // and returns the connection to the pool. The connection is not closed, since a new one would occupy a slot of the
 // member for longer than the late response does.
--- a/proxy/connection/labpool/conn_test.go
+++ b/proxy/connection/labpool/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -316,3 +317,29 @@
 func (l *scriptedWrite) Run(time.Time, ...lab.Operation) ([]lab.OperationResult, error) {
 	return l.results, nil
 }
+
+// TestHeldBytes guards against pooled connections that keep large session values and prepared statements of sessions that
+// have ended.
+func TestHeldBytes(t *testing.T) {
+	large := strings.Repeat("x", maxHeldBytes+1)
+
+	for _, c := range []struct {
+		name      string
+		values    map[string]string
+		operation lab.Operation
+		closed    bool
+	}{
+		{"ordinary", map[string]string{"v": "1"}, lab.Operation{Kind: lab.OperationExecute, PreparedText: "q"}, false},
+		{"large value", map[string]string{"v": large}, lab.Operation{Kind: lab.OperationRead}, true},
+		{"large statement", nil, lab.Operation{Kind: lab.OperationExecute, PreparedText: large}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n, l := newConn(nil)
+
+			_, err := n.Run(time.Now().Add(time.Second), c.values, c.operation)
+			assert.NilError(t, err)
+			n.Release()
+			assert.Equal(t, *l.closed, c.closed)
+		})
+	}
+}
--- a/proxy/process/labtypedlistener/listener.go
+++ b/proxy/process/labtypedlistener/listener.go
@@ -114,9 +114,11 @@
 	})
 	defer stop()
 
+	// With the option for shared ports the event loop itself accepts connections. Otherwise another goroutine does, and a
+	// burst takes descriptors before the event loop gets to closing connections beyond MaxConnections.
 	for first := true; ; first = false {
 		err = gnet.Run(l, "tcp://"+l.ListenAddress,
-			gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true), gnet.WithReusePort(true), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 			gnet.WithReadBufferCap(readBufferBytes), gnet.WithWriteBufferCap(readBufferBytes), gnet.WithTicker(true),
 			gnet.WithLogLevel(logging.ErrorLevel),
 		)
