Messages of other processes count in the memory budget

Requests of 8 MiB from four processes took 332 to 439 MB of 96. A gateway sends results only if there is memory for them.

What QUIC holds of streams that nobody reads, and responses to calls while they are sent, are not counted.

Cancel of the gateway's end of a test stream in labrelay ends the sender's reads now, as that of a QUIC stream does.

--- /dev/null
+++ b/process/labmeteredreader/doc.go
@@ -0,0 +1,2 @@
+// Package labmeteredreader counts what is read for one message in the memory budget of the process.
+package labmeteredreader
--- a/process/labtransport/call.go
+++ b/process/labtransport/call.go
@@ -34,7 +34,7 @@
 	stop := context.AfterFunc(ctx, s.Cancel)
 	defer stop()
 
-	if err := t.receiveResponse(s, response); err != nil {
+	if err := t.receiveResponse(s, address, response); err != nil {
 		t.discardOnTimeout(ctx, l, c)
 
 		return err
@@ -113,9 +113,12 @@
 	return opened, nil
 }
 
-func (t *Transport) receiveResponse(s *stream, response any) error {
+func (t *Transport) receiveResponse(s *stream, address string, response any) error {
+	m := t.meter(s, address)
+	defer m.Reset()
+
 	var st responseStatus
-	if err := decodeFrame(s, &st); err != nil {
+	if err := decodeFrame(m, &st); err != nil {
 		return errors.Newf("read response: %w", err)
 	}
 
@@ -127,7 +130,7 @@
 		return nil
 	}
 
-	if err := decodeFrame(s, response); err != nil {
+	if err := decodeFrame(m, response); err != nil {
 		return errors.Newf("read response: %w", err)
 	}
 
--- a/process/labtransport/frame.go
+++ b/process/labtransport/frame.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labmeteredreader"
 )
 
 const (
@@ -76,6 +77,16 @@
 	return b, nil
 }
 
+// meter returns a reader that counts the messages on a stream in the memory budget. If they have to be given up, the stream
+// is cancelled.
+func (t *Transport) meter(s *stream, peer string) *labmeteredreader.Reader {
+	return &labmeteredreader.Reader{Source: s, Memory: t.Memory, Evict: func() {
+		t.EvictedStreams.Add(1)
+		t.requestLog.Warn().Str("peer", peer).Msg("stream_closed_for_memory")
+		s.Cancel()
+	}}
+}
+
 func decodeFrame(r io.Reader, value any) error {
 	b, err := readFrame(r)
 	if err != nil {
--- a/process/labtransport/serve.go
+++ b/process/labtransport/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,8 +46,11 @@
 
 	_ = s.SetReadDeadline(time.Now().Add(preambleTimeout))
 
+	m := t.meter(s, string(from))
+	defer m.Reset()
+
 	var p preamble
-	if err := decodeFrame(s, &p); err != nil {
+	if err := decodeFrame(m, &p); err != nil {
 		s.Cancel()
 
 		return
@@ -55,7 +59,7 @@
 	_ = s.SetReadDeadline(time.Time{})
 
 	if h, ok := t.callHandlers[p.Method]; ok {
-		t.serveCall(ctx, from, p, h, s)
+		t.serveCall(ctx, from, p, h, s, m)
 
 		return
 	}
@@ -68,20 +72,27 @@
 		return
 	}
 
-	decode := func(value any) error { return decodeFrame(s, value) }
+	decode := func(value any) error {
+		defer m.Reset()
+
+		return decodeFrame(m, value)
+	}
 
 	if err := h(ctx, from, decode, s); err != nil {
 		t.Log.Debug().Err(err).Str("from", string(from)).Str("method", string(p.Method)).Msg("stream_failed")
 	}
 }
 
-func (t *Transport) serveCall(ctx context.Context, from lab.InstanceID, p preamble, h lab.CallHandler, s *stream) {
+// serveCall reads the request of a call from the reader and sends the response on the stream.
+func (t *Transport) serveCall(
+	ctx context.Context, from lab.InstanceID, p preamble, h lab.CallHandler, s *stream, request io.Reader,
+) {
 	defer func() { _ = s.Close() }()
 
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	b, err := readFrame(s)
+	b, err := readFrame(request)
 	if err != nil {
 		return
 	}
--- a/process/labtransport/transport.go
+++ b/process/labtransport/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"maps"
 	"net"
 	"slices"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/lablog"
 )
 
 const (
@@ -36,9 +38,13 @@
 	Address  string // host:port to listen on; with port 0 a free port is chosen
 	Identity lab.Credentials
 	Log      zerolog.Logger
+	Memory   lab.MemoryBudget // bounds the messages that are received; nil for no limit
+
+	EvictedStreams expvar.Int // streams that were ended because their messages exceeded the memory budget
 
 	callHandlers   map[lab.Method]lab.CallHandler
 	streamHandlers map[lab.Method]lab.StreamHandler
+	requestLog     zerolog.Logger // receives the log lines about single streams
 	quic           *quic.Transport
 	listener       *quic.Listener
 	requestIDs     atomic.Uint64
@@ -82,6 +88,7 @@
 		return errors.Newf("listen for processes: %w", err)
 	}
 
+	t.requestLog = lablog.NewRequestLogger(t.Log)
 	t.links, t.acceptedConnections = map[string]*link{}, map[*quic.Conn]struct{}{}
 	t.quic = &quic.Transport{Conn: c}
 
--- a/process/labtransport/transport_test.go
+++ b/process/labtransport/transport_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,7 +13,9 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labclock"
 	"laburnumlock.dev/lab/process/labkeys"
+	"laburnumlock.dev/lab/process/labmemorybudget"
 	"laburnumlock.dev/lab/process/labtransport"
 )
 
@@ -45,11 +48,26 @@
 func startStoppableTransport(t *testing.T, folder, name string) (*labtransport.Transport, func()) {
 	t.Helper()
 
-	tr := &labtransport.Transport{
+	return startTransportWith(t, &labtransport.Transport{
 		Address:  "127.0.0.1:0",
 		Identity: &labkeys.Identity{Folder: folder, Name: name},
 		Log:      zerolog.Nop(),
-	}
+	})
+}
+
+func startLimitedTransport(t *testing.T, folder, name string, memory lab.MemoryBudget) *labtransport.Transport {
+	t.Helper()
+
+	tr, _ := startTransportWith(t, &labtransport.Transport{
+		Address: "127.0.0.1:0", Identity: &labkeys.Identity{Folder: folder, Name: name}, Log: zerolog.Nop(), Memory: memory,
+	})
+
+	return tr
+}
+
+func startTransportWith(t *testing.T, tr *labtransport.Transport) (*labtransport.Transport, func()) {
+	t.Helper()
+
 	tr.HandleCall(lab.MethodPing, func(_ context.Context, from lab.InstanceID, decode func(any) error) (any, error) {
 		var e echo
 		if err := decode(&e); err != nil {
@@ -343,6 +361,23 @@
 	assert.NilError(t, b.Drain(withTimeout(t, 5*time.Second)))
 }
 
+// TestMemory guards against peers whose requests take all memory, and against others that are refused with them.
+func TestMemory(t *testing.T) {
+	folder := newKeysFolder(t, "a", "b")
+	a := startTransport(t, folder, "a")
+	b := startLimitedTransport(t, folder, "b", &labmemorybudget.Budget{Limit: 1 << 20, Clock: labclock.New()})
+
+	for _, c := range []struct {
+		size  int
+		fails bool
+	}{{300, false}, {100 << 10, false}, {4 << 20, true}, {100 << 10, false}} {
+		err := a.Call(withTimeout(t, 5*time.Second), b.BoundAddress(), lab.MethodPing, echo{Text: strings.Repeat("x", c.size)}, &echo{})
+		assert.Equal(t, err != nil, c.fails, "%d bytes: %v", c.size, err)
+	}
+
+	assert.Equal(t, b.EvictedStreams.Value(), int64(1))
+}
+
 // TestPanic checks that a request whose handler panics fails alone: the process and the connection go on.
 func TestPanic(t *testing.T) {
 	folder := newKeysFolder(t, "a", "b")
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -60,6 +60,7 @@
 	// LeavingPeriod is the time after a member's announcement that it is leaving in which new requests may reach it. It is
 	// 0 if there is no such limit.
 	LeavingPeriod time.Duration
+	Memory        lab.MemoryBudget // bounds the responses of other proxies; nil for no limit
 	// OnPrimaryUnreachable is called when a primary becomes unreachable; it must not block.
 	OnPrimaryUnreachable func()
 	// OnCommitsDrained is called when the commits have ended that the control group waits for; it must not block.
@@ -241,6 +242,7 @@
 		n.relay = &labrelay.Source{
 			Target: a, Peers: d.Peers, History: &s.history, Reachability: d.Reachability, Clock: d.Clock,
 			Gateways: func(organisation string) ([]lab.Instance, int) { return d.gatewaysOf(n, organisation) }, Version: d.Version,
+			Memory: d.Memory,
 		}
 	}
 
--- a/proxy/process/labrelay/connection.go
+++ b/proxy/process/labrelay/connection.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labmeteredreader"
 )
 
 const (
@@ -34,6 +35,7 @@
 	gateway lab.Instance // gateway that was chosen last
 	bound   bool         // whether the gateway has run operations
 	stream  lab.Stream   // stream to the gateway, nil when none is open
+	meter   *labmeteredreader.Reader
 	decoder *msgpack.Decoder
 	encoder *msgpack.Encoder
 }
@@ -131,7 +133,8 @@
 		return err
 	}
 
-	c.stream, c.decoder, c.encoder = s, msgpack.NewDecoder(s), msgpack.NewEncoder(s)
+	c.meter = &labmeteredreader.Reader{Source: s, Memory: c.source.Memory, Evict: s.Cancel}
+	c.stream, c.decoder, c.encoder = s, msgpack.NewDecoder(c.meter), msgpack.NewEncoder(s)
 
 	return nil
 }
@@ -149,6 +152,8 @@
 		return nil, c.streamError(ctx, sentAt, "send to gateway", err)
 	}
 
+	defer c.meter.Reset()
+
 	var a response
 	if err := c.decoder.Decode(&a); err != nil {
 		return nil, c.streamError(ctx, sentAt, "read from gateway", err)
--- a/proxy/process/labrelay/relay_test.go
+++ b/proxy/process/labrelay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/process/labmemorybudget"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
 	"laburnumlock.dev/lab/proxy/process/labreachability"
 )
@@ -26,6 +28,7 @@
 type fakeGateway struct {
 	history labpositionhistory.History
 	slots   chan struct{}
+	memory  lab.MemoryBudget
 
 	mutex    sync.Mutex
 	missing  bool  // whether the gateway has no connections to the member
@@ -155,7 +158,7 @@
 		_ = r2.CloseWithError(io.EOF)
 	}
 
-	s := &Server{Directory: g, Clock: labclock.NewBootClock(), Log: zerolog.Nop()}
+	s := &Server{Directory: g, Clock: labclock.NewBootClock(), Log: zerolog.Nop(), Memory: g.memory}
 	decode := func(v any) error {
 		b, err := msgpack.Marshal(h)
 		if err != nil {
@@ -165,7 +168,9 @@
 		return msgpack.Unmarshal(b, v)
 	}
 
-	go func() { _ = s.Serve(context.Background(), "", decode, &pipe{r1, w2, func() {}}) }()
+	go func() {
+		_ = s.Serve(context.Background(), "", decode, &pipe{r1, w2, func() { _ = w2.CloseWithError(errDown) }})
+	}()
 
 	return &pipe{r2, w1, stop}, nil
 }
@@ -197,6 +202,48 @@
 	return c
 }
 
+// TestRelayMemory guards against relayed requests and responses that take all memory, and against senders that wait for
+// a response that was given up.
+func TestRelayMemory(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		gateway, sender  int64 // limits of the budgets
+		size             int   // of the statement, which the gateway returns as a row
+		fails            bool
+		gatewayIsEvicted bool
+	}{
+		{"large statement", 1 << 20, 1 << 20, 100 << 10, false, false},
+		{"response for which the gateway has no memory", 64 << 10, 1 << 20, 100 << 10, true, true},
+		{"response for which the sender has no memory", 1 << 20, 64 << 10, 100 << 10, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			newBudget := func(limit int64) *labmemorybudget.Budget {
+				return &labmemorybudget.Budget{Limit: limit, Clock: labclock.New()}
+			}
+			gatewayBudget, senderBudget := newBudget(c.gateway), newBudget(c.sender)
+
+			g := newFakeGateway()
+			g.memory = gatewayBudget
+			s := newSource(fakePeers{"g": g}, "g")
+			s.Memory = senderBudget
+			n := acquire(t, s, time.Second)
+
+			_, err := n.Run(testDeadline(), nil, lab.Operation{Kind: lab.OperationRead, Text: strings.Repeat("x", c.size)})
+			assert.Equal(t, err != nil, c.fails)
+
+			if c.fails {
+				o, _ := lab.OutcomeOf(err)
+				assert.Equal(t, o, lab.OutcomeUnknown)
+			}
+
+			n.Discard()
+			assert.DeepEqual(t, g.endings(), []string{"released"})
+			assert.Equal(t, gatewayBudget.Used()+senderBudget.Used(), int64(0))
+			assert.Equal(t, gatewayBudget.Evicted.Value() > 0, c.gatewayIsEvicted)
+		})
+	}
+}
+
 func TestRelay(t *testing.T) {
 	read := lab.Operation{Kind: lab.OperationRead, RequestID: "q", Text: "FETCH x"}
 
--- a/proxy/process/labrelay/server.go
+++ b/proxy/process/labrelay/server.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labmeteredreader"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
 )
 
@@ -29,11 +30,12 @@
 	Directory Directory
 	Clock     lab.Clock
 	Log       zerolog.Logger
+	Memory    lab.MemoryBudget // bounds the requests and responses; nil for no limit
 }
 
 // Serve handles one stream until the sender closes it.
 func (s *Server) Serve(
-	ctx context.Context, _ lab.InstanceID, decode func(any) error, stream lab.Stream,
+	ctx context.Context, from lab.InstanceID, decode func(any) error, stream lab.Stream,
 ) error {
 	var h header
 	if err := decode(&h); err != nil {
@@ -43,7 +45,13 @@
 	rs := &relayedStream{server: s, header: h}
 	defer rs.close()
 
-	in, out := msgpack.NewDecoder(stream), msgpack.NewEncoder(stream)
+	meter := &labmeteredreader.Reader{Source: stream, Memory: s.Memory, Evict: func() {
+		s.Log.Warn().Str("from", string(from)).Msg("relayed_request_exceeds_memory")
+		stream.Cancel()
+	}}
+	defer meter.Reset()
+
+	in, out := msgpack.NewDecoder(meter), msgpack.NewEncoder(stream)
 
 	for {
 		var r request
@@ -53,11 +61,43 @@
 
 		a := rs.run(ctx, r)
 		s.addPosition(&a, h.Service)
+		meter.Reset()
+
+		if err := s.send(out, &a); err != nil {
+			stream.Cancel() // the sender must not wait for the response
+
+			return err
+		}
+	}
+}
 
-		if err := out.Encode(&a); err != nil {
-			return errors.Newf("send response: %w", err)
+// send sends a response. The results take memory until the sender has received them.
+func (s *Server) send(out *msgpack.Encoder, a *response) error {
+	if s.Memory != nil {
+		size := resultBytes(a.Results)
+		if !s.Memory.Reserve(size) {
+			return errors.Newf("send response: no memory is left for %d bytes", size)
 		}
+
+		defer s.Memory.Release(size)
 	}
+
+	return errors.Wrap(out.Encode(a), "send response")
+}
+
+// resultBytes returns about the memory of results.
+func resultBytes(results []lab.OperationResult) int {
+	const rowOverhead = 32
+
+	size := 0
+
+	for i := range results {
+		for _, w := range results[i].Rows {
+			size += len(w) + rowOverhead
+		}
+	}
+
+	return size
 }
 
 // addPosition adds the newest known position of the service's primary to a response.
--- a/proxy/process/labrelay/source.go
+++ b/proxy/process/labrelay/source.go
@@ -44,6 +44,7 @@
 	History      *labpositionhistory.History // receives the positions that gateways report
 	Reachability *labreachability.Tracker    // tracks which gateways respond; shared by the sources of all members
 	Clock        lab.Clock
+	Memory       lab.MemoryBudget // bounds the responses that are being received; nil for no limit
 
 	mutex          sync.Mutex
 	inUse          map[lab.InstanceID]int           // number of connections that use each gateway
--- a/proxy/process/labtypedproxy/proxy.go
+++ b/proxy/process/labtypedproxy/proxy.go
@@ -65,10 +65,10 @@
 	p.directory = &labdirectory.Directory{
 		Self: p.Self.ID, AvailabilityZone: p.Self.AvailabilityZone, Region: p.Self.Region, Peers: p.Transport, Dialer: p.Dialer,
 		Reachability: &labreachability.Tracker{Clock: p.Clock}, Random: p.Random, Clock: p.Clock, Log: p.Log,
-		LeavingPeriod: p.LeavingPeriod,
+		LeavingPeriod: p.LeavingPeriod, Memory: p.Memory,
 	}
 
-	relay := &labrelay.Server{Directory: p.directory, Clock: p.Clock, Log: lablog.NewRequestLogger(p.Log)}
+	relay := &labrelay.Server{Directory: p.directory, Clock: p.Clock, Log: lablog.NewRequestLogger(p.Log), Memory: p.Memory}
 	p.Transport.HandleStream(labrelay.Method, relay.Serve)
 
 	p.subscriber = &labsubscriber.Subscriber{
