--- a/proxy/process/labtypedproxy/proxy.go
+++ b/proxy/process/labtypedproxy/proxy.go
@@ -51,6 +51,8 @@
 	ConfigurationReader lab.ConfigurationReader
 	Dialer              lab.MemberDialer
 	Codec               func() lab.ClientCodec // creates the codec of a client connection
+	Memory              lab.MemoryBudget       // bounds what is held for clients
+	MaxClients          int                    // maximum number of client connections, 0 for no limit
 	Log                 zerolog.Logger
 
 	directory  *labdirectory.Directory
@@ -66,10 +68,10 @@
 	p.directory = &labdirectory.Directory{
 		Self: p.Self.ID, AvailabilityZone: p.Self.AvailabilityZone, Region: p.Self.Region, Peers: p.Transport, Dialer: p.Dialer,
 		Reachability: &labreachability.Tracker{Clock: p.Clock}, Random: p.Random, Clock: p.Clock, Log: p.Log,
-		LeavingPeriod: p.LeavingPeriod,
+		LeavingPeriod: p.LeavingPeriod, Memory: p.Memory,
 	}
 
-	relay := &labrelay.Server{Directory: p.directory, Clock: p.Clock, Log: lablog.NewRequestLogger(p.Log)}
+	relay := &labrelay.Server{Directory: p.directory, Clock: p.Clock, Log: lablog.NewRequestLogger(p.Log), Memory: p.Memory}
 	p.Transport.HandleStream(labrelay.Method, relay.Serve)
 
 	p.subscriber = &labsubscriber.Subscriber{
@@ -87,7 +89,7 @@
 	p.listener = &labtypedlistener.Listener{
 		ListenAddress: p.ListenAddress, Codec: p.Codec, Directory: p.directory, Clock: p.Clock, Log: p.Log,
 		RequestLog: lablog.NewRequestLogger(p.Log), Counters: &p.counters,
-		Quota: p.quota, StartupWait: startupWait,
+		Quota: p.quota, StartupWait: startupWait, Memory: p.Memory, MaxConnections: p.MaxClients,
 	}
 }
 
@@ -103,6 +105,9 @@
 	p.directory.Permissions().Publish(m)
 	m.Set("callers", &p.listener.OpenConnections)
 	m.Set("startups_refused", &p.listener.RefusedStartups)
+	m.Set("clients_over_limit", &p.listener.RefusedConnections)
+	m.Set("clients_closed_for_memory", &p.listener.ClosedForMemory)
+	m.Set("messages_not_finished", &p.listener.UnfinishedMessages)
 }
 
 // Run serves until the context ends, then stops gracefully.
