labpool: close idle connections on demand, and back off from full members

Preparation for connections on demand: CloseIdle closes the idle connections of a member that isn't needed. A member that refuses connections (TOOMANY) was dialled every 500 ms by each proxy, 600 times a second by 300 proxies. After 4 s of refusals the pause now grows to 5 s: 60 dials a second. In the first 4 s it stays at 500 ms, since after a power loss a member counts lost connections for 3 s.

TestRefusals fails without maxDelayLocked (500 ms instead of 5 s), TestCloseIdle without the check for connections in use.

--- a/proxy/connection/labpool/pool.go
+++ b/proxy/connection/labpool/pool.go
@@ -28,6 +28,12 @@
 	// that is down would dial it.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// refusalGrace is how long a member may refuse connections before maxRefusedDelay applies. A member counts lost
+	// connections for 3 s, so after a power loss of proxies it refuses connections for that long and then accepts them.
+	refusalGrace = 4 * time.Second
+	// maxRefusedDelay bounds the backoff from a member that has refused connections for longer than refusalGrace: it is
+	// full. With maxRetryDelay, 300 proxies sent a full member 600 dials a second.
+	maxRefusedDelay = 5 * time.Second
 	// shrinkAfter is how long the load must be low before connections beyond RetainedConnections are closed. The load is
 	// low while at most RetainedConnections are in use. A new connection occupies a slot of the member for 12 ms, so
 	// connections stay open when the load is low for only a short time.
@@ -77,6 +83,7 @@
 	lastAboveRetained time.Time          // last time when a request made inUse exceed RetainedConnections
 	nextDial          time.Time          // time before which no dial starts; it is set after a failed dial
 	retryDelay        time.Duration      // pause after the last failed dial, 0 after a successful one
+	refusedSince      time.Time          // time of the first refusal since the last dial with another result
 	known             lab.CommitPosition // newest position in any response of the member
 	acknowledged      lab.CommitPosition // position that Acknowledged returns
 }
@@ -320,7 +327,7 @@
 
 	if err != nil {
 		p.open--
-		p.recordDialFailureLocked()
+		p.recordDialFailureLocked(err)
 
 		return
 	}
@@ -333,14 +340,14 @@
 		return
 	}
 
-	p.retryDelay = 0
+	p.retryDelay, p.refusedSince = 0, time.Time{}
 	p.offerLocked(&Conn{pool: p, connection: l, organisation: organisation, lastUsed: time.Now()})
 }
 
 // recordDialFailureLocked starts the backoff after a failed dial. When no connection is open, it also wakes all waiting
 // requests, so that they can use another member; otherwise they wait for an open connection.
-func (p *Pool) recordDialFailureLocked() {
-	p.retryDelay = min(max(minRetryDelay, 2*p.retryDelay), maxRetryDelay)
+func (p *Pool) recordDialFailureLocked(err error) {
+	p.retryDelay = min(max(minRetryDelay, 2*p.retryDelay), p.maxDelayLocked(err))
 	p.nextDial = time.Now().Add(p.retryDelay)
 
 	if p.open > 0 {
@@ -356,6 +363,25 @@
 	p.waiters = nil
 }
 
+// maxDelayLocked returns the longest pause after a dial that failed with the error.
+func (p *Pool) maxDelayLocked(err error) time.Duration {
+	if o, _ := lab.OutcomeOf(err); o != lab.OutcomeNotRun {
+		p.refusedSince = time.Time{}
+
+		return maxRetryDelay
+	}
+
+	if p.refusedSince.IsZero() {
+		p.refusedSince = time.Now()
+	}
+
+	if time.Since(p.refusedSince) < refusalGrace {
+		return maxRetryDelay
+	}
+
+	return maxRefusedDelay
+}
+
 // offerLocked passes an unused connection to the first waiting request of its organisation. If none waits, it adds the
 // connection to the idle ones. If another organisation's request comes first, the connection is replaced by one for that.
 func (p *Pool) offerLocked(c *Conn) {
@@ -448,6 +474,33 @@
 	}
 }
 
+// CloseIdle closes the idle connections of a member that isn't needed, and reports whether none is left. It is called
+// periodically in place of Maintain, until none is left.
+func (p *Pool) CloseIdle() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	// A request that waits needs a connection after all.
+	if len(p.waiters) > 0 {
+		p.growLocked(p.waiters[0].organisation)
+
+		return false
+	}
+
+	p.closeIdleLocked()
+
+	return p.open == 0 && p.inUse == 0
+}
+
+func (p *Pool) closeIdleLocked() {
+	for _, c := range p.idle {
+		c.connection.Close()
+	}
+
+	p.open -= len(p.idle)
+	p.idle = nil
+}
+
 // closeRemovedLocked closes the idle connections of organisations that are no longer configured.
 func (p *Pool) closeRemovedLocked() {
 	if p.Exists == nil {
@@ -525,12 +578,8 @@
 
 	p.closed = true
 
-	for _, c := range p.idle {
-		c.connection.Close()
-	}
+	p.closeIdleLocked()
 
-	p.open -= len(p.idle)
-	p.idle = nil
 	p.inUse -= len(p.waiters)
 
 	for _, w := range p.waiters {
--- a/proxy/connection/labpool/pool_test.go
+++ b/proxy/connection/labpool/pool_test.go
@@ -190,3 +190,45 @@
 		assert.Equal(t, p.open, 0)
 	})
 }
+
+// TestRefusals guards against proxies that keep dialling a full member, and against a longer wait after a power loss: a
+// member counts lost connections for 3 s and then accepts new ones.
+func TestRefusals(t *testing.T) {
+	limit := 1
+
+	// delayAfter returns the longest pause of a pool between dials when the first one failed the given time ago.
+	delayAfter := func(err error, since time.Duration) time.Duration {
+		p := newPool(&dialer{}, &limit)
+		p.refusedSince = time.Now().Add(-since)
+
+		for range 12 {
+			p.recordDialFailureLocked(err)
+		}
+
+		return p.retryDelay
+	}
+
+	refused := lab.NotRunError(lab.ReasonOverload, errDown)
+
+	assert.Equal(t, delayAfter(refused, refusalGrace-time.Second), maxRetryDelay, "lost connections are still counted")
+	assert.Equal(t, delayAfter(refused, refusalGrace), maxRefusedDelay)
+	assert.Equal(t, delayAfter(errDown, refusalGrace), maxRetryDelay, "a member that is down may be back at any time")
+}
+
+// TestCloseIdle guards against connections that stay open to members that no client uses.
+func TestCloseIdle(t *testing.T) {
+	limit, d := 2, &dialer{}
+	p := newPool(d, &limit)
+	held := acquire(t, p, 0)
+	acquire(t, p, 0).Release()
+
+	assert.Assert(t, !p.CloseIdle(), "a connection is in use")
+	assert.Equal(t, p.open, 1)
+
+	held.Release()
+	assert.Assert(t, p.CloseIdle())
+	assert.Equal(t, p.open, 0)
+
+	acquire(t, p, 0).Release()
+	assert.Equal(t, d.dialed, 3, "a later request opens a connection at once")
+}
