labplacement: two different gateways in each zone

PlaceGateways chose the first proxy of a zone again in the second round: its count of chosen ones was 1 by then, which is what the second round looks for. Each member had 6 different gateways of 15 proxies in each of 6 zones, each counted twice, and half of the connections that the member accepts were used by nobody; now it has 12. The loss of the one gateway of a zone left its clients to other zones.

TestPlaceGateways fails on the former code: 6 different proxies instead of 12, 12 entries for 6 proxies. Not measured with a deployment.

--- a/proxy/process/labplacement/place.go
+++ b/proxy/process/labplacement/place.go
@@ -66,16 +66,18 @@
 // link of 2 Mbit/s for seconds.
 func PlaceGateways(member lab.Announcement, connections int, proxies []lab.Instance) Placement {
 	free := max(1, connections-reservedConnections)
-	taken := map[string]int{}
 	order := ranked(member.Member, member.Region, proxies)
 
 	var p Placement
 
 	// The first gateway of each zone comes before the second ones, those of the member's region first.
 	for round := 1; round <= GatewaysPerZone; round++ {
+		seen := map[string]int{}
+
 		for _, i := range order {
-			if taken[i.AvailabilityZone] == round-1 && (len(p.DirectProxies)+1)*minPerGateway <= max(free, minPerGateway) {
-				taken[i.AvailabilityZone]++
+			seen[i.AvailabilityZone]++
+
+			if seen[i.AvailabilityZone] == round && (len(p.DirectProxies)+1)*minPerGateway <= max(free, minPerGateway) {
 				p.DirectProxies = append(p.DirectProxies, i)
 			}
 		}
--- a/proxy/process/labplacement/place_test.go
+++ b/proxy/process/labplacement/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
@@ -109,6 +110,37 @@
 	}
 }
 
+// TestPlaceGateways guards against a zone with a single gateway, whose loss would stop the clients of the zone.
+func TestPlaceGateways(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		connections          int
+		zones, perZone       int
+		gateways, inOneZone  int
+		connectionsOfGateway int
+	}{
+		{"two in each zone", 70, 6, 15, 12, 2, 5},
+		{"one proxy in each zone", 70, 6, 1, 6, 1, 11},
+		{"second gateways of some zones", 34, 6, 15, 8, 2, 4},
+		{"few connections", 3, 6, 15, 1, 1, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := PlaceGateways(westernMember("m"), c.connections, proxies(c.zones, c.perZone))
+			inZone, once := map[string]int{}, map[lab.InstanceID]bool{}
+
+			for _, i := range p.DirectProxies {
+				inZone[i.AvailabilityZone]++
+				once[i.ID] = true
+			}
+
+			assert.Equal(t, len(once), c.gateways, "different proxies")
+			assert.Equal(t, len(p.DirectProxies), c.gateways)
+			assert.Equal(t, slices.Max(slices.Collect(maps.Values(inZone))), c.inOneZone)
+			assert.Equal(t, p.MaxPerProxy, c.connectionsOfGateway)
+		})
+	}
+}
+
 // TestGateways checks the order of the gateways when all proxies of another region relay their statements to one
 // member: no direct proxy may be the first gateway of many proxies.
 func TestGateways(t *testing.T) {
