Members travel as changes since the receiver's revision

Each change of one member sent the whole list of members to every proxy, and each wake-up of a watch scanned all members. The list of members now has a revision that grows across leaders and the revision of each item's latest change, at the leader and at the instances that relay its list; proxies and relays get what changed since theirs. The registry has indexes by service and address and a log of changes, which the list needs.

--- a/control/process/labmembers/registry.go
+++ b/control/process/labmembers/registry.go
@@ -1,12 +1,14 @@
 package labmembers
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labchangelog"
 )
 
 // ExpireAfter is how long a member that sends no announcements is kept.
@@ -23,12 +25,18 @@
 // Registry holds the newest announcement of each member.
 type Registry struct {
 	Clock lab.Clock
-	// Changed is called after a change that proxies must learn. It must not block.
-	Changed func()
-
-	mutex    sync.Mutex
-	entries  map[string]*Entry
-	revision uint64
+	// Changed is called after a change that proxies must learn. It must not block. A change is urgent if it concerns
+	// the clients of a known member: it leaves, ends, starts again, moves or changes its role.
+	Changed func(urgent bool)
+
+	mutex     sync.Mutex
+	entries   map[string]*Entry
+	byService map[string][]*Entry          // sorted by member
+	byAddress map[string]map[string]*Entry // members that have not ended, by address and name
+	leaving   map[string]*Entry            // members that are leaving and have not ended
+	services  []string                     // sorted names in byService; nil if it must be built again
+	layout    uint64                       // grows with each change of services
+	log       labchangelog.Log             // changes that proxies must learn, by name of the member
 }
 
 // Apply records an announcement, unless it is invalid. age is the time since a control instance received it from the
@@ -40,28 +48,24 @@
 	}
 
 	r.mutex.Lock()
-	newer, changed = r.apply(a, r.Clock.Now()-age)
+	newer, changed, urgent := r.apply(a, r.Clock.Now()-age)
 	r.mutex.Unlock()
 
 	if changed && r.Changed != nil {
-		r.Changed()
+		r.Changed(urgent)
 	}
 
 	return newer, changed
 }
 
-func (r *Registry) apply(a lab.Announcement, heard time.Duration) (newer, changed bool) {
-	if r.entries == nil {
-		r.entries = map[string]*Entry{}
-	}
-
+func (r *Registry) apply(a lab.Announcement, heard time.Duration) (newer, changed, urgent bool) {
 	old, known := r.entries[a.Member]
 	if known && !supersedes(a, old.Announcement) && !startedAgain(a, old, heard) {
-		return false, false
+		return false, false, false
 	}
 
 	if !a.Terminated && r.addressTaken(a) {
-		return false, false
+		return false, false, false
 	}
 
 	e := newEntry(a, old, heard)
@@ -71,16 +75,97 @@
 		e.Announcement.Terminated = true
 	}
 
-	r.entries[a.Member] = e
+	if known && equalExceptSequence(old.Announcement, e.Announcement) {
+		*old = *e
+
+		return true, false, false
+	}
+
+	urgent = known && affectsClients(old.Announcement, e.Announcement)
+
+	if known {
+		r.removeFromIndex(old)
+	}
+
+	r.addToIndex(e)
 	r.retireAddress(e.Announcement)
+	r.log.Add(a.Member)
 
-	if known && equalExceptSequence(old.Announcement, e.Announcement) {
-		return true, false
+	return true, true, urgent
+}
+
+// affectsClients reports whether clients of a member notice the difference between two of its announcements.
+func affectsClients(a, b lab.Announcement) bool {
+	return a.Draining != b.Draining || a.Terminated != b.Terminated || a.Incarnation != b.Incarnation ||
+		a.Address != b.Address || a.Primary != b.Primary
+}
+
+// addToIndex adds an entry. The mutex must be held.
+func (r *Registry) addToIndex(e *Entry) {
+	if r.entries == nil {
+		r.entries, r.byService = map[string]*Entry{}, map[string][]*Entry{}
+		r.byAddress, r.leaving = map[string]map[string]*Entry{}, map[string]*Entry{}
+	}
+
+	a := e.Announcement
+	r.entries[a.Member] = e
+
+	all, ok := r.byService[a.Database]
+	if !ok {
+		r.services = nil
+		r.layout++
 	}
 
-	r.revision++
+	i, _ := slices.BinarySearchFunc(all, a.Member, compareMember)
+	r.byService[a.Database] = slices.Insert(all, i, e)
 
-	return true, true
+	if a.Terminated {
+		return
+	}
+
+	if r.byAddress[a.Address] == nil {
+		r.byAddress[a.Address] = map[string]*Entry{}
+	}
+
+	r.byAddress[a.Address][a.Member] = e
+
+	if a.Draining {
+		r.leaving[a.Member] = e
+	}
+}
+
+// removeFromIndex removes an entry. The mutex must be held.
+func (r *Registry) removeFromIndex(e *Entry) {
+	a := e.Announcement
+	delete(r.entries, a.Member)
+
+	all := r.byService[a.Database]
+	i, _ := slices.BinarySearchFunc(all, a.Member, compareMember)
+
+	if all = slices.Delete(all, i, i+1); len(all) > 0 {
+		r.byService[a.Database] = all
+	} else {
+		delete(r.byService, a.Database)
+
+		r.services = nil
+		r.layout++
+	}
+
+	r.removeLive(a)
+}
+
+// removeLive removes a member from the indexes of those that have not ended. The mutex must be held.
+func (r *Registry) removeLive(a lab.Announcement) {
+	delete(r.leaving, a.Member)
+	delete(r.byAddress[a.Address], a.Member)
+
+	if len(r.byAddress[a.Address]) == 0 {
+		delete(r.byAddress, a.Address)
+	}
+}
+
+func compareMember(e *Entry, member string) int {
+	return strings.Compare(e.Announcement.Member, member)
 }
 
 // newEntry returns the entry for an announcement of a member with the given old entry, which may be nil.
@@ -143,9 +228,8 @@
 
 // addressTaken reports whether another member with a higher incarnation has announced the address of a.
 func (r *Registry) addressTaken(a lab.Announcement) bool {
-	for _, e := range r.entries {
-		o := e.Announcement
-		if o.Member != a.Member && o.Address == a.Address && !o.Terminated && o.Incarnation > a.Incarnation {
+	for _, e := range r.byAddress[a.Address] {
+		if o := e.Announcement; o.Member != a.Member && o.Incarnation > a.Incarnation {
 			return true
 		}
 	}
@@ -159,10 +243,11 @@
 		return
 	}
 
-	for _, e := range r.entries {
-		o := &e.Announcement
-		if o.Member != a.Member && o.Address == a.Address && !o.Terminated {
+	for _, e := range r.byAddress[a.Address] {
+		if o := &e.Announcement; o.Member != a.Member {
+			r.removeLive(*o)
 			o.Terminated = true
+			r.log.Add(o.Member)
 		}
 	}
 }
@@ -191,12 +276,10 @@
 
 	var out []lab.LeavingMember
 
-	for _, e := range r.entries {
-		if a := e.Announcement; a.Draining && !a.Terminated {
-			out = append(out, lab.LeavingMember{
-				Member: a.Member, Incarnation: a.Incarnation, For: r.Clock.Now() - e.LeavingSince,
-			})
-		}
+	for _, e := range r.leaving {
+		out = append(out, lab.LeavingMember{
+			Member: e.Announcement.Member, Incarnation: e.Announcement.Incarnation, For: r.Clock.Now() - e.LeavingSince,
+		})
 	}
 
 	return out
@@ -215,21 +298,20 @@
 
 func (r *Registry) removeIf(condition func(id string, silentFor time.Duration) bool) {
 	r.mutex.Lock()
-	now, before := r.Clock.Now(), r.revision
+	now, before := r.Clock.Now(), r.log.Revision()
 
 	for id, e := range r.entries {
 		if condition(id, now-e.LastHeard) {
-			delete(r.entries, id)
-
-			r.revision++
+			r.removeFromIndex(e)
+			r.log.Add(id)
 		}
 	}
 
-	changed := r.revision != before
+	changed := r.log.Revision() != before
 	r.mutex.Unlock()
 
 	if changed && r.Changed != nil {
-		r.Changed()
+		r.Changed(false)
 	}
 }
 
@@ -248,28 +330,71 @@
 	return out
 }
 
+// Entry returns a copy of the entry of a member.
+func (r *Registry) Entry(member string) (Entry, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	if e, ok := r.entries[member]; ok {
+		return *e, true
+	}
+
+	return Entry{}, false
+}
+
+// Members returns the names of all members, including terminated ones.
+func (r *Registry) Members() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return slices.Collect(maps.Keys(r.entries))
+}
+
 // Service returns copies of the entries of one service sorted by member, including terminated members.
 func (r *Registry) Service(name string) []Entry {
+	return r.AppendService(nil, name)
+}
+
+// AppendService appends to a slice what Service returns.
+func (r *Registry) AppendService(out []Entry, name string) []Entry {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 
-	var out []Entry
-
-	for _, e := range r.entries {
-		if e.Announcement.Database == name {
-			out = append(out, *e)
-		}
+	for _, e := range r.byService[name] {
+		out = append(out, *e)
 	}
 
-	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Announcement.Member, b.Announcement.Member) })
-
 	return out
 }
 
+// Services returns the sorted names of the services that have entries, and a number that grows when they change. The
+// caller must not change the slice.
+func (r *Registry) Services() ([]string, uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	if r.services == nil {
+		r.services = slices.Sorted(maps.Keys(r.byService))
+	}
+
+	return r.services, r.layout
+}
+
 // Revision returns a number that grows with each change that proxies must learn.
 func (r *Registry) Revision() uint64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 
-	return r.revision
+	return r.log.Revision()
+}
+
+// ChangesSince returns the names of the members that were added, changed or removed after a revision, and the present
+// revision. It returns false if they are not known any more.
+func (r *Registry) ChangesSince(revision uint64) (members []string, now uint64, known bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	members, known = r.log.Since(revision)
+
+	return members, r.log.Revision(), known
 }
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -77,7 +77,7 @@
 	preparingPermissions atomic.Bool   // reconcilePermissions waits for the log of former leaders
 	changeCount          atomic.Uint64 // number of calls of notifyWaiters
 
-	memberLists packedList
+	memberLists memberLists
 	proxyLists  packedList
 
 	// Used by reconcile only.
@@ -86,7 +86,6 @@
 	nextRetirement   time.Duration
 	unseenSince      map[labgroupstate.Holder]time.Duration // time since which no member is known at the holder's address
 	unseenEpoch      uint64                                 // leader epoch of unseenSince
-	listedPrimaries  map[string]string                      // primaries that were logged last, by service
 
 	recordingHolders atomic.Bool // a change of the holders is being recorded
 
@@ -145,7 +144,7 @@
 	k.replacing, k.missingSince = map[string]bool{}, map[string]time.Duration{}
 	k.lastReplacements = map[string]replacementResult{}
 	k.recoveredAt, k.waitingSince = map[string]time.Duration{}, map[string]time.Duration{}
-	k.registry = &labmembers.Registry{Clock: k.Clock, Changed: k.notifyWaiters}
+	k.registry = &labmembers.Registry{Clock: k.Clock, Changed: k.membersChanged}
 	k.proxies.clock, k.memberLogs.Clock = k.Clock, k.Clock
 	k.relay = newRelay(k)
 	k.loadLists()
--- a/control/process/labplatformcontrol/holders.go
+++ b/control/process/labplatformcontrol/holders.go
@@ -42,7 +42,8 @@
 
 // heldServices returns the services that have members or holders.
 func (k *Controller) heldServices() []string {
-	out := append(k.services(), slices.Collect(maps.Keys(k.participation().state.Holders()))...)
+	services, _ := k.registry.Services()
+	out := append(slices.Clone(services), slices.Collect(maps.Keys(k.participation().state.Holders()))...)
 	slices.Sort(out)
 
 	return slices.Compact(out)
--- a/control/process/labplatformcontrol/primaries.go
+++ b/control/process/labplatformcontrol/primaries.go
@@ -8,37 +8,6 @@
 	"laburnumlock.dev/lab/control/version/labgroupstate"
 )
 
-// primaries returns the primary of each service that has a known one.
-func (k *Controller) primaries() map[string]string {
-	out := map[string]string{}
-
-	for _, s := range k.services() {
-		if e, ok := k.primary(s); ok {
-			out[s] = e.Announcement.Member
-		}
-	}
-
-	return out
-}
-
-// logPrimaries logs each change of a primary that the proxies learn of, and what it rests on: a confirmed order, or only what
-// the member says of itself.
-func (k *Controller) logPrimaries() {
-	listed := k.primaries()
-
-	for s, m := range listed {
-		if k.listedPrimaries[s] == m {
-			continue
-		}
-
-		p, ordered := k.participation().state.Promotion(s)
-		k.Log.Info().Str("service", s).Str("member", m).Str("former", k.listedPrimaries[s]).Bool("ordered", ordered).
-			Bool("confirmed", p.Confirmed).Str("ordered_member", p.Member).Uint64("token", p.Token).Msg("primary_listed")
-	}
-
-	k.listedPrimaries = listed
-}
-
 // primary returns the primary of a service. This is the member of the newest promotion, if the promotion is confirmed.
 // Otherwise it is the member that announces itself as the primary and whose announced role changed last. A former primary
 // that control can't hear from may still be known as one, so it counts only while no promotion is confirmed.
--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -43,7 +43,7 @@
 		k.registry.RemoveSilent()
 		k.reconcilePermissions(ctx)
 		k.recordHolders(ctx)
-		k.logPrimaries()
+		k.publishMembers()
 
 		for _, s := range k.heldServices() {
 			k.reconcileService(ctx, s)
--- a/control/process/labplatformcontrol/relay.go
+++ b/control/process/labplatformcontrol/relay.go
@@ -48,7 +48,7 @@
 	mutex      sync.Mutex
 	leader     string // process address of the leader that was watched last
 	receivedAt time.Duration
-	latest     lab.WatchResponse // without lists of proxies and changes of it
+	latest     lab.WatchResponse // without lists of proxies and members and changes of them
 	proxies    map[lab.InstanceID]lab.Instance
 	packed     []byte // compressed list of proxies, nil if it must be compressed again
 	changes    []relayedChange
@@ -175,9 +175,11 @@
 		r.MaxWait = unconfirmedRelayWait
 	}
 
-	// Another leader has its own revisions and its own clock.
+	r.MembersRevision, r.MemberChanges = y.controller.memberLists.list.Revision(), true
+
+	// Another leader has its own revisions of the list of proxies and its own clock.
 	if address == y.leader {
-		r.LeaderEpoch, r.MembersRevision, r.ProxiesRevision = y.latest.LeaderEpoch, y.latest.MembersRevision, y.latest.ProxiesRevision
+		r.LeaderEpoch, r.ProxiesRevision = y.latest.LeaderEpoch, y.latest.ProxiesRevision
 		r.ClockEpoch = y.clock.Epoch()
 
 		for _, p := range y.observed.Newest(now) {
@@ -242,8 +244,8 @@
 		return errors.Newf("read list of proxies: %w", err)
 	}
 
-	if len(a.Members) == 0 {
-		a.Members = y.latest.Members // unchanged
+	if err := y.storeMembers(r, a); err != nil {
+		return errors.Newf("read list of members: %w", err)
 	}
 
 	if a.ProxiesRevision == 0 && a.LeaderEpoch == r.LeaderEpoch {
@@ -252,7 +254,7 @@
 
 	y.permissions.apply(a.Permissions, sentAt)
 
-	a.Proxies, a.ProxyChanges = nil, nil
+	a.Proxies, a.ProxyChanges, a.Members, a.MemberChanges = nil, nil, nil, nil
 	y.leader, y.receivedAt, y.latest = address, now, a
 	y.clock.RecordExchange(a.ClockEpoch, sentAt, a.ReceivedAt, a.SentAt, now)
 
@@ -266,6 +268,30 @@
 	return nil
 }
 
+// storeMembers applies the list of members in a response, or its changes.
+func (y *relay) storeMembers(r lab.WatchRequest, a lab.WatchResponse) error {
+	list := &y.controller.memberLists.list
+
+	switch {
+	case len(a.Members) > 0:
+		var l lab.MemberList
+		if err := labpack.Decode(a.Members, &l); err != nil {
+			return err
+		}
+
+		list.Replace(l, a.MembersComplete, a.MembersRevision)
+	case len(a.MemberChanges) > 0:
+		var c lab.MemberChanges
+		if err := labpack.Decode(a.MemberChanges, &c); err != nil {
+			return err
+		}
+
+		list.Apply(r.MembersRevision, c, a.MembersComplete, a.MembersRevision)
+	}
+
+	return nil
+}
+
 // storeProxies applies the list of proxies in a response, or its changes. The mutex must be held.
 func (y *relay) storeProxies(r lab.WatchRequest, a lab.WatchResponse) error {
 	switch {
@@ -370,12 +396,7 @@
 	return y.latest.LeaderEpoch
 }
 
-func (y *relay) membersRevision() uint64 {
-	y.mutex.Lock()
-	defer y.mutex.Unlock()
-
-	return y.latest.MembersRevision
-}
+func (y *relay) membersRevision() uint64 { return y.controller.memberLists.list.Revision() }
 
 func (y *relay) documentVersion() uint64 {
 	return y.controller.participation().state.Document().Version
@@ -409,18 +430,16 @@
 	defer y.mutex.Unlock()
 
 	a := lab.WatchResponse{
-		LeaderEpoch: y.latest.LeaderEpoch, MembersRevision: y.latest.MembersRevision, MembersComplete: y.latest.MembersComplete,
-		ControlAddresses: y.latest.ControlAddresses, ControlZones: y.latest.ControlZones,
+		LeaderEpoch: y.latest.LeaderEpoch, ControlAddresses: y.latest.ControlAddresses, ControlZones: y.latest.ControlZones,
+	}
+	if err := y.controller.addMembers(r, &a); err != nil {
+		return lab.WatchResponse{}, err
 	}
 
 	if d := y.controller.participation().state.Document(); d.Version > r.ConfigurationVersion {
 		a.Configuration = d.Packed
 	}
 
-	if r.LeaderEpoch != a.LeaderEpoch || r.MembersRevision != a.MembersRevision {
-		a.Members = y.latest.Members
-	}
-
 	if !changed {
 		return a, nil
 	}
--- /dev/null
+++ b/control/process/labplatformcontrol/scale_test.go
@@ -0,0 +1,230 @@
+package labplatformcontrol
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labconsensus"
+	"laburnumlock.dev/lab/control/process/labjournal"
+	"laburnumlock.dev/lab/control/process/labmembers"
+	"laburnumlock.dev/lab/control/process/labreplica"
+	"laburnumlock.dev/lab/control/version/labgroupstate"
+	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/process/labrandom"
+)
+
+// Size of the deployment of the benchmarks.
+const (
+	scaleServices  = 1000
+	scaleMembers   = 3 * scaleServices
+	scaleProxies   = 300
+	scaleObservers = 12 // observers of each primary
+)
+
+// scaleMember returns an announcement of member n. The first member of each service is its primary.
+func scaleMember(n int, sequence uint64) lab.Announcement {
+	return lab.Announcement{
+		Database: fmt.Sprintf("service-%04d", n/3), Member: fmt.Sprintf("service-%04d-%d", n/3, n%3),
+		Address: fmt.Sprintf("10.%d.%d.%d:5432", n%3, n/250, n%250+1), Region: "north", AvailabilityZone: fmt.Sprintf("north-%d", n%3),
+		Incarnation: 1_000_000, Sequence: sequence, Slots: 6, Connections: 93, Primary: n%3 == 0,
+	}
+}
+
+// newScale returns the leader's parts with all members, holders and reports of the proxies. There is no network.
+func newScale(tb testing.TB) *Controller {
+	tb.Helper()
+
+	boot := labclock.NewBootClock()
+	c := &steppedClock{now: boot.Now() + time.Hour}
+	k := &Controller{Clock: c, Log: zerolog.Nop(), changed: make(chan struct{})}
+	k.registry, k.memberLogs.Clock, k.proxies.clock = &labmembers.Registry{Clock: c}, c, c
+	state := &labgroupstate.State{}
+	group := &labconsensus.Group{
+		ID: "a", InitialVoters: []lab.InstanceID{"a"}, Journal: &labjournal.Journal{Folder: tb.TempDir()}, Clock: boot,
+		Random: labrandom.NewSeeded(1), StateMachine: state, Send: func(lab.InstanceID, labreplica.Message) {},
+		ElectionMin: time.Second, ElectionMax: 2 * time.Second, StartupElectionMin: time.Millisecond, Heartbeat: heartbeat,
+	}
+	k.currentParticipation.Store(&participation{state: state, group: group, identity: &identity{id: "a"}})
+
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+
+	go func() { ended <- group.Run(ctx) }()
+
+	tb.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+
+	for !group.Leadership().IsLeader {
+		time.Sleep(time.Millisecond)
+	}
+
+	var holders labgroupstate.HoldersChange
+
+	for n := range scaleMembers {
+		a := scaleMember(n, 1)
+		k.registry.Apply(a, 0)
+
+		holders.Set = append(holders.Set, labgroupstate.Holder{
+			Service: a.Database, Member: a.Member, Address: a.Address, Region: a.Region, Primary: a.Primary,
+		})
+	}
+
+	b, err := labgroupstate.Command{Holders: &holders}.Encode()
+	assert.NilError(tb, err)
+
+	_, err = group.Propose(ctx, b)
+	assert.NilError(tb, err)
+
+	for p := range scaleProxies {
+		k.proxies.record(scaleWatch(p))
+	}
+
+	return k
+}
+
+// scaleWatch returns the watch of proxy p, which observes its part of the primaries.
+func scaleWatch(p int) lab.WatchRequest {
+	r := lab.WatchRequest{Proxy: proxy(fmt.Sprintf("proxy-%03d", p))}
+
+	for n := p; n < scaleServices*scaleObservers; n += scaleProxies {
+		a := scaleMember(n%scaleServices*3, 1)
+		r.Primaries = append(r.Primaries, lab.PrimaryReport{Service: a.Database, Member: a.Member, Observer: true})
+	}
+
+	return r
+}
+
+// BenchmarkReconcileQuiet is one round of the leader over services that need nothing.
+func BenchmarkReconcileQuiet(b *testing.B) {
+	k := newScale(b)
+
+	for b.Loop() {
+		for _, s := range k.heldServices() {
+			if k.mayNeedReplacement(s) {
+				b.Fatal("a service needs a replacement")
+			}
+		}
+	}
+
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*scaleServices), "ns/service")
+}
+
+// BenchmarkWatchCheck is the check whether a proxy that knows everything must be answered, once for each wake-up.
+func BenchmarkWatchCheck(b *testing.B) {
+	k := newScale(b)
+	v := leaderView{k}
+	r := lab.WatchRequest{LeaderEpoch: v.leaderEpoch(), MembersRevision: v.membersRevision(), ProxiesRevision: v.proxiesRevision()}
+
+	for b.Loop() {
+		if hasChanges(v, r) {
+			b.Fatal("a change without reason")
+		}
+	}
+}
+
+// BenchmarkWatchAnswer is the answer to a watch when nothing changed.
+func BenchmarkWatchAnswer(b *testing.B) {
+	k := newScale(b)
+	v := leaderView{k}
+	r := lab.WatchRequest{LeaderEpoch: v.leaderEpoch(), MembersRevision: v.membersRevision(), ProxiesRevision: v.proxiesRevision()}
+
+	for b.Loop() {
+		a, err := v.response(r)
+		assert.NilError(b, err)
+		assert.Equal(b, len(a.Members), 0)
+
+		a.Positions, a.Leaving = k.positions.Newest(0), k.registry.Leaving()
+	}
+}
+
+// BenchmarkAnnouncementUnchanged is an announcement that differs in the sequence only.
+func BenchmarkAnnouncementUnchanged(b *testing.B) {
+	k := newScale(b)
+
+	all := make([]lab.Announcement, scaleMembers)
+	for n := range all {
+		all[n] = scaleMember(n, 1)
+	}
+
+	for n := 0; b.Loop(); n++ {
+		a := &all[n%scaleMembers]
+		a.Sequence++
+
+		if newer, changed := k.registry.Apply(*a, 0); !newer || changed {
+			b.Fatal("the announcement is not taken as unchanged")
+		}
+	}
+}
+
+// BenchmarkBroadcast is the message to the other control instances.
+func BenchmarkBroadcast(b *testing.B) {
+	k := newScale(b)
+	size := 0
+
+	for b.Loop() {
+		m, err := msgpack.Marshal(k.buildBroadcast())
+		assert.NilError(b, err)
+
+		size = len(m)
+	}
+
+	b.ReportMetric(float64(size), "B/message")
+}
+
+// BenchmarkWatchRecord is what the leader does with the reports of a proxy that observes its part of the primaries.
+func BenchmarkWatchRecord(b *testing.B) {
+	k := newScale(b)
+
+	all := make([]lab.WatchRequest, scaleProxies)
+	for p := range all {
+		all[p] = scaleWatch(p)
+	}
+
+	for n := 0; b.Loop(); n++ {
+		k.proxies.record(all[n%scaleProxies])
+	}
+}
+
+// BenchmarkMemberChange is a change of one member, with the answers to all proxies.
+func BenchmarkMemberChange(b *testing.B) {
+	k := newScale(b)
+	v := leaderView{k}
+	size := 0
+
+	for n := 0; b.Loop(); n++ {
+		r := lab.WatchRequest{LeaderEpoch: v.leaderEpoch(), MembersRevision: v.membersRevision(), MemberChanges: true}
+		a := scaleMember(7, uint64(n+2))
+		a.Draining = n%2 == 0
+		k.registry.Apply(a, 0)
+		k.Clock.(*steppedClock).now += time.Second
+
+		for range scaleProxies {
+			assert.Assert(b, hasChanges(v, r))
+
+			x, err := v.response(r)
+			assert.NilError(b, err)
+
+			size = len(x.Members) + len(x.MemberChanges)
+		}
+	}
+
+	b.ReportMetric(float64(size), "B/proxy")
+}
+
+// BenchmarkReconcileMembers is what the leader does with the list of members in one round if nothing has changed.
+func BenchmarkReconcileMembers(b *testing.B) {
+	k := newScale(b)
+
+	for b.Loop() {
+		k.publishMembers()
+	}
+}
--- a/control/process/labplatformcontrol/view.go
+++ b/control/process/labplatformcontrol/view.go
@@ -7,14 +7,14 @@
 )
 
 // view is the state of the control group from which watches are answered. The leader answers from its own state, the
-// other instances from what they last received from the leader. Revisions can be compared only within one leader epoch;
-// all views of an epoch have the same revisions.
+// other instances from what they last received from the leader. Revisions can be compared only within one leader epoch, unless
+// stated otherwise; all views of an epoch have the same revisions.
 type view interface {
 	// available reports whether the view is recent enough to answer from it.
 	available() bool
 	// leaderEpoch returns a number that identifies the leader and its run of the process.
 	leaderEpoch() uint64
-	// membersRevision returns the revision of the list of members.
+	// membersRevision returns the revision of the list of members. Only these revisions can be compared between leaders.
 	membersRevision() uint64
 	// documentVersion returns the version of the newest configuration document.
 	documentVersion() uint64
@@ -28,11 +28,12 @@
 	grantPermissions(r lab.WatchRequest, receivedAt, now time.Duration) lab.PermissionGrant
 }
 
-// hasChanges reports whether there are changes that must be sent at once. Changes of the list of proxies wait for the
+// hasChanges reports whether there are changes that must be sent at once. An instance that has an older list of members than
+// the sender has nothing to send. Changes of the list of proxies wait for the
 // next regular response unless the sender has no list yet: those who use a proxy that has stopped notice it themselves,
 // and during a restart of all proxies every change would otherwise wake all watches.
 func hasChanges(v view, r lab.WatchRequest) bool {
-	return r.LeaderEpoch != v.leaderEpoch() || r.MembersRevision != v.membersRevision() ||
+	return r.LeaderEpoch != v.leaderEpoch() || r.MembersRevision < v.membersRevision() ||
 		r.ConfigurationVersion < v.documentVersion() ||
 		(r.ProxiesRevision == 0 && proxyListChanged(v, r)) || permissionsChanged(v, r)
 }
@@ -68,6 +69,8 @@
 
 func (v leaderView) documentVersion() uint64 { return v.participation().state.Document().Version }
 
+func (v leaderView) membersRevision() uint64 { return v.refreshMembers() }
+
 // proxiesRevision returns the number of changes of the list, plus 1 since 0 means that the list is incomplete.
 func (v leaderView) proxiesRevision() uint64 {
 	if !v.proxiesComplete() {
@@ -78,22 +81,17 @@
 }
 
 func (v leaderView) response(r lab.WatchRequest) (lab.WatchResponse, error) {
-	a := lab.WatchResponse{
-		LeaderEpoch: v.leaderEpoch(), MembersRevision: v.membersRevision(), MembersComplete: v.membersComplete(),
+	v.refreshMembers()
+
+	a := lab.WatchResponse{LeaderEpoch: v.leaderEpoch()}
+	if err := v.addMembers(r, &a); err != nil {
+		return lab.WatchResponse{}, err
 	}
 
 	if d := v.participation().state.Document(); d.Version > r.ConfigurationVersion {
 		a.Configuration = d.Packed
 	}
 
-	var err error
-
-	if r.LeaderEpoch != a.LeaderEpoch || r.MembersRevision != a.MembersRevision {
-		if a.Members, err = v.memberLists.get(a.LeaderEpoch, a.MembersRevision, v.memberList); err != nil {
-			return lab.WatchResponse{}, err
-		}
-	}
-
 	if proxyListChanged(v, r) {
 		if err := v.addProxyList(r, &a); err != nil {
 			return lab.WatchResponse{}, err
@@ -104,3 +102,11 @@
 
 	return a, nil
 }
+
+// addMembers adds what the sender of a watch needs of the list of members to a response.
+func (k *Controller) addMembers(r lab.WatchRequest, a *lab.WatchResponse) error {
+	m, err := k.memberLists.list.Since(r.MembersRevision, r.MemberChanges)
+	a.MembersRevision, a.MembersComplete, a.Members, a.MemberChanges = m.Revision, m.Complete, m.Whole, m.Changes
+
+	return err
+}
--- a/control/process/labplatformcontrol/watch.go
+++ b/control/process/labplatformcontrol/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"laburnumlock.dev/lab"
@@ -127,26 +126,6 @@
 	return k.epochBase + k.participation().group.Leadership().Term
 }
 
-func (k *Controller) membersRevision() uint64 {
-	r := k.registry.Revision()<<1 | boolBit(k.membersComplete())
-
-	for _, s := range k.services() {
-		if p, ok := k.participation().state.Promotion(s); ok && p.Confirmed {
-			r += p.Token << 20 // 1<<20 is far above the number of registry changes between two promotions
-		}
-	}
-
-	return r
-}
-
-func boolBit(b bool) uint64 {
-	if b {
-		return 1
-	}
-
-	return 0
-}
-
 // addProxyList adds the changes of the list of proxies to a response, or the whole list if the sender has no list of
 // this leader or one that is too old.
 func (k *Controller) addProxyList(r lab.WatchRequest, a *lab.WatchResponse) (err error) {
@@ -165,10 +144,6 @@
 	return err
 }
 
-func (k *Controller) memberList() any {
-	return lab.MemberList{Members: k.members(), Primaries: k.primaries()}
-}
-
 // proxiesComplete reports whether the proxy list is complete: this instance had a valid list when it became the leader,
 // or it has been the leader long enough to have heard from every proxy.
 func (k *Controller) proxiesComplete() bool {
@@ -201,15 +176,3 @@
 
 	return out
 }
-
-func (k *Controller) services() []string {
-	var out []string
-
-	for _, e := range k.registry.Entries() {
-		out = append(out, e.Announcement.Database)
-	}
-
-	slices.Sort(out)
-
-	return slices.Compact(out)
-}
--- a/control/version/labgroupstate/state.go
+++ b/control/version/labgroupstate/state.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labchangelog"
 )
 
 // Promotion is the newest promotion order of a service.
@@ -55,8 +56,10 @@
 	// Changed is called after each change of the state. It must not block.
 	Changed func()
 
-	mutex    sync.Mutex
-	contents contents
+	mutex      sync.Mutex
+	contents   contents
+	promotions labchangelog.Log // changes of contents.Promotions, by service
+	holders    uint64           // number of changes of contents.Holders
 }
 
 var _ lab.StateMachine = (*State)(nil)
@@ -103,6 +106,7 @@
 			Token: index, Bound: c.Order.Bound,
 		}
 		r.contents.addOpen(c.Order.Service, c.Order.Member, index)
+		r.promotions.Add(c.Order.Service)
 
 		return index
 	case c.OrderConfirmed != nil:
@@ -113,6 +117,7 @@
 
 		p.Confirmed = true
 		r.contents.Promotions[p.Service], r.contents.Primaries[p.Service] = p, Leader{p.Member, p.Address}
+		r.promotions.Add(p.Service)
 
 		if c.OrderConfirmed.Answered {
 			delete(r.contents.Open, p.Service)
@@ -125,6 +130,7 @@
 		return true
 	case c.Holders != nil:
 		r.contents.changeHolders(c.Holders)
+		r.holders++
 
 		return true
 	case c.Attempt != nil:
@@ -246,6 +252,8 @@
 
 	r.mutex.Lock()
 	r.contents = s
+	r.promotions.Reset()
+	r.holders++
 	r.mutex.Unlock()
 
 	if r.Changed != nil {
@@ -281,6 +289,33 @@
 	return maps.Clone(r.contents.Holders)
 }
 
+// PromotionsSince returns the services whose newest promotion order was recorded or confirmed after a revision, and the
+// present revision. It returns false if they are not known any more. Revisions are not part of the replicated state.
+func (r *State) PromotionsSince(revision uint64) (services []string, now uint64, known bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	services, known = r.promotions.Since(revision)
+
+	return services, r.promotions.Revision(), known
+}
+
+// ServiceHolders returns the holders of a service. The caller must not change the slice.
+func (r *State) ServiceHolders(service string) []Holder {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return r.contents.Holders[service]
+}
+
+// HoldersRevision returns a number that grows with each change of the holders.
+func (r *State) HoldersRevision() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return r.holders
+}
+
 // Primary returns the last member of a service that is known to have led. It is empty if none is known.
 func (r *State) Primary(service string) Leader {
 	r.mutex.Lock()
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -189,15 +189,79 @@
 			}
 		}
 
-		if p, ok := primaries[name]; ok && s.primary != p {
-			d.Log.Info().Str("service", name).Str("former", s.primary).Str("primary", p).Msg("primary_changed")
-			s.primary = p
+		d.setPrimaryLocked(name, primaries[name])
+	}
+
+	d.notifyLocked()
+}
+
+// ChangeMembers applies changes of the members and primaries known to the control group. If complete is set, members
+// that are no longer listed are removed.
+func (d *Directory) ChangeMembers(c lab.MemberChanges, complete bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.services == nil {
+		d.services = map[string]*service{}
+	}
+
+	if d.listExpected == 0 && len(c.Set) > 0 {
+		d.listExpected = d.Clock.Now() + listWait
+	}
+
+	if complete {
+		for _, n := range c.Removed {
+			d.removeMemberLocked(n.Service, n.Member)
 		}
 	}
 
+	for _, a := range c.Set {
+		if err := a.Validate(); err != nil {
+			d.Log.Warn().Err(err).Msg("announcement_invalid")
+		} else if !a.Terminated {
+			d.updateMemberLocked(a)
+		}
+	}
+
+	d.updatePlacementLocked()
+
+	for _, a := range c.Set {
+		if a.Terminated {
+			d.removeMemberLocked(a.Database, a.Member)
+		}
+	}
+
+	for name, p := range c.Primaries {
+		d.setPrimaryLocked(name, p)
+	}
+
 	d.notifyLocked()
 }
 
+// RetainMembers removes the members that the control group doesn't list.
+func (d *Directory) RetainMembers(listed map[string]bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	for name, s := range d.services {
+		for id := range s.members {
+			if !listed[id] {
+				d.removeMemberLocked(name, id)
+			}
+		}
+	}
+
+	d.notifyLocked()
+}
+
+// setPrimaryLocked sets the primary of a known service. An empty name means that none is known; the former one stays.
+func (d *Directory) setPrimaryLocked(name, primary string) {
+	if s, ok := d.services[name]; ok && primary != "" && s.primary != primary {
+		d.Log.Info().Str("service", name).Str("former", s.primary).Str("primary", primary).Msg("primary_changed")
+		s.primary = primary
+	}
+}
+
 func (d *Directory) updateMemberLocked(a lab.Announcement) {
 	s, ok := d.services[a.Database]
 	if !ok {
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -69,7 +69,9 @@
 	zones            map[string]string        // availability zones of control instances by address, where known
 	failedAt         map[string]time.Duration // by address, the time of the last failure
 	leaderEpoch      uint64                   // leader epoch of the last response
-	membersRevision  uint64                   // revision of the list of members in the directory, assigned by the leader of leaderEpoch
+	membersRevision  uint64                   // revision of the list of members in the directory
+	membersComplete  bool                     // whether members that are not in listed have been removed from the directory
+	listed           map[string]bool          // names of the members in the list that have not ended
 	proxiesRevision  uint64                   // revision of the list of proxies in the directory
 	disconnected     bool                     // whether the last watch failed
 	failedSearches   int                      // number of failed searches since the last response
@@ -226,6 +228,7 @@
 func (s *Subscriber) request(wait time.Duration) lab.WatchRequest {
 	return lab.WatchRequest{
 		Proxy: s.Proxy, LeaderEpoch: s.leaderEpoch, MembersRevision: s.membersRevision, ProxiesRevision: s.proxiesRevision,
+		MemberChanges:        true,
 		ConfigurationVersion: s.Directory.Version(), MaxWait: wait,
 		Draining: s.draining.Load(), Primaries: s.Directory.PrimaryReports(),
 		Positions: s.positionReports(), ClockEpoch: s.controlClock.Epoch(),
@@ -387,7 +390,7 @@
 		return errors.Newf("apply members and proxies from the control group: %w", err)
 	}
 
-	s.leaderEpoch, s.membersRevision, s.controlAddresses = a.LeaderEpoch, a.MembersRevision, a.ControlAddresses
+	s.leaderEpoch, s.controlAddresses = a.LeaderEpoch, a.ControlAddresses
 	s.controlClock.RecordExchange(a.ClockEpoch, sentAt, a.ReceivedAt, a.SentAt, s.Clock.Now())
 	s.recordPositions(a.Positions)
 	s.Directory.UpdateLeaving(a.Leaving)
@@ -432,17 +435,67 @@
 	}
 
 	if len(a.Members) > 0 {
-		var l lab.MemberList
-		if err := labpack.Decode(a.Members, &l); err != nil {
-			return err
-		}
+		return s.applyMembers(a)
+	}
+
+	if len(a.MemberChanges) > 0 {
+		return s.applyMemberChanges(a)
+	}
+
+	return nil
+}
 
-		s.Directory.UpdateMembers(l.Members, l.Primaries, a.MembersComplete)
+// applyMembers applies the whole list of members in a response.
+func (s *Subscriber) applyMembers(a lab.WatchResponse) error {
+	var l lab.MemberList
+	if err := labpack.Decode(a.Members, &l); err != nil {
+		return err
 	}
 
+	s.Directory.UpdateMembers(l.Members, l.Primaries, a.MembersComplete)
+
+	s.listed = map[string]bool{}
+	s.list(l.Members)
+	s.membersRevision, s.membersComplete = a.MembersRevision, a.MembersComplete
+
 	return nil
 }
 
+// applyMemberChanges applies the changes of the list of members in a response. Members that an earlier leader listed and
+// this one doesn't are removed when its list becomes complete.
+func (s *Subscriber) applyMemberChanges(a lab.WatchResponse) error {
+	var c lab.MemberChanges
+	if err := labpack.Decode(a.MemberChanges, &c); err != nil {
+		return err
+	}
+
+	for _, n := range c.Removed {
+		delete(s.listed, n.Member)
+	}
+
+	s.list(c.Set)
+	s.Directory.ChangeMembers(c, a.MembersComplete)
+
+	if a.MembersComplete && !s.membersComplete {
+		s.Directory.RetainMembers(s.listed)
+	}
+
+	s.membersRevision, s.membersComplete = a.MembersRevision, a.MembersComplete
+
+	return nil
+}
+
+// list adds members to listed, and removes those that have ended.
+func (s *Subscriber) list(members []lab.Announcement) {
+	for _, m := range members {
+		if m.Terminated {
+			delete(s.listed, m.Member)
+		} else {
+			s.listed[m.Member] = true
+		}
+	}
+}
+
 // changedProxies returns the list of proxies after the changes, sorted by name like the list of the leader.
 func changedProxies(list []lab.Instance, c lab.ProxyChanges) []lab.Instance {
 	replaced := map[lab.InstanceID]bool{}
--- a/watch.go
+++ b/watch.go
@@ -11,7 +11,7 @@
 type WatchRequest struct {
 	Proxy                Instance        `msgpack:"p"`
 	LeaderEpoch          uint64          `msgpack:"b"` // leader epoch in the latest response that the sender received
-	MembersRevision      uint64          `msgpack:"r"` // MembersRevision in the latest response that the sender received
+	MembersRevision      uint64          `msgpack:"r"` // revision of the sender's list of members; 0 if it has none
 	ProxiesRevision      uint64          `msgpack:"n"` // revision of the sender's list of proxies
 	ConfigurationVersion uint64          `msgpack:"v"` // version of the sender's active configuration document
 	MaxWait              time.Duration   `msgpack:"w"` // time after which the leader responds even without a change
@@ -29,6 +29,8 @@
 	// set then, which is that of the control instance.
 	Relay   bool           `msgpack:"y,omitempty"`
 	Relayed []RelayedProxy `msgpack:"z,omitempty"` // proxies that watch the sender
+	// MemberChanges is true if the sender applies WatchResponse.MemberChanges. Others get whole lists.
+	MemberChanges bool `msgpack:"h,omitempty"`
 }
 
 // RelayedProxy is what a control instance reports to the leader about a proxy that watches it.
@@ -70,16 +72,17 @@
 type WatchResponse struct {
 	// Leader is set if the responding instance can't answer because it isn't the leader; all other fields are then empty.
 	Leader           InstanceID `msgpack:"l"`
-	LeaderEpoch      uint64     `msgpack:"b"` // identifies the leader that numbered the revisions
-	MembersRevision  uint64     `msgpack:"r"` // revision of Members and MembersComplete
-	ProxiesRevision  uint64     `msgpack:"n"` // revision of the list of proxies; 0 if there is no change of it
-	Configuration    []byte     `msgpack:"s"` // compressed configuration document; empty unless newer than the proxy's
-	Members          []byte     `msgpack:"m"` // compressed MemberList; empty if the proxy has this MembersRevision
-	Proxies          []byte     `msgpack:"x"` // compressed list of Instance; empty if unchanged or not yet complete
-	ProxyChanges     []byte     `msgpack:"y"` // compressed ProxyChanges, sent instead of Proxies if that is possible
-	MembersComplete  bool       `msgpack:"c"` // no other members exist: announcements were received for long enough
-	ControlAddresses []string   `msgpack:"a"` // process addresses of the control instances
-	ControlZones     []string   `msgpack:"e"` // availability zones of ControlAddresses; empty strings if unknown
+	LeaderEpoch      uint64     `msgpack:"b"`           // identifies the leader that numbered the revisions
+	MembersRevision  uint64     `msgpack:"r"`           // revision of the list of members and of MembersComplete; grows also when the leader changes
+	ProxiesRevision  uint64     `msgpack:"n"`           // revision of the list of proxies; 0 if there is no change of it
+	Configuration    []byte     `msgpack:"s"`           // compressed configuration document; empty unless newer than the proxy's
+	Members          []byte     `msgpack:"m"`           // compressed MemberList; empty if the receiver has this MembersRevision or a newer one
+	MemberChanges    []byte     `msgpack:"h,omitempty"` // compressed MemberChanges, sent instead of Members if that is possible
+	Proxies          []byte     `msgpack:"x"`           // compressed list of Instance; empty if unchanged or not yet complete
+	ProxyChanges     []byte     `msgpack:"y"`           // compressed ProxyChanges, sent instead of Proxies if that is possible
+	MembersComplete  bool       `msgpack:"c"`           // no other members exist: announcements were received for long enough
+	ControlAddresses []string   `msgpack:"a"`           // process addresses of the control instances
+	ControlZones     []string   `msgpack:"e"`           // availability zones of ControlAddresses; empty strings if unknown
 
 	ClockEpoch uint64           `msgpack:"k"` // identifies the clock of the responding process
 	ReceivedAt time.Duration    `msgpack:"t"` // time on that clock at which the request was received
@@ -108,3 +111,19 @@
 	Members   []Announcement    `msgpack:"m"`
 	Primaries map[string]string `msgpack:"p"` // name of the primary by service
 }
+
+// MemberChanges are the changes of the list of members since the revision that the receiver has. Those of Removed come
+// first: a member that has moved to another service is in both.
+type MemberChanges struct {
+	Removed   []MemberName      `msgpack:"r,omitempty"`
+	Set       []Announcement    `msgpack:"s,omitempty"` // members that were added or changed
+	Primaries map[string]string `msgpack:"p,omitempty"` // names of changed primaries by service; empty if none is known any more
+}
+
+// MemberName names a member of a service.
+type MemberName struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // option of the codec: no field names
+
+	Service string
+	Member  string
+}
