--- a/control/process/labmembers/registry.go
+++ b/control/process/labmembers/registry.go
@@ -342,6 +342,20 @@
 	return Entry{}, false
 }
 
+// Live returns the announcement of the member of a service that has not ended at an address.
+func (r *Registry) Live(service, address string) (lab.Announcement, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	for _, e := range r.byAddress[address] {
+		if e.Announcement.Database == service {
+			return e.Announcement, true
+		}
+	}
+
+	return lab.Announcement{}, false
+}
+
 // Members returns the names of all members, including terminated ones.
 func (r *Registry) Members() []string {
 	r.mutex.Lock()
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -81,7 +81,12 @@
 	proxyLists  packedList
 
 	// Used by reconcile only.
-	recordedRevision uint64 // revision of the registry when holders were last compared with it
+	nextRemoval      time.Duration
+	held             []string // result of heldServices, as of the next two revisions
+	heldLayout       uint64
+	heldHolders      uint64
+	serviceMembers   []labmembers.Entry // buffer
+	recordedRevision uint64             // revision of the registry when holders were last compared with it
 	nextRecording    time.Duration
 	nextRetirement   time.Duration
 	unseenSince      map[labgroupstate.Holder]time.Duration // time since which no member is known at the holder's address
--- a/control/process/labplatformcontrol/holders.go
+++ b/control/process/labplatformcontrol/holders.go
@@ -22,41 +22,30 @@
 	retireAfter = labmembers.ExpireAfter
 )
 
-// place is an address of a service.
-type place struct {
-	service, address string
-}
-
-// livePlaces returns the announcement at each address of a member that has not ended.
-func (k *Controller) livePlaces() map[place]lab.Announcement {
-	out := map[place]lab.Announcement{}
+// heldServices returns the services that have members or holders. The caller must not change the slice.
+func (k *Controller) heldServices() []string {
+	services, layout := k.registry.Services()
 
-	for _, e := range k.registry.Entries() {
-		if a := e.Announcement; !a.Terminated {
-			out[place{a.Database, a.Address}] = a
-		}
+	h := k.participation().state.HoldersRevision()
+	if k.held != nil && layout == k.heldLayout && h == k.heldHolders {
+		return k.held
 	}
 
-	return out
-}
-
-// heldServices returns the services that have members or holders.
-func (k *Controller) heldServices() []string {
-	services, _ := k.registry.Services()
 	out := append(slices.Clone(services), slices.Collect(maps.Keys(k.participation().state.Holders()))...)
 	slices.Sort(out)
+	k.held, k.heldLayout, k.heldHolders = slices.Compact(out), layout, h
 
-	return slices.Compact(out)
+	return k.held
 }
 
 // successors returns the number of members that could replace the primary.
-func (k *Controller) successors(service string) int {
-	former, _ := k.formerPrimary(service)
+func (k *Controller) successors(v serviceView) int {
+	former, _ := formerPrimary(v)
 	n := 0
 
-	for _, e := range k.registry.Service(service) {
-		a := e.Announcement
-		if !a.Terminated && !a.Draining && (a.Member != former.Member || k.orderedUnconfirmed(a)) {
+	for i := range v.members {
+		a := &v.members[i].Announcement
+		if !a.Terminated && !a.Draining && (a.Member != former.Member || orderedUnconfirmed(v, a.Member)) {
 			n++
 		}
 	}
@@ -66,10 +55,10 @@
 
 // orderedUnconfirmed reports whether a member other than the primary has been ordered to lead and the promotion is not
 // confirmed. Such a member counts as a replica even if it leads by now: nobody has read what it had received until then.
-func (k *Controller) orderedUnconfirmed(a lab.Announcement) bool {
-	o, ordered := k.participation().state.Promotion(a.Database)
+func orderedUnconfirmed(v serviceView, member string) bool {
+	o := &v.state.Promotion
 
-	return ordered && !o.Confirmed && o.Member == a.Member && o.Member != k.participation().state.Primary(a.Database).Member
+	return v.state.Ordered && !o.Confirmed && o.Member == member && o.Member != v.state.Primary.Member
 }
 
 // replicas returns the members other than the former primary. They could become the primary, or have commits that the
@@ -77,23 +66,24 @@
 func (k *Controller) replicas(service string) []labfailover.ReplicaState {
 	var out []labfailover.ReplicaState
 
-	former, address := k.formerPrimary(service)
+	v := k.viewService(nil, service)
+	former, address := formerPrimary(v)
 	live := map[string]bool{} // by address
 
 	add := func(a lab.Announcement) {
-		if a.Member != former.Member || k.orderedUnconfirmed(a) {
+		if a.Member != former.Member || orderedUnconfirmed(v, a.Member) {
 			out = append(out, labfailover.ReplicaState{Member: a, Former: address != "" && a.Address == address})
 		}
 	}
 
-	for _, e := range k.registry.Service(service) {
+	for _, e := range v.members {
 		if a := e.Announcement; !a.Terminated {
 			live[a.Address] = true
 			add(a)
 		}
 	}
 
-	for _, h := range k.participation().state.Holders()[service] {
+	for _, h := range v.state.Holders {
 		if !live[h.Address] {
 			add(lab.Announcement{Database: service, Member: h.Member, Address: h.Address, Region: h.Region})
 		}
@@ -139,29 +129,33 @@
 func (k *Controller) holdersChange() labgroupstate.HoldersChange {
 	var c labgroupstate.HoldersChange
 
-	known, live, configured := k.participation().state.Holders(), k.livePlaces(), k.configuredServices()
-	addresses := map[string]string{} // by member
+	known, configured := k.participation().state.Holders(), k.configuredServices()
+	services, _ := k.registry.Services()
+
+	var members []labmembers.Entry
 
-	for p, a := range live {
-		if configured != nil && !configured[p.service] {
+	for _, s := range services {
+		if configured != nil && !configured[s] {
 			continue
 		}
 
-		addresses[a.Member] = a.Address
+		members = k.registry.AppendService(members[:0], s)
 
-		if !slices.ContainsFunc(known[p.service], func(h labgroupstate.Holder) bool {
-			return h.Address == a.Address && h.Member == a.Member
-		}) {
-			c.Set = append(c.Set, labgroupstate.Holder{
-				Service: p.service, Member: a.Member, Address: a.Address, Region: a.Region, Primary: a.Primary,
-			})
+		for i := range members {
+			a := &members[i].Announcement
+			if !a.Terminated && !slices.ContainsFunc(known[s], func(h labgroupstate.Holder) bool {
+				return h.Address == a.Address && h.Member == a.Member
+			}) {
+				c.Set = append(c.Set, labgroupstate.Holder{
+					Service: s, Member: a.Member, Address: a.Address, Region: a.Region, Primary: a.Primary,
+				})
+			}
 		}
 	}
 
 	for s, all := range known {
 		for _, h := range all {
-			address, ok := addresses[h.Member]
-			if (configured != nil && !configured[s]) || (ok && address != h.Address) {
+			if (configured != nil && !configured[s]) || k.moved(h, configured) {
 				c.Removed = append(c.Removed, h)
 			}
 		}
@@ -170,6 +164,14 @@
 	return c
 }
 
+// moved reports whether the member of a holder has another address by now.
+func (k *Controller) moved(h labgroupstate.Holder, configured map[string]bool) bool {
+	e, known := k.registry.Entry(h.Member)
+	a := e.Announcement
+
+	return known && !a.Terminated && a.Address != h.Address && (configured == nil || configured[a.Database])
+}
+
 // retireHolders removes holders that have ended and whose place no member has taken again for a long time, once other members
 // are known to have everything that they can have acknowledged. A holder that is only silent may go on acknowledging.
 func (k *Controller) retireHolders(ctx context.Context) {
@@ -200,25 +202,20 @@
 // had after that. A holder is returned again after retireAfter.
 func (k *Controller) dueHolders() map[labgroupstate.Holder]lab.CommitPosition {
 	out, unseen := map[labgroupstate.Holder]lab.CommitPosition{}, map[labgroupstate.Holder]time.Duration{}
-	now, live := k.Clock.Now(), k.livePlaces()
-	ended := map[string]bool{} // by member
-
-	for _, e := range k.registry.Entries() {
-		ended[e.Announcement.Member] = e.Announcement.Terminated
-	}
+	now := k.Clock.Now()
 
 	for s, all := range k.participation().state.Holders() {
 		for _, h := range all {
-			if _, ok := live[place{s, h.Address}]; ok {
+			if _, ok := k.registry.Live(s, h.Address); ok {
 				continue
 			}
 
 			since, ok := k.unseenSince[h]
-			if !ok && !ended[h.Member] {
-				continue
-			}
-
 			if !ok {
+				if e, _ := k.registry.Entry(h.Member); !e.Announcement.Terminated {
+					continue
+				}
+
 				since = now
 			}
 
@@ -271,7 +268,7 @@
 func (k *Controller) dropMissing(ctx context.Context, s *labfailover.Replacement) {
 	var c labgroupstate.HoldersChange
 
-	for _, h := range k.participation().state.Holders()[s.Service] {
+	for _, h := range k.participation().state.Service(s.Service).Holders {
 		if slices.ContainsFunc(s.Replicas, func(r labfailover.ReplicaState) bool {
 			return r.Member.Address == h.Address && !r.Readable && !r.Former
 		}) {
@@ -285,7 +282,7 @@
 
 // endSucceeded records that a member has ended, since another one responds at its address.
 func (k *Controller) endSucceeded(a lab.Announcement) {
-	if known, ok := k.livePlaces()[place{a.Database, a.Address}]; ok && known.Member == a.Member {
+	if known, ok := k.registry.Live(a.Database, a.Address); ok && known.Member == a.Member {
 		k.registry.Apply(lab.Announcement{Member: a.Member, Terminated: true}, 0)
 	}
 }
--- a/control/process/labplatformcontrol/permissions.go
+++ b/control/process/labplatformcontrol/permissions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -158,17 +157,16 @@
 // openServices returns the member of each service at which proxies may commit, and the services without one, both sorted
 // by service.
 func (k *Controller) openServices(withdrawn map[string]bool) (open []lab.CommitPermission, closed []string) {
-	members := map[string][]labmembers.Entry{}
-	for _, e := range k.registry.Entries() {
-		members[e.Announcement.Database] = append(members[e.Announcement.Database], e)
-	}
+	services, _ := k.registry.Services()
+
+	var members []labmembers.Entry
 
-	for _, s := range slices.Sorted(maps.Keys(members)) {
-		o, ordered := k.participation().state.Promotion(s)
-		e, known := choosePrimary(members[s], o)
+	for _, s := range services {
+		v := k.viewService(members[:0], s)
+		members = v.members
 
-		if known && (!ordered || o.Confirmed) && !withdrawn[s] {
-			open = append(open, lab.CommitPermission{Service: s, Member: e.Announcement.Member})
+		if v.primary != nil && (!v.state.Ordered || v.state.Promotion.Confirmed) && !withdrawn[s] {
+			open = append(open, lab.CommitPermission{Service: s, Member: v.primary.Announcement.Member})
 		} else {
 			closed = append(closed, s)
 		}
--- a/control/process/labplatformcontrol/proxyregistry.go
+++ b/control/process/labplatformcontrol/proxyregistry.go
@@ -26,10 +26,11 @@
 
 	mutex       sync.Mutex
 	proxies     map[lab.InstanceID]*proxyEntry
-	changes     uint64        // grows when a proxy is added, changed or removed
-	recent      []proxyChange // the newest changes, at most maxRecentChanges
-	lastNewAt   time.Duration // time when the last new proxy appeared
-	inheritedAt time.Duration // time when a complete list was last merged, 0 for never
+	reports     map[string][]serviceReport // by service
+	changes     uint64                     // grows when a proxy is added, changed or removed
+	recent      []proxyChange              // the newest changes, at most maxRecentChanges
+	lastNewAt   time.Duration              // time when the last new proxy appeared
+	inheritedAt time.Duration              // time when a complete list was last merged, 0 for never
 }
 
 // proxyChange is the change of a proxy that led to a value of proxyRegistry.changes.
@@ -38,6 +39,12 @@
 	removed bool
 }
 
+// serviceReport is a proxy's report on the primary of a service.
+type serviceReport struct {
+	proxy  *proxyEntry
+	report lab.PrimaryReport
+}
+
 type proxyEntry struct {
 	proxy     lab.Instance
 	lastHeard time.Duration
@@ -56,18 +63,55 @@
 
 	switch {
 	case r.Draining && known:
-		delete(w.proxies, r.Proxy.ID)
-		w.addChange(r.Proxy.ID, true)
+		w.remove(old)
 	case !r.Draining:
 		if !known || old.proxy != r.Proxy {
 			w.addChange(r.Proxy.ID, false)
 			w.lastNewAt = w.clock.Now()
 		}
 
-		w.proxies[r.Proxy.ID] = &proxyEntry{proxy: r.Proxy, lastHeard: w.clock.Now(), reports: r.Primaries}
+		if !known {
+			old = &proxyEntry{}
+			w.proxies[r.Proxy.ID] = old
+		}
+
+		old.proxy, old.lastHeard = r.Proxy, w.clock.Now()
+		w.setReports(old, r.Primaries)
 	}
 }
 
+// remove removes a proxy. The mutex must be held.
+func (w *proxyRegistry) remove(p *proxyEntry) {
+	w.setReports(p, nil)
+	delete(w.proxies, p.proxy.ID)
+	w.addChange(p.proxy.ID, true)
+}
+
+// setReports replaces the reports of a proxy. The mutex must be held.
+func (w *proxyRegistry) setReports(p *proxyEntry, reports []lab.PrimaryReport) {
+	if slices.Equal(p.reports, reports) {
+		return
+	}
+
+	if w.reports == nil {
+		w.reports = map[string][]serviceReport{}
+	}
+
+	for _, r := range p.reports {
+		w.reports[r.Service] = slices.DeleteFunc(w.reports[r.Service], func(o serviceReport) bool { return o.proxy == p })
+
+		if len(w.reports[r.Service]) == 0 {
+			delete(w.reports, r.Service)
+		}
+	}
+
+	for _, r := range reports {
+		w.reports[r.Service] = append(w.reports[r.Service], serviceReport{p, r})
+	}
+
+	p.reports = reports
+}
+
 // mergeInherited adds the proxies of a list that the leader broadcast, or that was stored on disk. A list counts as valid
 // for a new leader only if it was complete.
 func (w *proxyRegistry) mergeInherited(proxies []lab.Instance, complete bool) {
@@ -88,7 +132,13 @@
 			w.addChange(p.ID, false)
 		}
 
-		w.proxies[p.ID] = &proxyEntry{proxy: p, lastHeard: w.clock.Now()}
+		if !known {
+			old = &proxyEntry{}
+			w.proxies[p.ID] = old
+		}
+
+		old.proxy, old.lastHeard = p, w.clock.Now()
+		w.setReports(old, nil)
 	}
 }
 
@@ -116,10 +166,9 @@
 
 	now := w.clock.Now()
 
-	for id, p := range w.proxies {
+	for _, p := range w.proxies {
 		if now-p.lastHeard > proxyExpiry {
-			delete(w.proxies, id)
-			w.addChange(id, true)
+			w.remove(p)
 		}
 	}
 
@@ -182,57 +231,49 @@
 	return out, true
 }
 
-// countReports counts the proxies that recently failed to reach a primary and those that recently reached it. Only the
-// reports of its observers are counted if there are any, since the other proxies report failures only. A partition can
-// leave a primary without observers; then all reports count.
-func (w *proxyRegistry) countReports(service, member string) (failing, reaching int) {
-	var observing, observersFailing int
+// reportCount counts the proxies that recently failed to reach a primary and those that recently reached it.
+type reportCount struct {
+	failing, reaching int
+	unreachable       bool // any proxy recently failed to reach it
+}
 
-	w.eachReport(service, member, func(r lab.PrimaryReport) {
-		unreachable := 0
-		if r.UnreachableFor > 0 {
-			unreachable = 1
-		}
+// count counts the valid reports on a primary. Only the reports of its observers are counted if there are any, since the
+// other proxies report failures only. A partition can leave a primary without observers; then all reports count.
+func (w *proxyRegistry) count(service, member string) reportCount {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	var all, observers reportCount
 
-		failing += unreachable
-		reaching += 1 - unreachable
+	now := w.clock.Now()
 
-		if r.Observer {
-			observing++
-			observersFailing += unreachable
+	for i := range w.reports[service] {
+		r := &w.reports[service][i]
+		if r.report.Member != member || now-r.proxy.lastHeard > labfailover.ReportMaxAge {
+			continue
 		}
-	})
 
-	if observing > 0 {
-		return observersFailing, observing - observersFailing
-	}
+		all.add(r.report.UnreachableFor > 0)
 
-	return failing, reaching
-}
+		if r.report.Observer {
+			observers.add(r.report.UnreachableFor > 0)
+		}
+	}
 
-// reportedUnreachable reports whether any proxy recently failed to reach a primary.
-func (w *proxyRegistry) reportedUnreachable(service, member string) bool {
-	found := false
+	if observers.failing+observers.reaching > 0 {
+		observers.unreachable = all.unreachable
 
-	w.eachReport(service, member, func(r lab.PrimaryReport) { found = found || r.UnreachableFor > 0 })
+		return observers
+	}
 
-	return found
+	return all
 }
 
-// eachReport calls a function with each valid report on a primary.
-func (w *proxyRegistry) eachReport(service, member string, call func(lab.PrimaryReport)) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-
-	for _, p := range w.proxies {
-		if w.clock.Now()-p.lastHeard > labfailover.ReportMaxAge {
-			continue
-		}
-
-		for _, r := range p.reports {
-			if r.Service == service && r.Member == member {
-				call(r)
-			}
-		}
+func (c *reportCount) add(failing bool) {
+	if failing {
+		c.failing++
+		c.unreachable = true
+	} else {
+		c.reaching++
 	}
 }
--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -28,6 +28,7 @@
 	announcedMaxAge = 2500 * time.Millisecond
 	// recoveryInterval is the interval between two tries to end an unfinished attempt.
 	recoveryInterval = time.Second
+	removalInterval  = time.Second // interval at which silent members are removed
 	// deposedAfter is how long a primary may say that it is a replica. A member announces a change of its role at once, and
 	// otherwise announces itself every 1.2 s.
 	deposedAfter = 5 * time.Second
@@ -40,7 +41,7 @@
 			continue
 		}
 
-		k.registry.RemoveSilent()
+		k.removeSilent()
 		k.reconcilePermissions(ctx)
 		k.recordHolders(ctx)
 		k.publishMembers()
@@ -56,6 +57,14 @@
 	return nil
 }
 
+// removeSilent removes silent members once a second.
+func (k *Controller) removeSilent() {
+	if now := k.Clock.Now(); now >= k.nextRemoval {
+		k.nextRemoval = now + removalInterval
+		k.registry.RemoveSilent()
+	}
+}
+
 // reconcileService starts a replacement of a service's primary if one may be needed and none is in progress. Without a need, it
 // ends a withdrawal that the last replacement could not end.
 func (k *Controller) reconcileService(ctx context.Context, service string) {
@@ -90,7 +99,9 @@
 
 // mayNeedReplacement reports whether the primary has to be replaced or probed. It is called with the mutex held.
 func (k *Controller) mayNeedReplacement(service string) bool {
-	e := k.observations(service)
+	v := k.viewService(k.serviceMembers[:0], service)
+	k.serviceMembers = v.members
+	e := k.observations(v)
 
 	// A new leader waits for the announcements of members that have become known only recently. While an order may take
 	// effect, it must watch at once that the replicas stay paused.
@@ -98,18 +109,19 @@
 		return false
 	}
 
-	return e.ReplacementReason() != labfailover.ReasonNone || e.NeedsProbe() || k.recoveryDue(service)
+	return e.ReplacementReason() != labfailover.ReasonNone || e.NeedsProbe() || k.recoveryDue(v)
 }
 
-func (k *Controller) observations(service string) labfailover.Observations {
-	p, known := k.primary(service)
-	e := labfailover.Observations{PrimaryKnown: known, PrimaryLeaving: known && p.Announcement.Draining}
+// observations returns what speaks for a replacement of the primary. It is called with the mutex held.
+func (k *Controller) observations(v serviceView) labfailover.Observations {
+	service, p := v.name, v.primary
+	e := labfailover.Observations{PrimaryKnown: p != nil, PrimaryLeaving: p != nil && p.Announcement.Draining}
 
-	if known {
+	if p != nil {
 		delete(k.missingSince, service)
 
-		e.FailingProxies, e.ReachingProxies = k.proxies.countReports(service, p.Announcement.Member)
-		e.ReportedUnreachable = k.proxies.reportedUnreachable(service, p.Announcement.Member)
+		r := k.proxies.count(service, p.Announcement.Member)
+		e.FailingProxies, e.ReachingProxies, e.ReportedUnreachable = r.failing, r.reaching, r.unreachable
 	} else {
 		if _, ok := k.missingSince[service]; !ok {
 			k.missingSince[service] = k.Clock.Now()
@@ -118,11 +130,8 @@
 		e.PrimaryMissingFor = k.Clock.Now() - k.missingSince[service]
 	}
 
-	e.Successors = k.successors(service)
-
-	if o, ok := k.participation().state.Promotion(service); ok && !o.Confirmed {
-		e.OrderUnconfirmed = true
-	}
+	e.Successors = k.successors(v)
+	e.OrderUnconfirmed = v.state.Ordered && !v.state.Promotion.Confirmed
 
 	return e
 }
@@ -138,7 +147,8 @@
 	}()
 
 	k.mutex.Lock()
-	e, due := k.observations(service), k.recoveryDue(service)
+	view := k.viewService(nil, service)
+	e, due := k.observations(view), k.recoveryDue(view)
 	k.mutex.Unlock()
 
 	p, _ := k.primary(service)
@@ -148,7 +158,7 @@
 
 		// Reads the observations again, because proxies may have reported during the probe.
 		k.mutex.Lock()
-		e = k.observations(service)
+		e = k.observations(k.viewService(nil, service))
 		k.mutex.Unlock()
 
 		e.ProbesFailedFor = failing
@@ -207,7 +217,7 @@
 	o, ordered := k.participation().state.Promotion(service)
 	unconfirmed := ordered && !o.Confirmed
 
-	former, address := k.formerPrimary(service)
+	former, address := formerPrimary(k.viewService(nil, service))
 	term := k.participation().group.Leadership().Term
 
 	s := &labfailover.Replacement{
@@ -251,15 +261,15 @@
 
 // recoveryDue reports whether an unfinished attempt has to be ended, or the known primary says that it is a replica though
 // no order is open. It is called with the mutex held.
-func (k *Controller) recoveryDue(service string) bool {
-	if at, ok := k.recoveredAt[service]; ok && k.Clock.Now()-at < recoveryInterval {
+func (k *Controller) recoveryDue(v serviceView) bool {
+	if at, ok := k.recoveredAt[v.name]; ok && k.Clock.Now()-at < recoveryInterval {
 		return false
 	}
 
-	p, known := k.primary(service)
-	deposed := known && !p.Announcement.Primary && k.Clock.Now()-p.RoleSince > deposedAfter
+	p := v.primary
+	deposed := p != nil && !p.Announcement.Primary && k.Clock.Now()-p.RoleSince > deposedAfter
 
-	return known && (deposed || k.participation().state.AttemptOpen(service))
+	return p != nil && (deposed || v.state.AttemptOpen)
 }
 
 // recordWait records since when a service has been without a candidate.
--- a/control/process/labplatformcontrol/scale_test.go
+++ b/control/process/labplatformcontrol/scale_test.go
@@ -228,3 +228,25 @@
 		k.publishMembers()
 	}
 }
+
+// BenchmarkHolders is the comparison of all members with the recorded holders, once a second and after each change.
+func BenchmarkHolders(b *testing.B) {
+	k := newScale(b)
+
+	for b.Loop() {
+		if c := k.holdersChange(); len(c.Set)+len(c.Removed)+len(k.dueHolders()) > 0 {
+			b.Fatal("a change without reason")
+		}
+	}
+}
+
+// BenchmarkPermissionsList is the comparison of the list of commit permissions with all services, after each change.
+func BenchmarkPermissionsList(b *testing.B) {
+	k := newScale(b)
+
+	for b.Loop() {
+		if open, _ := k.openServices(nil); len(open) != scaleServices {
+			b.Fatal("a closed service")
+		}
+	}
+}
--- a/control/version/labgroupstate/state.go
+++ b/control/version/labgroupstate/state.go
@@ -263,6 +263,25 @@
 	return nil
 }
 
+// Service is what a State knows of a service.
+type Service struct {
+	Promotion   Promotion // newest promotion order, if Ordered is set
+	Ordered     bool
+	Primary     Leader   // last member that is known to have led, empty if none is
+	AttemptOpen bool     // replicas may be paused
+	Holders     []Holder // must not be changed
+}
+
+// Service returns what the state knows of a service.
+func (r *State) Service(name string) Service {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	p, ordered := r.contents.Promotions[name]
+
+	return Service{p, ordered, r.contents.Primaries[name], r.contents.Attempts[name], r.contents.Holders[name]}
+}
+
 // Document returns the newest document. Its version is 0 if there is none yet.
 func (r *State) Document() Document {
 	r.mutex.Lock()
@@ -300,14 +319,6 @@
 	return services, r.promotions.Revision(), known
 }
 
-// ServiceHolders returns the holders of a service. The caller must not change the slice.
-func (r *State) ServiceHolders(service string) []Holder {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-
-	return r.contents.Holders[service]
-}
-
 // HoldersRevision returns a number that grows with each change of the holders.
 func (r *State) HoldersRevision() uint64 {
 	r.mutex.Lock()
