Announcements are forwarded together, broadcasts carry changes

Each announcement at an instance that doesn't lead was forwarded in a call of its own: at 3,000 members and six instances, about 420 calls a second from each. Those without news now wait up to 40 ms for others, so that there are at most 25 calls a second for them. A broadcast to the other instances lists the changes, and every 1.2 s all members in compressed form; up to 200 members it is as before. The list of members on disk is written at intervals that grow with its length.

--- a/control/process/labmembers/registry.go
+++ b/control/process/labmembers/registry.go
@@ -342,6 +342,14 @@
 	return Entry{}, false
 }
 
+// Len returns the number of members, including terminated ones.
+func (r *Registry) Len() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return len(r.entries)
+}
+
 // Live returns the announcement of the member of a service that has not ended at an address.
 func (r *Registry) Live(service, address string) (lab.Announcement, bool) {
 	r.mutex.Lock()
--- a/control/process/labplatformcontrol/announcements.go
+++ b/control/process/labplatformcontrol/announcements.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/control/process/labmemberlist"
 	"laburnumlock.dev/lab/control/process/labvoters"
 	"laburnumlock.dev/lab/process/labpack"
 )
@@ -22,6 +23,16 @@
 	// proxyListRounds is the interval, in broadcasts, at which a broadcast includes the proxy list. The list is long,
 	// changes little and stays valid for seconds.
 	proxyListRounds = 5
+	// manyMembers is the number of members from which a broadcast lists all members only every memberListRounds; the
+	// others list those that have changed. The time since the last announcement of a member, as the next leader knows it,
+	// is then wrong by up to 1.2 s, which together with the announcement interval stays below announcedMaxAge.
+	manyMembers      = 200
+	memberListRounds = 3
+	// forwardWindow is how long an announcement without news waits for others that are forwarded to the leader. Each of
+	// 3,000 members announces itself every 1.2 s, to any of the control instances.
+	forwardWindow = 40 * time.Millisecond
+	// forwardSpacing replaces forwardWindow for announcements that change what is known of a member.
+	forwardSpacing = 5 * time.Millisecond
 )
 
 // Announce records a member's announcement. If it returns nil, the leader has received the announcement.
@@ -38,15 +49,16 @@
 		return k.applyAnnouncement(a)
 	}
 
-	l, ok := k.leader()
-	if !ok {
+	if _, ok := k.leader(); !ok {
 		return lab.ErrNotLeader
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 
-	if err := k.Transport.Call(ctx, labvoters.Address(l), methodAnnounce, a, nil); err != nil {
+	e, known := k.registry.Entry(a.Member)
+
+	if err := k.forwarder.Forward(ctx, a, known && labmemberlist.Differ(e.Announcement, a)); err != nil {
 		return errors.Newf("forward announcement: %w", err)
 	}
 
@@ -55,6 +67,26 @@
 	return nil
 }
 
+// forwardAnnouncements sends announcements to the leader. It implements labforwarder.Forwarder.Send.
+func (k *Controller) forwardAnnouncements(ctx context.Context, all []lab.Announcement) ([]string, error) {
+	l, ok := k.leader()
+	if !ok {
+		return nil, lab.ErrNotLeader
+	}
+
+	if len(all) == 1 {
+		err := k.Transport.Call(ctx, labvoters.Address(l), methodAnnounce, all[0], nil)
+
+		return []string{""}, err
+	}
+
+	var a announceAllResponse
+
+	err := k.Transport.Call(ctx, labvoters.Address(l), methodAnnounceAll, announceAllRequest{all}, &a)
+
+	return a.Refusals, err
+}
+
 // checkService returns an error if the configuration has no service of the announced name. Such an entry comes from
 // another writer. It names no member, and it could have the id or the address of one.
 func (k *Controller) checkService(a lab.Announcement) error {
@@ -139,33 +171,66 @@
 		return nil, err
 	}
 
+	if err := k.receiveAnnouncement(a); err != nil {
+		return nil, err
+	}
+
+	return struct{}{}, nil
+}
+
+// receiveAnnouncement applies an announcement that another instance has forwarded.
+func (k *Controller) receiveAnnouncement(a lab.Announcement) error {
 	if err := a.Validate(); err != nil {
-		return nil, errors.Newf("forwarded announcement: %w", err)
+		return errors.Newf("forwarded announcement: %w", err)
 	}
 
 	if !k.Leading() {
-		return nil, lab.ErrNotLeader
+		return lab.ErrNotLeader
 	}
 
 	if err := k.checkService(a); err != nil {
-		return nil, err
+		return err
 	}
 
-	if err := k.applyAnnouncement(a); err != nil {
+	return k.applyAnnouncement(a)
+}
+
+func (k *Controller) handleAnnounceAll(_ context.Context, _ lab.InstanceID, decode func(any) error) (any, error) {
+	var r announceAllRequest
+	if err := decode(&r); err != nil {
 		return nil, err
 	}
 
-	return struct{}{}, nil
+	out := announceAllResponse{Refusals: make([]string, len(r.Announcements))}
+
+	for i, a := range r.Announcements {
+		if err := k.receiveAnnouncement(a); err != nil {
+			out.Refusals[i] = err.Error()
+		}
+	}
+
+	return out, nil
 }
 
 // broadcast keeps the member registries of the other control instances up to date while this instance is the leader.
 func (k *Controller) broadcast(ctx context.Context) error {
+	var listed, previous uint64 // revisions of the registry in the last two broadcasts
+
 	for round := 0; k.Clock.Sleep(ctx, broadcastInterval) == nil; round++ {
 		if !k.Leading() {
 			continue
 		}
 
-		r := k.buildBroadcast()
+		// Changes are sent twice, since a broadcast may be lost.
+		r, revision, err := k.buildBroadcast(round%memberListRounds == 0, previous)
+		if err != nil {
+			k.Log.Error().Err(err).Msg("broadcast_not_packed")
+
+			continue
+		}
+
+		previous, listed = listed, revision
+
 		if round%proxyListRounds == 0 {
 			r.Proxies, r.ProxiesComplete = k.proxies.list(), k.proxiesComplete()
 		}
@@ -180,14 +245,44 @@
 	return nil
 }
 
-func (k *Controller) buildBroadcast() broadcastRequest {
-	r := broadcastRequest{MembersComplete: k.membersComplete(), Leaving: k.registry.Leaving()}
+// buildBroadcast returns a broadcast with all members, or with those that have changed since a revision of the registry
+// if there are many and whole is not set. It returns the revision of the registry.
+func (k *Controller) buildBroadcast(whole bool, since uint64) (broadcastRequest, uint64, error) {
+	changed, revision, known := k.registry.ChangesSince(since)
+	now := k.Clock.Now()
+	r := broadcastRequest{Leaving: k.registry.Leaving()}
+
+	if !whole && known && k.registry.Len() > manyMembers {
+		for _, m := range changed {
+			if e, ok := k.registry.Entry(m); ok {
+				r.Observations = append(r.Observations, observation{e.Announcement, now - e.LastHeard})
+			}
+		}
 
+		return r, revision, nil
+	}
+
+	l := memberObservations{MembersComplete: k.membersComplete()}
 	for _, e := range k.registry.Entries() {
-		r.Observations = append(r.Observations, observation{Announcement: e.Announcement, Age: k.Clock.Now() - e.LastHeard})
+		l.Observations = append(l.Observations, observation{e.Announcement, now - e.LastHeard})
+	}
+
+	if len(l.Observations) <= manyMembers {
+		r.Observations, r.MembersComplete = l.Observations, l.MembersComplete
+
+		return r, revision, nil
+	}
+
+	// Digits beyond a millisecond can't be compressed.
+	for i := range l.Observations {
+		l.Observations[i].Age = l.Observations[i].Age.Truncate(time.Millisecond)
 	}
 
-	return r
+	var err error
+
+	r.Packed, err = labpack.Encode(l)
+
+	return r, revision, err
 }
 
 func (k *Controller) broadcastTo(ctx context.Context, address string, r broadcastRequest) {
@@ -208,6 +303,15 @@
 		k.proxies.mergeInherited(r.Proxies, r.ProxiesComplete)
 	}
 
+	if len(r.Packed) > 0 {
+		var l memberObservations
+		if err := labpack.Decode(r.Packed, &l); err != nil {
+			return nil, err
+		}
+
+		r.Observations, r.MembersComplete = l.Observations, l.MembersComplete
+	}
+
 	present := map[string]bool{}
 
 	for _, s := range r.Observations {
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -14,6 +14,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labconsensus"
+	"laburnumlock.dev/lab/control/process/labforwarder"
 	"laburnumlock.dev/lab/control/process/labmemberlogs"
 	"laburnumlock.dev/lab/control/process/labmembers"
 	"laburnumlock.dev/lab/control/process/labpositions"
@@ -72,7 +73,8 @@
 	proxies              proxyRegistry
 	positions            labpositions.Board
 	memberLogs           labmemberlogs.Ledger
-	relay                *relay // answers watches while another instance is the leader
+	relay                *relay                  // answers watches while another instance is the leader
+	forwarder            *labforwarder.Forwarder // sends announcements to another instance that is the leader
 	permissions          permissions
 	preparingPermissions atomic.Bool   // reconcilePermissions waits for the log of former leaders
 	changeCount          atomic.Uint64 // number of calls of notifyWaiters
@@ -152,6 +154,9 @@
 	k.registry = &labmembers.Registry{Clock: k.Clock, Changed: k.membersChanged}
 	k.proxies.clock, k.memberLogs.Clock = k.Clock, k.Clock
 	k.relay = newRelay(k)
+	k.forwarder = &labforwarder.Forwarder{
+		Window: forwardWindow, Spacing: forwardSpacing, Timeout: forwardTimeout - forwardWindow, Send: k.forwardAnnouncements,
+	}
 	k.loadLists()
 
 	k.Transport.HandleCall(lab.MethodConsensus, k.handleConsensus)
@@ -160,6 +165,7 @@
 	k.Transport.HandleCall(methodPut, k.handlePut)
 	k.Transport.HandleCall(methodGet, k.handleGet)
 	k.Transport.HandleCall(methodAnnounce, k.handleAnnounce)
+	k.Transport.HandleCall(methodAnnounceAll, k.handleAnnounceAll)
 	k.Transport.HandleCall(methodBroadcast, k.handleBroadcast)
 }
 
--- a/control/process/labplatformcontrol/members.go
+++ b/control/process/labplatformcontrol/members.go
@@ -17,17 +17,24 @@
 	proxiesFile = "proxies"
 	// persistInterval limits how often the files are written if members change their state rapidly.
 	persistInterval = 500 * time.Millisecond
+	// persistTimePerMember lengthens the interval for the list of members, which is written as a whole: 3,000 members that
+	// appear one after the other are written every 3.5 s.
+	persistTimePerMember = time.Millisecond
 )
 
 // persist stores the lists of members and proxies on disk. After a restart of all control instances, the leader then
 // needn't wait for the next announcement of each member and the next watch of each proxy. The files may be outdated, so
 // the name of a member is checked when a connection to it is opened.
 func (k *Controller) persist(ctx context.Context) error {
-	var members, proxies uint64
+	var (
+		members, proxies uint64
+		nextMembers      time.Duration
+	)
 
 	for k.Clock.Sleep(ctx, persistInterval) == nil {
-		if r := k.registry.Revision(); r != members && k.storeList(membersFile, k.members()) {
-			members = r
+		now := k.Clock.Now()
+		if r := k.registry.Revision(); r != members && now >= nextMembers && k.storeList(membersFile, k.members()) {
+			members, nextMembers = r, now+time.Duration(k.registry.Len())*persistTimePerMember
 		}
 
 		// A list that lacks proxies is not stored: the next leader would place all connections on those in it.
--- a/control/process/labplatformcontrol/message.go
+++ b/control/process/labplatformcontrol/message.go
@@ -13,8 +13,19 @@
 	methodGet       lab.Method = "keeper_get"
 	methodAnnounce  lab.Method = "keeper_announce"
 	methodBroadcast lab.Method = "keeper_spread"
+	// methodAnnounceAll forwards several announcements. A single one is forwarded by methodAnnounce.
+	methodAnnounceAll lab.Method = "keeper_announce_all"
 )
 
+type announceAllRequest struct {
+	Announcements []lab.Announcement `msgpack:"a"`
+}
+
+// announceAllResponse is the result for each of the announcements, empty for those that the leader has received.
+type announceAllResponse struct {
+	Refusals []string `msgpack:"e"`
+}
+
 // joinRequest is sent periodically by each control instance to the leader.
 type joinRequest struct {
 	ID    lab.InstanceID `msgpack:"i"`
@@ -38,12 +49,20 @@
 	Age          time.Duration    `msgpack:"t"` // time since a control instance received it from the member
 }
 
+// memberObservations are the observations of all members.
+type memberObservations struct {
+	Observations    []observation `msgpack:"s"`
+	MembersComplete bool          `msgpack:"m"` // there are no other members
+}
+
 type broadcastRequest struct {
 	Observations []observation `msgpack:"s"`
 	// MembersComplete is true if there are no other members than those of Observations.
 	MembersComplete bool                `msgpack:"m"`
 	Leaving         []lab.LeavingMember `msgpack:"l,omitempty"` // members of Observations that are leaving
 	Proxies         []lab.Instance      `msgpack:"p"`           // the leader's proxy list; empty in most broadcasts, see proxyListRounds
+	// Packed is a compressed memberObservations, sent instead of Observations and MembersComplete if there are many members.
+	Packed []byte `msgpack:"k,omitempty"`
 	// ProxiesComplete is true if Proxies is complete. Right after a start the leader knows only some proxies.
 	ProxiesComplete bool `msgpack:"c"`
 }
--- a/control/process/labplatformcontrol/scale_test.go
+++ b/control/process/labplatformcontrol/scale_test.go
@@ -165,13 +165,27 @@
 	}
 }
 
+// BenchmarkAnnouncementForwarded is the leader's part of an announcement without news that another instance forwards.
+func BenchmarkAnnouncementForwarded(b *testing.B) {
+	k := newScale(b)
+	a := scaleMember(0, 1)
+
+	for b.Loop() {
+		a.Sequence++
+		assert.NilError(b, k.receiveAnnouncement(a))
+	}
+}
+
 // BenchmarkBroadcast is the message to the other control instances.
 func BenchmarkBroadcast(b *testing.B) {
 	k := newScale(b)
 	size := 0
 
 	for b.Loop() {
-		m, err := msgpack.Marshal(k.buildBroadcast())
+		r, _, err := k.buildBroadcast(true, 0)
+		assert.NilError(b, err)
+
+		m, err := msgpack.Marshal(r)
 		assert.NilError(b, err)
 
 		size = len(m)
