Proxies connect to the members of services in use, and place members on demand

A proxy connected to each member as soon as it knew it, placed all members after each change of the list of proxies, and visited all of them ten times a second. With 99 proxies and 900 members, 258,000 connections were opened in 41 s.

Up to 64 members and services (aheadMembers) nothing changes. Beyond that, only members that are needed have connections, placements and warm gateways: those of services that clients of this proxy used within 30 s (a statement or a startup), those for which other proxies relayed a statement through this one, and the primaries that this proxy observes. An index of these services (Directory.needed) replaces the walk over all members in maintain, LocalPools, WarmRelays, PrimaryReports, ObservedPositions and AcknowledgedPositions. Acknowledged positions of services that are no longer used are still reported. A placement carries the generation of its inputs, so a change costs nothing for members that aren't used.

Place and PlaceGateways no longer sort all proxies; labplacement.View keeps the order of the gateways, which is the same for all members. TestSameAsSorted compares both with the order of all proxies. A primary has 12 observers in 6 zones as before while each proxy then observes at most 16 primaries on average, else one in each zone, else one in each of some zones: 4 at 300 proxies and 1,000 services, 13 primaries for each proxy instead of 40.

TestConnectionsOnDemand: 8 connections for a proxy that serves no client.

Each test of use_test.go was seen to fail without its guard: the new generation in SetProxies, the forgotten reachability, the kept acknowledged positions, the bound for connections ahead, relayed statements as use, and CloseIdle. In the tests of labplacement, Gateways and Observes are called on a View with the same expectations as before, and DirectProxies is a method.

--- a/proxy/process/labdirectory/acknowledged.go
+++ b/proxy/process/labdirectory/acknowledged.go
@@ -20,12 +20,11 @@
 
 	var out []lab.AcknowledgedPosition
 
-	for n, s := range d.services {
+	for n, s := range d.needed {
 		s.joinClosedPools()
 
 		// Without synchronous replicas, no replica need have a commit that was acknowledged.
-		v, ok := d.configuration.Service(n)
-		if !ok || v.SyncReplicas == 0 {
+		if d.settings[n].SyncReplicas == 0 {
 			s.acknowledged = lab.CommitPosition{}
 
 			continue
@@ -41,6 +40,18 @@
 		}
 	}
 
+	for n, s := range d.acknowledged {
+		if d.settings[n].SyncReplicas == 0 {
+			s.acknowledged = lab.CommitPosition{}
+
+			delete(d.acknowledged, n)
+
+			continue
+		}
+
+		out = append(out, lab.AcknowledgedPosition{Service: n, Position: s.acknowledged})
+	}
+
 	slices.SortFunc(out, func(a, b lab.AcknowledgedPosition) int { return strings.Compare(a.Service, b.Service) })
 
 	return out
@@ -50,6 +61,7 @@
 	p.Close()
 
 	s.closedPools = append(s.closedPools, p)
+	s.joinClosedPools()
 }
 
 // joinClosedPools takes over the acknowledged positions of closed pools and forgets those that are no longer in use.
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -1,6 +1,7 @@
 package labdirectory
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,10 +74,20 @@
 
 	mutex         sync.Mutex
 	configuration *lab.Configuration
+	settings      map[string]lab.Service // services of the configuration by name
+	routes        map[string]lab.Route   // first route of each database
 	services      map[string]*service
-	proxies       []lab.Instance // proxies in the control group's list
-	listExpected  time.Duration  // time until which the list of proxies is awaited, 0 before the first members
-	changed       chan struct{}  // channel that Changed has returned, nil if none is open
+	members       int                 // number of members of all services
+	ahead         bool                // whether all services count as needed; see aheadMembers
+	needed        map[string]*service // services with members that are needed or have connections; see use.go
+	// acknowledged are the services outside needed for which this proxy knows an acknowledged position.
+	acknowledged map[string]*service
+	proxies      []lab.Instance     // proxies in the control group's list
+	view         *labplacement.View // of proxies before the services of the configuration, nil if it must be made again
+	generation   uint64             // number of changes after which placements were no longer current
+	observed     uint64             // generation in which the observed primaries were determined
+	listExpected time.Duration      // time until which the list of proxies is awaited, 0 before the first members
+	changed      chan struct{}      // channel that Changed has returned, nil if none is open
 }
 
 // service is the state of one service: a group of members with a primary.
@@ -85,7 +96,8 @@
 	primary string
 	history labpositionhistory.History
 	// lastRead is the time of the last read that needed a position of the primary.
-	lastRead time.Duration
+	lastRead      time.Duration
+	lastStatement time.Duration // time of the last statement or startup of a client of this proxy
 	// acknowledged is the newest position that a pool in closedPools or a removed one has seen acknowledged.
 	acknowledged lab.CommitPosition
 	closedPools  []*labpool.Pool // pools of former incarnations on which statements may still run
@@ -99,9 +111,10 @@
 	gateways            []lab.Instance     // proxies that can relay statements, in order of preference
 	leavingSince        time.Duration      // time at which the member announced that it is leaving
 	observer            bool               // whether this proxy checks the member continuously
-	placed              bool               // whether the placement is current
-	placedConnections   int                // number of connections that the member accepts, as of the placement
+	generation          uint64             // Directory.generation of the placement, 0 before the first one
 	placedByKey         bool               // whether the placement is that of a deployment with organisations
+	lastRelayed         time.Duration      // time of the last statement that another proxy relayed through this one
+	warmedAt            time.Duration      // time at which connections to the gateways were last started
 	pool                *labpool.Pool      // direct connections
 	relay               *labrelay.Source   // connections through gateways; nil if Directory.Peers is nil
 	avoidUntil          time.Duration      // time until which other members are preferred
@@ -122,6 +135,7 @@
 		return
 	}
 
+	d.indexLocked(configuration)
 	d.configuration = configuration
 	d.active.Store(configuration)
 	d.updatePlacementLocked()
@@ -129,6 +143,31 @@
 	d.notifyLocked()
 }
 
+// indexLocked indexes a configuration that is about to become active. Placements depend on the connections that members
+// accept, and on whether clients need keys.
+func (d *Directory) indexLocked(c *lab.Configuration) {
+	settings, routes := map[string]lab.Service{}, map[string]lab.Route{}
+
+	for _, v := range c.Services {
+		if _, ok := settings[v.Name]; !ok {
+			settings[v.Name] = v
+		}
+	}
+
+	for _, r := range c.Routes {
+		if _, ok := routes[r.Database]; !ok {
+			routes[r.Database] = r
+		}
+	}
+
+	if d.configuration == nil || d.configuration.KeysRequired != c.KeysRequired || !maps.Equal(d.settings, settings) {
+		d.view = nil
+		d.generation++
+	}
+
+	d.settings, d.routes = settings, routes
+}
+
 // Version returns the version of the active configuration, or 0 before the first.
 func (d *Directory) Version() uint64 {
 	d.mutex.Lock()
@@ -148,7 +187,7 @@
 	defer d.mutex.Unlock()
 
 	if d.services == nil {
-		d.services = map[string]*service{}
+		d.services, d.needed, d.acknowledged = map[string]*service{}, map[string]*service{}, map[string]*service{}
 	}
 
 	if d.listExpected == 0 && len(members) > 0 {
@@ -172,8 +211,6 @@
 		d.updateMemberLocked(a)
 	}
 
-	d.updatePlacementLocked()
-
 	for _, a := range members {
 		if a.Terminated {
 			d.removeMemberLocked(a.Database, a.Member)
@@ -192,9 +229,11 @@
 		if p, ok := primaries[name]; ok && s.primary != p {
 			d.Log.Info().Str("service", name).Str("former", s.primary).Str("primary", p).Msg("primary_changed")
 			s.primary = p
+			d.observeLocked(name, s)
 		}
 	}
 
+	d.updatePlacementLocked()
 	d.notifyLocked()
 }
 
@@ -222,6 +261,8 @@
 
 	if ok {
 		s.closePool(m.pool)
+	} else {
+		d.members++
 	}
 
 	n := &member{announcement: a, leavingSince: d.Clock.Now()}
@@ -246,6 +287,10 @@
 
 	s.members[a.Member] = n
 
+	if a.Member == s.primary {
+		d.observeLocked(a.Database, s)
+	}
+
 	d.Log.Info().Str("service", a.Database).Str("member", a.Member).Str("address", a.Address).
 		Uint64("incarnation", a.Incarnation).Msg("member_known")
 }
@@ -277,6 +322,7 @@
 
 	s.closePool(m.pool)
 	delete(s.members, id)
+	d.members--
 	d.Log.Info().Str("service", name).Str("member", id).Msg("member_dropped")
 }
 
@@ -285,8 +331,8 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	d.proxies = proxies
-	d.invalidatePlacementLocked()
+	d.proxies, d.view = proxies, nil
+	d.generation++
 	d.updatePlacementLocked()
 }
 
@@ -308,83 +354,15 @@
 	}
 
 	d.listExpected = -1
-	d.invalidatePlacementLocked()
+	d.generation++
 	d.updatePlacementLocked()
 }
 
-func (d *Directory) invalidatePlacementLocked() {
-	for _, s := range d.services {
-		for _, m := range s.members {
-			m.placed = false
-		}
-	}
-}
-
-// updatePlacementLocked computes the number of direct connections to each member, the gateways for it and whether this
-// proxy observes it, where the list of proxies, the member or its connections have changed. Pools read these numbers
-// without the directory's lock. Otherwise a pool and the directory could deadlock, since the directory holds its lock
-// while it closes pools.
-func (d *Directory) updatePlacementLocked() {
-	if d.configuration == nil {
-		return
-	}
-
-	for n, s := range d.services {
-		v, ok := d.configuration.Service(n)
-		if !ok {
-			continue
-		}
-
-		for _, m := range s.members {
-			if !m.placed || m.placedConnections != v.MaxConnections || m.placedByKey != d.configuration.KeysRequired {
-				d.updateMemberPlacementLocked(m, v.MaxConnections)
-			}
-		}
-	}
-}
-
-func (d *Directory) updateMemberPlacementLocked(m *member, connections int) {
-	m.placed, m.placedConnections, m.placedByKey = true, connections, d.configuration.KeysRequired
-
-	// Values until the list of proxies is known.
-	maxConnections, retained := 0, 1
-	if d.listExpected < 0 || d.Peers == nil {
-		maxConnections = 1
-	}
-
-	m.observer = true
-
-	if len(d.proxies) > 0 {
-		place := labplacement.Place
-		if m.placedByKey {
-			place = labplacement.PlaceGateways
-		}
-
-		p := place(m.announcement, connections, d.proxies)
-		m.gateways = labplacement.Gateways(d.Self, m.announcement, p.DirectProxies)
-		m.observer = labplacement.Observes(d.Self, m.announcement, p.DirectProxies)
-		maxConnections, retained = p.MaxPerProxy, p.RetainedPerProxy
-
-		// If no direct proxy is missing among the gateways, this proxy is not a direct proxy. It may then connect only if
-		// all proxies in the control group's list are direct proxies: this proxy is not yet, or no longer, in the list, and
-		// the member has connections left.
-		if len(m.gateways) == len(p.DirectProxies) && len(p.DirectProxies) < len(d.proxies) {
-			maxConnections = 0
-		}
-	}
-
-	m.retainedConnections.Store(int64(retained))
-
-	if previous := m.maxConnections.Swap(int64(maxConnections)); previous != int64(maxConnections) {
-		d.Log.Info().Str("member", m.announcement.Member).Int("share", maxConnections).Int("gateways", len(m.gateways)).
-			Int("proxies", len(d.proxies)).Bool("observer", m.observer).Msg("connections_placed")
-	}
-}
-
 // gatewaysOf returns the gateways of a member in the order in which the statements of an organisation prefer them, and
 // the number of those to which connections stay open.
 func (d *Directory) gatewaysOf(m *member, organisation string) ([]lab.Instance, int) {
 	d.mutex.Lock()
+	d.placeLocked(m)
 	gateways, byKey := m.gateways, m.placedByKey
 	d.mutex.Unlock()
 
@@ -433,7 +411,8 @@
 	return d.changed
 }
 
-// Route returns the route of a database and the idle timeout of transactions, or false when the database has no route.
+// Route returns the route of a database and the idle timeout of transactions, or false when the database has no route. Its
+// service counts as used, since the caller has a statement for it or starts a session.
 func (d *Directory) Route(database string) (lab.Route, time.Duration, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -442,7 +421,10 @@
 		return lab.Route{}, 0, false
 	}
 
-	r, ok := d.configuration.Route(database)
+	r, ok := d.routes[database]
+	if s, known := d.services[r.Service]; ok && known {
+		d.useLocked(r.Service, s)
+	}
 
 	return r, d.configuration.IdleTransactionTimeout, ok
 }
@@ -457,7 +439,7 @@
 		return lab.OrganisationPolicy{}, lab.FaultNone
 	}
 
-	if r, ok := d.configuration.Route(database); ok && r.Public {
+	if r, ok := d.routes[database]; ok && r.Public {
 		return lab.OrganisationPolicy{}, lab.FaultNone
 	}
 
--- a/proxy/process/labdirectory/select.go
+++ b/proxy/process/labdirectory/select.go
@@ -23,6 +23,8 @@
 		return nil, false
 	}
 
+	d.useLocked(name, d.services[name])
+
 	return d.sourceLocked(m), true
 }
 
@@ -52,6 +54,8 @@
 		return nil, false
 	}
 
+	d.placeLocked(m)
+
 	return m.pool, true
 }
 
@@ -70,6 +74,8 @@
 // proxy may have no direct ones, if it can't reach the member, or if the member refuses connections. Members refuse
 // connections for seconds after a power loss of proxies, since they still count the lost connections.
 func (d *Directory) sourceLocked(m *member) lab.ConnectionPool {
+	d.placeLocked(m)
+
 	if m.relay == nil || len(m.gateways) == 0 {
 		return m.pool
 	}
@@ -97,11 +103,19 @@
 	}
 
 	m, ok := s.members[id]
-	if !ok || m.announcement.Incarnation != incarnation || m.unreachableSince > 0 || m.maxConnections.Load() == 0 ||
-		d.aboutToEnd(m) {
+	if !ok || m.announcement.Incarnation != incarnation {
+		return nil, false
+	}
+
+	d.placeLocked(m)
+
+	if m.unreachableSince > 0 || m.maxConnections.Load() == 0 || d.aboutToEnd(m) {
 		return nil, false
 	}
 
+	m.lastRelayed = d.Clock.Now()
+	d.needLocked(name, s)
+
 	_, _, up := m.pool.Load()
 
 	return m.pool, up
@@ -111,7 +125,12 @@
 // to the primary. It reports whether it sent the request.
 func (d *Directory) RefreshPosition(name string) bool {
 	d.mutex.Lock()
+
 	m, ok := d.primaryLocked(name)
+	if ok {
+		d.placeLocked(m)
+	}
+
 	relayed := ok && m.relay != nil && len(m.gateways) > 0 && m.maxConnections.Load() == 0
 	d.mutex.Unlock()
 
@@ -166,6 +185,8 @@
 		return nil, nil
 	}
 
+	d.useLocked(name, s)
+
 	var (
 		options []labselection.Option
 		pools   []lab.ConnectionPool
@@ -338,7 +359,7 @@
 
 	var out []lab.PrimaryReport
 
-	for n, s := range d.services {
+	for n, s := range d.needed {
 		m, ok := s.members[s.primary]
 		if !ok || (m.lastResponse == 0 && m.unreachableSince == 0) || m.maxConnections.Load() == 0 {
 			continue // proxies with direct connections report on this primary
@@ -365,7 +386,7 @@
 
 	var out []lab.PositionReport
 
-	for n, s := range d.services {
+	for n, s := range d.needed {
 		m, ok := s.members[s.primary]
 		if !ok || !m.observer || m.maxConnections.Load() == 0 {
 			continue
@@ -386,7 +407,7 @@
 
 	m, ok := d.primaryLocked(name)
 
-	return ok && m.observer
+	return ok && d.observerLocked(m)
 }
 
 // RecordRead records a read that needs a recent position of a service's primary.
@@ -409,15 +430,22 @@
 	return ok && s.lastRead > 0 && d.Clock.Now()-s.lastRead < demandDuration
 }
 
-// WarmRelays starts connections to the gateways of the members to which this proxy has no direct connections.
+// WarmRelays starts connections to the gateways of the needed members to which this proxy has no direct connections.
 func (d *Directory) WarmRelays() {
 	var relays []*labrelay.Source
 
 	d.mutex.Lock()
 
-	for _, s := range d.services {
-		for _, m := range s.members {
-			if m.relay != nil && m.maxConnections.Load() == 0 {
+	now := d.Clock.Now()
+
+	for _, s := range d.needed {
+		for id, m := range s.members {
+			if m.relay == nil || (!d.ahead && now-m.warmedAt < warmInterval) || !d.neededLocked(s, id, m, now) {
+				continue
+			}
+
+			if d.placeLocked(m); m.maxConnections.Load() == 0 {
+				m.warmedAt = now
 				relays = append(relays, m.relay)
 			}
 		}
@@ -430,15 +458,22 @@
 	}
 }
 
-// LocalPools returns the pools of direct connections by service; the pool of the primary comes first.
+// LocalPools returns the pools of direct connections to the needed members by service; the pool of the primary comes
+// first.
 func (d *Directory) LocalPools() map[string][]*labpool.Pool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	out := map[string][]*labpool.Pool{}
+	now, out := d.Clock.Now(), make(map[string][]*labpool.Pool, len(d.needed))
 
-	for n, s := range d.services {
+	for n, s := range d.needed {
 		for id, m := range s.members {
+			if !d.neededLocked(s, id, m, now) {
+				continue
+			}
+
+			d.placeLocked(m)
+
 			if id == s.primary {
 				out[n] = append([]*labpool.Pool{m.pool}, out[n]...)
 			} else {
--- a/proxy/process/labplacement/place.go
+++ b/proxy/process/labplacement/place.go
@@ -16,9 +16,6 @@
 	// may have only one. After a power loss of proxies, a member still counts their lost connections for seconds, while
 	// the restarted proxies need new ones at once.
 	retainedDivisor = 2
-	// observersPerZone is the number of proxies in each availability zone that check a member continuously. With two,
-	// the restart of one leaves another.
-	observersPerZone = 2
 	// minPerGateway is the number of connections below which a gateway would open a new one for almost each statement.
 	minPerGateway = 4
 )
@@ -29,9 +26,26 @@
 
 // Placement is the distribution of the connections that one member accepts over the proxies.
 type Placement struct {
-	DirectProxies    []lab.Instance // proxies with direct connections; the other proxies relay statements through them
-	MaxPerProxy      int            // number of connections that each direct proxy may have under load
-	RetainedPerProxy int            // number of connections that each direct proxy keeps open without load
+	MaxPerProxy      int // number of connections that each direct proxy may have under load
+	RetainedPerProxy int // number of connections that each direct proxy keeps open without load
+
+	proxies []lab.Instance // list of proxies
+	direct  []int          // indexes of the proxies with direct connections
+}
+
+// DirectProxies returns the proxies with direct connections, in no order. The other proxies relay statements through them.
+func (p Placement) DirectProxies() []lab.Instance {
+	out := make([]lab.Instance, len(p.direct))
+	for i, index := range p.direct {
+		out[i] = p.proxies[index]
+	}
+
+	return out
+}
+
+// Direct returns the number of proxies with direct connections.
+func (p Placement) Direct() int {
+	return len(p.direct)
 }
 
 // Place distributes the connections that a member accepts over the proxies. Proxies in the member's region come first:
@@ -45,13 +59,15 @@
 // proxies. Under overload this would cost more than the room saves after a power loss.
 func Place(member lab.Announcement, connections int, proxies []lab.Instance) Placement {
 	free := max(1, connections-reservedConnections)
-	p := Placement{DirectProxies: proxies}
 
-	if len(proxies) > free {
-		p.DirectProxies = ranked(member.Member, member.Region, proxies)[:free]
+	first := firstRanks(member.Member, member.Region, proxies, free)
+	p := Placement{proxies: proxies, direct: make([]int, len(first))}
+
+	for i, r := range first {
+		p.direct[i] = r.index
 	}
 
-	p.MaxPerProxy = max(1, free/max(1, len(p.DirectProxies)))
+	p.MaxPerProxy = max(1, free/max(1, len(p.direct)))
 	p.RetainedPerProxy = max(1, p.MaxPerProxy/retainedDivisor)
 
 	return p
@@ -66,24 +82,25 @@
 // link of 2 Mbit/s for seconds.
 func PlaceGateways(member lab.Announcement, connections int, proxies []lab.Instance) Placement {
 	free := max(1, connections-reservedConnections)
-	order := ranked(member.Member, member.Region, proxies)
+	order := firstOfZones(member, proxies)
 
-	var p Placement
+	p := Placement{proxies: proxies}
 
 	// The first gateway of each zone comes before the second ones, those of the member's region first.
 	for round := 1; round <= GatewaysPerZone; round++ {
 		seen := map[string]int{}
 
-		for _, i := range order {
-			seen[i.AvailabilityZone]++
+		for _, r := range order {
+			zone := proxies[r.index].AvailabilityZone
+			seen[zone]++
 
-			if seen[i.AvailabilityZone] == round && (len(p.DirectProxies)+1)*minPerGateway <= max(free, minPerGateway) {
-				p.DirectProxies = append(p.DirectProxies, i)
+			if seen[zone] == round && (len(p.direct)+1)*minPerGateway <= max(free, minPerGateway) {
+				p.direct = append(p.direct, r.index)
 			}
 		}
 	}
 
-	p.MaxPerProxy = max(1, free/max(1, len(p.DirectProxies)))
+	p.MaxPerProxy = max(1, free/max(1, len(p.direct)))
 	p.RetainedPerProxy = p.MaxPerProxy
 
 	return p
@@ -110,44 +127,70 @@
 	return 1
 }
 
-// Gateways returns the direct proxies of a member in the order in which the proxy self prefers them as gateways.
-// Proxies in the member's region come first. Within a region the order depends only on self. It differs between
-// proxies, which spreads the load, and it is the same for all members, so that a proxy uses the same few gateways for
-// most members.
-func Gateways(self lab.InstanceID, member lab.Announcement, directProxies []lab.Instance) []lab.Instance {
-	out := ranked(string(self), member.Region, directProxies)
+// firstOfZones returns the GatewaysPerZone first proxies of each availability zone in the order for a member. Every member
+// that is used is placed after each change of the list, so not all of hundreds of proxies are sorted.
+func firstOfZones(member lab.Announcement, proxies []lab.Instance) []rank {
+	byZone := map[string][]rank{}
+	k := keyHash(member.Member)
 
-	return slices.DeleteFunc(out, func(i lab.Instance) bool { return i.ID == self })
-}
+	for i := range proxies {
+		r := rank{weight(k, proxies[i].ID), i, proxies[i].Region != member.Region}
+		first := byZone[proxies[i].AvailabilityZone]
 
-// ranked returns the instances in an order that depends on the key, those of the region first. It uses rendezvous
-// hashing: when an instance is added or removed, the order of the others stays.
-func ranked(key, region string, instances []lab.Instance) []lab.Instance {
-	type rank struct {
-		weight  uint64
-		index   int
-		distant bool // whether the instance is in another region
+		at := len(first)
+		for at > 0 && r.compare(first[at-1], proxies) < 0 {
+			at--
+		}
+
+		if at < GatewaysPerZone {
+			first = slices.Insert(first, at, r)
+			byZone[proxies[i].AvailabilityZone] = first[:min(len(first), GatewaysPerZone)]
+		}
 	}
 
-	k := keyHash(key)
-	all := make([]rank, len(instances))
+	var out []rank
+	for _, first := range byZone {
+		out = append(out, first...)
+	}
 
-	for i := range instances {
-		all[i] = rank{weight(k, instances[i].ID), i, instances[i].Region != region}
+	slices.SortFunc(out, func(a, b rank) int { return a.compare(b, proxies) })
+
+	return out
+}
+
+// rank is the position of an instance in an order.
+type rank struct {
+	weight  uint64
+	index   int
+	distant bool // whether the instance is in another region
+}
+
+// compare returns a negative number if r comes before o in the order of the instances.
+func (r rank) compare(o rank, instances []lab.Instance) int {
+	switch {
+	case r.distant == o.distant:
+		return r.compareWeight(o, instances)
+	case r.distant:
+		return 1
+	default:
+		return -1
 	}
+}
 
-	slices.SortFunc(all, func(a, b rank) int {
-		switch {
-		case a.distant != b.distant && a.distant:
-			return 1
-		case a.distant != b.distant:
-			return -1
-		case a.weight != b.weight:
-			return cmp.Compare(b.weight, a.weight)
-		default:
-			return cmp.Compare(instances[a.index].ID, instances[b.index].ID)
-		}
-	})
+// compareWeight is compare without the regions.
+func (r rank) compareWeight(o rank, instances []lab.Instance) int {
+	if r.weight != o.weight {
+		return cmp.Compare(o.weight, r.weight)
+	}
+
+	return cmp.Compare(instances[r.index].ID, instances[o.index].ID)
+}
+
+// ranked returns the instances in an order that depends on the key, those of the region first. It uses rendezvous
+// hashing: when an instance is added or removed, the order of the others stays.
+func ranked(key, region string, instances []lab.Instance) []lab.Instance {
+	all := firstRanks(key, region, instances, len(instances))
+	slices.SortFunc(all, func(a, b rank) int { return a.compare(b, instances) })
 
 	out := make([]lab.Instance, len(all))
 	for i := range all {
@@ -157,30 +200,43 @@
 	return out
 }
 
-// Observes reports whether a direct proxy is one of those that check a member continuously: the observersPerZone proxies
-// of its availability zone with the highest rank for the member. The number of checks of a member then doesn't grow
-// with the number of proxies, and the observers still see the member from every zone.
-func Observes(self lab.InstanceID, member lab.Announcement, directProxies []lab.Instance) bool {
-	i := slices.IndexFunc(directProxies, func(p lab.Instance) bool { return p.ID == self })
-	if i < 0 {
-		return false
+// firstRanks returns the first n instances in the order of ranked, but not in this order. It sorts nothing.
+func firstRanks(key, region string, instances []lab.Instance, n int) []rank {
+	k := keyHash(key)
+	all := make([]rank, len(instances))
+
+	for i := range instances {
+		all[i] = rank{weight(k, instances[i].ID), i, instances[i].Region != region}
 	}
 
-	k := keyHash(member.Member)
-	zone, own, higher := directProxies[i].AvailabilityZone, weight(k, self), 0
+	n = min(n, len(all))
+	moveFirst(all, n, instances)
+
+	return all[:n]
+}
 
-	for j := range directProxies {
-		p := &directProxies[j]
-		if p.AvailabilityZone != zone || p.ID == self {
-			continue
+// moveFirst moves the n first ranks to the front, in any order, by partitioning the part that holds the boundary.
+func moveFirst(all []rank, n int, instances []lab.Instance) {
+	for low, high := 0, len(all); n > low && n < high; {
+		// The weights are hashes, so the middle element is as good a pivot as a random one.
+		all[low], all[(low+high)/2] = all[(low+high)/2], all[low]
+		pivot, at := all[low], low
+
+		for i := low + 1; i < high; i++ {
+			if all[i].compare(pivot, instances) < 0 {
+				at++
+				all[at], all[i] = all[i], all[at]
+			}
 		}
 
-		if w := weight(k, p.ID); w > own || (w == own && p.ID < self) {
-			higher++
+		all[low], all[at] = all[at], all[low]
+
+		if n <= at {
+			high = at
+		} else {
+			low = at + 1
 		}
 	}
-
-	return higher < observersPerZone
 }
 
 // FNV-1a constants for 64 bits.
--- a/proxy/process/labplacement/place_test.go
+++ b/proxy/process/labplacement/place_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -64,15 +65,15 @@
 		t.Run(c.name, func(t *testing.T) {
 			all := proxies(c.zones, c.perZone)
 			p := Place(westernMember("m"), c.connections, all)
-			assert.Equal(t, len(p.DirectProxies), c.directProxies)
-			assert.Equal(t, countInRegion("west", p.DirectProxies), c.inMemberRegion)
+			assert.Equal(t, len(p.DirectProxies()), c.directProxies)
+			assert.Equal(t, countInRegion("west", p.DirectProxies()), c.inMemberRegion)
 			assert.Equal(t, p.MaxPerProxy, c.maxPerProxy)
 			assert.Equal(t, p.RetainedPerProxy, c.retained)
 			assert.Assert(t, p.MaxPerProxy == 1 || 2*c.directProxies*p.RetainedPerProxy <= c.connections-reservedConnections, "no room for new connections after a power loss")
-			assert.Assert(t, len(p.DirectProxies)*p.MaxPerProxy <= c.connections-reservedConnections)
+			assert.Assert(t, len(p.DirectProxies())*p.MaxPerProxy <= c.connections-reservedConnections)
 
 			slices.Reverse(all)
-			assert.Equal(t, len(Place(westernMember("m"), c.connections, all).DirectProxies), c.directProxies)
+			assert.Equal(t, len(Place(westernMember("m"), c.connections, all).DirectProxies()), c.directProxies)
 		})
 	}
 }
@@ -82,15 +83,15 @@
 func TestMoves(t *testing.T) {
 	all := proxies(6, 13)
 	before := Place(westernMember("m"), 22, all)
-	lost := before.DirectProxies[0].ID
+	lost := before.DirectProxies()[0].ID
 
 	left := slices.DeleteFunc(slices.Clone(all), func(i lab.Instance) bool { return i.ID == lost })
 	after := Place(westernMember("m"), 22, left)
 
 	moved := 0
 
-	for _, p := range after.DirectProxies {
-		if !slices.Contains(before.DirectProxies, p) {
+	for _, p := range after.DirectProxies() {
+		if !slices.Contains(before.DirectProxies(), p) {
 			moved++
 		}
 	}
@@ -100,7 +101,7 @@
 	memberCounts := map[lab.InstanceID]int{}
 
 	for n := range 8 {
-		for _, p := range Place(westernMember(fmt.Sprintf("member-%d", n)), 22, all).DirectProxies {
+		for _, p := range Place(westernMember(fmt.Sprintf("member-%d", n)), 22, all).DirectProxies() {
 			memberCounts[p.ID]++
 		}
 	}
@@ -128,13 +129,13 @@
 			p := PlaceGateways(westernMember("m"), c.connections, proxies(c.zones, c.perZone))
 			inZone, once := map[string]int{}, map[lab.InstanceID]bool{}
 
-			for _, i := range p.DirectProxies {
+			for _, i := range p.DirectProxies() {
 				inZone[i.AvailabilityZone]++
 				once[i.ID] = true
 			}
 
 			assert.Equal(t, len(once), c.gateways, "different proxies")
-			assert.Equal(t, len(p.DirectProxies), c.gateways)
+			assert.Equal(t, len(p.DirectProxies()), c.gateways)
 			assert.Equal(t, slices.Max(slices.Collect(maps.Values(inZone))), c.inOneZone)
 			assert.Equal(t, p.MaxPerProxy, c.connectionsOfGateway)
 		})
@@ -145,12 +146,12 @@
 // member: no direct proxy may be the first gateway of many proxies.
 func TestGateways(t *testing.T) {
 	all := proxies(6, 13)
-	directProxies := Place(westernMember("m"), 45, all).DirectProxies
+	placement := Place(westernMember("m"), 45, all)
 	first := map[lab.InstanceID]int{}
 	senders := 0
 
 	for _, i := range all {
-		g := Gateways(i.ID, westernMember("m"), directProxies)
+		g := NewView(i.ID, all, 8).Gateways(westernMember("m"), placement)
 		assert.Assert(t, !slices.Contains(g, i), "a proxy must not be its own gateway")
 
 		if i.Region == "west" {
@@ -170,45 +171,182 @@
 	}
 }
 
+// observers returns the proxies with direct connections that observe a member.
+func observers(member lab.Announcement, direct, all []lab.Instance, services int) []lab.Instance {
+	return slices.DeleteFunc(slices.Clone(direct), func(p lab.Instance) bool {
+		return !NewView(p.ID, all, services).Observes(member)
+	})
+}
+
 // TestObserves replays a calm day of a deployment with 300 proxies: with every proxy checking every member, the members
 // received 20,000 checks a second, and each proxy spent most of its processor time on them.
 func TestObserves(t *testing.T) {
 	for _, c := range []struct {
 		name           string
 		zones, perZone int
-		want           int
+		services       int
+		want, inZones  int
 	}{
-		{"one proxy", 1, 1, 1},
-		{"few proxies", 3, 3, 6},
-		{"hundreds of proxies", 6, 50, 12},
+		{"one proxy", 1, 1, 8, 1, 1},
+		{"few proxies", 3, 3, 8, 6, 3},
+		{"hundreds of proxies", 6, 50, 8, 12, 6},
+		{"80 proxies and 8 services", 6, 14, 8, 12, 6},
+		{"half as many services as proxies", 6, 50, 150, 12, 6},
+		{"more services than proxies", 6, 50, 500, 6, 6},
+		{"1,000 services", 6, 50, 1000, 4, 4},
+		{"far more services than proxies", 6, 2, 1000, 2, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			all := proxies(c.zones, c.perZone)
 			zones := map[string]int{}
-			observers := 0
 
-			for _, p := range all {
-				if Observes(p.ID, westernMember("m"), all) {
-					zones[p.AvailabilityZone]++
-					observers++
-				}
+			for _, p := range observers(westernMember("m"), all, all, c.services) {
+				zones[p.AvailabilityZone]++
+			}
+
+			observers := 0
+			for _, n := range zones {
+				observers += n
 			}
 
 			assert.Equal(t, observers, c.want)
-			assert.Equal(t, len(zones), c.zones, "every zone has observers")
+			assert.Equal(t, len(zones), c.inZones, "zones with observers")
 		})
 	}
 
-	assert.Assert(t, !Observes("unknown", westernMember("m"), proxies(3, 3)), "a proxy without connections observes nothing")
+	assert.Assert(t, !NewView("unknown", proxies(3, 3), 8).Observes(westernMember("m")),
+		"a proxy without connections observes nothing")
+}
+
+// TestObservesManyServices guards against proxies that spend their processor time on checks where there are more
+// services than proxies, and against primaries that no proxy with connections checks.
+func TestObservesManyServices(t *testing.T) {
+	const services = 1000
+
+	all := proxies(6, 50)
+	perProxy := map[lab.InstanceID]int{}
+	rules := map[lab.InstanceID]*View{}
+
+	for _, p := range all {
+		rules[p.ID] = NewView(p.ID, all, services)
+	}
+
+	for n := range services {
+		m := westernMember(fmt.Sprintf("member-%d", n))
+		count := 0
+
+		for _, p := range Place(m, 93, all).DirectProxies() {
+			if rules[p.ID].Observes(m) {
+				perProxy[p.ID]++
+				count++
+			}
+		}
+
+		assert.Assert(t, count >= minObservers && count <= 4, "%s has %d observers", m.Member, count)
+	}
+
+	for id, n := range perProxy {
+		assert.Assert(t, n <= 3*meanObserved, "%s observes %d primaries", id, n)
+	}
+}
+
+// TestSameAsSorted compares the direct proxies, the gateways and the observers with those of a placement that sorts all
+// proxies: a difference would move the connections of a deployment while it is updated.
+func TestSameAsSorted(t *testing.T) {
+	for _, connections := range []int{5, 24, 45, 93, 162, 400} {
+		for n := range 20 {
+			m := westernMember(fmt.Sprintf("member-%d", n))
+			all := proxies(6, 13+n)
+			sorted := ranked(m.Member, m.Region, all)
+
+			p := Place(m, connections, all)
+			assert.Equal(t, len(p.DirectProxies()), min(len(all), connections-reservedConnections))
+			assertSame(t, p.DirectProxies(), sorted[:len(p.DirectProxies())])
+			assertSameView(t, m, p, all, sorted)
+
+			p = PlaceGateways(m, connections, all)
+			assert.DeepEqual(t, p.DirectProxies(), sortedGateways(connections, sorted))
+			assertSameView(t, m, p, all, sorted)
+		}
+	}
+}
+
+// sortedGateways returns the direct proxies for PlaceGateways among all proxies in the order of their ranks.
+func sortedGateways(connections int, sorted []lab.Instance) []lab.Instance {
+	var out []lab.Instance
+
+	for round := range GatewaysPerZone {
+		seen := map[string]int{}
+
+		for _, i := range sorted {
+			seen[i.AvailabilityZone]++
+
+			if seen[i.AvailabilityZone] == round+1 && (len(out)+1)*minPerGateway <= max(connections-reservedConnections, minPerGateway) {
+				out = append(out, i)
+			}
+		}
+	}
+
+	return out
+}
+
+func assertSame(t *testing.T, got, want []lab.Instance) {
+	t.Helper()
+
+	byID := func(a, b lab.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) }
+	assert.DeepEqual(t, slices.SortedFunc(slices.Values(got), byID), slices.SortedFunc(slices.Values(want), byID))
+}
+
+func assertSameView(t *testing.T, m lab.Announcement, p Placement, all, sorted []lab.Instance) {
+	t.Helper()
+
+	self := all[len(all)/2].ID
+	gateways := slices.DeleteFunc(ranked(string(self), m.Region, p.DirectProxies()), func(i lab.Instance) bool { return i.ID == self })
+	assert.DeepEqual(t, NewView(self, all, 8).Gateways(m, p), gateways)
+
+	var want []lab.Instance
+
+	inZone := map[string]int{}
+
+	for _, i := range sorted {
+		if !slices.Contains(p.DirectProxies(), i) {
+			continue
+		}
+
+		if inZone[i.AvailabilityZone]++; inZone[i.AvailabilityZone] <= observersPerZone {
+			want = append(want, i)
+		}
+	}
+
+	assertSame(t, observers(m, p.DirectProxies(), all, 8), want)
+}
+
+// BenchmarkObserves measures the search for the primaries that a proxy observes: each proxy does it for all primaries
+// after a change of the list.
+func BenchmarkObserves(b *testing.B) {
+	all := proxies(6, 50)
+	members := make([]lab.Announcement, 1000)
+
+	for i := range members {
+		members[i] = westernMember(fmt.Sprintf("member-%d", i))
+	}
+
+	for b.Loop() {
+		v := NewView("proxy-1-1", all, len(members))
+		for i := range members {
+			v.Observes(members[i])
+		}
+	}
 }
 
 // BenchmarkPlace measures the placement of one member over 300 proxies. After a change of the list every proxy places 60
 // members on a fifth of a core.
 func BenchmarkPlace(b *testing.B) {
 	all := proxies(6, 50)
+	v := NewView("proxy-1-1", all, 20)
 
 	for b.Loop() {
 		p := Place(westernMember("m"), 162, all)
-		Gateways("proxy-1-1", westernMember("m"), p.DirectProxies)
+		v.Gateways(westernMember("m"), p)
 	}
 }
--- a/proxy/process/labtypedproxy/maintain.go
+++ b/proxy/process/labtypedproxy/maintain.go
@@ -30,28 +30,34 @@
 	states := map[string]*pingState{}
 
 	for p.Clock.Sleep(ctx, maintainInterval) == nil {
-		p.directory.StopAwaitingProxies()
-		p.directory.WarmRelays()
-
-		for name, pools := range p.directory.LocalPools() {
-			for _, pool := range pools {
-				pool.Maintain()
-				p.checkUnreachable(pool)
-			}
-
-			g, ok := states[name]
-			if !ok {
-				g = &pingState{}
-				states[name] = g
-			}
-
-			p.ping(name, g)
-		}
+		p.maintainOnce(states)
 	}
 
 	return nil
 }
 
+// maintainOnce visits the services that are needed, not all of the deployment.
+func (p *Proxy) maintainOnce(states map[string]*pingState) {
+	p.directory.StopAwaitingProxies()
+	p.directory.CloseUnused()
+	p.directory.WarmRelays()
+
+	for name, pools := range p.directory.LocalPools() {
+		for _, pool := range pools {
+			pool.Maintain()
+			p.checkUnreachable(pool)
+		}
+
+		g, ok := states[name]
+		if !ok {
+			g = &pingState{}
+			states[name] = g
+		}
+
+		p.ping(name, g)
+	}
+}
+
 // pingState is the state of the pings of one service.
 type pingState struct {
 	running   chan struct{} // holds one element while a ping runs
