labdirectory: an unchanged member of a list costs a comparison

A list of members was validated and indexed anew for each change of one member, and each list woke all statements that wait for a change. A member whose announcement differs in its sequence only is now compared and marked; placements and waiting statements are touched only if something else has changed.

The subtest 'unchanged list' fails on the former code: the list wakes waiting statements.

--- a/member.go
+++ b/member.go
@@ -66,6 +66,13 @@
 	return nil
 }
 
+// WithSequence returns the announcement with another sequence, for a comparison that ignores it.
+func (a Announcement) WithSequence(sequence uint64) Announcement {
+	a.Sequence = sequence
+
+	return a
+}
+
 // MemberStatus is one observation of a member, read over the PostgreSQL protocol.
 type MemberStatus struct {
 	Database       string        `json:"database"    msgpack:"d"`
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -78,6 +78,7 @@
 	routes        map[string]lab.Route   // first route of each database
 	services      map[string]*service
 	members       int                 // number of members of all services
+	list          uint64              // number of lists of members received
 	ahead         bool                // whether all services count as needed; see aheadMembers
 	needed        map[string]*service // services with members that are needed or have connections; see use.go
 	// acknowledged are the services outside needed for which this proxy knows an acknowledged position.
@@ -111,6 +112,7 @@
 	gateways            []lab.Instance     // proxies that can relay statements, in order of preference
 	leavingSince        time.Duration      // time at which the member announced that it is leaving
 	observer            bool               // whether this proxy checks the member continuously
+	list                uint64             // number of the last list that contained the member
 	generation          uint64             // Directory.generation of the placement, 0 before the first one
 	placedByKey         bool               // whether the placement is that of a deployment with organisations
 	lastRelayed         time.Duration      // time of the last statement that another proxy relayed through this one
@@ -181,7 +183,7 @@
 }
 
 // UpdateMembers applies the members and primaries known to the control group. If complete is set, members that are not
-// listed are removed.
+// listed are removed. Only members that have changed cost more than a comparison.
 func (d *Directory) UpdateMembers(members []lab.Announcement, primaries map[string]string, complete bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -194,58 +196,94 @@
 		d.listExpected = d.Clock.Now() + listWait
 	}
 
-	present := map[string]bool{}
+	d.list++
 
-	for _, a := range members {
-		if err := a.Validate(); err != nil {
-			d.Log.Warn().Err(err).Msg("announcement_invalid")
+	changed := false
 
-			continue
+	for _, a := range members {
+		if !a.Terminated && d.updateMemberLocked(a) {
+			changed = true
 		}
+	}
 
-		if a.Terminated {
-			continue
+	for _, a := range members {
+		if a.Terminated && d.removeMemberLocked(a.Database, a.Member) {
+			changed = true
 		}
+	}
 
-		present[a.Member] = true
-		d.updateMemberLocked(a)
+	if complete && d.removeUnlistedLocked() {
+		changed = true
 	}
 
-	for _, a := range members {
-		if a.Terminated {
-			d.removeMemberLocked(a.Database, a.Member)
-		}
+	if d.updatePrimariesLocked(primaries) || changed {
+		d.updatePlacementLocked()
+		d.notifyLocked()
 	}
+}
 
-	for name, s := range d.services {
-		if complete {
-			for id := range s.members {
-				if !present[id] {
-					d.removeMemberLocked(name, id)
-				}
-			}
-		}
+// updatePrimariesLocked applies the primaries by service and reports whether any has changed.
+func (d *Directory) updatePrimariesLocked(primaries map[string]string) bool {
+	changed := false
 
-		if p, ok := primaries[name]; ok && s.primary != p {
+	for name, p := range primaries {
+		if s, ok := d.services[name]; ok && s.primary != p {
 			d.Log.Info().Str("service", name).Str("former", s.primary).Str("primary", p).Msg("primary_changed")
 			s.primary = p
 			d.observeLocked(name, s)
+
+			changed = true
 		}
 	}
 
-	d.updatePlacementLocked()
-	d.notifyLocked()
+	return changed
 }
 
-func (d *Directory) updateMemberLocked(a lab.Announcement) {
-	s, ok := d.services[a.Database]
-	if !ok {
+// removeUnlistedLocked removes the members that the last list didn't contain, and reports whether there were any.
+func (d *Directory) removeUnlistedLocked() bool {
+	removed := false
+
+	for name, s := range d.services {
+		for id, m := range s.members {
+			if m.list != d.list {
+				d.removeMemberLocked(name, id)
+
+				removed = true
+			}
+		}
+	}
+
+	return removed
+}
+
+// updateMemberLocked applies a member of a list and reports whether anything but its sequence has changed. A list has all
+// members of a deployment, of which few have changed.
+func (d *Directory) updateMemberLocked(a lab.Announcement) bool {
+	s, known := d.services[a.Database]
+
+	var m *member
+	if known {
+		m = s.members[a.Member]
+	}
+
+	if m != nil && m.announcement == a.WithSequence(m.announcement.Sequence) {
+		m.list, m.announcement.Sequence = d.list, a.Sequence
+
+		return false
+	}
+
+	if err := a.Validate(); err != nil {
+		d.Log.Warn().Err(err).Msg("announcement_invalid")
+
+		return false
+	}
+
+	if !known {
 		s = &service{members: map[string]*member{}}
 		d.services[a.Database] = s
 	}
 
-	m, ok := s.members[a.Member]
-	if ok && m.announcement.Incarnation == a.Incarnation && m.announcement.Address == a.Address {
+	if m != nil && m.announcement.Incarnation == a.Incarnation && m.announcement.Address == a.Address {
 		if m.announcement.Draining != a.Draining || m.announcement.Primary != a.Primary {
 			d.Log.Info().Str("member", a.Member).Bool("leaving", a.Draining).Bool("primary", a.Primary).Msg("member_changed")
 		}
@@ -254,22 +292,29 @@
 			m.leavingSince = d.Clock.Now()
 		}
 
-		m.announcement = a
+		m.announcement, m.list = a, d.list
 
-		return
+		return true
 	}
 
-	if ok {
-		s.closePool(m.pool)
-	} else {
+	d.addMemberLocked(s, m, a)
+
+	return true
+}
+
+// addMemberLocked adds a member or a new incarnation of the former one.
+func (d *Directory) addMemberLocked(s *service, former *member, a lab.Announcement) {
+	n := &member{announcement: a, list: d.list, leavingSince: d.Clock.Now()}
+
+	if former == nil {
 		d.members++
+	} else {
+		s.closePool(former.pool)
 	}
 
-	n := &member{announcement: a, leavingSince: d.Clock.Now()}
-
 	// A member that starts again and still leaves has no more time than before.
-	if ok && m.announcement.Draining && a.Draining {
-		n.leavingSince = m.leavingSince
+	if former != nil && former.announcement.Draining && a.Draining {
+		n.leavingSince = former.leavingSince
 	}
 
 	n.pool = &labpool.Pool{
@@ -309,21 +354,24 @@
 	}
 }
 
-func (d *Directory) removeMemberLocked(name, id string) {
+// removeMemberLocked removes a member and reports whether it was known.
+func (d *Directory) removeMemberLocked(name, id string) bool {
 	s, ok := d.services[name]
 	if !ok {
-		return
+		return false
 	}
 
 	m, ok := s.members[id]
 	if !ok {
-		return
+		return false
 	}
 
 	s.closePool(m.pool)
 	delete(s.members, id)
 	d.members--
 	d.Log.Info().Str("service", name).Str("member", id).Msg("member_dropped")
+
+	return true
 }
 
 // SetProxies sets the proxies among which the members' connections are distributed.
--- a/proxy/process/labdirectory/directory_test.go
+++ b/proxy/process/labdirectory/directory_test.go
@@ -164,6 +164,28 @@
 		assert.Assert(t, !ok)
 	})
 
+	t.Run("unchanged list", func(t *testing.T) {
+		d, _ := newDirectory(24)
+		changed := d.Changed()
+		list := []lab.Announcement{
+			{Database: "s", Member: "a", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 7},
+			{Database: "s", Member: "b", Address: "127.0.0.1:2", Incarnation: 1, Sequence: 8},
+		}
+		d.UpdateMembers(list, map[string]string{"s": "a"}, true)
+		assert.Equal(t, len(d.services["s"].members), 2, "an unchanged member is listed")
+		assert.Equal(t, d.services["s"].members["b"].announcement.Sequence, uint64(8))
+
+		select {
+		case <-changed:
+			t.Fatal("new sequences would wake all waiting statements")
+		default:
+		}
+
+		d.UpdateMembers(list[:1], map[string]string{"s": "a"}, true)
+		assert.Equal(t, len(d.services["s"].members), 1)
+		<-changed
+	})
+
 	t.Run("older configuration", func(t *testing.T) {
 		d, _ := newDirectory(24)
 		d.Install(&lab.Configuration{Version: 9})
--- a/proxy/process/labdirectory/use_test.go
+++ b/proxy/process/labdirectory/use_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -404,6 +405,28 @@
 	}
 }
 
+// BenchmarkUpdateMembers measures a list of 3,000 members, of which all have a new sequence and one is leaving.
+func BenchmarkUpdateMembers(b *testing.B) {
+	d, _, _ := newLargeDirectory(b, "p07", 300, 1000)
+	list := largeList(1000)
+	primaries := map[string]string{}
+
+	for _, a := range list {
+		if strings.HasSuffix(a.Member, "-0") {
+			primaries[a.Database] = a.Member
+		}
+	}
+
+	for b.Loop() {
+		for i := range list {
+			list[i].Sequence++
+		}
+
+		list[1].Draining = !list[1].Draining
+		d.UpdateMembers(list, primaries, true)
+	}
+}
+
 // BenchmarkSetProxies measures a change of the list of proxies before 3,000 members.
 func BenchmarkSetProxies(b *testing.B) {
 	d, _, _ := newLargeDirectory(b, "p07", 300, 1000)
