--- a/proxy/process/labsubscriber/members_test.go
+++ b/proxy/process/labsubscriber/members_test.go
@@ -19,7 +19,9 @@
 func TestMemberChanges(t *testing.T) {
 	d := &labdirectory.Directory{Clock: labclock.NewBootClock(), Random: labrandom.NewSeeded(1), Log: zerolog.Nop()}
 	d.OnPrimaryUnreachable = func() {}
-	s := &Subscriber{Directory: d, Clock: d.Clock, Log: zerolog.Nop()}
+	s := &Subscriber{
+		Directory: d, Clock: d.Clock, Log: zerolog.Nop(), Seeds: func() []string { return nil },
+	}
 	s.prepare()
 	d.Install(&lab.Configuration{Version: 1})
 
