--- a/proxy/process/labplacement/place_test.go
+++ b/proxy/process/labplacement/place_test.go
@@ -73,8 +73,7 @@
 			assert.Assert(t, p.MaxPerProxy == 1 || 2*c.directProxies*p.RetainedPerProxy <= c.connections-reservedConnections, "no room for new connections after a power loss")
 			assert.Assert(t, len(p.DirectProxies())*p.MaxPerProxy <= c.connections-reservedConnections)
 
-			direct := p.DirectProxies()
-		slices.Reverse(all)
+			slices.Reverse(all)
 			assert.Equal(t, len(Place(westernMember("m"), c.connections, all).DirectProxies()), c.directProxies)
 		})
 	}
@@ -421,6 +420,7 @@
 		}
 
 		// The proxies agree, in whatever order they know each other.
+		direct := p.DirectProxies()
 		slices.Reverse(all)
 		other := PlaceGateways(westernMember("m"), connections, all)
 		assert.DeepEqual(t, other.DirectProxies(), direct)
