Watches carry the positions of the services that a proxy uses

Each answer to a watch carried the positions of all services, twice a second. A request now names the services whose members are needed (labdirectory.NeededServices), as changes of the list that the control instance is known to have; it answers with the positions of these and the revision of the list. An instance that doesn't know the list answers with all positions, and the next request has the whole list. A proxy that connects to all members ahead sends no list and gets all positions as before.

--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -21,6 +21,7 @@
 	"laburnumlock.dev/lab/control/process/labsender"
 	"laburnumlock.dev/lab/control/process/labvoters"
 	"laburnumlock.dev/lab/control/version/labgroupstate"
+	"laburnumlock.dev/lab/process/labservicelist"
 	"laburnumlock.dev/lab/process/labtransport"
 )
 
@@ -71,6 +72,7 @@
 	startedAt            time.Duration // time when Prepare was called
 	proxies              proxyRegistry
 	positions            labpositions.Board
+	serviceLists         labservicelist.Receiver // services whose positions the watching proxies need
 	memberLogs           labmemberlogs.Ledger
 	relay                *relay // answers watches while another instance is the leader
 	permissions          permissions
--- a/control/process/labplatformcontrol/watch.go
+++ b/control/process/labplatformcontrol/watch.go
@@ -41,6 +41,8 @@
 	}
 
 	k.recordWatch(r, receivedAt)
+	services, listed := k.serviceLists.Apply(r.Proxy, r.Services, receivedAt)
+
 	k.awaitChanges(ctx, v, r)
 
 	// The leader may have changed meanwhile. What is granted counts from a time before that is checked, since the process may
@@ -53,7 +55,13 @@
 
 	a, err := v.response(r)
 	a.ClockEpoch, a.ReceivedAt, a.SentAt = k.epochBase, receivedAt, k.Clock.Now()
-	a.Positions, a.Leaving = k.positions.Newest(a.SentAt), k.registry.Leaving()
+	a.Leaving = k.registry.Leaving()
+
+	if listed {
+		a.Positions, a.ServicesRevision = k.positions.NewestOf(services, a.SentAt), r.Services.Revision
+	} else {
+		a.Positions = k.positions.Newest(a.SentAt)
+	}
 
 	if err == nil {
 		a.Permissions = v.grantPermissions(r, receivedAt, now)
--- a/control/process/labpositions/board.go
+++ b/control/process/labpositions/board.go
@@ -35,6 +35,22 @@
 	}
 }
 
+// NewestOf returns the positions of some services that are at most maxAge old, in the order of the services.
+func (b *Board) NewestOf(services []string, now time.Duration) []lab.PositionReport {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	out := make([]lab.PositionReport, 0, len(services))
+
+	for _, s := range services {
+		if r, ok := b.newest[s]; ok && now-r.RequestedAt <= maxAge {
+			out = append(out, r)
+		}
+	}
+
+	return out
+}
+
 // Newest returns the positions that are at most maxAge old, sorted by service, and forgets the others.
 func (b *Board) Newest(now time.Duration) []lab.PositionReport {
 	b.mutex.Lock()
--- a/control/process/labpositions/board_test.go
+++ b/control/process/labpositions/board_test.go
@@ -33,6 +33,13 @@
 		assert.Equal(t, len(b.Newest(now+maxAge+1)), 0)
 	})
 
+	t.Run("some services", func(t *testing.T) {
+		var b Board
+
+		b.Record([]lab.PositionReport{report("s", 1, now), report("t", 2, now), report("old", 3, now-maxAge-1)}, now)
+		assert.Assert(t, slices.Equal(b.NewestOf([]string{"old", "t", "unknown"}, now), []lab.PositionReport{report("t", 2, now)}))
+	})
+
 	t.Run("a report from the future is ignored", func(t *testing.T) {
 		var b Board
 
--- a/proxy/process/labdirectory/use.go
+++ b/proxy/process/labdirectory/use.go
@@ -1,6 +1,10 @@
 package labdirectory
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// aheadMembers is the number of members up to which a proxy connects to all of them ahead of the first statement. It
@@ -46,6 +50,18 @@
 	return m.observer
 }
 
+// NeededServices returns the services with needed members, or false if these are all services.
+func (d *Directory) NeededServices() ([]string, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if d.ahead || d.configuration == nil {
+		return nil, false
+	}
+
+	return slices.Collect(maps.Keys(d.needed)), true
+}
+
 // CloseUnused closes the idle connections to members that are no longer needed. The proxy then knows nothing of whether
 // it can reach them.
 func (d *Directory) CloseUnused() {
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -17,6 +17,7 @@
 	"laburnumlock.dev/lab/process/labbounds"
 	"laburnumlock.dev/lab/process/labpack"
 	"laburnumlock.dev/lab/process/labpeerclock"
+	"laburnumlock.dev/lab/process/labservicelist"
 	"laburnumlock.dev/lab/proxy/process/labdirectory"
 )
 
@@ -75,6 +76,7 @@
 	failedSearches   int                      // number of failed searches since the last response
 	controlClock     labpeerclock.Clock       // clock of the instance that answered last
 	bounds           labbounds.Sender         // acknowledged positions that the current instance has learned
+	services         labservicelist.Sender    // services that the current instance knows to be needed
 }
 
 func (s *Subscriber) prepare() {
@@ -231,9 +233,21 @@
 		Positions: s.positionReports(), ClockEpoch: s.controlClock.Epoch(),
 		Acknowledged: s.bounds.Changed(s.Directory.AcknowledgedPositions()),
 		Permissions:  s.Directory.Permissions().Report(),
+		Services:     s.serviceChanges(),
 	}
 }
 
+// serviceChanges returns the changes of the list of services whose positions this proxy needs. The revision is 0 if it needs
+// all positions.
+func (s *Subscriber) serviceChanges() lab.ServiceChanges {
+	needed, some := s.Directory.NeededServices()
+	if !some {
+		return lab.ServiceChanges{}
+	}
+
+	return s.services.Changes(needed)
+}
+
 // wait returns how long the next watch may wait for a change. It ends early when the report on permissions changes.
 func (s *Subscriber) wait() time.Duration {
 	if d, ok := s.Directory.Permissions().DrainsIn(); ok {
@@ -389,6 +403,7 @@
 
 	s.leaderEpoch, s.membersRevision, s.controlAddresses = a.LeaderEpoch, a.MembersRevision, a.ControlAddresses
 	s.controlClock.RecordExchange(a.ClockEpoch, sentAt, a.ReceivedAt, a.SentAt, s.Clock.Now())
+	s.services.RecordResponse(a.ServicesRevision)
 	s.recordPositions(a.Positions)
 	s.Directory.UpdateLeaving(a.Leaving)
 
--- a/watch.go
+++ b/watch.go
@@ -25,12 +25,24 @@
 	// acknowledged.
 	Acknowledged []AcknowledgedPosition `msgpack:"q,omitempty"`
 	Permissions  PermissionReport       `msgpack:"c"` // lists of commit permissions that the sender has
+	// Services are the services whose positions the sender needs.
+	Services ServiceChanges `msgpack:"h"`
 	// Relay is true if the sender is a control instance that answers the watches of other proxies. Of Proxy, only the ID is
 	// set then, which is that of the control instance.
 	Relay   bool           `msgpack:"y,omitempty"`
 	Relayed []RelayedProxy `msgpack:"z,omitempty"` // proxies that watch the sender
 }
 
+// ServiceChanges are changes of a list of services.
+type ServiceChanges struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // option of the codec: no field names, since proxies send it twice a second
+
+	Base     uint64 // revision of the list that the changes apply to; 0 for the empty list
+	Revision uint64 // revision of the list after the changes; 0 if all services are meant
+	Added    []string
+	Removed  []string
+}
+
 // RelayedProxy is what a control instance reports to the leader about a proxy that watches it.
 type RelayedProxy struct {
 	Proxy     Instance        `msgpack:"p"`
@@ -85,6 +97,9 @@
 	ReceivedAt time.Duration    `msgpack:"t"` // time on that clock at which the request was received
 	SentAt     time.Duration    `msgpack:"u"` // time on that clock of the response
 	Positions  []PositionReport `msgpack:"z"` // newest positions of the primaries
+	// ServicesRevision is the revision of WatchRequest.Services by which Positions were chosen; 0 if these are all positions,
+	// since the list of the sender isn't known.
+	ServicesRevision uint64 `msgpack:"h,omitempty"`
 	// Leaving lists the members that are leaving. It is complete in each response, since the times go on.
 	Leaving     []LeavingMember `msgpack:"g,omitempty"`
 	Permissions PermissionGrant `msgpack:"w"` // permissions to commit
