--- /dev/null
+++ b/proxy/process/laboutlier/detector_test.go
@@ -0,0 +1,229 @@
+package laboutlier
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumlock.dev/lab/proxy/request/labsample"
+)
+
+// fixture plays statements of three members against a detector.
+type fixture struct {
+	detector Detector
+	random   *rand.Rand
+	now      time.Duration
+	changes  []Change // changes of member a
+}
+
+func newFixture(members ...string) *fixture {
+	f := &fixture{random: rand.New(rand.NewPCG(7, 7)), now: time.Minute}
+	f.detector.SetMembers(members)
+
+	return f
+}
+
+// execution returns the duration of a statement of a random kind, 3 to 47 ms.
+func (f *fixture) execution() time.Duration {
+	return []time.Duration{3, 8, 15, 20, 24, 30, 47}[f.random.IntN(7)] * time.Millisecond
+}
+
+func (f *fixture) served(member string, factor int) {
+	c := f.detector.Add(f.now, member, labsample.Sample{Served: true, Read: true, Latency: time.Duration(factor) * f.execution()}, 0)
+	f.record(member, c)
+}
+
+func (f *fixture) failed(member string) {
+	f.record(member, f.detector.Add(f.now, member, labsample.Sample{Lost: true}, 0))
+}
+
+func (f *fixture) record(member string, c Change) {
+	if member == "a" && c != ChangeNone {
+		f.changes = append(f.changes, c)
+	}
+}
+
+// play sends each member rate statements a second. Those of member a are slower by the factor, and the given share of
+// them fails. While member a is ejected it gets trials only. play returns when the time is over or until reports true.
+func (f *fixture) play(d time.Duration, rate float64, factor int, failures float64, until func() bool) time.Duration {
+	started := f.now
+	step := time.Duration(float64(time.Second) / rate)
+
+	for f.now-started < d && !until() {
+		f.now += step
+
+		for _, m := range []string{"b", "c"} {
+			f.served(m, 1)
+		}
+
+		switch {
+		case f.ejected("a") && !f.detector.StartTrial(f.now, "a"):
+		case f.random.Float64() < failures:
+			f.failed("a")
+		default:
+			f.served("a", factor)
+		}
+	}
+
+	return f.now - started
+}
+
+func (f *fixture) ejected(member string) bool {
+	return f.detector.Assess(f.now, []string{member})[0].Ejected
+}
+
+func never() bool { return false }
+
+func assertChanges(t *testing.T, f *fixture, want ...Change) {
+	t.Helper()
+	assert.DeepEqual(t, f.changes, want)
+}
+
+func assertWithin(t *testing.T, got, limit time.Duration) {
+	t.Helper()
+	assert.Assert(t, got < limit, "after %v, limit %v", got, limit)
+}
+
+func TestSlowMember(t *testing.T) {
+	// Load: a member is 4 or 8 times slower for 6 s, at a gateway with 8 statements a second.
+	for _, factor := range []int{4, 8} {
+		f := newFixture("a", "b", "c")
+		f.play(20*time.Second, 8, 1, 0, never)
+		assertChanges(t, f)
+
+		assertWithin(t, f.play(6*time.Second, 8, factor, 0, func() bool { return f.ejected("a") }), 2*time.Second)
+		f.play(4*time.Second, 8, factor, 0, never)
+		assertWithin(t, f.play(6*time.Second, 8, 1, 0, func() bool { return !f.ejected("a") }), 2*time.Second)
+		assert.Equal(t, f.changes[len(f.changes)-1], ChangeRestored)
+	}
+}
+
+// Guards against a wait for samples that never come: the trials alone must show that the member is fast again.
+func TestTrialsAreFew(t *testing.T) {
+	f := newFixture("a", "b", "c")
+	f.play(20*time.Second, 50, 1, 0, never)
+	f.play(6*time.Second, 50, 8, 0, func() bool { return f.ejected("a") })
+
+	trials := 0
+	for end := f.now + 3*time.Second; f.now < end; f.now += 20 * time.Millisecond {
+		if f.detector.StartTrial(f.now, "a") {
+			trials++
+
+			f.served("a", 8)
+		}
+	}
+
+	assert.Assert(t, trials >= 6 && trials <= 9, "%d trials of 150 statements", trials)
+}
+
+// Load: a member resets 40 % of its statements for 10 s; its health answers stay good.
+func TestFailingMember(t *testing.T) {
+	f := newFixture("a", "b", "c")
+	f.play(10*time.Second, 8, 1, 0, never)
+	assertWithin(t, f.play(10*time.Second, 8, 1, 0.4, func() bool { return f.ejected("a") }), 3*time.Second)
+	f.play(10*time.Second, 8, 1, 0.4, never)
+	f.play(4*time.Second, 8, 1, 0, never)
+	assert.Assert(t, !f.ejected("a"))
+}
+
+// Guards against judging by chance: a proxy with 0.3 statements a second for each member knows too little, and neither
+// slow nor failed statements eject a member there.
+func TestFewSamples(t *testing.T) {
+	f := newFixture("a", "b", "c")
+	f.play(time.Minute, 0.3, 1, 0, never)
+	f.play(time.Minute, 0.3, 8, 0.4, never)
+	assertChanges(t, f)
+	assert.Equal(t, f.detector.Assess(f.now, []string{"a"})[0], Assessment{})
+}
+
+func TestNoOutlier(t *testing.T) {
+	t.Run("one slow statement", func(t *testing.T) {
+		f := newFixture("a", "b", "c")
+		for range 20 {
+			f.play(10*time.Second, 8, 1, 0, never)
+			f.served("a", 40)
+		}
+
+		assertChanges(t, f)
+	})
+
+	// Guards against a chain of ejections when overload makes all members slow.
+	t.Run("all are slow", func(t *testing.T) {
+		f := newFixture("a", "b", "c")
+		f.play(10*time.Second, 8, 1, 0, never)
+
+		for range 100 {
+			f.now += 100 * time.Millisecond
+			for _, m := range []string{"b", "c", "a"} {
+				f.served(m, 6)
+			}
+		}
+
+		assertChanges(t, f)
+	})
+
+	t.Run("all refuse", func(t *testing.T) {
+		f := newFixture("a", "b", "c")
+		f.play(10*time.Second, 8, 1, 0, never)
+
+		for i := range 100 {
+			f.now += 100 * time.Millisecond
+			for _, m := range []string{"b", "c", "a"} {
+				if i%2 == 0 {
+					f.failed(m)
+				} else {
+					f.served(m, 1)
+				}
+			}
+		}
+
+		assertChanges(t, f)
+	})
+}
+
+// Guards against services without members: at least half of them remain, also when all fail in turn.
+func TestHalfRemains(t *testing.T) {
+	for n, want := range map[int]int{1: 0, 2: 1, 3: 1, 4: 2, 5: 2} {
+		names := []string{"a", "b", "c", "d", "e"}[:n]
+		f := newFixture(names...)
+
+		for i := range names {
+			for range 30 {
+				f.now += 10 * time.Millisecond
+				f.failed(names[i])
+			}
+
+			f.now += 30 * time.Second // nothing is known of this member any more
+			f.detector.members[names[i]].lastTrial = f.now
+		}
+
+		ejected := 0
+		for _, a := range f.detector.Assess(f.now, names) {
+			if a.Ejected {
+				ejected++
+			}
+		}
+
+		// The last ones may have been forgotten, never more ejected than allowed.
+		assert.Assert(t, ejected <= want, "%d of %d ejected", ejected, n)
+	}
+}
+
+func TestForget(t *testing.T) {
+	t.Run("started again", func(t *testing.T) {
+		f := newFixture("a", "b", "c")
+		f.play(10*time.Second, 8, 1, 1, func() bool { return f.ejected("a") })
+		assert.Assert(t, f.ejected("a"))
+		f.detector.Forget("a")
+		assert.Assert(t, !f.ejected("a"))
+	})
+
+	t.Run("no trials", func(t *testing.T) {
+		f := newFixture("a", "b", "c")
+		f.play(10*time.Second, 8, 1, 1, func() bool { return f.ejected("a") })
+		f.now += forgetAfter + time.Second
+		assert.Equal(t, f.detector.Assess(f.now, []string{"a"})[0].Change, ChangeRestored)
+	})
+}
