--- a/proxy/connection/labpool/conn.go
+++ b/proxy/connection/labpool/conn.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/request/labsample"
 )
 
 // drainTimeout bounds the wait for a response that missed its deadline. A statement waits for half of this time at a
@@ -34,6 +35,7 @@
 	known             lab.CommitPosition // newest position of the member that was known before the next operation is sent
 	wrote             bool               // a write has run in the open transaction
 	faulted           bool               // a fault was returned that may be a second answer to an earlier operation
+	active            bool               // a statement runs or is about to; guarded by the pool's mutex while idle
 }
 
 var _ lab.PooledConnection = (*Conn)(nil)
@@ -68,12 +70,22 @@
 	}
 
 	sent, added := c.addPrepares(operations)
+	runs := labsample.Runs(sent)
+
+	if runs {
+		c.pool.startStatement(c)
+	}
+
 	started := time.Now()
 	r, err := c.connection.Run(deadline, sent...)
 	c.lastUsed = time.Now()
 
 	acknowledged := c.recordResults(sent, r, err)
 
+	if runs {
+		c.pool.endStatement(c, labsample.New(sent, r, err, c.lastUsed.Sub(started)), err == nil)
+	}
+
 	if err == nil && mustBeInStep(sent, r) {
 		if err = c.inStep(deadline); err != nil {
 			return nil, err
@@ -347,5 +359,5 @@
 // Discard closes the connection; the member rolls back an open transaction.
 func (c *Conn) Discard() {
 	c.connection.Close()
-	c.pool.discard()
+	c.pool.discard(c)
 }
--- /dev/null
+++ b/proxy/connection/labpool/limit.go
@@ -0,0 +1,115 @@
+package labpool
+
+import (
+	"slices"
+	"time"
+
+	"laburnumlock.dev/lab/proxy/request/labsample"
+)
+
+// startTime is the start of the time that is passed to the limits, on the monotonic clock.
+var startTime = time.Now()
+
+// atLimitLocked reports whether the member already runs as many statements of this proxy as it handles well. A further
+// one waits as if no connection were free.
+func (p *Pool) atLimitLocked() bool {
+	if p.Limit == nil {
+		return false
+	}
+
+	maximum := p.limitLocked()
+	limit := p.Limit.Current(time.Since(startTime), maximum)
+
+	return limit < maximum && p.active >= limit
+}
+
+// setActiveLocked records whether a statement runs on a connection or is about to. A connection is not active while its
+// transaction is idle, so that idle transactions do not use up the limit.
+func (p *Pool) setActiveLocked(c *Conn, active bool) {
+	if c.active == active {
+		return
+	}
+
+	c.active = active
+
+	if active {
+		p.active++
+	} else {
+		p.active--
+	}
+}
+
+// admitLocked passes idle connections to the requests that wait because of the learned limit, as far as it allows now. A
+// request whose organisation has no idle connection waits for a new one, while the requests after it may be served.
+func (p *Pool) admitLocked() {
+	if !p.held {
+		return
+	}
+
+	for i := 0; i < len(p.waiters) && !p.atLimitLocked(); {
+		w := p.waiters[i]
+
+		c := p.takeAliveLocked(w.organisation)
+		if c == nil {
+			if p.dials[w.organisation] == 0 {
+				p.growLocked(w.organisation)
+			}
+
+			i++
+
+			continue
+		}
+
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+		w.conn <- c
+	}
+
+	p.held = len(p.waiters) > 0
+}
+
+// startStatement counts a connection as active that runs a further statement of its transaction.
+func (p *Pool) startStatement(c *Conn) {
+	if p.Limit == nil || c.active {
+		return
+	}
+
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	p.setActiveLocked(c, true)
+}
+
+// endStatement records the sample of an exchange. A connection on which a statement has ended is no longer active, so
+// that a waiting request may be admitted. After an error the statement may still run, so that the connection stays
+// active until it is released.
+func (p *Pool) endStatement(c *Conn, s labsample.Sample, ended bool) {
+	if p.Limit != nil {
+		p.mutex.Lock()
+		p.Limit.Add(time.Since(startTime), s, p.active, p.limitLocked())
+
+		if ended {
+			p.setActiveLocked(c, false)
+		}
+
+		p.admitLocked()
+		p.mutex.Unlock()
+	}
+
+	if p.OnSample != nil {
+		p.OnSample(s)
+	}
+}
+
+// LearnedLimit returns the number of statements that may run at a time, and the number of connections without a learned
+// limit.
+func (p *Pool) LearnedLimit() (limit, maximum int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	maximum = p.limitLocked()
+	if p.Limit == nil {
+		return maximum, maximum
+	}
+
+	return p.Limit.Current(time.Since(startTime), maximum), maximum
+}
--- a/proxy/connection/labpool/pool.go
+++ b/proxy/connection/labpool/pool.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/lablimit"
+	"laburnumlock.dev/lab/proxy/request/labsample"
 )
 
 const (
@@ -63,11 +65,17 @@
 	OnDial func(member lab.Announcement, err error)
 	// Exists reports whether an organisation is configured, if it is not nil. Idle connections of others are closed.
 	Exists func(organisation string) bool
+	// Limit learns how many statements the member handles well at a time; nil for no limit. The pool's mutex guards it.
+	Limit *lablimit.Limit
+	// OnSample receives what an exchange has shown, if it is not nil. It is called without the pool's lock.
+	OnSample func(labsample.Sample)
 
 	mutex             sync.Mutex
 	idle              []*Conn        // idle connections; the most recently used one is the last
 	open              int            // number of connections, including those in use and those being dialled
 	inUse             int            // number of requests that use or wait for a connection
+	active            int            // number of connections whose statement runs or is about to, see Conn.active
+	held              bool           // whether requests may wait because of the learned limit
 	dials             map[string]int // number of dials in progress by organisation
 	preparedCount     uint64         // number of statements prepared so far, used for unique names
 	waiters           []waiter       // waiting requests, sorted by priority, then by arrival
@@ -124,19 +132,14 @@
 		return nil, nil, errors.Newf("%w: pool is closed", ErrNoConnection)
 	}
 
-	for c := p.takeIdleLocked(r.Organisation); c != nil; c = p.takeIdleLocked(r.Organisation) {
-		if c.IdleTime() > livenessCheckAfter && !c.connection.Alive() {
-			p.open--
+	limited := p.atLimitLocked()
 
-			c.connection.Close()
+	if !limited {
+		if c := p.takeAliveLocked(r.Organisation); c != nil {
+			p.countUseLocked()
 
-			continue
+			return c, nil, nil
 		}
-
-		p.countUseLocked()
-		p.joinKnownLocked(c)
-
-		return c, nil, nil
 	}
 
 	if p.open == 0 && time.Now().Before(p.nextDial) {
@@ -146,11 +149,37 @@
 	w := make(chan *Conn, 1)
 	p.enqueueLocked(waiter{r.Priority, r.Organisation, time.Now(), w})
 	p.countUseLocked()
-	p.growLocked(r.Organisation)
+
+	if limited {
+		p.held = true
+	} else {
+		p.growLocked(r.Organisation)
+	}
 
 	return nil, w, nil
 }
 
+// takeAliveLocked removes an idle connection of an organisation that the member has kept open, and counts it as active.
+// It returns nil if there is none.
+func (p *Pool) takeAliveLocked(organisation string) *Conn {
+	for c := p.takeIdleLocked(organisation); c != nil; c = p.takeIdleLocked(organisation) {
+		if c.IdleTime() > livenessCheckAfter && !c.connection.Alive() {
+			p.open--
+
+			c.connection.Close()
+
+			continue
+		}
+
+		p.joinKnownLocked(c)
+		p.setActiveLocked(c, true)
+
+		return c
+	}
+
+	return nil
+}
+
 // takeIdleLocked removes and returns the most recently used idle connection of an organisation, or nil if there is none.
 func (p *Pool) takeIdleLocked(organisation string) *Conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
@@ -361,8 +390,9 @@
 func (p *Pool) offerLocked(c *Conn) {
 	p.joinKnownLocked(c)
 
-	if len(p.waiters) == 0 {
+	if len(p.waiters) == 0 || p.atLimitLocked() {
 		p.idle = append(p.idle, c)
+		p.held = len(p.waiters) > 0
 
 		return
 	}
@@ -371,6 +401,7 @@
 	i := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.organisation == c.organisation })
 
 	if i >= 0 && !first.before(p.waiters[i]) {
+		p.setActiveLocked(c, true)
 		p.waiters[i].conn <- c
 		p.waiters = slices.Delete(p.waiters, i, i+1)
 
@@ -391,6 +422,7 @@
 	defer p.mutex.Unlock()
 
 	p.inUse--
+	p.setActiveLocked(c, false)
 
 	// When the limit has shrunk, excess connections are closed at once, since other proxies may now open connections
 	// instead.
@@ -405,12 +437,14 @@
 	p.offerLocked(c)
 }
 
-func (p *Pool) discard() {
+func (p *Pool) discard(c *Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
 	p.inUse--
 	p.open--
+	p.setActiveLocked(c, false)
+	p.admitLocked()
 
 	if len(p.waiters) > 0 {
 		p.growLocked(p.waiters[0].organisation)
@@ -434,6 +468,7 @@
 		p.growLocked("")
 	}
 
+	p.admitLocked() // the learned limit may have been forgotten
 	p.closeRemovedLocked()
 
 	limit := p.limitLocked()
@@ -502,7 +537,7 @@
 
 	c := p.idle[0]
 	p.idle = p.idle[1:]
-	p.inUse++
+	p.inUse++ // not active: a ping needs no slot of the member
 
 	return c, true
 }
@@ -515,7 +550,9 @@
 
 	down := time.Now().Before(p.nextDial)
 
-	return p.inUse, len(p.idle) > 0 || (p.open < p.limitLocked() && !down), p.open > 0 || (!down && p.limitLocked() > 0)
+	free = !p.atLimitLocked() && (len(p.idle) > 0 || (p.open < p.limitLocked() && !down))
+
+	return p.inUse, free, p.open > 0 || (!down && p.limitLocked() > 0)
 }
 
 // Close closes the idle connections at once, and each connection in use when it is released.
