--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -9,6 +9,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/connection/labpool"
+	"laburnumlock.dev/lab/proxy/process/laboutlier"
 	"laburnumlock.dev/lab/proxy/process/labpermission"
 	"laburnumlock.dev/lab/proxy/process/labplacement"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
@@ -60,6 +61,9 @@
 	// LeavingPeriod is the time after a member's announcement that it is leaving in which new requests may reach it. It is
 	// 0 if there is no such limit.
 	LeavingPeriod time.Duration
+	// FixedCosts switches off what is learned from the members' behaviour: reads are placed by fixed costs alone, and no
+	// limit is learned for the statements in progress at a member.
+	FixedCosts bool
 	// OnPrimaryUnreachable is called when a primary becomes unreachable; it must not block.
 	OnPrimaryUnreachable func()
 	// OnCommitsDrained is called when the commits have ended that the control group waits for; it must not block.
@@ -89,6 +93,8 @@
 	// acknowledged is the newest position that a pool in closedPools or a removed one has seen acknowledged.
 	acknowledged lab.CommitPosition
 	closedPools  []*labpool.Pool // pools of former incarnations on which statements may still run
+	// detector compares the members; nil with Directory.FixedCosts.
+	detector *laboutlier.Detector
 }
 
 // member is the state of one incarnation of a member. Points in time are on the directory's clock.
@@ -201,7 +207,7 @@
 func (d *Directory) updateMemberLocked(a lab.Announcement) {
 	s, ok := d.services[a.Database]
 	if !ok {
-		s = &service{members: map[string]*member{}}
+		s = d.newService()
 		d.services[a.Database] = s
 	}
 
@@ -231,8 +237,9 @@
 		n.leavingSince = m.leavingSince
 	}
 
+	onSample := d.sampler(s, a)
 	n.pool = &labpool.Pool{
-		Target: a, Dialer: d.Dialer, OnDial: d.recordDial,
+		Target: a, Dialer: d.Dialer, OnDial: d.recordDial, OnSample: onSample, Limit: d.newLimit(),
 		MaxConnections:      func() int { return int(n.maxConnections.Load()) },
 		RetainedConnections: func() int { return int(n.retainedConnections.Load()) },
 		Exists:              d.organisationExists,
@@ -240,11 +247,13 @@
 	if d.Peers != nil {
 		n.relay = &labrelay.Source{
 			Target: a, Peers: d.Peers, History: &s.history, Reachability: d.Reachability, Clock: d.Clock,
+			OnSample: onSample,
 			Gateways: func(organisation string) ([]lab.Instance, int) { return d.gatewaysOf(n, organisation) }, Version: d.Version,
 		}
 	}
 
 	s.members[a.Member] = n
+	s.setMeasured(a.Member)
 
 	d.Log.Info().Str("service", a.Database).Str("member", a.Member).Str("address", a.Address).
 		Uint64("incarnation", a.Incarnation).Msg("member_known")
@@ -277,6 +286,7 @@
 
 	s.closePool(m.pool)
 	delete(s.members, id)
+	s.setMeasured("")
 	d.Log.Info().Str("service", name).Str("member", id).Msg("member_dropped")
 }
 
--- /dev/null
+++ b/proxy/process/labdirectory/measure.go
@@ -0,0 +1,125 @@
+package labdirectory
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/lablimit"
+	"laburnumlock.dev/lab/proxy/process/laboutlier"
+	"laburnumlock.dev/lab/proxy/process/labselection"
+	"laburnumlock.dev/lab/proxy/request/labsample"
+)
+
+// newService returns a service without members.
+func (d *Directory) newService() *service {
+	s := &service{members: map[string]*member{}}
+	if !d.FixedCosts {
+		s.detector = &laboutlier.Detector{Phase: d.phase()}
+	}
+
+	return s
+}
+
+// newLimit returns the limit of the statements in progress at a member, nil with FixedCosts.
+func (d *Directory) newLimit() *lablimit.Limit {
+	if d.FixedCosts {
+		return nil
+	}
+
+	return &lablimit.Limit{Phase: d.phase()}
+}
+
+// phase returns a number that differs between proxies, so that they don't act in step.
+func (d *Directory) phase() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(d.Self)) // Write never fails
+
+	return h.Sum64()
+}
+
+// setMeasured sets the members that the detector compares. It forgets what is known about a member that has started
+// again, if one is named.
+func (s *service) setMeasured(started string) {
+	if s.detector == nil {
+		return
+	}
+
+	s.detector.SetMembers(slices.Collect(maps.Keys(s.members)))
+	s.detector.Forget(started)
+}
+
+// sampler returns the function that receives the samples of a member, nil with FixedCosts. The function doesn't lock the
+// directory.
+func (d *Directory) sampler(s *service, a lab.Announcement) func(labsample.Sample) {
+	if s.detector == nil {
+		return nil
+	}
+
+	network := labselection.Network(a.AvailabilityZone == d.AvailabilityZone, a.Region == d.Region)
+
+	return func(o labsample.Sample) {
+		d.logChange(a.Database, a.Member, s.detector.Add(d.Clock.Now(), a.Member, o, network))
+	}
+}
+
+func (d *Directory) logChange(service, member string, c laboutlier.Change) {
+	switch c {
+	case laboutlier.ChangeEjected:
+		d.Log.Info().Str("service", service).Str("member", member).Msg("member_ejected")
+	case laboutlier.ChangeRestored:
+		d.Log.Info().Str("service", service).Str("member", member).Msg("member_restored")
+	case laboutlier.ChangeNone:
+	}
+}
+
+// assess adds what the samples say about the members to the options of a read.
+func (d *Directory) assess(name string, detector *laboutlier.Detector, options []labselection.Option) {
+	names := make([]string, len(options))
+	for i := range options {
+		names[i] = options[i].Member
+	}
+
+	for i, a := range detector.Assess(d.Clock.Now(), names) {
+		d.logChange(name, names[i], a.Change)
+
+		o := &options[i]
+		o.Weight, o.Latency, o.Normal, o.Ejected, o.Trial = a.Weight, a.Latency, a.Normal, a.Ejected, a.Trial
+	}
+}
+
+// MemberMeasurement is what this proxy has measured of one member, for metrics.
+type MemberMeasurement struct {
+	Limit       int           `json:"limit"`       // statements that may run at a time on direct connections
+	Connections int           `json:"connections"` // the most that can run without a learned limit
+	Latency     time.Duration `json:"latency_ns"`  // latency of reads without the network, 0 with too few samples
+	Ejected     bool          `json:"ejected"`
+}
+
+// Measurements returns the measurements by service and member, as "service/member". There is one for each known member.
+func (d *Directory) Measurements() map[string]MemberMeasurement {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	out := map[string]MemberMeasurement{}
+
+	for n, s := range d.services {
+		ids := slices.Sorted(maps.Keys(s.members))
+		assessed := make([]laboutlier.Assessment, len(ids))
+
+		if s.detector != nil {
+			assessed = s.detector.Assess(d.Clock.Now(), ids)
+		}
+
+		for i, id := range ids {
+			limit, maximum := s.members[id].pool.LearnedLimit()
+			out[n+"/"+id] = MemberMeasurement{
+				Limit: limit, Connections: maximum, Latency: assessed[i].Latency, Ejected: assessed[i].Ejected,
+			}
+		}
+	}
+
+	return out
+}
--- a/proxy/process/labdirectory/select.go
+++ b/proxy/process/labdirectory/select.go
@@ -7,6 +7,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/connection/labpool"
+	"laburnumlock.dev/lab/proxy/process/laboutlier"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
 	"laburnumlock.dev/lab/proxy/process/labrelay"
 	"laburnumlock.dev/lab/proxy/process/labselection"
@@ -129,9 +130,13 @@
 	name string, minPosition lab.CommitPosition, tried map[string]bool,
 ) (source lab.ConnectionPool, primary bool) {
 	d.mutex.Lock()
-	options, pools := d.readOptionsLocked(name, minPosition, tried)
+	options, pools, detector := d.readOptionsLocked(name, minPosition, tried)
 	d.mutex.Unlock()
 
+	if detector != nil {
+		d.assess(name, detector, options)
+	}
+
 	// Load is called without the directory's lock, since pools call the directory while they hold their own lock.
 	var (
 		up    []labselection.Option
@@ -147,7 +152,14 @@
 		}
 	}
 
-	c := labselection.Select(up, d.Random.Uint64())
+	random := d.Random.Uint64()
+
+	c := labselection.Select(up, random)
+	if c >= 0 && up[c].Trial && !detector.StartTrial(d.Clock.Now(), up[c].Member) {
+		up[c].Trial = false // another statement has become the trial meanwhile
+		c = labselection.Select(up, random)
+	}
+
 	if c < 0 {
 		return nil, false
 	}
@@ -160,10 +172,10 @@
 // draining, unless it is about to end.
 func (d *Directory) readOptionsLocked(
 	name string, minPosition lab.CommitPosition, tried map[string]bool,
-) ([]labselection.Option, []lab.ConnectionPool) {
+) ([]labselection.Option, []lab.ConnectionPool, *laboutlier.Detector) {
 	s, ok := d.services[name]
 	if !ok {
-		return nil, nil
+		return nil, nil, nil
 	}
 
 	var (
@@ -187,7 +199,7 @@
 		pools = append(pools, d.sourceLocked(m))
 	}
 
-	return options, pools
+	return options, pools, s.detector
 }
 
 // lagsBehind reports whether the member probably has not reached minPosition, since it has recently refused a read at
--- a/proxy/process/labrelay/connection.go
+++ b/proxy/process/labrelay/connection.go
@@ -160,12 +160,18 @@
 		c.source.History.Record(sentAt-a.Age, a.Position)
 	}
 
+	elapsed := time.Since(started)
+
 	if a.Failure != "" {
-		return nil, c.gatewayError(a)
+		err := c.gatewayError(a)
+		c.source.sample(r.Operations, a, err, elapsed)
+
+		return nil, err
 	}
 
 	c.bound = true
-	c.source.observeLatency(time.Since(started))
+	c.source.observeLatency(elapsed)
+	c.source.sample(r.Operations, a, nil, elapsed)
 
 	return a.Results, nil
 }
--- a/proxy/process/labrelay/source.go
+++ b/proxy/process/labrelay/source.go
@@ -10,6 +10,7 @@
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
 	"laburnumlock.dev/lab/proxy/process/labreachability"
+	"laburnumlock.dev/lab/proxy/request/labsample"
 )
 
 const (
@@ -44,6 +45,8 @@
 	History      *labpositionhistory.History // receives the positions that gateways report
 	Reachability *labreachability.Tracker    // tracks which gateways respond; shared by the sources of all members
 	Clock        lab.Clock
+	// OnSample receives what an exchange with the member has shown, if it is not nil.
+	OnSample func(labsample.Sample)
 
 	mutex          sync.Mutex
 	inUse          map[lab.InstanceID]int           // number of connections that use each gateway
@@ -226,6 +229,13 @@
 	s.typicalLatency += (d - s.typicalLatency) / latencyWindow
 }
 
+// sample reports what the response of a gateway says about the member. A gateway that doesn't respond says nothing.
+func (s *Source) sample(sent []lab.Operation, a response, err error, elapsed time.Duration) {
+	if s.OnSample != nil {
+		s.OnSample(labsample.New(sent, a.Results, err, elapsed))
+	}
+}
+
 // Load returns the number of connections in use. The other results only say whether a gateway is known, since the
 // gateways decide whether a connection is free.
 func (s *Source) Load() (inProgress int, free, reachable bool) {
--- a/proxy/process/labtypedproxy/proxy.go
+++ b/proxy/process/labtypedproxy/proxy.go
@@ -50,6 +50,7 @@
 	Dialer              lab.MemberDialer
 	Codec               func() lab.ClientCodec // creates the codec of a client connection
 	Log                 zerolog.Logger
+	FixedCosts          bool // places reads by fixed costs and learns no limits, see labdirectory.Directory
 
 	directory  *labdirectory.Directory
 	subscriber *labsubscriber.Subscriber
@@ -63,7 +64,7 @@
 	p.directory = &labdirectory.Directory{
 		Self: p.Self.ID, AvailabilityZone: p.Self.AvailabilityZone, Region: p.Self.Region, Peers: p.Transport, Dialer: p.Dialer,
 		Reachability: &labreachability.Tracker{Clock: p.Clock}, Random: p.Random, Clock: p.Clock, Log: p.Log,
-		LeavingPeriod: p.LeavingPeriod,
+		LeavingPeriod: p.LeavingPeriod, FixedCosts: p.FixedCosts,
 	}
 
 	relay := &labrelay.Server{Directory: p.directory, Clock: p.Clock, Log: lablog.NewRequestLogger(p.Log)}
@@ -92,6 +93,7 @@
 func (p *Proxy) Publish(m *expvar.Map) {
 	p.counters.Publish(m)
 	p.directory.Permissions().Publish(m)
+	m.Set("members", expvar.Func(func() any { return p.directory.Measurements() }))
 	m.Set("callers", &p.listener.OpenConnections)
 	m.Set("startups_refused", &p.listener.RefusedStartups)
 }
