labrelay: a gateway that has ejected a member refuses reads that another member can run

A proxy sends a member 0.3 statements a second, too few to find out that it is slow or fails. The gateways of its zone see the statements of all proxies there. Responses carry how well the member serves at the gateway, and requests how well the other members do, so that overload of a whole service ejects none.

--- a/connectionpool.go
+++ b/connectionpool.go
@@ -34,6 +34,9 @@
 	Priority      int           // 0 is the highest
 	Deadline      time.Time     // time by which the statement must have its response; zero if unknown
 	TargetLatency time.Duration // time within which the whole operation should end, 0 for no target
+	// Optional states that another member can run the statement. A gateway that has ejected the member then refuses it with
+	// ReasonEjected.
+	Optional bool
 }
 
 // ConnectionPool provides connections to one member.
--- a/outcome.go
+++ b/outcome.go
@@ -62,6 +62,7 @@
 	ReasonStale          = "stale"       // no member reached the minimum position by the deadline
 	ReasonOutOfStep      = "out_of_step" // the member's answers do not belong to the operations
 	ReasonNoRegistry     = "no_registry" // too few registry replicas responded
+	ReasonEjected        = "ejected"     // the gateway has found the member slow or failing; another member can run the request
 )
 
 // Error returns the outcome, the reason and the cause as text.
--- a/proxy/connection/labtypedsession/acquire.go
+++ b/proxy/connection/labtypedsession/acquire.go
@@ -25,12 +25,12 @@
 		return nil, false
 	}
 
-	return a.acquire(p)
+	return a.acquire(p, false)
 }
 
-// acquire returns a connection from the pool. It waits for at most the time that labwaitlimit allows, and returns false
+// acquire returns a connection from the pool. If the statement is optional, another member can run it. It waits for at most the time that labwaitlimit allows, and returns false
 // when it gets no connection. It sets gaveUpWaiting when the statement can no longer finish in time.
-func (a *attempt) acquire(p lab.ConnectionPool) (lab.PooledConnection, bool) {
+func (a *attempt) acquire(p lab.ConnectionPool, optional bool) (lab.PooledConnection, bool) {
 	statement := labwaitlimit.Statement{
 		TimeLeft: time.Until(a.deadline), TargetLatency: a.route.TargetLatency, TypicalLatency: p.TypicalLatency(),
 		Unreachable: a.session.Directory.Unreachable(p.Member()),
@@ -50,6 +50,7 @@
 
 	c, err := p.Acquire(ctx, lab.AcquireRequest{
 		Organisation: a.session.organisation.Name, Priority: a.route.Priority, Deadline: a.deadline, TargetLatency: a.route.TargetLatency,
+		Optional: optional,
 	})
 	if err != nil {
 		if ctx.Err() != nil {
@@ -80,7 +81,8 @@
 	if fresh {
 		p, isPrimary := a.session.Directory.ReadSource(a.route.Service, minPosition, a.triedMembers)
 		if p != nil {
-			c, ok = a.acquire(p)
+			// After one refusal the next member must run the statement: at least half of the members remain.
+			c, ok = a.acquire(p, !a.refusedEjected)
 
 			return c, minPosition, isPrimary, ok
 		}
--- a/proxy/connection/labtypedsession/attempt.go
+++ b/proxy/connection/labtypedsession/attempt.go
@@ -37,6 +37,7 @@
 	minPosition    lab.CommitPosition  // position that the member of a read must have reached
 	typicalLatency time.Duration       // typical time between an operation and its response at the member of the last try
 	begun          begunTransaction    // transaction that the member has accepted last, until its next response
+	refusedEjected bool                // whether a gateway has refused a try because it has ejected the member
 	maxStaleness   time.Duration       // maximum staleness, if it determined minPosition; 0 if the session's commit did
 }
 
--- a/proxy/connection/labtypedsession/counters.go
+++ b/proxy/connection/labtypedsession/counters.go
@@ -12,6 +12,7 @@
 type Counters struct {
 	Operations expvar.Int
 	Refusals   expvar.Int // number of refusals by members; a refused operation is retried
+	Diverted   expvar.Int // number of reads that ran at another member since a gateway had ejected the first one
 	Timeouts   expvar.Int // number of reads that got no response before their deadline
 	// NotPermitted is the number of COMMITs that were not sent since there was no permission.
 	NotPermitted expvar.Int
@@ -25,6 +26,7 @@
 func (c *Counters) Publish(m *expvar.Map) {
 	m.Set("operations", &c.Operations)
 	m.Set("member_refusals", &c.Refusals)
+	m.Set("reads_diverted", &c.Diverted)
 	m.Set("read_timeouts", &c.Timeouts)
 	m.Set("commits_not_permitted", &c.NotPermitted)
 	m.Set("commits_unconfirmed", &c.PermissionEnded)
--- a/proxy/connection/labtypedsession/release.go
+++ b/proxy/connection/labtypedsession/release.go
@@ -14,8 +14,18 @@
 	releaseAfterError(c, err)
 
 	a.begun = begunTransaction{}
+	_, reason := lab.OutcomeOf(err)
+
+	if reason == lab.ReasonEjected {
+		// Another member runs the statement at once. Such tries are too frequent for a log line.
+		a.refusedEjected = true
+		a.session.Counters.Diverted.Add(1)
+		a.skipMember(c.Member())
+
+		return
+	}
 
-	switch _, reason := lab.OutcomeOf(err); {
+	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		a.recordTimeout(c)
 	case reason == lab.ReasonOutOfStep: // the member responds, and another connection to it may be in step
--- a/proxy/connection/labtypedsession/release_test.go
+++ b/proxy/connection/labtypedsession/release_test.go
@@ -113,3 +113,25 @@
 		})
 	}
 }
+
+// TestEjectedMember guards against reads that no member runs: after one refusal of a gateway that has ejected the member,
+// the next member must run the read, and nothing counts against the first one.
+func TestEjectedMember(t *testing.T) {
+	f := newFixture(t, lab.ConsistencySession)
+	f.recordPosition(1)
+
+	route, _, _ := f.directory.Route("db")
+	a := f.session.newAttempt(lab.Operation{RequestID: "q"}, route)
+	p, _ := f.directory.ReadSource("s", lab.CommitPosition{}, nil)
+	started := time.Now()
+
+	a.recordFailure(relayedConnection{p.Member()}, lab.NotRunError(lab.ReasonEjected, errConnectionLost))
+	assert.Assert(t, a.refusedEjected && a.triedMembers[p.Member().Member] && !a.mustStop())
+	assert.Assert(t, time.Since(started) < retryDelay, "no pause")
+	assert.Equal(t, f.session.Counters.Diverted.Value(), int64(1))
+	assert.Assert(t, !f.directory.Unreachable(p.Member()))
+
+	c, _, _, ok := a.acquireReader()
+	assert.Assert(t, ok && c.Member().Member != p.Member().Member)
+	c.Release()
+}
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -247,9 +247,9 @@
 	if d.Peers != nil {
 		n.relay = &labrelay.Source{
 			Target: a, Peers: d.Peers, History: &s.history, Reachability: d.Reachability, Clock: d.Clock,
-			OnSample: onSample,
 			Gateways: func(organisation string) ([]lab.Instance, int) { return d.gatewaysOf(n, organisation) }, Version: d.Version,
 		}
+		d.measureRelay(s, n.relay, onSample)
 	}
 
 	s.members[a.Member] = n
--- a/proxy/process/labdirectory/measure.go
+++ b/proxy/process/labdirectory/measure.go
@@ -9,6 +9,7 @@
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/process/lablimit"
 	"laburnumlock.dev/lab/proxy/process/laboutlier"
+	"laburnumlock.dev/lab/proxy/process/labrelay"
 	"laburnumlock.dev/lab/proxy/process/labselection"
 	"laburnumlock.dev/lab/proxy/request/labsample"
 )
@@ -65,6 +66,46 @@
 	}
 }
 
+// measureRelay connects the source of relayed statements with what is known about the members.
+func (d *Directory) measureRelay(s *service, r *labrelay.Source, onSample func(labsample.Sample)) {
+	if s.detector == nil {
+		return
+	}
+
+	r.OnSample = onSample
+	r.OnCondition = func(c laboutlier.Condition) { s.detector.Report(d.Clock.Now(), r.Target.Member, c) }
+	r.Alternative = func() (laboutlier.Condition, bool) { return s.detector.Alternative(d.Clock.Now(), r.Target.Member) }
+}
+
+// Refuses reports whether a relayed statement is refused here that another member in the given condition can run. The
+// proxies of a zone relay through the same gateways, which have the samples that a single proxy lacks.
+func (d *Directory) Refuses(name, member string, alternative laboutlier.Condition) bool {
+	o := d.detector(name)
+
+	return o != nil && o.Refuses(d.Clock.Now(), member, alternative)
+}
+
+// Condition returns how well a member serves at this proxy.
+func (d *Directory) Condition(name, member string) laboutlier.Condition {
+	o := d.detector(name)
+	if o == nil {
+		return laboutlier.Condition{}
+	}
+
+	return o.Condition(d.Clock.Now(), member)
+}
+
+func (d *Directory) detector(name string) *laboutlier.Detector {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if s, ok := d.services[name]; ok {
+		return s.detector
+	}
+
+	return nil
+}
+
 func (d *Directory) logChange(service, member string, c laboutlier.Change) {
 	switch c {
 	case laboutlier.ChangeEjected:
--- a/proxy/process/laboutlier/detector.go
+++ b/proxy/process/laboutlier/detector.go
@@ -31,15 +31,20 @@
 	failureRatio = 2
 	// outcomeHalfLife is the time after which a statement counts half in the share of failures.
 	outcomeHalfLife = 1500 * time.Millisecond
-	// trialInterval is the time between trial statements at an ejected member, and trialsUntilBack the number of good
-	// ones in succession after which it is taken back: a member that is well again is used again within 2 s. A third of
-	// the interval differs by proxy, so that proxies do not try and take back a member in step.
-	trialInterval   = 350 * time.Millisecond
+	// trialInterval is the time between trial statements at an ejected member, each of which is slow or fails. After a good
+	// one the next follow at confirmInterval. After trialsUntilBack good ones in succession the member is taken back, so
+	// that one that is well again is used again within 2 s.
+	trialInterval   = 800 * time.Millisecond
+	confirmInterval = 150 * time.Millisecond
 	trialsUntilBack = 4
-	jitterDivisor   = 3
+	// jitterDivisor sets by how much the intervals differ between proxies, up to a quarter. Proxies would otherwise try and
+	// take back a member in step.
+	jitterDivisor = 4
 	// forgetAfter is the time after which an ejected member is taken back that gets no trial statements, since nothing is
 	// known about it any more.
 	forgetAfter = 15 * time.Second
+	// reportLifetime is how long the condition of a member counts that a gateway has reported. Bursts of load last 5 s.
+	reportLifetime = 4 * time.Second
 )
 
 // Change is a change of a member's state.
@@ -62,6 +67,14 @@
 	Change  Change        // ChangeRestored if the member is taken back now
 }
 
+// Condition is how well a member serves at a proxy, for exchange between proxies.
+type Condition struct {
+	// Slowdown is the latency as a multiple of that in normal operation, 0 with too few samples.
+	Slowdown float64 `msgpack:"s,omitempty"`
+	// Failures is the share of failures among the recent statements, 0 with too few of them.
+	Failures float64 `msgpack:"f,omitempty"`
+}
+
 // Detector compares the members of one service. It is safe for concurrent use; exported fields are set before use.
 type Detector struct {
 	// Phase differs between proxies, so that they don't act in step.
@@ -81,6 +94,9 @@
 	trials    int // number of good samples in succession since the ejection
 	nextTrial time.Duration
 	lastTrial time.Duration // time of the last sample or trial since the ejection
+	slowness  bool          // whether the member was ejected because of its latency
+	reported  Condition     // condition that a gateway has reported
+	reportAt  time.Duration // time of the report
 }
 
 // SetMembers sets the members of the service. The samples of others are forgotten.
@@ -136,22 +152,24 @@
 		// Without a reference there is nothing to compare with.
 		if reference > 0 && sample > suspectFactor*reference {
 			m.slow++
-			good = false
 		} else {
 			m.slow = 0
 		}
+
+		good = good && (reference == 0 || sample <= slowFactor*reference)
 	}
 
 	if m.ejected {
-		return m.recordTrial(now, good)
+		return d.recordTrialLocked(now, m, good)
 	}
 
-	if !d.isOutlierLocked(now, name, m, reference) || !d.mayEjectLocked() {
+	slow := m.isSlow(now, reference)
+	if (!slow && !d.failsLocked(now, name, m)) || !d.mayEjectLocked() {
 		return ChangeNone
 	}
 
-	m.ejected, m.trials, m.lastTrial = true, 0, now
-	m.nextTrial = now + d.trialInterval()
+	m.ejected, m.slowness, m.trials, m.lastTrial = true, slow, 0, now
+	m.nextTrial = now + d.jittered(trialInterval)
 
 	return ChangeEjected
 }
@@ -175,8 +193,8 @@
 	return m.failed * decay / max(n, 1), n >= minSamples
 }
 
-// recordTrial records a sample of an ejected member. Statements that were sent before the ejection count too.
-func (m *member) recordTrial(now time.Duration, good bool) Change {
+// recordTrialLocked records a sample of an ejected member. Statements that were sent before the ejection count too.
+func (d *Detector) recordTrialLocked(now time.Duration, m *member, good bool) Change {
 	m.lastTrial = now
 
 	if !good {
@@ -186,6 +204,8 @@
 	}
 
 	if m.trials++; m.trials < trialsUntilBack {
+		m.nextTrial = min(m.nextTrial, now+d.jittered(confirmInterval))
+
 		return ChangeNone
 	}
 
@@ -199,8 +219,9 @@
 	m.latency.Reset()
 }
 
-// referenceLocked returns the latency with which a member is compared: the mean of the other members that serve, or its
-// own baseline while too few samples of others are known. Under overload, all members are slow and none is an outlier.
+// referenceLocked returns the latency with which a member is compared: the mean of the other members that serve. While
+// too few samples of others are known, it is the member's own baseline, times the slowdown that gateways have reported of
+// the others. Under overload, all members are slow and none is an outlier.
 func (d *Detector) referenceLocked(now time.Duration, name string) time.Duration {
 	sum, n := time.Duration(0), time.Duration(0)
 
@@ -215,23 +236,51 @@
 		return sum / n
 	}
 
-	return d.members[name].latency.Baseline()
+	return time.Duration(float64(d.members[name].latency.Baseline()) * d.alternativeLocked(now, name).Slowdown)
 }
 
-func (d *Detector) isOutlierLocked(now time.Duration, name string, m *member, reference time.Duration) bool {
-	slow := m.latency.Samples(now) >= minSamples && m.slow >= minSlow && m.latency.Average() > slowFactor*reference
-	if slow {
-		return true
+// alternativeLocked returns the best that gateways have reported recently of the other members. Without reports, the
+// others count as normal.
+func (d *Detector) alternativeLocked(now time.Duration, name string) Condition {
+	out, found := Condition{}, false
+
+	for o, m := range d.members {
+		if o == name || m.reportAt == 0 || now-m.reportAt > reportLifetime {
+			continue
+		}
+
+		if !found {
+			out, found = m.reported, true
+
+			continue
+		}
+
+		out.Slowdown, out.Failures = min(out.Slowdown, m.reported.Slowdown), min(out.Failures, m.reported.Failures)
 	}
 
+	out.Slowdown = max(1, out.Slowdown)
+
+	return out
+}
+
+func (m *member) isSlow(now, reference time.Duration) bool {
+	return m.latency.Samples(now) >= minSamples && m.slow >= minSlow && m.latency.Average() > slowFactor*reference
+}
+
+// failsLocked reports whether a member fails many statements and the other members don't.
+func (d *Detector) failsLocked(now time.Duration, name string, m *member) bool {
 	share, ok := m.share(now)
 	if !ok || m.failed < minFailures || share < failureShare {
 		return false
 	}
 
+	if d.alternativeLocked(now, name).Failures*failureRatio > share {
+		return false // the cause is not in this member
+	}
+
 	for o, p := range d.members {
 		if q, enough := p.share(now); o != name && enough && q*failureRatio > share {
-			return false // the cause is not in this member
+			return false
 		}
 	}
 
@@ -311,11 +360,80 @@
 		return false
 	}
 
-	m.nextTrial, m.lastTrial = now+d.trialInterval(), now
+	m.nextTrial, m.lastTrial = now+d.jittered(trialInterval), now
 
 	return true
 }
 
-func (d *Detector) trialInterval() time.Duration {
-	return trialInterval + time.Duration(d.Phase%uint64(trialInterval/jitterDivisor))
+// Condition returns how well a member serves at this proxy.
+func (d *Detector) Condition(now time.Duration, name string) Condition {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	m, ok := d.members[name]
+	if !ok {
+		return Condition{}
+	}
+
+	return m.condition(now)
+}
+
+func (m *member) condition(now time.Duration) Condition {
+	var c Condition
+
+	if m.latency.Samples(now) >= minSamples {
+		c.Slowdown = float64(m.latency.Average()) / float64(m.latency.Baseline())
+	}
+
+	if f, ok := m.share(now); ok {
+		c.Failures = f
+	}
+
+	return c
+}
+
+// Report records the condition of a member at a gateway.
+func (d *Detector) Report(now time.Duration, name string, c Condition) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	if m, ok := d.members[name]; ok && c != (Condition{}) {
+		m.reported, m.reportAt = c, now
+	}
+}
+
+// Alternative returns the best condition of the other members that gateways have reported recently, and whether the
+// service has other members.
+func (d *Detector) Alternative(now time.Duration, name string) (Condition, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	return d.alternativeLocked(now, name), len(d.members) > 1
+}
+
+// Refuses reports whether a statement is refused that another member in the given condition can run: this member is
+// ejected and much worse. Some statements are let through as trials.
+func (d *Detector) Refuses(now time.Duration, name string, alternative Condition) bool {
+	d.mutex.Lock()
+
+	m, ok := d.members[name]
+	refuses := ok && m.ejected && now-m.lastTrial <= forgetAfter && m.worse(alternative)
+
+	d.mutex.Unlock()
+
+	return refuses && !d.StartTrial(now, name)
+}
+
+// worse reports whether an ejected member is still much worse than the alternative in what it was ejected for.
+func (m *member) worse(alternative Condition) bool {
+	if m.slowness {
+		return float64(m.latency.Average()) > suspectFactor*max(1, alternative.Slowdown)*float64(m.latency.Baseline())
+	}
+
+	return alternative.Failures*failureRatio < failureShare
+}
+
+// jittered returns an interval of this proxy.
+func (d *Detector) jittered(interval time.Duration) time.Duration {
+	return interval + time.Duration(d.Phase%uint64(interval/jitterDivisor))
 }
--- a/proxy/process/labrelay/connection.go
+++ b/proxy/process/labrelay/connection.go
@@ -125,7 +125,7 @@
 
 	s, err := c.source.Peers.Open(ctx, c.gateway.Address, Method, header{
 		Service: t.Database, Member: t.Member, Incarnation: t.Incarnation, Priority: c.request.Priority,
-		Organisation: c.request.Organisation, Version: c.source.version(),
+		Organisation: c.request.Organisation, Version: c.source.version(), Alternative: c.source.alternative(c.request),
 	})
 	if err != nil {
 		return err
@@ -160,6 +160,10 @@
 		c.source.History.Record(sentAt-a.Age, a.Position)
 	}
 
+	if c.source.OnCondition != nil {
+		c.source.OnCondition(a.Condition)
+	}
+
 	elapsed := time.Since(started)
 
 	if a.Failure != "" {
@@ -194,6 +198,8 @@
 	err := errors.Newf("gateway %s: %s", c.gateway.ID, a.Failure)
 
 	switch {
+	case a.Ejected:
+		return lab.NotRunError(lab.ReasonEjected, err)
 	case a.Busy:
 		return lab.NotRunError(lab.ReasonOverload, err)
 	case a.NotRun:
--- a/proxy/process/labrelay/message.go
+++ b/proxy/process/labrelay/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/laboutlier"
 )
 
 // Method is the stream method that relays statements for one member.
@@ -18,6 +19,9 @@
 	// Organisation is empty if the deployment has none. Version is that of the configuration in which the sender found it.
 	Organisation string `msgpack:"o,omitempty"`
 	Version      uint64 `msgpack:"v,omitempty"`
+	// Alternative is the condition of another member that can run the statements, nil if only this member can. The gateway
+	// refuses the statements if it has ejected the member and finds it much worse.
+	Alternative *laboutlier.Condition `msgpack:"a,omitempty"`
 }
 
 // request asks the gateway to run operations. The gateway binds a connection to the stream for the request, and keeps
@@ -40,4 +44,8 @@
 	// it. Both are zero when the gateway knows no position.
 	Position lab.CommitPosition `msgpack:"p"`
 	Age      time.Duration      `msgpack:"a"`
+	// Ejected states that the request was refused because of header.Alternative.
+	Ejected bool `msgpack:"e,omitempty"`
+	// Condition is how well the member serves at the gateway.
+	Condition laboutlier.Condition `msgpack:"c"`
 }
--- a/proxy/process/labrelay/relay_test.go
+++ b/proxy/process/labrelay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labclock"
+	"laburnumlock.dev/lab/proxy/process/laboutlier"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
 	"laburnumlock.dev/lab/proxy/process/labreachability"
 )
@@ -28,8 +29,9 @@
 	slots   chan struct{}
 
 	mutex    sync.Mutex
-	missing  bool  // whether the gateway has no connections to the member
-	failure  error // error of the next Run
+	slowdown float64 // slowdown of the member
+	missing  bool    // whether the gateway has no connections to the member
+	failure  error   // error of the next Run
 	state    lab.TransactionStatus
 	values   map[string]string // session values of the last Run
 	ended    []string          // how each use of the connection ended: released, discarded or drained
@@ -46,6 +48,14 @@
 
 func (*fakeGateway) MayServe(string, uint64) bool { return true }
 
+func (g *fakeGateway) Refuses(_, _ string, alternative laboutlier.Condition) bool {
+	return g.slowdown > 2*alternative.Slowdown
+}
+
+func (g *fakeGateway) Condition(string, string) laboutlier.Condition {
+	return laboutlier.Condition{Slowdown: g.slowdown}
+}
+
 func (g *fakeGateway) PrimaryHistory(string) *labpositionhistory.History { return &g.history }
 
 func (*fakeGateway) Member() lab.Announcement { return lab.Announcement{} }
@@ -394,3 +404,44 @@
 		assert.Equal(t, len(g.received), 0)
 	})
 }
+
+// TestEjectedMember checks that a gateway refuses statements for a member that it has found slow, if another member can
+// run them. Load: a member is 8 times slower for the clients of one zone, each of whose proxies sends it 0.3 statements a
+// second, too few to find out by itself.
+func TestEjectedMember(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		optional    bool
+		alternative func() (laboutlier.Condition, bool)
+		refused     bool
+	}{
+		{"another member", true, func() (laboutlier.Condition, bool) { return laboutlier.Condition{Slowdown: 1}, true }, true},
+		{"others are as slow", true, func() (laboutlier.Condition, bool) { return laboutlier.Condition{Slowdown: 6}, true }, false},
+		{"no other member", true, func() (laboutlier.Condition, bool) { return laboutlier.Condition{}, false }, false},
+		{"write", false, func() (laboutlier.Condition, bool) { return laboutlier.Condition{Slowdown: 1}, true }, false},
+		{"fixed costs at the sender", true, nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newFakeGateway()
+			g.slowdown = 8
+
+			var reported laboutlier.Condition
+
+			s := newSource(fakePeers{"g": g}, "g")
+			s.Alternative, s.OnCondition = c.alternative, func(o laboutlier.Condition) { reported = o }
+
+			p, err := s.Acquire(t.Context(), lab.AcquireRequest{Optional: c.optional})
+			assert.NilError(t, err)
+
+			_, err = p.Run(testDeadline(), nil, lab.Operation{Kind: lab.OperationRead})
+			assert.Equal(t, err != nil, c.refused)
+			assert.Equal(t, len(g.received) == 0, c.refused)
+			assert.Equal(t, reported.Slowdown, 8.0)
+
+			if c.refused {
+				o, reason := lab.OutcomeOf(err)
+				assert.Assert(t, o == lab.OutcomeNotRun && reason == lab.ReasonEjected)
+			}
+		})
+	}
+}
--- a/proxy/process/labrelay/server.go
+++ b/proxy/process/labrelay/server.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/laboutlier"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
 )
 
@@ -22,6 +23,10 @@
 	// MayServe reports whether statements of the organisation may run here, which the sender knows from the configuration
 	// with the given version.
 	MayServe(organisation string, version uint64) bool
+	// Refuses reports whether a statement for a member is refused that another member in the given condition can run.
+	Refuses(service, member string, alternative laboutlier.Condition) bool
+	// Condition returns how well a member serves at this proxy.
+	Condition(service, member string) laboutlier.Condition
 }
 
 // Server runs the statements that other proxies relay through this one, on the connections of this proxy.
@@ -53,6 +58,7 @@
 
 		a := rs.run(ctx, r)
 		s.addPosition(&a, h.Service)
+		a.Condition = s.Directory.Condition(h.Service, h.Member)
 
 		if err := out.Encode(&a); err != nil {
 			return errors.Newf("send response: %w", err)
@@ -84,6 +90,10 @@
 	deadline := time.Now().Add(r.Deadline)
 
 	if s.conn == nil {
+		if h := &s.header; h.Alternative != nil && s.server.Directory.Refuses(h.Service, h.Member, *h.Alternative) {
+			return response{Failure: "the member is ejected here", NotRun: true, Ejected: true}
+		}
+
 		if err := s.bind(ctx, min(r.Wait, r.Deadline)); err != nil {
 			return response{Failure: err.Error(), NotRun: true, Busy: errors.Is(err, context.DeadlineExceeded)}
 		}
--- a/proxy/process/labrelay/source.go
+++ b/proxy/process/labrelay/source.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/laboutlier"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
 	"laburnumlock.dev/lab/proxy/process/labreachability"
 	"laburnumlock.dev/lab/proxy/request/labsample"
@@ -47,6 +48,11 @@
 	Clock        lab.Clock
 	// OnSample receives what an exchange with the member has shown, if it is not nil.
 	OnSample func(labsample.Sample)
+	// OnCondition receives how well the member serves at a gateway, if it is not nil.
+	OnCondition func(laboutlier.Condition)
+	// Alternative returns the condition of the other members that can run a statement, and whether there are any. It is nil
+	// if gateways may not refuse statements because of it.
+	Alternative func() (condition laboutlier.Condition, ok bool)
 
 	mutex          sync.Mutex
 	inUse          map[lab.InstanceID]int           // number of connections that use each gateway
@@ -229,6 +235,20 @@
 	s.typicalLatency += (d - s.typicalLatency) / latencyWindow
 }
 
+// alternative returns the condition of another member that can run the statements of a request, nil if there is none.
+func (s *Source) alternative(r lab.AcquireRequest) *laboutlier.Condition {
+	if s.Alternative == nil || !r.Optional {
+		return nil
+	}
+
+	a, ok := s.Alternative()
+	if !ok {
+		return nil
+	}
+
+	return &a
+}
+
 // sample reports what the response of a gateway says about the member. A gateway that doesn't respond says nothing.
 func (s *Source) sample(sent []lab.Operation, a response, err error, elapsed time.Duration) {
 	if s.OnSample != nil {
