laboutlier: compare slowdowns, not latencies, of the members

The primary also serves statements of other kinds, so that its latency is no measure for the replicas. Each member is compared with its own latency in normal operation, times the slowdown of the others.

--- a/proxy/process/labdirectory/measure.go
+++ b/proxy/process/labdirectory/measure.go
@@ -127,7 +127,7 @@
 		d.logChange(name, names[i], a.Change)
 
 		o := &options[i]
-		o.Weight, o.Latency, o.Normal, o.Ejected, o.Trial = a.Weight, a.Latency, a.Normal, a.Ejected, a.Trial
+		o.Weight, o.Slowdown, o.Execution, o.Ejected, o.Trial = a.Weight, a.Slowdown, a.Execution, a.Ejected, a.Trial
 	}
 }
 
--- a/proxy/process/laboutlier/detector.go
+++ b/proxy/process/laboutlier/detector.go
@@ -20,6 +20,9 @@
 	slowFactor = 3
 	// suspectFactor is the multiple from which a sample counts as slow.
 	suspectFactor = 2
+	// normalSlowdown is the slowdown of the other members up to which they count as normal. The average follows higher
+	// latencies faster than lower ones, and kinds of statements differ.
+	normalSlowdown = 1.5
 	// minSlow is the number of slow samples in succession without which no member is ejected. One or two long statements
 	// must not eject a member.
 	minSlow = 3
@@ -59,12 +62,13 @@
 
 // Assessment is what the samples say about one member. It is zero without enough samples.
 type Assessment struct {
-	Weight  float64       // share of the measurement in the expected delay, 0 for the prior alone
-	Latency time.Duration // current latency of a read, without the network
-	Normal  time.Duration // latency of a read in normal operation at the members of the service
-	Ejected bool          // other members are to be used
-	Trial   bool          // a trial statement is due at the ejected member
-	Change  Change        // ChangeRestored if the member is taken back now
+	Weight    float64       // share of the measurement in the expected delay, 0 for the prior alone
+	Latency   time.Duration // current latency of a read, without the network
+	Slowdown  float64       // latency as a multiple of that in normal operation
+	Execution time.Duration // latency of a read in normal operation, mean of the members of the service
+	Ejected   bool          // other members are to be used
+	Trial     bool          // a trial statement is due at the ejected member
+	Change    Change        // ChangeRestored if the member is taken back now
 }
 
 // Condition is how well a member serves at a proxy, for exchange between proxies.
@@ -219,24 +223,35 @@
 	m.latency.Reset()
 }
 
-// referenceLocked returns the latency with which a member is compared: the mean of the other members that serve. While
-// too few samples of others are known, it is the member's own baseline, times the slowdown that gateways have reported of
-// the others. Under overload, all members are slow and none is an outlier.
+// referenceLocked returns the latency with which a member is compared: its own in normal operation, times the mean slowdown
+// of the other members that serve, or, while too few samples of them are known, the slowdown that gateways have reported.
+// Under overload, all members are slow and none is an outlier. Latencies of members are not compared directly, since the
+// primary also serves statements of other kinds.
 func (d *Detector) referenceLocked(now time.Duration, name string) time.Duration {
-	sum, n := time.Duration(0), time.Duration(0)
+	sum, n := 0.0, 0.0
 
 	for o, m := range d.members {
 		if o != name && !m.ejected && m.latency.Samples(now) >= minSamples {
-			sum += m.latency.Average()
+			sum += m.slowdown()
 			n++
 		}
 	}
 
+	others := d.alternativeLocked(now, name).Slowdown
 	if n > 0 {
-		return sum / n
+		others = sum / n
+	}
+
+	if others < normalSlowdown {
+		others = 1
 	}
 
-	return time.Duration(float64(d.members[name].latency.Baseline()) * d.alternativeLocked(now, name).Slowdown)
+	return time.Duration(float64(d.members[name].latency.Baseline()) * others)
+}
+
+// slowdown returns the latency as a multiple of that in normal operation. There must be samples.
+func (m *member) slowdown() float64 {
+	return float64(m.latency.Average()) / float64(max(1, m.latency.Baseline()))
 }
 
 // alternativeLocked returns the best that gateways have reported recently of the other members. Without reports, the
@@ -323,7 +338,7 @@
 
 		out[i].Ejected, out[i].Trial = m.ejected, m.ejected && now >= m.nextTrial
 		if w := weight(m.latency.Samples(now)); w > 0 {
-			out[i].Weight, out[i].Latency, out[i].Normal = w, m.latency.Average(), normal
+			out[i].Weight, out[i].Latency, out[i].Slowdown, out[i].Execution = w, m.latency.Average(), m.slowdown(), normal
 		}
 	}
 
@@ -382,7 +397,7 @@
 	var c Condition
 
 	if m.latency.Samples(now) >= minSamples {
-		c.Slowdown = float64(m.latency.Average()) / float64(m.latency.Baseline())
+		c.Slowdown = m.slowdown()
 	}
 
 	if f, ok := m.share(now); ok {
@@ -427,7 +442,7 @@
 // worse reports whether an ejected member is still much worse than the alternative in what it was ejected for.
 func (m *member) worse(alternative Condition) bool {
 	if m.slowness {
-		return float64(m.latency.Average()) > suspectFactor*max(1, alternative.Slowdown)*float64(m.latency.Baseline())
+		return m.slowdown() > suspectFactor*max(1, alternative.Slowdown)
 	}
 
 	return alternative.Failures*failureRatio < failureShare
--- a/proxy/process/laboutlier/detector_test.go
+++ b/proxy/process/laboutlier/detector_test.go
@@ -199,6 +199,23 @@
 		})
 	})
 
+	// Guards against a comparison of statements of different kinds: only the primary serves the short ones.
+	t.Run("other kinds at the primary", func(t *testing.T) {
+		f := newFixture("a", "b", "c")
+
+		for range 1000 {
+			f.now += 100 * time.Millisecond
+			f.served("a", 3)
+			f.detector.Add(f.now, "b", labsample.Sample{Served: true, Read: true, Latency: 3 * time.Millisecond}, 0)
+		}
+
+		assertChanges(t, f)
+
+		for _, a := range f.detector.Assess(f.now, []string{"a", "b"}) {
+			assert.Assert(t, a.Slowdown > 0.5 && a.Slowdown < 2, "slowdown %v", a.Slowdown)
+		}
+	})
+
 	t.Run("all refuse", func(t *testing.T) {
 		f := newFixture("a", "b", "c")
 		f.play(10*time.Second, 8, 1, 0, never)
--- a/proxy/process/labselection/select.go
+++ b/proxy/process/labselection/select.go
@@ -35,11 +35,11 @@
 	Penalty       time.Duration // delay that is added because of recent refusals, 0 for none
 
 	// Weight is the share of the measurement in the expected delay. It is 0 without enough samples.
-	Weight  float64
-	Latency time.Duration // measured latency of a read, without the network
-	Normal  time.Duration // latency of a read in normal operation at the members of the service
-	Ejected bool          // the member is to be used only if no other can be, or for a trial
-	Trial   bool          // an ejected member is to get a trial statement
+	Weight    float64
+	Slowdown  float64       // measured latency of a read, without the network, as a multiple of that in normal operation
+	Execution time.Duration // latency of a read in normal operation at the members of the service
+	Ejected   bool          // the member is to be used only if no other can be, or for a trial
+	Trial     bool          // an ejected member is to get a trial statement
 }
 
 // Network returns the round trip to a member, without which latencies are compared.
@@ -70,15 +70,16 @@
 }
 
 // expectedDelay returns the time that a read at the member takes in addition to the execution in normal operation. In
-// proportion to the samples, the measured latency replaces the assumption that all members are equally fast.
+// proportion to the samples, the measured latency replaces the assumption that the member is as fast as usual.
 func (o *Option) expectedDelay() time.Duration {
 	if o.Weight <= 0 {
 		return o.priorDelay()
 	}
 
-	queued := float64(o.InProgress) * float64(queueCost) * (float64(o.Latency)/float64(normalExecution) - 1)
+	slower := (o.Slowdown - 1) * float64(o.Execution)
+	queued := float64(o.InProgress) * float64(queueCost) * (o.Slowdown*float64(o.Execution)/float64(normalExecution) - 1)
 
-	return o.priorDelay() + time.Duration(o.Weight*(float64(o.Latency-o.Normal)+queued))
+	return o.priorDelay() + time.Duration(o.Weight*(slower+queued))
 }
 
 // Select returns the index of the option with the lowest expected delay, or -1 if there are no options. The random
--- a/proxy/process/labselection/select_test.go
+++ b/proxy/process/labselection/select_test.go
@@ -49,7 +49,7 @@
 
 // measured returns the option with a latency that was measured with the given weight, where 20 ms are normal.
 func measured(o Option, weight float64, latency time.Duration) Option {
-	o.Weight, o.Latency, o.Normal = weight, latency, 20*time.Millisecond
+	o.Weight, o.Slowdown, o.Execution = weight, float64(latency)/float64(20*time.Millisecond), 20*time.Millisecond
 
 	return o
 }
