labpool: lost responses and connections about to be released do not distort the learned limit

A timeout no longer lowers the limit, nor does its connection count until it is drained. A request that waits for the limit takes the connection of the statement that has ended instead of opening a new one.

--- a/proxy/connection/labpool/conn.go
+++ b/proxy/connection/labpool/conn.go
@@ -83,7 +83,8 @@
 	acknowledged := c.recordResults(sent, r, err)
 
 	if runs {
-		c.pool.endStatement(c, labsample.New(sent, r, err, c.lastUsed.Sub(started)), err == nil)
+		bound := err == nil && r[len(r)-1].Status != lab.StatusIdle
+		c.pool.endStatement(c, labsample.New(sent, r, err, c.lastUsed.Sub(started)), bound)
 	}
 
 	if err == nil && mustBeInStep(sent, r) {
--- a/proxy/connection/labpool/limit.go
+++ b/proxy/connection/labpool/limit.go
@@ -40,8 +40,9 @@
 }
 
 // admitLocked passes idle connections to the requests that wait because of the learned limit, as far as it allows now. A
-// request whose organisation has no idle connection waits for a new one, while the requests after it may be served.
-func (p *Pool) admitLocked() {
+// request whose organisation has no idle connection waits for one that is released or, if grow is set, for a new one, while
+// the requests after it may be served.
+func (p *Pool) admitLocked(grow bool) {
 	if !p.held {
 		return
 	}
@@ -51,7 +52,7 @@
 
 		c := p.takeAliveLocked(w.organisation)
 		if c == nil {
-			if p.dials[w.organisation] == 0 {
+			if grow && p.dials[w.organisation] == 0 {
 				p.growLocked(w.organisation)
 			}
 
@@ -79,19 +80,16 @@
 	p.setActiveLocked(c, true)
 }
 
-// endStatement records the sample of an exchange. A connection on which a statement has ended is no longer active, so
-// that a waiting request may be admitted. After an error the statement may still run, so that the connection stays
-// active until it is released.
-func (p *Pool) endStatement(c *Conn, s labsample.Sample, ended bool) {
+// endStatement records the sample of an exchange. The connection is no longer active, so that a waiting request may be
+// admitted. After a timeout the statement may still run, but the response may as well be lost: if the connection stayed
+// active until it was drained, lost responses would use up the limit. If the connection stays bound to a transaction, the
+// request may need a new one.
+func (p *Pool) endStatement(c *Conn, s labsample.Sample, bound bool) {
 	if p.Limit != nil {
 		p.mutex.Lock()
 		p.Limit.Add(time.Since(startTime), s, p.active, p.limitLocked())
-
-		if ended {
-			p.setActiveLocked(c, false)
-		}
-
-		p.admitLocked()
+		p.setActiveLocked(c, false)
+		p.admitLocked(bound)
 		p.mutex.Unlock()
 	}
 
--- a/proxy/connection/labpool/limit_test.go
+++ b/proxy/connection/labpool/limit_test.go
@@ -43,6 +43,26 @@
 	assert.NilError(t, err)
 }
 
+// transactionDialer returns connections on which a transaction is open after each operation.
+type transactionDialer struct{ dialer }
+
+type transactionConnection struct{ lab.MemberConnection }
+
+func (d *transactionDialer) Dial(ctx context.Context, m lab.Announcement, o string) (lab.MemberConnection, error) {
+	c, err := d.dialer.Dial(ctx, m, o)
+
+	return transactionConnection{c}, err
+}
+
+func (c transactionConnection) Run(d time.Time, o ...lab.Operation) ([]lab.OperationResult, error) {
+	r, err := c.MemberConnection.Run(d, o...)
+	for i := range r {
+		r[i].Status = lab.StatusInTransaction
+	}
+
+	return r, err
+}
+
 // acquireLater requests a connection in the background.
 func acquireLater(t *testing.T, p *Pool) chan lab.PooledConnection {
 	t.Helper()
@@ -79,6 +99,18 @@
 		_, free, up := p.Load()
 		assert.Assert(t, !free && up)
 
+		run(t, first, lab.OperationRead)
+		first.Release()
+		(<-second).Release()
+		assert.Equal(t, p.active, 0)
+	})
+
+	t.Run("a transaction keeps its connection", func(t *testing.T) {
+		p := limitedPool(t)
+		p.Dialer = &transactionDialer{}
+		first := acquire(t, p, 0)
+		second := acquireLater(t, p)
+		assertWaits(t, second)
 		run(t, first, lab.OperationRead)
 		(<-second).Release()
 		first.Release()
@@ -125,6 +157,24 @@
 		assert.Assert(t, p.active == 0 && p.inUse == 0)
 	})
 
+	// Guards against a new connection, which costs the member 12 ms, for each request that waits for the limit.
+	t.Run("connections are reused", func(t *testing.T) {
+		p := limitedPool(t)
+		first := acquire(t, p, 0)
+
+		for range 5 {
+			next := acquireLater(t, p)
+			assertWaits(t, next)
+			run(t, first, lab.OperationRead)
+			first.Release()
+
+			first = <-next
+		}
+
+		first.Release()
+		assert.Equal(t, p.open, 1)
+	})
+
 	t.Run("no limit", func(t *testing.T) {
 		p := limitedPool(t)
 		p.Limit = nil
--- a/proxy/connection/labpool/pool.go
+++ b/proxy/connection/labpool/pool.go
@@ -444,7 +444,7 @@
 	p.inUse--
 	p.open--
 	p.setActiveLocked(c, false)
-	p.admitLocked()
+	p.admitLocked(true)
 
 	if len(p.waiters) > 0 {
 		p.growLocked(p.waiters[0].organisation)
@@ -468,7 +468,7 @@
 		p.growLocked("")
 	}
 
-	p.admitLocked() // the learned limit may have been forgotten
+	p.admitLocked(true) // the learned limit may have been forgotten
 	p.closeRemovedLocked()
 
 	limit := p.limitLocked()
--- a/proxy/process/lablimit/limit.go
+++ b/proxy/process/lablimit/limit.go
@@ -23,7 +23,7 @@
 	// tolerance is the latency, as a multiple of the baseline, up to which the limit grows. A member with 3 to 4 slots is
 	// in use fully when each statement waits about as long as it runs.
 	tolerance = 2
-	// refusalShare is the share of refused and timed out statements from which a member counts as overloaded.
+	// refusalShare is the share of refused statements from which a member counts as overloaded.
 	refusalShare = 0.2
 	// maxDecrease bounds one decrease: a limit falls from 16 to 2 in three decisions, which is well within 2 s.
 	maxDecrease = 0.5
@@ -86,11 +86,12 @@
 		*w = window{start: now}
 	}
 
-	if s.Refused || s.Timeout {
+	if s.Refused {
 		w.refused++
 	}
 
-	if s.Latency > 0 {
+	// A missing response may have been lost, which says nothing about the load.
+	if s.Latency > 0 && !s.Timeout {
 		w.sum += float64(s.Latency)
 		w.measured++
 	}
