--- a/proxy/process/labdirectory/measure.go
+++ b/proxy/process/labdirectory/measure.go
@@ -4,7 +4,6 @@
 	"hash/fnv"
 	"maps"
 	"slices"
-	"time"
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/process/lablimit"
@@ -62,7 +61,7 @@
 	network := labselection.Network(a.AvailabilityZone == d.AvailabilityZone, a.Region == d.Region)
 
 	return func(o labsample.Sample) {
-		d.logChange(a.Database, a.Member, s.detector.Add(d.Clock.Now(), a.Member, o, network))
+		d.logChange(s.detector, a.Database, a.Member, s.detector.Add(d.Clock.Now(), a.Member, o, network))
 	}
 }
 
@@ -106,14 +105,21 @@
 	return nil
 }
 
-func (d *Directory) logChange(service, member string, c laboutlier.Change) {
-	switch c {
-	case laboutlier.ChangeEjected:
-		d.Log.Info().Str("service", service).Str("member", member).Msg("member_ejected")
-	case laboutlier.ChangeRestored:
-		d.Log.Info().Str("service", service).Str("member", member).Msg("member_restored")
+// logChange logs that a member is ejected or taken back, with the condition on which that was decided.
+func (d *Directory) logChange(detector *laboutlier.Detector, service, member string, change laboutlier.Change) {
+	event := "member_ejected"
+
+	switch change {
 	case laboutlier.ChangeNone:
+		return
+	case laboutlier.ChangeRestored:
+		event = "member_restored"
+	case laboutlier.ChangeEjected:
 	}
+
+	c := detector.Condition(d.Clock.Now(), member)
+	d.Log.Info().Str("service", service).Str("member", member).Float64("slowdown", c.Slowdown).Float64("failures", c.Failures).
+		Msg(event)
 }
 
 // assess adds what the samples say about the members to the options of a read.
@@ -124,7 +130,7 @@
 	}
 
 	for i, a := range detector.Assess(d.Clock.Now(), names) {
-		d.logChange(name, names[i], a.Change)
+		d.logChange(detector, name, names[i], a.Change)
 
 		o := &options[i]
 		o.Weight, o.Slowdown, o.Execution, o.Ejected, o.Trial = a.Weight, a.Slowdown, a.Execution, a.Ejected, a.Trial
@@ -133,10 +139,10 @@
 
 // MemberMeasurement is what this proxy has measured of one member, for metrics.
 type MemberMeasurement struct {
-	Limit       int           `json:"limit"`       // statements that may run at a time on direct connections
-	Connections int           `json:"connections"` // the most that can run without a learned limit
-	Latency     time.Duration `json:"latency_ns"`  // latency of reads without the network, 0 with too few samples
-	Ejected     bool          `json:"ejected"`
+	Limit       int   `json:"limit"`       // statements that may run at a time on direct connections
+	Connections int   `json:"connections"` // the most that can run without a learned limit
+	LatencyUS   int64 `json:"latency_us"`  // latency of reads without the network, 0 with too few samples
+	Ejected     bool  `json:"ejected"`
 }
 
 // Measurements returns the measurements by service and member, as "service/member". There is one for each known member.
@@ -157,7 +163,7 @@
 		for i, id := range ids {
 			limit, maximum := s.members[id].pool.LearnedLimit()
 			out[n+"/"+id] = MemberMeasurement{
-				Limit: limit, Connections: maximum, Latency: assessed[i].Latency, Ejected: assessed[i].Ejected,
+				Limit: limit, Connections: maximum, LatencyUS: assessed[i].Latency.Microseconds(), Ejected: assessed[i].Ejected,
 			}
 		}
 	}
