labpool: an organisation without a connection does not wait behind others at the learned limit

A request that waits longer than others by the cost of a new connection keeps its place, so that the connection that is released next is replaced for it. The test fails without that place: the request got nothing within 1 s.

--- a/proxy/connection/labpool/limit.go
+++ b/proxy/connection/labpool/limit.go
@@ -40,29 +40,38 @@
 }
 
 // admitLocked passes idle connections to the requests that wait because of the learned limit, as far as it allows now. A
-// request whose organisation has no idle connection waits for one that is released or, if grow is set, for a new one, while
-// the requests after it may be served.
+// request whose organisation has no idle connection waits for one that is released or, if grow is set, for a new one. The
+// requests after it are served meanwhile, unless it must be served before them.
 func (p *Pool) admitLocked(grow bool) {
 	if !p.held {
 		return
 	}
 
+	var without *waiter // first request whose organisation has no idle connection yet
+
 	for i := 0; i < len(p.waiters) && !p.atLimitLocked(); {
 		w := p.waiters[i]
+		if without != nil && without.before(w) {
+			break
+		}
 
 		c := p.takeAliveLocked(w.organisation)
-		if c == nil {
-			if grow && p.dials[w.organisation] == 0 {
-				p.growLocked(w.organisation)
-			}
-
-			i++
+		if c != nil {
+			p.waiters = slices.Delete(p.waiters, i, i+1)
+			w.conn <- c
 
 			continue
 		}
 
-		p.waiters = slices.Delete(p.waiters, i, i+1)
-		w.conn <- c
+		if grow && p.dials[w.organisation] == 0 {
+			p.growLocked(w.organisation)
+		}
+
+		if without == nil && (!grow || p.dials[w.organisation] > 0) {
+			without = &w
+		}
+
+		i++
 	}
 
 	p.held = len(p.waiters) > 0
--- a/proxy/connection/labpool/limit_test.go
+++ b/proxy/connection/labpool/limit_test.go
@@ -43,21 +43,32 @@
 	assert.NilError(t, err)
 }
 
-// transactionDialer returns connections on which a transaction is open after each operation.
-type transactionDialer struct{ dialer }
+// testDialer returns connections on which each operation takes a time and leaves the given transaction status.
+type testDialer struct {
+	dialer
 
-type transactionConnection struct{ lab.MemberConnection }
+	status   lab.TransactionStatus
+	duration time.Duration
+}
+
+type testConnection struct {
+	lab.MemberConnection
+
+	dialer *testDialer
+}
 
-func (d *transactionDialer) Dial(ctx context.Context, m lab.Announcement, o string) (lab.MemberConnection, error) {
+func (d *testDialer) Dial(ctx context.Context, m lab.Announcement, o string) (lab.MemberConnection, error) {
 	c, err := d.dialer.Dial(ctx, m, o)
 
-	return transactionConnection{c}, err
+	return testConnection{c, d}, err
 }
 
-func (c transactionConnection) Run(d time.Time, o ...lab.Operation) ([]lab.OperationResult, error) {
+func (c testConnection) Run(d time.Time, o ...lab.Operation) ([]lab.OperationResult, error) {
+	time.Sleep(c.dialer.duration)
+
 	r, err := c.MemberConnection.Run(d, o...)
 	for i := range r {
-		r[i].Status = lab.StatusInTransaction
+		r[i].Status = c.dialer.status
 	}
 
 	return r, err
@@ -107,7 +118,7 @@
 
 	t.Run("a transaction keeps its connection", func(t *testing.T) {
 		p := limitedPool(t)
-		p.Dialer = &transactionDialer{}
+		p.Dialer = &testDialer{status: lab.StatusInTransaction}
 		first := acquire(t, p, 0)
 		second := acquireLater(t, p)
 		assertWaits(t, second)
@@ -175,6 +186,62 @@
 		assert.Equal(t, p.open, 1)
 	})
 
+	// Guards against an organisation without an open connection that waits as long as others have one.
+	t.Run("organisation without a connection", func(t *testing.T) {
+		p := limitedPool(t)
+		p.Dialer = &testDialer{status: lab.StatusIdle, duration: 2 * time.Millisecond}
+		request := func(organisation string) lab.AcquireRequest { return lab.AcquireRequest{Organisation: organisation} }
+
+		limit := p.Limit
+		p.Limit = nil
+
+		var open []lab.PooledConnection
+
+		for range 3 {
+			c, err := p.Acquire(t.Context(), request("b"))
+			assert.NilError(t, err)
+
+			open = append(open, c)
+		}
+
+		p.Limit = limit
+		stop := make(chan struct{})
+
+		for range 6 {
+			go func() {
+				for {
+					n, err := p.Acquire(t.Context(), request("b"))
+					if err != nil {
+						return
+					}
+
+					_, _ = n.Run(time.Now().Add(time.Second), nil, lab.Operation{Kind: lab.OperationRead})
+					n.Release()
+
+					select {
+					case <-stop:
+						return
+					default:
+					}
+				}
+			}()
+		}
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+
+		for _, c := range open {
+			c.Release()
+		}
+
+		time.Sleep(10 * time.Millisecond) // until the limit is in use
+
+		c, err := p.Acquire(ctx, request("a"))
+		close(stop)
+		assert.NilError(t, err)
+		c.Release()
+	})
+
 	t.Run("no limit", func(t *testing.T) {
 		p := limitedPool(t)
 		p.Limit = nil
