--- a/proxy/process/labdirectory/measure_test.go
+++ b/proxy/process/labdirectory/measure_test.go
@@ -113,6 +113,21 @@
 		assert.Assert(t, d.services["s"].members["a"].pool.Limit == nil)
 	})
 
+	// Guards against reads that leave the near member by chance, since statements take 3 to 47 ms.
+	t.Run("calm", func(t *testing.T) {
+		d, clock := measured("z", false)
+		away := 0
+
+		for i := range 2000 {
+			kind := time.Duration([]int{3, 30, 8, 47, 24, 47, 15}[i*i%7]) * time.Millisecond
+			if read(t, d, clock, map[string]labsample.Sample{"p": served(kind), "a": served(kind), "b": served(kind)}) != "a" {
+				away++
+			}
+		}
+
+		assert.Assert(t, away < 20, "%d of 2000 reads", away)
+	})
+
 	t.Run("no samples", func(t *testing.T) {
 		d, clock := measured("z", false)
 		assert.Equal(t, share(t, d, clock, nil, "a"), 1.0)
--- a/proxy/process/laboutlier/detector.go
+++ b/proxy/process/laboutlier/detector.go
@@ -20,8 +20,8 @@
 	slowFactor = 3
 	// suspectFactor is the multiple from which a sample counts as slow.
 	suspectFactor = 2
-	// normalSlowdown is the slowdown of the other members up to which they count as normal. The average follows higher
-	// latencies faster than lower ones, and kinds of statements differ.
+	// normalSlowdown is the slowdown up to which a member counts as normal. The average follows higher latencies faster than
+	// lower ones, and kinds of statements differ. Reads of a calm service would otherwise leave the near member by chance.
 	normalSlowdown = 1.5
 	// minSlow is the number of slow samples in succession without which no member is ejected. One or two long statements
 	// must not eject a member.
@@ -64,7 +64,7 @@
 type Assessment struct {
 	Weight    float64       // share of the measurement in the expected delay, 0 for the prior alone
 	Latency   time.Duration // current latency of a read, without the network
-	Slowdown  float64       // latency as a multiple of that in normal operation
+	Slowdown  float64       // latency as a multiple of what is normal for the member, at least 1
 	Execution time.Duration // latency of a read in normal operation, mean of the members of the service
 	Ejected   bool          // other members are to be used
 	Trial     bool          // a trial statement is due at the ejected member
@@ -338,7 +338,7 @@
 
 		out[i].Ejected, out[i].Trial = m.ejected, m.ejected && now >= m.nextTrial
 		if w := weight(m.latency.Samples(now)); w > 0 {
-			out[i].Weight, out[i].Latency, out[i].Slowdown, out[i].Execution = w, m.latency.Average(), m.slowdown(), normal
+			out[i].Weight, out[i].Latency, out[i].Slowdown, out[i].Execution = w, m.latency.Average(), max(1, m.slowdown()/normalSlowdown), normal
 		}
 	}
 
