--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -14,6 +14,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labconsensus"
+	"laburnumlock.dev/lab/control/process/labforwarder"
 	"laburnumlock.dev/lab/control/process/labmemberlogs"
 	"laburnumlock.dev/lab/control/process/labmembers"
 	"laburnumlock.dev/lab/control/process/labpositions"
@@ -55,6 +56,7 @@
 	NewDeployment   bool            // true if the deployment starts for the first time
 	ToleratedLosses int             // number of control instances that may be lost at the same time
 	DataFolder      string
+	QuotaTolerance  lab.QuotaTolerance // what is tolerated beyond the rates and bursts of organisations
 
 	Transport       *labtransport.Transport
 	Clock           lab.Clock
@@ -72,37 +74,46 @@
 	proxies              proxyRegistry
 	positions            labpositions.Board
 	memberLogs           labmemberlogs.Ledger
-	relay                *relay // answers watches while another instance is the leader
+	relay                *relay                  // answers watches while another instance is the leader
+	forwarder            *labforwarder.Forwarder // sends announcements to another instance that is the leader
 	permissions          permissions
+	quota                *quota
 	preparingPermissions atomic.Bool   // reconcilePermissions waits for the log of former leaders
 	changeCount          atomic.Uint64 // number of calls of notifyWaiters
 
-	memberLists packedList
+	memberLists memberLists
 	proxyLists  packedList
 
 	// Used by reconcile only.
-	recordedRevision uint64 // revision of the registry when holders were last compared with it
+	nextRemoval      time.Duration
+	held             []string // result of heldServices, as of the next two revisions
+	heldLayout       uint64
+	heldHolders      uint64
+	serviceMembers   []labmembers.Entry // buffer
+	recordedRevision uint64             // revision of the registry when holders were last compared with it
 	nextRecording    time.Duration
 	nextRetirement   time.Duration
 	unseenSince      map[labgroupstate.Holder]time.Duration // time since which no member is known at the holder's address
 	unseenEpoch      uint64                                 // leader epoch of unseenSince
-	listedPrimaries  map[string]string                      // primaries that were logged last, by service
 
 	recordingHolders atomic.Bool // a change of the holders is being recorded
 
+	broadcasts    sync.Mutex // held while a broadcast is applied
+	broadcastTerm uint64     // highest term of a broadcast
+
 	missingSince map[string]time.Duration // by service, the time when it was first observed without a primary
 
-	mutex            sync.Mutex
-	lastContact      map[lab.InstanceID]time.Duration // by control instance, the time of its last message
-	zones            map[lab.InstanceID]string        // availability zones of the control instances that have joined this leader
-	joinReports      labvoters.Reports                // join requests received from control instances
-	replacing        map[string]bool                  // services with a primary replacement in progress
-	lastReplacements map[string]replacementResult     // by service
-	recoveredAt      map[string]time.Duration         // by service, the time of the last attempt to end an unfinished one
-	waitingSince     map[string]time.Duration         // by service, the time since which no candidate was found
-	// serviceNames are the services in the document of version servicesVersion.
-	serviceNames    map[string]bool
-	servicesVersion uint64
+	mutex             sync.Mutex
+	lastContact       map[lab.InstanceID]time.Duration // by control instance, the time of its last message
+	zones             map[lab.InstanceID]string        // availability zones of the control instances that have joined this leader
+	joinReports       labvoters.Reports                // join requests received from control instances
+	replacing         map[string]bool                  // services with a primary replacement in progress
+	lastReplacements  map[string]replacementResult     // by service
+	recoveredAt       map[string]time.Duration         // by service, the time of the last attempt to end an unfinished one
+	waitingSince      map[string]time.Duration         // by service, the time since which no candidate was found
+	configurationRead *lab.Configuration               // newest document, nil if it is unreadable
+	readVersion       uint64                           // version of the document that was read last
+	serviceNames      map[string]bool                  // services in configurationRead, nil if it names none
 	// changed is closed and replaced after each change of the registry or the replicated state.
 	changed chan struct{}
 }
@@ -145,9 +156,13 @@
 	k.replacing, k.missingSince = map[string]bool{}, map[string]time.Duration{}
 	k.lastReplacements = map[string]replacementResult{}
 	k.recoveredAt, k.waitingSince = map[string]time.Duration{}, map[string]time.Duration{}
-	k.registry = &labmembers.Registry{Clock: k.Clock, Changed: k.notifyWaiters}
+	k.registry = &labmembers.Registry{Clock: k.Clock, Changed: k.membersChanged}
 	k.proxies.clock, k.memberLogs.Clock = k.Clock, k.Clock
 	k.relay = newRelay(k)
+	k.quota = newQuota(k)
+	k.forwarder = &labforwarder.Forwarder{
+		Window: forwardWindow, Spacing: forwardSpacing, Timeout: forwardTimeout - forwardWindow, Send: k.forwardAnnouncements,
+	}
 	k.loadLists()
 
 	k.Transport.HandleCall(lab.MethodConsensus, k.handleConsensus)
@@ -156,7 +171,10 @@
 	k.Transport.HandleCall(methodPut, k.handlePut)
 	k.Transport.HandleCall(methodGet, k.handleGet)
 	k.Transport.HandleCall(methodAnnounce, k.handleAnnounce)
+	k.Transport.HandleCall(methodAnnounceAll, k.handleAnnounceAll)
 	k.Transport.HandleCall(methodBroadcast, k.handleBroadcast)
+	k.Transport.HandleCall(lab.MethodQuota, k.quota.handle)
+	k.Transport.HandleCall(methodQuota, k.quota.handleControl)
 }
 
 // runParticipation takes part in the group under one identity until the context ends, the disk fails or the identity is
@@ -197,6 +215,7 @@
 	e.Go(func() error { return k.logLeadership(ctx, g) })
 	e.Go(func() error { return k.broadcast(ctx) })
 	e.Go(func() error { return k.relay.run(ctx) })
+	e.Go(func() error { return k.quota.run(ctx) })
 	e.Go(func() error { return k.persist(ctx) })
 	e.Go(func() error {
 		select {
@@ -303,9 +322,17 @@
 
 // Leading reports whether this instance is the leader and has recently heard from a quorum.
 func (k *Controller) Leading() bool {
+	return k.leadership().IsLeader
+}
+
+// leadership returns the current leader as known to this instance, and the zero value before it takes part in the group.
+func (k *Controller) leadership() lab.Leadership {
 	g := k.participation().group
+	if g == nil {
+		return lab.Leadership{}
+	}
 
-	return g != nil && g.Leadership().IsLeader
+	return g.Leadership()
 }
 
 // leader returns the leader if it is known and is another instance.
--- a/proxy/connection/labpool/limit.go
+++ b/proxy/connection/labpool/limit.go
@@ -39,42 +39,45 @@
 	}
 }
 
-// admitLocked passes idle connections to the requests that wait because of the learned limit, as far as it allows now. A
-// request whose organisation has no idle connection waits for one that is released or, if grow is set, for a new one. The
-// requests after it are served meanwhile, unless it must be served before them.
+// admitLocked passes idle connections to the requests that wait because of the learned limit, in their order, as far as it
+// allows now. If grow is set, it also opens connections for the requests whose organisation has no idle one; otherwise a
+// connection is about to be released. An idle connection is replaced rather than used if an overdue request needs that.
 func (p *Pool) admitLocked(grow bool) {
 	if !p.held {
 		return
 	}
 
-	var without *waiter // first request whose organisation has no idle connection yet
-
 	for i := 0; i < len(p.waiters) && !p.atLimitLocked(); {
 		w := p.waiters[i]
-		if without != nil && without.before(w) {
-			break
-		}
 
-		c := p.takeAliveLocked(w.organisation)
-		if c != nil {
-			p.waiters = slices.Delete(p.waiters, i, i+1)
-			w.conn <- c
+		if p.hasIdleLocked(w.organisation) && p.open <= p.limitLocked() {
+			if o, ok := p.overdueLocked(i); ok {
+				if !grow {
+					break
+				}
 
-			continue
-		}
+				p.growLocked(o)
 
-		if grow && p.dials[w.organisation] == 0 {
-			p.growLocked(w.organisation)
+				continue
+			}
 		}
 
-		if without == nil && (!grow || p.dials[w.organisation] > 0) {
-			without = &w
+		c := p.takeAliveLocked(w.organisation)
+		if c == nil {
+			i++
+
+			continue
 		}
 
-		i++
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+		w.conn <- c
 	}
 
 	p.held = len(p.waiters) > 0
+
+	if grow {
+		p.growWaitingLocked()
+	}
 }
 
 // startStatement counts a connection as active that runs a further statement of its transaction.
--- a/proxy/connection/labpool/pool.go
+++ b/proxy/connection/labpool/pool.go
@@ -30,6 +30,12 @@
 	// that is down would dial it.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// refusalGrace is how long a member may refuse connections before maxRefusedDelay applies. A member counts lost
+	// connections for 3 s, so after a power loss of proxies it refuses connections for that long and then accepts them.
+	refusalGrace = 4 * time.Second
+	// maxRefusedDelay bounds the backoff from a member that has refused connections for longer than refusalGrace: it is
+	// full. With maxRetryDelay, 300 proxies sent a full member 600 dials a second.
+	maxRefusedDelay = 5 * time.Second
 	// shrinkAfter is how long the load must be low before connections beyond RetainedConnections are closed. The load is
 	// low while at most RetainedConnections are in use. A new connection occupies a slot of the member for 12 ms, so
 	// connections stay open when the load is low for only a short time.
@@ -63,7 +69,8 @@
 	RetainedConnections func() int // returns the number of connections that stay open when fewer are in use
 	// OnDial is called with the result of each dial.
 	OnDial func(member lab.Announcement, err error)
-	// Exists reports whether an organisation is configured, if it is not nil. Idle connections of others are closed.
+	// Exists reports whether an organisation is configured, if it is not nil. Connections of others are closed when no
+	// statement uses them.
 	Exists func(organisation string) bool
 	// Limit learns how many statements the member handles well at a time; nil for no limit. The pool's mutex guards it.
 	Limit *lablimit.Limit
@@ -85,6 +92,7 @@
 	lastAboveRetained time.Time          // last time when a request made inUse exceed RetainedConnections
 	nextDial          time.Time          // time before which no dial starts; it is set after a failed dial
 	retryDelay        time.Duration      // pause after the last failed dial, 0 after a successful one
+	refusedSince      time.Time          // time of the first refusal since the last dial with another result
 	known             lab.CommitPosition // newest position in any response of the member
 	acknowledged      lab.CommitPosition // position that Acknowledged returns
 }
@@ -248,27 +256,21 @@
 func (p *Pool) cancelWait(w chan *Conn) {
 	p.mutex.Lock()
 
-	p.inUse--
-
-	for i, o := range p.waiters {
-		if o.conn == w {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-
-			break
-		}
+	i := slices.IndexFunc(p.waiters, func(o waiter) bool { return o.conn == w })
+	if i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+		p.inUse--
 	}
 
 	p.mutex.Unlock()
 
-	select {
-	case c := <-w:
-		if c != nil {
-			p.mutex.Lock()
-			p.inUse++
-			p.mutex.Unlock()
-			p.release(c)
-		}
-	default:
+	if i >= 0 {
+		return
+	}
+
+	// A request that must try again is no longer counted in inUse.
+	if c := <-w; c != nil {
+		p.release(c)
 	}
 }
 
@@ -279,11 +281,13 @@
 // growLocked opens a connection for an organisation if that is possible now. In place of one beyond RetainedConnections,
 // it replaces the connection of another organisation that has been idle for the longest time.
 func (p *Pool) growLocked(organisation string) {
-	if time.Now().Before(p.nextDial) || p.enoughDialsLocked(organisation) {
+	enough := p.enoughDialsLocked(organisation)
+	if time.Now().Before(p.nextDial) || (enough && organisation != "") {
 		return
 	}
 
-	if p.open >= min(p.limitLocked(), p.RetainedConnections()) {
+	// A member that has refused a connection accepts one in place of another.
+	if !enough && (!p.refusedSince.IsZero() || p.open >= min(p.limitLocked(), p.RetainedConnections())) {
 		p.closeOtherIdleLocked(organisation)
 	}
 
@@ -297,11 +301,36 @@
 	go p.dial(organisation)
 }
 
+// growWaitingLocked opens connections for the waiting requests, in their order, as far as that is possible now. Of those
+// without an organisation, it serves the first alone if that one is the first of all. At the learned limit the requests need
+// no connection yet.
+func (p *Pool) growWaitingLocked() {
+	if p.atLimitLocked() {
+		p.held = len(p.waiters) > 0
+
+		return
+	}
+
+	for i, w := range p.waiters {
+		if p.open >= p.limitLocked() && len(p.idle) == 0 {
+			return
+		}
+
+		if i == 0 || w.organisation != "" || p.waiters[0].organisation != "" {
+			p.growLocked(w.organisation)
+		}
+	}
+}
+
+func (p *Pool) hasIdleLocked(organisation string) bool {
+	return slices.ContainsFunc(p.idle, func(c *Conn) bool { return c.organisation == organisation })
+}
+
 // enoughDialsLocked reports whether a connection is being dialled for each waiting request of the organisation. Without
 // this check, each connection of another organisation that is released meanwhile would be replaced.
 func (p *Pool) enoughDialsLocked(organisation string) bool {
 	dials := p.dials[organisation]
-	if organisation == "" || dials == 0 {
+	if dials == 0 {
 		return false
 	}
 
@@ -349,7 +378,7 @@
 
 	if err != nil {
 		p.open--
-		p.recordDialFailureLocked()
+		p.recordDialFailureLocked(err)
 
 		return
 	}
@@ -362,14 +391,14 @@
 		return
 	}
 
-	p.retryDelay = 0
+	p.retryDelay, p.refusedSince = 0, time.Time{}
 	p.offerLocked(&Conn{pool: p, connection: l, organisation: organisation, lastUsed: time.Now()})
 }
 
 // recordDialFailureLocked starts the backoff after a failed dial. When no connection is open, it also wakes all waiting
 // requests, so that they can use another member; otherwise they wait for an open connection.
-func (p *Pool) recordDialFailureLocked() {
-	p.retryDelay = min(max(minRetryDelay, 2*p.retryDelay), maxRetryDelay)
+func (p *Pool) recordDialFailureLocked(err error) {
+	p.retryDelay = min(max(minRetryDelay, 2*p.retryDelay), p.maxDelayLocked(err))
 	p.nextDial = time.Now().Add(p.retryDelay)
 
 	if p.open > 0 {
@@ -385,22 +414,53 @@
 	p.waiters = nil
 }
 
+// maxDelayLocked returns the longest pause after a dial that failed with the error.
+func (p *Pool) maxDelayLocked(err error) time.Duration {
+	if o, _ := lab.OutcomeOf(err); o != lab.OutcomeNotRun {
+		p.refusedSince = time.Time{}
+
+		return maxRetryDelay
+	}
+
+	if p.refusedSince.IsZero() {
+		p.refusedSince = time.Now()
+	}
+
+	if time.Since(p.refusedSince) < refusalGrace {
+		return maxRetryDelay
+	}
+
+	return maxRefusedDelay
+}
+
 // offerLocked passes an unused connection to the first waiting request of its organisation. If none waits, it adds the
-// connection to the idle ones. If another organisation's request comes first, the connection is replaced by one for that.
+// connection to the idle ones, which may be replaced. If another organisation's request comes first, the connection is
+// replaced by one for that.
 func (p *Pool) offerLocked(c *Conn) {
 	p.joinKnownLocked(c)
 
-	if len(p.waiters) == 0 || p.atLimitLocked() {
+	if p.held || p.atLimitLocked() {
 		p.idle = append(p.idle, c)
 		p.held = len(p.waiters) > 0
+		p.admitLocked(true)
 
 		return
 	}
 
-	first := p.waiters[0]
 	i := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.organisation == c.organisation })
 
-	if i >= 0 && !first.before(p.waiters[i]) {
+	if i > 0 {
+		p.growWaitingLocked() // other connections may be idle
+
+		if o, ok := p.overdueLocked(i); ok {
+			p.idle = slices.Insert(p.idle, 0, c)
+			p.growLocked(o)
+
+			return
+		}
+	}
+
+	if i >= 0 {
 		p.setActiveLocked(c, true)
 		p.waiters[i].conn <- c
 		p.waiters = slices.Delete(p.waiters, i, i+1)
@@ -409,7 +469,32 @@
 	}
 
 	p.idle = append(p.idle, c)
-	p.growLocked(first.organisation)
+	p.growWaitingLocked()
+}
+
+// serveWaitingLocked serves the waiting requests as far as that is possible when no connection was released.
+func (p *Pool) serveWaitingLocked() {
+	if p.held {
+		p.admitLocked(true)
+	} else {
+		p.growWaitingLocked()
+	}
+}
+
+// overdueLocked returns the organisation of the first request that must be served before request i and for which a
+// connection can be dialled now, or false if there is none.
+func (p *Pool) overdueLocked(i int) (string, bool) {
+	if time.Now().Before(p.nextDial) {
+		return "", false
+	}
+
+	for _, w := range p.waiters[:i] {
+		if w.before(p.waiters[i]) && !p.enoughDialsLocked(w.organisation) {
+			return w.organisation, true
+		}
+	}
+
+	return "", false
 }
 
 // before reports whether w must be served before o even though that costs a new connection.
@@ -430,6 +515,16 @@
 		p.open--
 
 		c.connection.Close()
+		p.admitLocked(true)
+
+		return
+	}
+
+	if p.removed(c) {
+		p.open--
+
+		c.connection.Close()
+		p.serveWaitingLocked()
 
 		return
 	}
@@ -437,6 +532,11 @@
 	p.offerLocked(c)
 }
 
+// removed reports whether a connection belongs to an organisation that is no longer configured.
+func (p *Pool) removed(c *Conn) bool {
+	return p.Exists != nil && c.organisation != "" && !p.Exists(c.organisation)
+}
+
 func (p *Pool) discard(c *Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -444,11 +544,7 @@
 	p.inUse--
 	p.open--
 	p.setActiveLocked(c, false)
-	p.admitLocked(true)
-
-	if len(p.waiters) > 0 {
-		p.growLocked(p.waiters[0].organisation)
-	}
+	p.serveWaitingLocked()
 }
 
 // Maintain is called periodically. It opens a first connection, so that the first request needn't wait for a dial. It
@@ -461,16 +557,15 @@
 		return
 	}
 
+	p.closeRemovedLocked()
+
 	switch {
 	case len(p.waiters) > 0:
-		p.growLocked(p.waiters[0].organisation)
+		p.serveWaitingLocked() // the learned limit may have been forgotten
 	case p.open == 0:
 		p.growLocked("")
 	}
 
-	p.admitLocked(true) // the learned limit may have been forgotten
-	p.closeRemovedLocked()
-
 	limit := p.limitLocked()
 	if time.Since(p.lastAboveRetained) > shrinkAfter {
 		limit = min(limit, p.RetainedConnections())
@@ -483,14 +578,37 @@
 	}
 }
 
-// closeRemovedLocked closes the idle connections of organisations that are no longer configured.
-func (p *Pool) closeRemovedLocked() {
-	if p.Exists == nil {
-		return
+// CloseIdle closes the idle connections of a member that isn't needed, and reports whether none is left. It is called
+// periodically in place of Maintain, until none is left.
+func (p *Pool) CloseIdle() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	// A request that waits needs a connection after all.
+	if len(p.waiters) > 0 {
+		p.serveWaitingLocked()
+
+		return false
+	}
+
+	p.closeIdleLocked()
+
+	return p.open == 0 && p.inUse == 0
+}
+
+func (p *Pool) closeIdleLocked() {
+	for _, c := range p.idle {
+		c.connection.Close()
 	}
 
+	p.open -= len(p.idle)
+	p.idle = nil
+}
+
+// closeRemovedLocked closes the idle connections of organisations that are no longer configured.
+func (p *Pool) closeRemovedLocked() {
 	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
-		removed := c.organisation != "" && !p.Exists(c.organisation)
+		removed := p.removed(c)
 		if removed {
 			c.connection.Close()
 
@@ -562,12 +680,8 @@
 
 	p.closed = true
 
-	for _, c := range p.idle {
-		c.connection.Close()
-	}
+	p.closeIdleLocked()
 
-	p.open -= len(p.idle)
-	p.idle = nil
 	p.inUse -= len(p.waiters)
 
 	for _, w := range p.waiters {
--- a/proxy/connection/labtypedsession/acquire.go
+++ b/proxy/connection/labtypedsession/acquire.go
@@ -28,8 +28,9 @@
 	return a.acquire(p, false)
 }
 
-// acquire returns a connection from the pool. If the statement is optional, another member can run it. It waits for at most the time that labwaitlimit allows, and returns false
-// when it gets no connection. It sets gaveUpWaiting when the statement can no longer finish in time.
+// acquire returns a connection from the pool. If the statement is optional, another member can run it. It waits for at most
+// the time that labwaitlimit allows, and returns false when it gets no connection. It sets gaveUpWaiting when the statement
+// can no longer finish in time.
 func (a *attempt) acquire(p lab.ConnectionPool, optional bool) (lab.PooledConnection, bool) {
 	statement := labwaitlimit.Statement{
 		TimeLeft: time.Until(a.deadline), TargetLatency: a.route.TargetLatency, TypicalLatency: p.TypicalLatency(),
--- a/proxy/connection/labtypedsession/session.go
+++ b/proxy/connection/labtypedsession/session.go
@@ -29,11 +29,13 @@
 	Clock     lab.Clock
 	Log       zerolog.Logger
 	Counters  *Counters
+	Quota     lab.OperationQuota // quotas of the organisations; nil if operations need no tokens
 
 	mutex      sync.Mutex                   // guards the fields below against the idle timer and Close
 	values     map[string]string            // session values by name
 	prepared   map[string]preparedStatement // prepared statements by name
 	lastCommit lab.CommitPosition           // position of the session's newest commit
+	held       int                          // bytes of the session values and prepared statements
 	tx         *transaction                 // open transaction, nil if there is none
 	// organisation is that of the key at the start of the current operation.
 	organisation lab.OrganisationPolicy
@@ -89,7 +91,11 @@
 		return fault(lab.FaultMalformed, "the transaction has failed")
 	}
 
-	if f := s.authorise(o); f != lab.FaultNone {
+	switch f := s.authorise(o); f {
+	case lab.FaultNone:
+	case lab.FaultAborted:
+		return fault(f, "the key belongs to another organisation now")
+	default:
 		return fault(f, "the key is not valid")
 	}
 
@@ -115,9 +121,9 @@
 	}
 }
 
-// authorise checks the client's key in the active configuration and returns the fault of the operation, if any. A
-// transaction that is open ends when the key is removed or moves to another organisation, since its connection belongs to
-// the former one.
+// authorise checks the client's key in the active configuration and returns the fault of the operation, if any. An open
+// transaction fails when the key is removed or moves to another organisation, since its connection belongs to the former
+// one; a commit then also ends it.
 func (s *Session) authorise(o lab.Operation) lab.Fault {
 	if o.Kind == lab.OperationRollback {
 		return lab.FaultNone
@@ -134,7 +140,14 @@
 		f = lab.FaultAborted
 	}
 
-	if f != lab.FaultNone {
+	switch {
+	case f == lab.FaultNone:
+	case o.Kind == lab.OperationCommit:
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+
+		s.discardTransactionLocked()
+	default:
 		s.failTransaction()
 	}
 
@@ -153,15 +166,33 @@
 		s.values = map[string]string{}
 	}
 
+	if former, ok := s.values[o.Name]; ok {
+		s.held -= entryBytes(o.Name, former)
+	}
+
 	s.values[o.Name] = o.Argument
+	s.held += entryBytes(o.Name, o.Argument)
+}
+
+// entryBytes returns the bytes that a session value or prepared statement holds, including its part of the map.
+func entryBytes(name, text string) int {
+	const mapEntryBytes = 100
+
+	return len(name) + len(text) + mapEntryBytes
 }
 
+// HeldBytes returns the bytes of the session values and prepared statements. It must not be called during Do.
+func (s *Session) HeldBytes() int { return s.held }
+
 func (s *Session) prepare(o lab.Operation) {
 	if s.prepared == nil {
 		s.prepared = map[string]preparedStatement{}
 	}
 
+	s.forget(o.Name)
+
 	s.prepared[o.Name] = preparedStatement{writes: o.Writes, text: o.Argument}
+	s.held += entryBytes(o.Name, o.Argument)
 }
 
 func (s *Session) deallocate(o lab.Operation) lab.OperationResult {
@@ -169,11 +200,20 @@
 		return fault(lab.FaultNotPrepared, o.Name)
 	}
 
-	delete(s.prepared, o.Name)
+	s.forget(o.Name)
 
 	return lab.OperationResult{}
 }
 
+// forget removes a prepared statement, if there is one of the name.
+func (s *Session) forget(name string) {
+	if p, ok := s.prepared[name]; ok {
+		s.held -= entryBytes(name, p.text)
+
+		delete(s.prepared, name)
+	}
+}
+
 // statement runs a read, write or execute.
 func (s *Session) statement(o lab.Operation) lab.OperationResult {
 	if o.Kind == lab.OperationExecute {
@@ -197,7 +237,13 @@
 	}
 
 	a := s.newAttempt(o, route)
+
+	if !a.takeToken() {
+		return quotaRefusal()
+	}
+
 	r := a.runSingle(o)
+	a.endToken()
 	a.report(o, r)
 
 	return r
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -1,6 +1,7 @@
 package labdirectory
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,7 @@
 	// LeavingPeriod is the time after a member's announcement that it is leaving in which new requests may reach it. It is
 	// 0 if there is no such limit.
 	LeavingPeriod time.Duration
+	Memory        lab.MemoryBudget // bounds the responses of other proxies; nil for no limit
 	// FixedCosts switches off what is learned from the members' behaviour: reads are placed by fixed costs alone, and no
 	// limit is learned for the statements in progress at a member.
 	FixedCosts bool
@@ -77,10 +79,21 @@
 
 	mutex         sync.Mutex
 	configuration *lab.Configuration
+	settings      map[string]lab.Service // services of the configuration by name
+	routes        map[string]lab.Route   // first route of each database
 	services      map[string]*service
-	proxies       []lab.Instance // proxies in the control group's list
-	listExpected  time.Duration  // time until which the list of proxies is awaited, 0 before the first members
-	changed       chan struct{}  // channel that Changed has returned, nil if none is open
+	members       int                 // number of members of all services
+	list          uint64              // number of lists of members received
+	ahead         bool                // whether all services count as needed; see aheadMembers
+	needed        map[string]*service // services with members that are needed or have connections; see use.go
+	// acknowledged are the services outside needed for which this proxy knows an acknowledged position.
+	acknowledged map[string]*service
+	proxies      []lab.Instance     // proxies in the control group's list
+	view         *labplacement.View // of proxies before the services of the configuration, nil if it must be made again
+	generation   uint64             // number of changes after which placements were no longer current
+	observed     uint64             // generation in which the observed primaries were determined
+	listExpected time.Duration      // time until which the list of proxies is awaited, 0 before the first members
+	changed      chan struct{}      // channel that Changed has returned, nil if none is open
 }
 
 // service is the state of one service: a group of members with a primary.
@@ -89,7 +102,8 @@
 	primary string
 	history labpositionhistory.History
 	// lastRead is the time of the last read that needed a position of the primary.
-	lastRead time.Duration
+	lastRead      time.Duration
+	lastStatement time.Duration // time of the last statement or startup of a client of this proxy
 	// acknowledged is the newest position that a pool in closedPools or a removed one has seen acknowledged.
 	acknowledged lab.CommitPosition
 	closedPools  []*labpool.Pool // pools of former incarnations on which statements may still run
@@ -105,9 +119,11 @@
 	gateways            []lab.Instance     // proxies that can relay statements, in order of preference
 	leavingSince        time.Duration      // time at which the member announced that it is leaving
 	observer            bool               // whether this proxy checks the member continuously
-	placed              bool               // whether the placement is current
-	placedConnections   int                // number of connections that the member accepts, as of the placement
+	list                uint64             // number of the last list that contained the member
+	generation          uint64             // Directory.generation of the placement, 0 before the first one
 	placedByKey         bool               // whether the placement is that of a deployment with organisations
+	lastRelayed         time.Duration      // time of the last statement that another proxy relayed through this one
+	warmedAt            time.Duration      // time at which connections to the gateways were last started
 	pool                *labpool.Pool      // direct connections
 	relay               *labrelay.Source   // connections through gateways; nil if Directory.Peers is nil
 	avoidUntil          time.Duration      // time until which other members are preferred
@@ -128,6 +144,7 @@
 		return
 	}
 
+	d.indexLocked(configuration)
 	d.configuration = configuration
 	d.active.Store(configuration)
 	d.updatePlacementLocked()
@@ -135,6 +152,31 @@
 	d.notifyLocked()
 }
 
+// indexLocked indexes a configuration that is about to become active. Placements depend on the connections that members
+// accept, and on whether clients need keys.
+func (d *Directory) indexLocked(c *lab.Configuration) {
+	settings, routes := map[string]lab.Service{}, map[string]lab.Route{}
+
+	for _, v := range c.Services {
+		if _, ok := settings[v.Name]; !ok {
+			settings[v.Name] = v
+		}
+	}
+
+	for _, r := range c.Routes {
+		if _, ok := routes[r.Database]; !ok {
+			routes[r.Database] = r
+		}
+	}
+
+	if d.configuration == nil || d.configuration.KeysRequired != c.KeysRequired || !maps.Equal(d.settings, settings) {
+		d.view = nil
+		d.generation++
+	}
+
+	d.settings, d.routes = settings, routes
+}
+
 // Version returns the version of the active configuration, or 0 before the first.
 func (d *Directory) Version() uint64 {
 	d.mutex.Lock()
@@ -148,71 +190,159 @@
 }
 
 // UpdateMembers applies the members and primaries known to the control group. If complete is set, members that are not
-// listed are removed.
+// listed are removed. Only members that have changed cost more than a comparison.
 func (d *Directory) UpdateMembers(members []lab.Announcement, primaries map[string]string, complete bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	if d.services == nil {
-		d.services = map[string]*service{}
+	d.prepareMembersLocked(len(members))
+	d.list++
+
+	changed := d.applyMembersLocked(members)
+
+	if complete && d.removeUnlistedLocked() {
+		changed = true
 	}
 
-	if d.listExpected == 0 && len(members) > 0 {
-		d.listExpected = d.Clock.Now() + listWait
+	if d.updatePrimariesLocked(primaries) || changed {
+		d.updatePlacementLocked()
+		d.notifyLocked()
 	}
+}
 
-	present := map[string]bool{}
+// ChangeMembers applies changes of the members and primaries known to the control group. If complete is set, members
+// that are no longer listed are removed.
+func (d *Directory) ChangeMembers(c lab.MemberChanges, complete bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 
-	for _, a := range members {
-		if err := a.Validate(); err != nil {
-			d.Log.Warn().Err(err).Msg("announcement_invalid")
+	d.prepareMembersLocked(len(c.Set))
 
-			continue
+	changed := false
+
+	if complete {
+		for _, n := range c.Removed {
+			changed = d.removeMemberLocked(n.Service, n.Member) || changed
 		}
+	}
+
+	changed = d.applyMembersLocked(c.Set) || changed
 
-		if a.Terminated {
-			continue
+	if d.updatePrimariesLocked(c.Primaries) || changed {
+		d.updatePlacementLocked()
+		d.notifyLocked()
+	}
+}
+
+// RetainMembers removes the members that the control group doesn't list.
+func (d *Directory) RetainMembers(listed map[string]bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+
+	for name, s := range d.services {
+		for id := range s.members {
+			if !listed[id] {
+				d.removeMemberLocked(name, id)
+			}
 		}
+	}
 
-		present[a.Member] = true
-		d.updateMemberLocked(a)
+	d.notifyLocked()
+}
+
+// prepareMembersLocked is called before a number of members is applied.
+func (d *Directory) prepareMembersLocked(count int) {
+	if d.services == nil {
+		d.services, d.needed, d.acknowledged = map[string]*service{}, map[string]*service{}, map[string]*service{}
 	}
 
-	d.updatePlacementLocked()
+	if d.listExpected == 0 && count > 0 {
+		d.listExpected = d.Clock.Now() + listWait
+	}
+}
+
+// applyMembersLocked applies members and reports whether anything has changed.
+func (d *Directory) applyMembersLocked(members []lab.Announcement) bool {
+	changed := false
 
 	for _, a := range members {
-		if a.Terminated {
-			d.removeMemberLocked(a.Database, a.Member)
+		if !a.Terminated && d.updateMemberLocked(a) {
+			changed = true
 		}
 	}
 
-	for name, s := range d.services {
-		if complete {
-			for id := range s.members {
-				if !present[id] {
-					d.removeMemberLocked(name, id)
-				}
-			}
+	for _, a := range members {
+		if a.Terminated && d.removeMemberLocked(a.Database, a.Member) {
+			changed = true
 		}
+	}
+
+	return changed
+}
+
+// updatePrimariesLocked applies the primaries by service and reports whether any has changed. An empty name means that
+// none is known; the former one stays.
+func (d *Directory) updatePrimariesLocked(primaries map[string]string) bool {
+	changed := false
 
-		if p, ok := primaries[name]; ok && s.primary != p {
+	for name, p := range primaries {
+		if s, ok := d.services[name]; ok && p != "" && s.primary != p {
 			d.Log.Info().Str("service", name).Str("former", s.primary).Str("primary", p).Msg("primary_changed")
 			s.primary = p
+			d.observeLocked(name, s)
+
+			changed = true
 		}
 	}
 
-	d.notifyLocked()
+	return changed
 }
 
-func (d *Directory) updateMemberLocked(a lab.Announcement) {
-	s, ok := d.services[a.Database]
-	if !ok {
+// removeUnlistedLocked removes the members that the last list didn't contain, and reports whether there were any.
+func (d *Directory) removeUnlistedLocked() bool {
+	removed := false
+
+	for name, s := range d.services {
+		for id, m := range s.members {
+			if m.list != d.list {
+				d.removeMemberLocked(name, id)
+
+				removed = true
+			}
+		}
+	}
+
+	return removed
+}
+
+// updateMemberLocked applies a member of a list and reports whether anything but its sequence has changed. A list has all
+// members of a deployment, of which few have changed.
+func (d *Directory) updateMemberLocked(a lab.Announcement) bool {
+	s, known := d.services[a.Database]
+
+	var m *member
+	if known {
+		m = s.members[a.Member]
+	}
+
+	if m != nil && m.announcement == a.WithSequence(m.announcement.Sequence) {
+		m.list, m.announcement.Sequence = d.list, a.Sequence
+
+		return false
+	}
+
+	if err := a.Validate(); err != nil {
+		d.Log.Warn().Err(err).Msg("announcement_invalid")
+
+		return false
+	}
+
+	if !known {
 		s = d.newService()
 		d.services[a.Database] = s
 	}
 
-	m, ok := s.members[a.Member]
-	if ok && m.announcement.Incarnation == a.Incarnation && m.announcement.Address == a.Address {
+	if m != nil && m.announcement.Incarnation == a.Incarnation && m.announcement.Address == a.Address {
 		if m.announcement.Draining != a.Draining || m.announcement.Primary != a.Primary {
 			d.Log.Info().Str("member", a.Member).Bool("leaving", a.Draining).Bool("primary", a.Primary).Msg("member_changed")
 		}
@@ -221,20 +351,29 @@
 			m.leavingSince = d.Clock.Now()
 		}
 
-		m.announcement = a
+		m.announcement, m.list = a, d.list
 
-		return
+		return true
 	}
 
-	if ok {
-		s.closePool(m.pool)
-	}
+	d.addMemberLocked(s, m, a)
 
-	n := &member{announcement: a, leavingSince: d.Clock.Now()}
+	return true
+}
+
+// addMemberLocked adds a member or a new incarnation of the former one.
+func (d *Directory) addMemberLocked(s *service, former *member, a lab.Announcement) {
+	n := &member{announcement: a, list: d.list, leavingSince: d.Clock.Now()}
+
+	if former == nil {
+		d.members++
+	} else {
+		s.closePool(former.pool)
+	}
 
 	// A member that starts again and still leaves has no more time than before.
-	if ok && m.announcement.Draining && a.Draining {
-		n.leavingSince = m.leavingSince
+	if former != nil && former.announcement.Draining && a.Draining {
+		n.leavingSince = former.leavingSince
 	}
 
 	onSample := d.sampler(s, a)
@@ -248,6 +387,7 @@
 		n.relay = &labrelay.Source{
 			Target: a, Peers: d.Peers, History: &s.history, Reachability: d.Reachability, Clock: d.Clock,
 			Gateways: func(organisation string) ([]lab.Instance, int) { return d.gatewaysOf(n, organisation) }, Version: d.Version,
+			Memory: d.Memory,
 		}
 		d.measureRelay(s, n.relay, onSample)
 	}
@@ -255,6 +395,10 @@
 	s.members[a.Member] = n
 	s.setMeasured(a.Member)
 
+	if a.Member == s.primary {
+		d.observeLocked(a.Database, s)
+	}
+
 	d.Log.Info().Str("service", a.Database).Str("member", a.Member).Str("address", a.Address).
 		Uint64("incarnation", a.Incarnation).Msg("member_known")
 }
@@ -273,21 +417,25 @@
 	}
 }
 
-func (d *Directory) removeMemberLocked(name, id string) {
+// removeMemberLocked removes a member and reports whether it was known.
+func (d *Directory) removeMemberLocked(name, id string) bool {
 	s, ok := d.services[name]
 	if !ok {
-		return
+		return false
 	}
 
 	m, ok := s.members[id]
 	if !ok {
-		return
+		return false
 	}
 
 	s.closePool(m.pool)
 	delete(s.members, id)
+	d.members--
 	s.setMeasured("")
 	d.Log.Info().Str("service", name).Str("member", id).Msg("member_dropped")
+
+	return true
 }
 
 // SetProxies sets the proxies among which the members' connections are distributed.
@@ -295,8 +443,8 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 
-	d.proxies = proxies
-	d.invalidatePlacementLocked()
+	d.proxies, d.view = proxies, nil
+	d.generation++
 	d.updatePlacementLocked()
 }
 
@@ -318,83 +466,15 @@
 	}
 
 	d.listExpected = -1
-	d.invalidatePlacementLocked()
+	d.generation++
 	d.updatePlacementLocked()
 }
 
-func (d *Directory) invalidatePlacementLocked() {
-	for _, s := range d.services {
-		for _, m := range s.members {
-			m.placed = false
-		}
-	}
-}
-
-// updatePlacementLocked computes the number of direct connections to each member, the gateways for it and whether this
-// proxy observes it, where the list of proxies, the member or its connections have changed. Pools read these numbers
-// without the directory's lock. Otherwise a pool and the directory could deadlock, since the directory holds its lock
-// while it closes pools.
-func (d *Directory) updatePlacementLocked() {
-	if d.configuration == nil {
-		return
-	}
-
-	for n, s := range d.services {
-		v, ok := d.configuration.Service(n)
-		if !ok {
-			continue
-		}
-
-		for _, m := range s.members {
-			if !m.placed || m.placedConnections != v.MaxConnections || m.placedByKey != d.configuration.KeysRequired {
-				d.updateMemberPlacementLocked(m, v.MaxConnections)
-			}
-		}
-	}
-}
-
-func (d *Directory) updateMemberPlacementLocked(m *member, connections int) {
-	m.placed, m.placedConnections, m.placedByKey = true, connections, d.configuration.KeysRequired
-
-	// Values until the list of proxies is known.
-	maxConnections, retained := 0, 1
-	if d.listExpected < 0 || d.Peers == nil {
-		maxConnections = 1
-	}
-
-	m.observer = true
-
-	if len(d.proxies) > 0 {
-		place := labplacement.Place
-		if m.placedByKey {
-			place = labplacement.PlaceGateways
-		}
-
-		p := place(m.announcement, connections, d.proxies)
-		m.gateways = labplacement.Gateways(d.Self, m.announcement, p.DirectProxies)
-		m.observer = labplacement.Observes(d.Self, m.announcement, p.DirectProxies)
-		maxConnections, retained = p.MaxPerProxy, p.RetainedPerProxy
-
-		// If no direct proxy is missing among the gateways, this proxy is not a direct proxy. It may then connect only if
-		// all proxies in the control group's list are direct proxies: this proxy is not yet, or no longer, in the list, and
-		// the member has connections left.
-		if len(m.gateways) == len(p.DirectProxies) && len(p.DirectProxies) < len(d.proxies) {
-			maxConnections = 0
-		}
-	}
-
-	m.retainedConnections.Store(int64(retained))
-
-	if previous := m.maxConnections.Swap(int64(maxConnections)); previous != int64(maxConnections) {
-		d.Log.Info().Str("member", m.announcement.Member).Int("share", maxConnections).Int("gateways", len(m.gateways)).
-			Int("proxies", len(d.proxies)).Bool("observer", m.observer).Msg("connections_placed")
-	}
-}
-
 // gatewaysOf returns the gateways of a member in the order in which the statements of an organisation prefer them, and
 // the number of those to which connections stay open.
 func (d *Directory) gatewaysOf(m *member, organisation string) ([]lab.Instance, int) {
 	d.mutex.Lock()
+	d.placeLocked(m)
 	gateways, byKey := m.gateways, m.placedByKey
 	d.mutex.Unlock()
 
@@ -443,7 +523,8 @@
 	return d.changed
 }
 
-// Route returns the route of a database and the idle timeout of transactions, or false when the database has no route.
+// Route returns the route of a database and the idle timeout of transactions, or false when the database has no route. Its
+// service counts as used, since the caller has a statement for it or starts a session.
 func (d *Directory) Route(database string) (lab.Route, time.Duration, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -452,13 +533,17 @@
 		return lab.Route{}, 0, false
 	}
 
-	r, ok := d.configuration.Route(database)
+	r, ok := d.routes[database]
+	if s, known := d.services[r.Service]; ok && known {
+		d.useLocked(r.Service, s)
+	}
 
 	return r, d.configuration.IdleTransactionTimeout, ok
 }
 
 // Organisation returns the organisation as which a client with the key may use a database. It is the zero policy if the
-// clients of the database need no key. The fault is lab.FaultUnauthorized if the key isn't valid.
+// clients of the database need no key, or if the key isn't valid and the database has no route, so that the client is told
+// of the route first. The fault is lab.FaultUnauthorized if the key isn't valid.
 func (d *Directory) Organisation(database, key string) (lab.OrganisationPolicy, lab.Fault) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -467,12 +552,13 @@
 		return lab.OrganisationPolicy{}, lab.FaultNone
 	}
 
-	if r, ok := d.configuration.Route(database); ok && r.Public {
+	r, routed := d.routes[database]
+	if r.Public {
 		return lab.OrganisationPolicy{}, lab.FaultNone
 	}
 
 	o, ok := d.configuration.OrganisationOfKey(key)
-	if !ok {
+	if !ok && routed {
 		return lab.OrganisationPolicy{}, lab.FaultUnauthorized
 	}
 
--- a/proxy/process/labrelay/source.go
+++ b/proxy/process/labrelay/source.go
@@ -46,6 +46,7 @@
 	History      *labpositionhistory.History // receives the positions that gateways report
 	Reachability *labreachability.Tracker    // tracks which gateways respond; shared by the sources of all members
 	Clock        lab.Clock
+	Memory       lab.MemoryBudget // bounds the responses that are being received; nil for no limit
 	// OnSample receives what an exchange with the member has shown, if it is not nil.
 	OnSample func(labsample.Sample)
 	// OnCondition receives how well the member serves at a gateway, if it is not nil.
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -69,12 +69,16 @@
 	zones            map[string]string        // availability zones of control instances by address, where known
 	failedAt         map[string]time.Duration // by address, the time of the last failure
 	leaderEpoch      uint64                   // leader epoch of the last response
-	membersRevision  uint64                   // revision of the list of members in the directory, assigned by the leader of leaderEpoch
+	membersRevision  uint64                   // revision of the list of members in the directory
+	membersComplete  bool                     // whether members that are not in listed have been removed from the directory
+	listed           map[string]bool          // names of the members in the list that have not ended
 	proxiesRevision  uint64                   // revision of the list of proxies in the directory
 	disconnected     bool                     // whether the last watch failed
 	failedSearches   int                      // number of failed searches since the last response
 	controlClock     labpeerclock.Clock       // clock of the instance that answered last
 	bounds           labbounds.Sender         // acknowledged positions that the current instance has learned
+
+	ordered atomic.Pointer[[]string] // control instances as ControlInstances returns them
 }
 
 func (s *Subscriber) prepare() {
@@ -136,6 +140,8 @@
 		s.failedAt[s.current] = s.Clock.Now()
 		s.current = ""
 	}
+
+	s.orderInstances()
 }
 
 var errNoInstance = errors.New("no control instance answers")
@@ -217,6 +223,31 @@
 	return 2
 }
 
+// ControlInstances returns the process addresses of the control instances: the one that answered last, then the others, the
+// nearest first and those that have failed recently last. It may be called concurrently with Run.
+func (s *Subscriber) ControlInstances() []string {
+	if o := s.ordered.Load(); o != nil {
+		return *o
+	}
+
+	return nil
+}
+
+// orderInstances updates what ControlInstances returns.
+func (s *Subscriber) orderInstances() {
+	all := s.instances()
+	slices.SortStableFunc(all, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(boolBit(a != s.current), boolBit(b != s.current)),
+			cmp.Compare(boolBit(s.failedRecently(a)), boolBit(s.failedRecently(b))),
+		)
+	})
+
+	if o := s.ordered.Load(); o == nil || !slices.Equal(*o, all) {
+		s.ordered.Store(&all)
+	}
+}
+
 func (s *Subscriber) failedRecently(address string) bool {
 	t, ok := s.failedAt[address]
 
@@ -226,6 +257,7 @@
 func (s *Subscriber) request(wait time.Duration) lab.WatchRequest {
 	return lab.WatchRequest{
 		Proxy: s.Proxy, LeaderEpoch: s.leaderEpoch, MembersRevision: s.membersRevision, ProxiesRevision: s.proxiesRevision,
+		AcceptsChanges:       true,
 		ConfigurationVersion: s.Directory.Version(), MaxWait: wait,
 		Draining: s.draining.Load(), Primaries: s.Directory.PrimaryReports(),
 		Positions: s.positionReports(), ClockEpoch: s.controlClock.Epoch(),
@@ -387,7 +419,7 @@
 		return errors.Newf("apply members and proxies from the control group: %w", err)
 	}
 
-	s.leaderEpoch, s.membersRevision, s.controlAddresses = a.LeaderEpoch, a.MembersRevision, a.ControlAddresses
+	s.leaderEpoch, s.controlAddresses = a.LeaderEpoch, a.ControlAddresses
 	s.controlClock.RecordExchange(a.ClockEpoch, sentAt, a.ReceivedAt, a.SentAt, s.Clock.Now())
 	s.recordPositions(a.Positions)
 	s.Directory.UpdateLeaving(a.Leaving)
@@ -398,6 +430,8 @@
 		}
 	}
 
+	s.orderInstances()
+
 	return nil
 }
 
@@ -432,17 +466,67 @@
 	}
 
 	if len(a.Members) > 0 {
-		var l lab.MemberList
-		if err := labpack.Decode(a.Members, &l); err != nil {
-			return err
-		}
+		return s.applyMembers(a)
+	}
+
+	if len(a.MemberChanges) > 0 {
+		return s.applyMemberChanges(a)
+	}
 
-		s.Directory.UpdateMembers(l.Members, l.Primaries, a.MembersComplete)
+	return nil
+}
+
+// applyMembers applies the whole list of members in a response.
+func (s *Subscriber) applyMembers(a lab.WatchResponse) error {
+	var l lab.MemberList
+	if err := labpack.Decode(a.Members, &l); err != nil {
+		return err
+	}
+
+	s.Directory.UpdateMembers(l.Members, l.Primaries, a.MembersComplete)
+
+	s.listed = map[string]bool{}
+	s.list(l.Members)
+	s.membersRevision, s.membersComplete = a.MembersRevision, a.MembersComplete
+
+	return nil
+}
+
+// applyMemberChanges applies the changes of the list of members in a response. Members that an earlier leader listed and
+// this one doesn't are removed when its list becomes complete.
+func (s *Subscriber) applyMemberChanges(a lab.WatchResponse) error {
+	var c lab.MemberChanges
+	if err := labpack.Decode(a.MemberChanges, &c); err != nil {
+		return err
+	}
+
+	for _, n := range c.Removed {
+		delete(s.listed, n.Member)
+	}
+
+	s.list(c.Set)
+	s.Directory.ChangeMembers(c, a.MembersComplete)
+
+	if a.MembersComplete && !s.membersComplete {
+		s.Directory.RetainMembers(s.listed)
 	}
 
+	s.membersRevision, s.membersComplete = a.MembersRevision, a.MembersComplete
+
 	return nil
 }
 
+// list adds members to listed, and removes those that have ended.
+func (s *Subscriber) list(members []lab.Announcement) {
+	for _, m := range members {
+		if m.Terminated {
+			delete(s.listed, m.Member)
+		} else {
+			s.listed[m.Member] = true
+		}
+	}
+}
+
 // changedProxies returns the list of proxies after the changes, sorted by name like the list of the leader.
 func changedProxies(list []lab.Instance, c lab.ProxyChanges) []lab.Instance {
 	replaced := map[lab.InstanceID]bool{}
--- a/proxy/process/labtypedproxy/proxy.go
+++ b/proxy/process/labtypedproxy/proxy.go
@@ -13,9 +13,11 @@
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/lablog"
 	"laburnumlock.dev/lab/process/labmetrics"
+	"laburnumlock.dev/lab/process/labquotarecorder"
 	"laburnumlock.dev/lab/process/labtransport"
 	"laburnumlock.dev/lab/proxy/connection/labtypedsession"
 	"laburnumlock.dev/lab/proxy/process/labdirectory"
+	"laburnumlock.dev/lab/proxy/process/labquotaclient"
 	"laburnumlock.dev/lab/proxy/process/labreachability"
 	"laburnumlock.dev/lab/proxy/process/labrelay"
 	"laburnumlock.dev/lab/proxy/process/labsubscriber"
@@ -49,12 +51,15 @@
 	ConfigurationReader lab.ConfigurationReader
 	Dialer              lab.MemberDialer
 	Codec               func() lab.ClientCodec // creates the codec of a client connection
+	Memory              lab.MemoryBudget       // bounds what is held for clients
+	MaxClients          int                    // maximum number of client connections, 0 for no limit
 	Log                 zerolog.Logger
 	FixedCosts          bool // places reads by fixed costs and learns no limits, see labdirectory.Directory
 
 	directory  *labdirectory.Directory
 	subscriber *labsubscriber.Subscriber
 	listener   *labtypedlistener.Listener
+	quota      *labquotaclient.Client
 	counters   labtypedsession.Counters
 	stopping   atomic.Bool
 }
@@ -64,10 +69,10 @@
 	p.directory = &labdirectory.Directory{
 		Self: p.Self.ID, AvailabilityZone: p.Self.AvailabilityZone, Region: p.Self.Region, Peers: p.Transport, Dialer: p.Dialer,
 		Reachability: &labreachability.Tracker{Clock: p.Clock}, Random: p.Random, Clock: p.Clock, Log: p.Log,
-		LeavingPeriod: p.LeavingPeriod, FixedCosts: p.FixedCosts,
+		LeavingPeriod: p.LeavingPeriod, FixedCosts: p.FixedCosts, Memory: p.Memory,
 	}
 
-	relay := &labrelay.Server{Directory: p.directory, Clock: p.Clock, Log: lablog.NewRequestLogger(p.Log)}
+	relay := &labrelay.Server{Directory: p.directory, Clock: p.Clock, Log: lablog.NewRequestLogger(p.Log), Memory: p.Memory}
 	p.Transport.HandleStream(labrelay.Method, relay.Serve)
 
 	p.subscriber = &labsubscriber.Subscriber{
@@ -77,10 +82,15 @@
 	p.directory.OnPrimaryUnreachable = p.subscriber.ReportNow
 	p.directory.OnCommitsDrained = p.subscriber.ReportNow
 	p.counters.Latency = labmetrics.NewHistogram()
+	p.quota = &labquotaclient.Client{
+		Instance: p.Self.ID, Peers: p.Transport, Instances: p.subscriber.ControlInstances, Clock: p.Clock,
+		Recorder: &labquotarecorder.Recorder{Clock: p.Clock, Log: p.Log},
+	}
+	p.quota.Prepare()
 	p.listener = &labtypedlistener.Listener{
 		ListenAddress: p.ListenAddress, Codec: p.Codec, Directory: p.directory, Clock: p.Clock, Log: p.Log,
 		RequestLog: lablog.NewRequestLogger(p.Log), Counters: &p.counters,
-		StartupWait: startupWait,
+		Quota: p.quota, StartupWait: startupWait, Memory: p.Memory, MaxConnections: p.MaxClients,
 	}
 }
 
@@ -92,10 +102,14 @@
 // Publish adds the process's counters to a map.
 func (p *Proxy) Publish(m *expvar.Map) {
 	p.counters.Publish(m)
+	p.quota.Recorder.Publish(m)
 	p.directory.Permissions().Publish(m)
 	m.Set("members", expvar.Func(func() any { return p.directory.Measurements() }))
 	m.Set("callers", &p.listener.OpenConnections)
 	m.Set("startups_refused", &p.listener.RefusedStartups)
+	m.Set("clients_over_limit", &p.listener.RefusedConnections)
+	m.Set("clients_closed_for_memory", &p.listener.ClosedForMemory)
+	m.Set("messages_not_finished", &p.listener.UnfinishedMessages)
 }
 
 // Run serves until the context ends, then stops gracefully.
@@ -108,6 +122,7 @@
 	g.Go(func() error { return p.listener.Run(serving) })
 	g.Go(func() error { return p.subscriber.Run(serving) })
 	g.Go(func() error { return p.maintain(serving) })
+	g.Go(func() error { return p.quota.Run(serving) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
