--- a/proxy/connection/labpool/pool.go
+++ b/proxy/connection/labpool/pool.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/proxy/process/lablimit"
+	"laburnumlock.dev/lab/proxy/request/labsample"
 )
 
 const (
@@ -70,11 +72,17 @@
 	// Exists reports whether an organisation is configured, if it is not nil. Connections of others are closed when no
 	// statement uses them.
 	Exists func(organisation string) bool
+	// Limit learns how many statements the member handles well at a time; nil for no limit. The pool's mutex guards it.
+	Limit *lablimit.Limit
+	// OnSample receives what an exchange has shown, if it is not nil. It is called without the pool's lock.
+	OnSample func(labsample.Sample)
 
 	mutex             sync.Mutex
 	idle              []*Conn        // idle connections; the most recently used one is the last
 	open              int            // number of connections, including those in use and those being dialled
 	inUse             int            // number of requests that use or wait for a connection
+	active            int            // number of connections whose statement runs or is about to, see Conn.active
+	held              bool           // whether requests may wait because of the learned limit
 	dials             map[string]int // number of dials in progress by organisation
 	preparedCount     uint64         // number of statements prepared so far, used for unique names
 	waiters           []waiter       // waiting requests, sorted by priority, then by arrival
@@ -132,19 +140,14 @@
 		return nil, nil, errors.Newf("%w: pool is closed", ErrNoConnection)
 	}
 
-	for c := p.takeIdleLocked(r.Organisation); c != nil; c = p.takeIdleLocked(r.Organisation) {
-		if c.IdleTime() > livenessCheckAfter && !c.connection.Alive() {
-			p.open--
+	limited := p.atLimitLocked()
 
-			c.connection.Close()
+	if !limited {
+		if c := p.takeAliveLocked(r.Organisation); c != nil {
+			p.countUseLocked()
 
-			continue
+			return c, nil, nil
 		}
-
-		p.countUseLocked()
-		p.joinKnownLocked(c)
-
-		return c, nil, nil
 	}
 
 	if p.open == 0 && time.Now().Before(p.nextDial) {
@@ -154,11 +157,37 @@
 	w := make(chan *Conn, 1)
 	p.enqueueLocked(waiter{r.Priority, r.Organisation, time.Now(), w})
 	p.countUseLocked()
-	p.growLocked(r.Organisation)
+
+	if limited {
+		p.held = true
+	} else {
+		p.growLocked(r.Organisation)
+	}
 
 	return nil, w, nil
 }
 
+// takeAliveLocked removes an idle connection of an organisation that the member has kept open, and counts it as active.
+// It returns nil if there is none.
+func (p *Pool) takeAliveLocked(organisation string) *Conn {
+	for c := p.takeIdleLocked(organisation); c != nil; c = p.takeIdleLocked(organisation) {
+		if c.IdleTime() > livenessCheckAfter && !c.connection.Alive() {
+			p.open--
+
+			c.connection.Close()
+
+			continue
+		}
+
+		p.joinKnownLocked(c)
+		p.setActiveLocked(c, true)
+
+		return c
+	}
+
+	return nil
+}
+
 // takeIdleLocked removes and returns the most recently used idle connection of an organisation, or nil if there is none.
 func (p *Pool) takeIdleLocked(organisation string) *Conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
@@ -273,8 +302,15 @@
 }
 
 // growWaitingLocked opens connections for the waiting requests, in their order, as far as that is possible now. Of those
-// without an organisation, it serves the first alone if that one is the first of all.
+// without an organisation, it serves the first alone if that one is the first of all. At the learned limit the requests need
+// no connection yet.
 func (p *Pool) growWaitingLocked() {
+	if p.atLimitLocked() {
+		p.held = len(p.waiters) > 0
+
+		return
+	}
+
 	for i, w := range p.waiters {
 		if p.open >= p.limitLocked() && len(p.idle) == 0 {
 			return
@@ -286,6 +322,10 @@
 	}
 }
 
+func (p *Pool) hasIdleLocked(organisation string) bool {
+	return slices.ContainsFunc(p.idle, func(c *Conn) bool { return c.organisation == organisation })
+}
+
 // enoughDialsLocked reports whether a connection is being dialled for each waiting request of the organisation. Without
 // this check, each connection of another organisation that is released meanwhile would be replaced.
 func (p *Pool) enoughDialsLocked(organisation string) bool {
@@ -399,6 +439,14 @@
 func (p *Pool) offerLocked(c *Conn) {
 	p.joinKnownLocked(c)
 
+	if p.held || p.atLimitLocked() {
+		p.idle = append(p.idle, c)
+		p.held = len(p.waiters) > 0
+		p.admitLocked(true)
+
+		return
+	}
+
 	i := slices.IndexFunc(p.waiters, func(w waiter) bool { return w.organisation == c.organisation })
 
 	if i > 0 {
@@ -413,6 +461,7 @@
 	}
 
 	if i >= 0 {
+		p.setActiveLocked(c, true)
 		p.waiters[i].conn <- c
 		p.waiters = slices.Delete(p.waiters, i, i+1)
 
@@ -423,6 +472,15 @@
 	p.growWaitingLocked()
 }
 
+// serveWaitingLocked serves the waiting requests as far as that is possible when no connection was released.
+func (p *Pool) serveWaitingLocked() {
+	if p.held {
+		p.admitLocked(true)
+	} else {
+		p.growWaitingLocked()
+	}
+}
+
 // overdueLocked returns the organisation of the first request that must be served before request i and for which a
 // connection can be dialled now, or false if there is none.
 func (p *Pool) overdueLocked(i int) (string, bool) {
@@ -449,6 +507,7 @@
 	defer p.mutex.Unlock()
 
 	p.inUse--
+	p.setActiveLocked(c, false)
 
 	// When the limit has shrunk, excess connections are closed at once, since other proxies may now open connections
 	// instead.
@@ -456,6 +515,7 @@
 		p.open--
 
 		c.connection.Close()
+		p.admitLocked(true)
 
 		return
 	}
@@ -464,7 +524,7 @@
 		p.open--
 
 		c.connection.Close()
-		p.growWaitingLocked()
+		p.serveWaitingLocked()
 
 		return
 	}
@@ -477,14 +537,14 @@
 	return p.Exists != nil && c.organisation != "" && !p.Exists(c.organisation)
 }
 
-func (p *Pool) discard() {
+func (p *Pool) discard(c *Conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
 	p.inUse--
 	p.open--
-
-	p.growWaitingLocked()
+	p.setActiveLocked(c, false)
+	p.serveWaitingLocked()
 }
 
 // Maintain is called periodically. It opens a first connection, so that the first request needn't wait for a dial. It
@@ -501,7 +561,7 @@
 
 	switch {
 	case len(p.waiters) > 0:
-		p.growWaitingLocked()
+		p.serveWaitingLocked() // the learned limit may have been forgotten
 	case p.open == 0:
 		p.growLocked("")
 	}
@@ -526,7 +586,7 @@
 
 	// A request that waits needs a connection after all.
 	if len(p.waiters) > 0 {
-		p.growWaitingLocked()
+		p.serveWaitingLocked()
 
 		return false
 	}
@@ -595,7 +655,7 @@
 
 	c := p.idle[0]
 	p.idle = p.idle[1:]
-	p.inUse++
+	p.inUse++ // not active: a ping needs no slot of the member
 
 	return c, true
 }
@@ -608,7 +668,9 @@
 
 	down := time.Now().Before(p.nextDial)
 
-	return p.inUse, len(p.idle) > 0 || (p.open < p.limitLocked() && !down), p.open > 0 || (!down && p.limitLocked() > 0)
+	free = !p.atLimitLocked() && (len(p.idle) > 0 || (p.open < p.limitLocked() && !down))
+
+	return p.inUse, free, p.open > 0 || (!down && p.limitLocked() > 0)
 }
 
 // Close closes the idle connections at once, and each connection in use when it is released.
--- a/proxy/connection/labtypedsession/quota.go
+++ b/proxy/connection/labtypedsession/quota.go
@@ -50,7 +50,8 @@
 // run them has sent nothing.
 func (a *attempt) recordSent(err error) {
 	o, reason := lab.OutcomeOf(err)
-	refused := err != nil && o == lab.OutcomeNotRun && (reason == lab.ReasonOverload || reason == lab.ReasonMisrouted)
+	refused := err != nil && o == lab.OutcomeNotRun &&
+		(reason == lab.ReasonOverload || reason == lab.ReasonMisrouted || reason == lab.ReasonEjected)
 
 	a.sent = a.sent || !refused
 }
--- a/proxy/process/labdirectory/directory.go
+++ b/proxy/process/labdirectory/directory.go
@@ -10,6 +10,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/proxy/connection/labpool"
+	"laburnumlock.dev/lab/proxy/process/laboutlier"
 	"laburnumlock.dev/lab/proxy/process/labpermission"
 	"laburnumlock.dev/lab/proxy/process/labplacement"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
@@ -62,6 +63,9 @@
 	// 0 if there is no such limit.
 	LeavingPeriod time.Duration
 	Memory        lab.MemoryBudget // bounds the responses of other proxies; nil for no limit
+	// FixedCosts switches off what is learned from the members' behaviour: reads are placed by fixed costs alone, and no
+	// limit is learned for the statements in progress at a member.
+	FixedCosts bool
 	// OnPrimaryUnreachable is called when a primary becomes unreachable; it must not block.
 	OnPrimaryUnreachable func()
 	// OnCommitsDrained is called when the commits have ended that the control group waits for; it must not block.
@@ -103,6 +107,8 @@
 	// acknowledged is the newest position that a pool in closedPools or a removed one has seen acknowledged.
 	acknowledged lab.CommitPosition
 	closedPools  []*labpool.Pool // pools of former incarnations on which statements may still run
+	// detector compares the members; nil with Directory.FixedCosts.
+	detector *laboutlier.Detector
 }
 
 // member is the state of one incarnation of a member. Points in time are on the directory's clock.
@@ -332,7 +338,7 @@
 	}
 
 	if !known {
-		s = &service{members: map[string]*member{}}
+		s = d.newService()
 		d.services[a.Database] = s
 	}
 
@@ -370,8 +376,9 @@
 		n.leavingSince = former.leavingSince
 	}
 
+	onSample := d.sampler(s, a)
 	n.pool = &labpool.Pool{
-		Target: a, Dialer: d.Dialer, OnDial: d.recordDial,
+		Target: a, Dialer: d.Dialer, OnDial: d.recordDial, OnSample: onSample, Limit: d.newLimit(),
 		MaxConnections:      func() int { return int(n.maxConnections.Load()) },
 		RetainedConnections: func() int { return int(n.retainedConnections.Load()) },
 		Exists:              d.organisationExists,
@@ -382,9 +389,11 @@
 			Gateways: func(organisation string) ([]lab.Instance, int) { return d.gatewaysOf(n, organisation) }, Version: d.Version,
 			Memory: d.Memory,
 		}
+		d.measureRelay(s, n.relay, onSample)
 	}
 
 	s.members[a.Member] = n
+	s.setMeasured(a.Member)
 
 	if a.Member == s.primary {
 		d.observeLocked(a.Database, s)
@@ -423,6 +432,7 @@
 	s.closePool(m.pool)
 	delete(s.members, id)
 	d.members--
+	s.setMeasured("")
 	d.Log.Info().Str("service", name).Str("member", id).Msg("member_dropped")
 
 	return true
--- a/proxy/process/labrelay/connection.go
+++ b/proxy/process/labrelay/connection.go
@@ -127,7 +127,7 @@
 
 	s, err := c.source.Peers.Open(ctx, c.gateway.Address, Method, header{
 		Service: t.Database, Member: t.Member, Incarnation: t.Incarnation, Priority: c.request.Priority,
-		Organisation: c.request.Organisation, Version: c.source.version(),
+		Organisation: c.request.Organisation, Version: c.source.version(), Alternative: c.source.alternative(c.request),
 	})
 	if err != nil {
 		return err
@@ -165,12 +165,22 @@
 		c.source.History.Record(sentAt-a.Age, a.Position)
 	}
 
+	if c.source.OnCondition != nil {
+		c.source.OnCondition(a.Condition)
+	}
+
+	elapsed := time.Since(started)
+
 	if a.Failure != "" {
-		return nil, c.gatewayError(a)
+		err := c.gatewayError(a)
+		c.source.sample(r.Operations, a, err, elapsed)
+
+		return nil, err
 	}
 
 	c.bound = true
-	c.source.observeLatency(time.Since(started))
+	c.source.observeLatency(elapsed)
+	c.source.sample(r.Operations, a, nil, elapsed)
 
 	return a.Results, nil
 }
@@ -193,6 +203,8 @@
 	err := errors.Newf("gateway %s: %s", c.gateway.ID, a.Failure)
 
 	switch {
+	case a.Ejected:
+		return lab.NotRunError(lab.ReasonEjected, err)
 	case a.Busy:
 		return lab.NotRunError(lab.ReasonOverload, err)
 	case a.Rejected: // the gateway still serves the other organisations
--- a/proxy/process/labrelay/server.go
+++ b/proxy/process/labrelay/server.go
@@ -11,6 +11,7 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labmeteredreader"
+	"laburnumlock.dev/lab/proxy/process/laboutlier"
 	"laburnumlock.dev/lab/proxy/process/labpositionhistory"
 )
 
@@ -23,6 +24,10 @@
 	// MayServe reports whether statements of the organisation may run here, which the sender knows from the configuration
 	// with the given version.
 	MayServe(organisation string, version uint64) bool
+	// Refuses reports whether a statement for a member is refused that another member in the given condition can run.
+	Refuses(service, member string, alternative laboutlier.Condition) bool
+	// Condition returns how well a member serves at this proxy.
+	Condition(service, member string) laboutlier.Condition
 }
 
 // Server runs the statements that other proxies relay through this one, on the connections of this proxy.
@@ -61,6 +66,7 @@
 
 		a := rs.run(ctx, r)
 		s.addPosition(&a, h.Service)
+		a.Condition = s.Directory.Condition(h.Service, h.Member)
 		meter.Reset()
 
 		if err := s.send(out, &a); err != nil {
@@ -124,6 +130,10 @@
 	deadline := time.Now().Add(r.Deadline)
 
 	if s.conn == nil {
+		if h := &s.header; h.Alternative != nil && s.server.Directory.Refuses(h.Service, h.Member, *h.Alternative) {
+			return response{Failure: "the member is ejected here", NotRun: true, Ejected: true}
+		}
+
 		if err := s.bind(ctx, min(r.Wait, r.Deadline)); err != nil {
 			_, reason := lab.OutcomeOf(err)
 
--- a/proxy/process/labtypedproxy/proxy.go
+++ b/proxy/process/labtypedproxy/proxy.go
@@ -54,6 +54,7 @@
 	Memory              lab.MemoryBudget       // bounds what is held for clients
 	MaxClients          int                    // maximum number of client connections, 0 for no limit
 	Log                 zerolog.Logger
+	FixedCosts          bool // places reads by fixed costs and learns no limits, see labdirectory.Directory
 
 	directory  *labdirectory.Directory
 	subscriber *labsubscriber.Subscriber
@@ -68,7 +69,7 @@
 	p.directory = &labdirectory.Directory{
 		Self: p.Self.ID, AvailabilityZone: p.Self.AvailabilityZone, Region: p.Self.Region, Peers: p.Transport, Dialer: p.Dialer,
 		Reachability: &labreachability.Tracker{Clock: p.Clock}, Random: p.Random, Clock: p.Clock, Log: p.Log,
-		LeavingPeriod: p.LeavingPeriod, Memory: p.Memory,
+		LeavingPeriod: p.LeavingPeriod, FixedCosts: p.FixedCosts, Memory: p.Memory,
 	}
 
 	relay := &labrelay.Server{Directory: p.directory, Clock: p.Clock, Log: lablog.NewRequestLogger(p.Log), Memory: p.Memory}
@@ -103,6 +104,7 @@
 	p.counters.Publish(m)
 	p.quota.Recorder.Publish(m)
 	p.directory.Permissions().Publish(m)
+	m.Set("members", expvar.Func(func() any { return p.directory.Measurements() }))
 	m.Set("callers", &p.listener.OpenConnections)
 	m.Set("startups_refused", &p.listener.RefusedStartups)
 	m.Set("clients_over_limit", &p.listener.RefusedConnections)
