--- a/watch.go
+++ b/watch.go
@@ -26,7 +26,7 @@
 	Acknowledged []AcknowledgedPosition `msgpack:"q,omitempty"`
 	Permissions  PermissionReport       `msgpack:"c"` // lists of commit permissions that the sender has
 	// Services are the services whose positions the sender needs.
-	Services ServiceChanges `msgpack:"h"`
+	Services ServiceChanges `msgpack:"f"`
 	// Relay is true if the sender is a control instance that answers the watches of other proxies. Of Proxy, only the ID is
 	// set then, which is that of the control instance.
 	Relay   bool           `msgpack:"y,omitempty"`
@@ -103,7 +103,7 @@
 	Positions  []PositionReport `msgpack:"z"` // newest positions of the primaries
 	// ServicesRevision is the revision of WatchRequest.Services by which Positions were chosen; 0 if these are all positions,
 	// since the list of the sender isn't known.
-	ServicesRevision uint64 `msgpack:"h,omitempty"`
+	ServicesRevision uint64 `msgpack:"f,omitempty"`
 	// Leaving lists the members that are leaving. It is complete in each response, since the times go on.
 	Leaving     []LeavingMember `msgpack:"g,omitempty"`
 	Permissions PermissionGrant `msgpack:"w"` // permissions to commit
