--- a/message_test.go
+++ b/message_test.go
@@ -12,9 +12,27 @@
 // line only and drops a field, so that no proxy could read an answer of control.
 func TestMessageFields(t *testing.T) {
 	for _, m := range []any{
-		WatchRequest{}, RelayedProxy{}, PrimaryReport{}, WatchResponse{}, LeavingMember{}, ProxyChanges{}, MemberList{},
-		MemberChanges{}, QuotaRequest{}, QuotaItem{}, QuotaResponse{}, QuotaGrant{}, Operation{}, OperationResult{}, Announcement{},
-		TransactionHeader{}, Heartbeat{}, HeartbeatResponse{}, CatalogDelta{}, Database{}, Organisation{},
+		WatchRequest{},
+		RelayedProxy{},
+		PrimaryReport{},
+		WatchResponse{},
+		LeavingMember{},
+		ProxyChanges{},
+		MemberList{},
+		MemberChanges{},
+		QuotaRequest{},
+		QuotaItem{},
+		QuotaResponse{},
+		QuotaGrant{},
+		Operation{},
+		OperationResult{},
+		Announcement{},
+		TransactionHeader{},
+		Heartbeat{},
+		HeartbeatResponse{},
+		CatalogDelta{},
+		Database{},
+		Organisation{},
 	} {
 		message := reflect.TypeOf(m)
 
