--- a/watch.go
+++ b/watch.go
@@ -104,6 +104,9 @@
 	// ServicesRevision is the revision of WatchRequest.Services by which Positions were chosen; 0 if these are all positions,
 	// since the list of the sender isn't known.
 	ServicesRevision uint64 `msgpack:"f,omitempty"`
+	// PackedPositions is the compressed list of positions, sent instead of Positions if there are many and the receiver accepts
+	// changes.
+	PackedPositions []byte `msgpack:"i,omitempty"`
 	// Leaving lists the members that are leaving. It is complete in each response, since the times go on.
 	Leaving     []LeavingMember `msgpack:"g,omitempty"`
 	Permissions PermissionGrant `msgpack:"w"` // permissions to commit
