--- a/proxy/connection/labtypedsession/release_test.go
+++ b/proxy/connection/labtypedsession/release_test.go
@@ -125,7 +125,10 @@
 	p, _ := f.directory.ReadSource("s", lab.CommitPosition{}, nil)
 	started := time.Now()
 
-	a.recordFailure(relayedConnection{p.Member()}, lab.NotRunError(lab.ReasonEjected, errConnectionLost))
+	refusal := lab.NotRunError(lab.ReasonEjected, errConnectionLost)
+	a.recordSent(refusal)
+	assert.Assert(t, !a.sent, "the token of the quota isn't spent")
+	a.recordFailure(relayedConnection{p.Member()}, refusal)
 	assert.Assert(t, a.refusedEjected && a.triedMembers[p.Member().Member] && !a.mustStop())
 	assert.Assert(t, time.Since(started) < retryDelay, "no pause")
 	assert.Equal(t, f.session.Counters.Diverted.Value(), int64(1))
