--- a/proxy/process/labsubscriber/members_test.go
+++ b/proxy/process/labsubscriber/members_test.go
@@ -87,7 +87,9 @@
 // primary.
 func TestPackedPositions(t *testing.T) {
 	d := &labdirectory.Directory{Clock: labclock.NewBootClock(), Random: labrandom.NewSeeded(1), Log: zerolog.Nop()}
-	s := &Subscriber{Directory: d, Clock: d.Clock, Log: zerolog.Nop()}
+	s := &Subscriber{
+		Directory: d, Clock: d.Clock, Log: zerolog.Nop(), Seeds: func() []string { return nil },
+	}
 	s.prepare()
 	d.UpdateMembers([]lab.Announcement{{Database: "s", Member: "a", Address: "127.0.0.1:1", Incarnation: 1}}, nil, true)
 
