Answers share the compressed positions and changes of the list of proxies

Each answer to a watch encoded the positions of all services and the changes of the list of proxies anew. Above 64 positions receivers that accept changes get one compressed list, at most 100 ms old; the changes of the list of proxies are compressed once for all who have the same. labpack uses its writers again.

--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -81,6 +81,8 @@
 
 	memberLists memberLists
 	proxyLists  packedList
+	// proxyChanges are the changes of the list of proxies in this instance's view.
+	proxyChanges packedChanges
 
 	// Used by reconcile only.
 	nextRemoval      time.Duration
--- a/control/process/labplatformcontrol/packedlist_test.go
+++ b/control/process/labplatformcontrol/packedlist_test.go
@@ -38,3 +38,26 @@
 
 	assert.Equal(t, made, 3)
 }
+
+// Guards against changes that a proxy gets although it has another list.
+func TestPackedChanges(t *testing.T) {
+	var c packedChanges
+
+	assertChanges := func(epoch, from, to uint64, build, want string) {
+		t.Helper()
+
+		b, err := c.get(epoch, from, to, build)
+		assert.NilError(t, err)
+
+		var got string
+
+		assert.NilError(t, labpack.Decode(b, &got))
+		assert.Equal(t, got, want)
+	}
+
+	assertChanges(1, 4, 5, "a", "a")
+	assertChanges(1, 4, 5, "not built again", "a")
+	assertChanges(1, 3, 5, "b", "b")
+	assertChanges(1, 4, 6, "c", "c")
+	assertChanges(2, 4, 6, "d", "d")
+}
--- a/control/process/labplatformcontrol/relay.go
+++ b/control/process/labplatformcontrol/relay.go
@@ -254,7 +254,13 @@
 
 	y.permissions.apply(a.Permissions, sentAt)
 
-	a.Proxies, a.ProxyChanges, a.Members, a.MemberChanges = nil, nil, nil, nil
+	if len(a.PackedPositions) > 0 {
+		if err := labpack.Decode(a.PackedPositions, &a.Positions); err != nil {
+			return errors.Newf("read positions: %w", err)
+		}
+	}
+
+	a.Proxies, a.ProxyChanges, a.Members, a.MemberChanges, a.PackedPositions = nil, nil, nil, nil, nil
 	y.leader, y.receivedAt, y.latest = address, now, a
 	y.clock.RecordExchange(a.ClockEpoch, sentAt, a.ReceivedAt, a.SentAt, now)
 
@@ -455,7 +461,7 @@
 	a.ProxiesRevision = y.latest.ProxiesRevision
 
 	if c, ok := y.changesSince(r); ok {
-		a.ProxyChanges, err = labpack.Encode(c)
+		a.ProxyChanges, err = y.controller.proxyChanges.get(a.LeaderEpoch, r.ProxiesRevision, a.ProxiesRevision, c)
 
 		return err
 	}
--- a/control/process/labplatformcontrol/scale_test.go
+++ b/control/process/labplatformcontrol/scale_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -293,3 +294,128 @@
 		})
 	}
 }
+
+// scalePositions returns reports on n primaries from the given one on.
+func scalePositions(from, n int, at time.Duration) []lab.PositionReport {
+	out := make([]lab.PositionReport, n)
+	for i := range out {
+		service := (from + i) % scaleServices
+		out[i] = lab.PositionReport{
+			Service: fmt.Sprintf("service-%04d", service), Position: lab.CommitPosition{Term: 1, Number: uint64(at)},
+			RequestedAt: at - time.Duration(service)*123_457,
+		}
+	}
+
+	return out
+}
+
+// BenchmarkLeaderSecond is what the leader does in a second in which nothing changes, without the network: announcements,
+// rounds, the watches of the 50 proxies of its zone and of five other instances, and broadcasts.
+func BenchmarkLeaderSecond(b *testing.B) {
+	const (
+		ownProxies = scaleProxies / 6
+		relays     = 5
+	)
+
+	k := newScale(b)
+	clock := k.Clock.(*steppedClock)
+	k.relay = newRelay(k)
+	k.permissions.begin(k.participation().group.Leadership())
+
+	answer := func(r lab.WatchRequest) {
+		r.Permissions.Applied, r.AcceptsChanges, r.ClockEpoch = k.permissionsRevision(), true, k.epochBase
+		k.recordWatch(r, clock.now)
+
+		v := leaderView{k}
+		r.LeaderEpoch, r.MembersRevision, r.ProxiesRevision = v.leaderEpoch(), v.membersRevision(), max(v.proxiesRevision(), 1)
+
+		a, err := v.response(r)
+		assert.NilError(b, err)
+
+		a.SentAt, a.Leaving = clock.now, k.registry.Leaving()
+		assert.NilError(b, k.addPositions(r, &a))
+
+		a.Permissions = v.grantPermissions(r, clock.now, clock.now)
+
+		_, err = msgpack.Marshal(a)
+		assert.NilError(b, err)
+	}
+	requests := make([]lab.WatchRequest, scaleProxies)
+
+	for p := range requests {
+		requests[p] = scaleWatch(p)
+	}
+
+	sequence := uint64(1)
+
+	for b.Loop() {
+		sequence++
+
+		for n := range scaleMembers * 10 / 12 {
+			assert.NilError(b, k.receiveAnnouncement(scaleMember(n, sequence)))
+		}
+
+		for round := range 10 {
+			clock.now += reconcileInterval
+			k.removeSilent()
+			k.publishMembers()
+
+			for _, s := range k.heldServices() {
+				if k.mayNeedReplacement(s) {
+					b.Fatal("a service needs a replacement")
+				}
+			}
+
+			for p := range ownProxies / 5 {
+				r := requests[(round*ownProxies/5+p)%ownProxies]
+				r.Positions = scalePositions(p*40, 40, clock.now)
+				answer(r)
+			}
+
+			if round%5 < relays {
+				r := lab.WatchRequest{Relay: true, Positions: scalePositions(0, scaleServices, clock.now)}
+				for p := range ownProxies {
+					q := requests[ownProxies+round%relays*ownProxies+p]
+					r.Relayed = append(r.Relayed, lab.RelayedProxy{Proxy: q.Proxy, Primaries: q.Primaries})
+				}
+
+				answer(r)
+			}
+		}
+
+		k.holdersChange()
+		k.dueHolders()
+		k.proxies.removeSilent()
+
+		r, _, err := k.buildBroadcast(true, 0)
+		assert.NilError(b, err)
+
+		_, err = msgpack.Marshal(r)
+		assert.NilError(b, err)
+	}
+}
+
+// BenchmarkLeaderMemory is the heap of the leader's parts.
+func BenchmarkLeaderMemory(b *testing.B) {
+	heap := func() uint64 {
+		var m runtime.MemStats
+
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+
+		return m.HeapAlloc
+	}
+
+	for b.Loop() {
+		before := heap()
+		k := newScale(b)
+		k.publishMembers()
+
+		_, err := k.memberLists.list.Since(0, true)
+		assert.NilError(b, err)
+		k.positions.Record(scalePositions(0, scaleServices, k.Clock.Now()), k.Clock.Now())
+		k.heldServices()
+		b.ReportMetric(float64(heap()-before)/1e6, "MB")
+		runtime.KeepAlive(k)
+	}
+}
--- a/control/process/labplatformcontrol/watch.go
+++ b/control/process/labplatformcontrol/watch.go
@@ -6,7 +6,6 @@
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labvoters"
-	"laburnumlock.dev/lab/process/labpack"
 )
 
 const (
@@ -21,6 +20,8 @@
 	// membersCompleteAfter is the run time after which an instance has heard from every member. It covers three
 	// announcement intervals.
 	membersCompleteAfter = 4 * time.Second
+	// manyPositions is the number of positions from which they are sent compressed and up to 100 ms late.
+	manyPositions = 64
 	// redirectAfter is how long an instance that knows the leader but can't watch it waits before it sends its proxies to
 	// the leader. Hundreds of proxies at once would overload a leader that has just been elected.
 	redirectAfter = 2 * time.Second
@@ -52,7 +53,11 @@
 
 	a, err := v.response(r)
 	a.ClockEpoch, a.ReceivedAt, a.SentAt = k.epochBase, receivedAt, k.Clock.Now()
-	a.Positions, a.Leaving = k.positions.Newest(a.SentAt), k.registry.Leaving()
+	a.Leaving = k.registry.Leaving()
+
+	if err == nil {
+		err = k.addPositions(r, &a)
+	}
 
 	if err == nil {
 		a.Permissions = v.grantPermissions(r, receivedAt, now)
@@ -61,6 +66,17 @@
 	return a, err
 }
 
+// addPositions adds the newest positions of the primaries to a response.
+func (k *Controller) addPositions(r lab.WatchRequest, a *lab.WatchResponse) (err error) {
+	if r.AcceptsChanges && k.positions.Len() > manyPositions {
+		a.PackedPositions, err = k.positions.Packed(a.SentAt)
+	} else {
+		a.Positions = k.positions.Newest(a.SentAt)
+	}
+
+	return err
+}
+
 // redirect names the leader in the response, or returns an error if it is unknown. An instance that has just started to
 // watch the leader answers soon, so it doesn't send its proxies to the leader.
 func (k *Controller) redirect() (any, error) {
@@ -133,7 +149,7 @@
 
 	if r.LeaderEpoch == a.LeaderEpoch && r.ProxiesRevision > 0 {
 		if c, ok := k.proxies.changesSince(r.ProxiesRevision - 1); ok {
-			a.ProxyChanges, err = labpack.Encode(c)
+			a.ProxyChanges, err = k.proxyChanges.get(a.LeaderEpoch, r.ProxiesRevision, a.ProxiesRevision, c)
 
 			return err
 		}
--- a/control/process/labpositions/board.go
+++ b/control/process/labpositions/board.go
@@ -6,16 +6,24 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"laburnumlock.dev/lab"
+	"laburnumlock.dev/lab/process/labpack"
 )
 
 // maxAge is how old a position may be to be passed on. The strictest routes accept data that is 1.5 s old.
 const maxAge = 1500 * time.Millisecond
 
+// packInterval is how long Packed returns the same list. Hundreds of proxies get a list twice a second each.
+const packInterval = 100 * time.Millisecond
+
 // Board holds the newest position of each service's primary. It is safe for concurrent use.
 type Board struct {
-	mutex  sync.Mutex
-	newest map[string]lab.PositionReport // by service
+	mutex    sync.Mutex
+	newest   map[string]lab.PositionReport // by service
+	packed   []byte                        // result of Packed
+	packedAt time.Duration
 }
 
 // Record adds reported positions. Their times are on the leader's clock, as is now. A report from the future is not
@@ -56,3 +64,40 @@
 
 	return out
 }
+
+// Packed returns what Newest returned at most packInterval ago, compressed. The times are rounded down to milliseconds,
+// which leaves them lower bounds and needs less space.
+func (b *Board) Packed(now time.Duration) ([]byte, error) {
+	b.mutex.Lock()
+	packed, age := b.packed, now-b.packedAt
+	b.mutex.Unlock()
+
+	if packed != nil && age >= 0 && age < packInterval {
+		return packed, nil
+	}
+
+	all := b.Newest(now)
+	for i := range all {
+		all[i].RequestedAt = all[i].RequestedAt.Truncate(time.Millisecond)
+	}
+
+	packed, err := labpack.Encode(all)
+	if err != nil {
+		return nil, errors.Newf("pack positions: %w", err)
+	}
+
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	b.packed, b.packedAt = packed, now
+
+	return packed, nil
+}
+
+// Len returns the number of positions, including old ones that Newest would forget.
+func (b *Board) Len() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	return len(b.newest)
+}
--- a/process/labpack/pack.go
+++ b/process/labpack/pack.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -13,15 +14,25 @@
 // kilobytes.
 const MaxSize = 16 << 20
 
+// writers holds writers that can be used again, since each has more than 1 MB of tables.
+var writers sync.Pool
+
 // Pack compresses data with DEFLATE.
 func Pack(b []byte) ([]byte, error) {
 	var out bytes.Buffer
 
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Newf("start compression: %w", err)
+	w, ok := writers.Get().(*flate.Writer)
+	if ok {
+		w.Reset(&out)
+	} else {
+		var err error
+		if w, err = flate.NewWriter(&out, flate.BestSpeed); err != nil {
+			return nil, errors.Newf("start compression: %w", err)
+		}
 	}
 
+	defer writers.Put(w)
+
 	if _, err := w.Write(b); err != nil {
 		return nil, errors.Newf("compress: %w", err)
 	}
--- a/proxy/process/labsubscriber/members_test.go
+++ b/proxy/process/labsubscriber/members_test.go
@@ -80,3 +80,23 @@
 	assert.NilError(t, s.apply(lab.WatchResponse{MembersRevision: 4}, 0))
 	assert.Equal(t, s.request(0).MembersRevision, uint64(5), "an instance that is behind sends no list")
 }
+
+// TestPackedPositions guards against positions that are lost in their compressed form: each read would then run at the
+// primary.
+func TestPackedPositions(t *testing.T) {
+	d := &labdirectory.Directory{Clock: labclock.NewBootClock(), Random: labrandom.NewSeeded(1), Log: zerolog.Nop()}
+	s := &Subscriber{Directory: d, Clock: d.Clock, Log: zerolog.Nop()}
+	s.prepare()
+	d.UpdateMembers([]lab.Announcement{{Database: "s", Member: "a", Address: "127.0.0.1:1", Incarnation: 1}}, nil, true)
+
+	now := d.Clock.Now()
+	want := lab.CommitPosition{Term: 1, Number: 7}
+
+	b, err := labpack.Encode([]lab.PositionReport{{Service: "s", Position: want, RequestedAt: now}})
+	assert.NilError(t, err)
+	assert.NilError(t, s.apply(lab.WatchResponse{ClockEpoch: 1, ReceivedAt: now, SentAt: now, PackedPositions: b}, now))
+
+	_, got, ok := d.PrimaryHistory("s").Newest()
+	assert.Assert(t, ok)
+	assert.Equal(t, got, want)
+}
--- a/proxy/process/labsubscriber/subscriber.go
+++ b/proxy/process/labsubscriber/subscriber.go
@@ -392,6 +392,12 @@
 
 	s.leaderEpoch, s.controlAddresses = a.LeaderEpoch, a.ControlAddresses
 	s.controlClock.RecordExchange(a.ClockEpoch, sentAt, a.ReceivedAt, a.SentAt, s.Clock.Now())
+	if len(a.PackedPositions) > 0 {
+		if err := labpack.Decode(a.PackedPositions, &a.Positions); err != nil {
+			return errors.Newf("read positions from the control group: %w", err)
+		}
+	}
+
 	s.recordPositions(a.Positions)
 	s.Directory.UpdateLeaving(a.Leaving)
 
--- a/watch.go
+++ b/watch.go
@@ -89,6 +89,9 @@
 	ReceivedAt time.Duration    `msgpack:"t"` // time on that clock at which the request was received
 	SentAt     time.Duration    `msgpack:"u"` // time on that clock of the response
 	Positions  []PositionReport `msgpack:"z"` // newest positions of the primaries
+	// PackedPositions is the compressed list of positions, sent instead of Positions if there are many and the receiver accepts
+	// changes.
+	PackedPositions []byte `msgpack:"i,omitempty"`
 	// Leaving lists the members that are leaving. It is complete in each response, since the times go on.
 	Leaving     []LeavingMember `msgpack:"g,omitempty"`
 	Permissions PermissionGrant `msgpack:"w"` // permissions to commit
