labplatformcontrol: announcements wait for an election instead of being refused

A member whose announcement is refused calls the next instance at once. While 3,000 members and six instances start, that multiplied the announcements, 81,000 refusals in 25 s with a log line each, and the instances found no leader that lasted.

--- a/control/process/labplatformcontrol/announcements.go
+++ b/control/process/labplatformcontrol/announcements.go
@@ -13,6 +13,11 @@
 )
 
 const (
+	// announceTimeout bounds an announcement. A member takes one for lost that is not acknowledged within a second.
+	announceTimeout = 900 * time.Millisecond
+	// leaderGone is the time without a leader after which announcements are refused at once: an election takes a few hundred
+	// milliseconds, and an instance that finds no leader for longer may be the one that is cut off.
+	leaderGone = 2 * time.Second
 	// broadcastInterval bounds how outdated the member registry of another control instance is when that instance
 	// becomes the leader.
 	broadcastInterval = 400 * time.Millisecond
@@ -45,15 +50,18 @@
 		return err
 	}
 
-	if k.Leading() {
-		return k.applyAnnouncement(a)
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+
+	if err := k.awaitLeader(ctx); err != nil {
+		return errors.Newf("announce member %q: %w", a.Member, err)
 	}
 
-	if _, ok := k.leader(); !ok {
-		return lab.ErrNotLeader
+	if k.Leading() {
+		return k.applyAnnouncement(a)
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel = context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 
 	e, known := k.registry.Entry(a.Member)
@@ -67,6 +75,46 @@
 	return nil
 }
 
+// awaitLeader waits until this instance leads or knows the leader. A member whose announcement is refused calls the next
+// instance at once, so without the wait the announcements of thousands of members would be multiplied by the number of
+// instances just while these elect a leader.
+func (k *Controller) awaitLeader(ctx context.Context) error {
+	for {
+		changed := k.leaderChanges()
+
+		if _, ok := k.leader(); ok || k.Leading() {
+			return nil
+		}
+
+		if k.Clock.Now()-time.Duration(k.leaderSeenAt.Load()) > leaderGone {
+			return lab.ErrNotLeader
+		}
+
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return lab.ErrNotLeader
+		}
+	}
+}
+
+// leaderChanges returns a channel that is closed when logLeadership next sees a change.
+func (k *Controller) leaderChanges() <-chan struct{} {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	return k.leaderChanged
+}
+
+// notifyLeaderWaiters wakes those who wait for a leader.
+func (k *Controller) notifyLeaderWaiters() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	close(k.leaderChanged)
+	k.leaderChanged = make(chan struct{})
+}
+
 // forwardAnnouncements sends announcements to the leader. It implements labforwarder.Forwarder.Send.
 func (k *Controller) forwardAnnouncements(ctx context.Context, all []lab.Announcement) ([]string, error) {
 	l, ok := k.leader()
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -82,6 +82,7 @@
 	quota                *quota
 	preparingPermissions atomic.Bool   // reconcilePermissions waits for the log of former leaders
 	changeCount          atomic.Uint64 // number of calls of notifyWaiters
+	leaderSeenAt         atomic.Int64  // time at which a leader was last known, in nanoseconds on Clock; at first that of the start
 
 	memberLists memberLists
 	proxyLists  packedList
@@ -120,6 +121,8 @@
 	serviceNames      map[string]bool                  // services in configurationRead, nil if it names none
 	// changed is closed and replaced after each change of the registry or the replicated state.
 	changed chan struct{}
+	// leaderChanged is closed and replaced after each change of the leader.
+	leaderChanged chan struct{}
 }
 
 // participation is the state of this instance as a member of the control group under one identity. It begins when the
@@ -154,7 +157,8 @@
 func (k *Controller) Prepare() {
 	k.currentParticipation.Store(&participation{identity: &identity{}, state: &labgroupstate.State{}})
 	k.epochBase, k.startedAt = k.Random.Uint64(), k.Clock.Now()
-	k.changed = make(chan struct{})
+	k.leaderSeenAt.Store(int64(k.startedAt))
+	k.changed, k.leaderChanged = make(chan struct{}), make(chan struct{})
 	k.lastContact, k.zones = map[lab.InstanceID]time.Duration{}, map[lab.InstanceID]string{}
 	k.joinReports.MaxAge = joinReportMaxAge
 	k.replacing, k.missingSince = map[string]bool{}, map[string]time.Duration{}
@@ -265,6 +269,9 @@
 
 	for k.Clock.Sleep(ctx, reconcileInterval) == nil {
 		l, m := g.Leadership(), g.Membership()
+		if l.Leader != "" {
+			k.leaderSeenAt.Store(int64(k.Clock.Now()))
+		}
 
 		now := fmt.Sprint(l.Leader, l.Term, m)
 		if now == before {
@@ -273,6 +280,8 @@
 
 		before = now
 
+		k.notifyLeaderWaiters()
+
 		k.Log.Info().Str("leader", string(l.Leader)).Bool("self", l.IsLeader).Uint64("term", l.Term).
 			Uint64("applied", g.AppliedIndex()).Interface("voters", m.Voters).Interface("learners", m.Learners).Msg("leadership")
 	}
