labmemberlogs: positions of a term before a confirmed promotion don't count

A former primary that is back may report its unreplicated commits in its old term before it learns of the new one. Since the bound takes the number of every term, 2.17 raised it to 3.17 beside members at 3.16, and the service stayed without a candidate. A confirmed promotion has rolled such commits back, and its own position is the bound.

TestBound "a former primary that has not learned of a confirmed promotion" had 3.17.

--- a/control/process/labmemberlogs/ledger.go
+++ b/control/process/labmemberlogs/ledger.go
@@ -36,6 +36,7 @@
 	bound      Bound
 	numberTerm uint64 // term in which the number of the bound was read
 	term       uint64 // highest term that a primary is known to lead
+	confirmed  uint64 // highest term of a confirmed promotion
 
 	primaryPosition    lab.CommitPosition // newest known position of the primary
 	primaryRequestedAt time.Duration      // time of the request for primaryPosition
@@ -79,7 +80,8 @@
 
 // raise raises the term and the number of the bound separately. A replica that has learned of a new term may have fewer
 // commits than were kept when that term began, so its position doesn't lower the number. A position of a term before that
-// of the bound counts only until the later term is known to have a primary.
+// of the bound counts only until the later term is known to have a primary, and none counts that is of a term before a
+// confirmed promotion: a former primary may still report what was rolled back.
 func (l *Ledger) raise(name, source string, position lab.CommitPosition) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -87,7 +89,7 @@
 	s := l.serviceLocked(name)
 
 	b := s.bound.Position
-	if b.Covers(position) || position.Term < min(b.Term, s.term) {
+	if b.Covers(position) || position.Term < max(s.confirmed, min(b.Term, s.term)) {
 		return
 	}
 
@@ -122,7 +124,8 @@
 	defer l.mutex.Unlock()
 
 	s := l.serviceLocked(name)
-	s.bound, s.numberTerm, s.term = Bound{position, member}, position.Term, max(s.term, term)
+	s.bound, s.numberTerm = Bound{position, member}, position.Term
+	s.term, s.confirmed = max(s.term, term), max(s.confirmed, term)
 }
 
 // RecordPrimary records the position in the primary's response to a request that was sent at the given time. Positions
--- a/control/process/labmemberlogs/ledger_test.go
+++ b/control/process/labmemberlogs/ledger_test.go
@@ -109,6 +109,15 @@
 		assert.Equal(t, l.Bound("s"), Bound{at(2, 24), "a"})
 	})
 
+	// Guards against a service without a candidate. A model in which members learn of a term late showed this.
+	t.Run("a former primary that has not learned of a confirmed promotion", func(t *testing.T) {
+		l, _ := start()
+		l.RecordPromotion("s", "m", at(1, 15), 3)
+		l.RecordReplica("s", "p", at(2, 17))
+		l.RecordReplica("s", "b", at(3, 16))
+		assert.Equal(t, l.Bound("s"), Bound{at(3, 16), "b"})
+	})
+
 	t.Run("a replica that has not learned of the new term", func(t *testing.T) {
 		l, _ := start()
 		l.RecordPromotion("s", "m", at(1, 20), 2)
