labconsensus: log slow steps of the consensus goroutine

Change: steps of 200 ms or more (sync, apply, handle, compact) are logged as consensus_step_slow, once while they run and once at their end.

TestStalledSync: another instance leads while the leader's sync stalls, the stalled one follows afterwards, and the stall is logged while it lasts.

--- a/control/process/labconsensus/cluster_test.go
+++ b/control/process/labconsensus/cluster_test.go
@@ -5,10 +5,12 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
@@ -46,6 +48,40 @@
 	}
 }
 
+// stallingJournal is a journal whose appends wait while stall is locked, like syncs of a stalled disk.
+type stallingJournal struct {
+	labjournal.Journal
+	stall sync.Mutex
+	log   logBuffer // log of the group
+}
+
+func (j *stallingJournal) Append(e []lab.LogEntry) error {
+	j.stall.Lock()
+	defer j.stall.Unlock()
+
+	return j.Journal.Append(e)
+}
+
+// logBuffer holds log lines. Its methods may be called concurrently.
+type logBuffer struct {
+	mutex sync.Mutex
+	lines strings.Builder
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	return b.lines.Write(p)
+}
+
+func (b *logBuffer) contains(text string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	return strings.Contains(b.lines.String(), text)
+}
+
 // cluster runs several groups that exchange messages in memory.
 type cluster struct {
 	t        *testing.T
@@ -88,7 +124,9 @@
 func (c *cluster) start(id lab.InstanceID, voters ...lab.InstanceID) *labconsensus.Group {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	g := newGroup(id, &labjournal.Journal{Folder: filepath.Join(c.folder, string(id))}, voters...)
+	j := &stallingJournal{Journal: labjournal.Journal{Folder: filepath.Join(c.folder, string(id))}}
+	g := newGroup(id, j, voters...)
+	g.Log = zerolog.New(&j.log)
 	g.Send = func(to lab.InstanceID, m labreplica.Message) { c.send(id, to, m) }
 
 	c.mutex.Lock()
--- a/control/process/labconsensus/flush.go
+++ b/control/process/labconsensus/flush.go
@@ -17,19 +17,19 @@
 
 		g.send(o.ImmediateMessages)
 
-		if err := g.persist(o); err != nil {
+		if err := g.measure("sync", func() error { return g.persist(o) }); err != nil {
 			return err
 		}
 
 		g.replica.Persisted()
 		g.send(o.Messages)
 
-		if err := g.apply(o); err != nil {
+		if err := g.measure("apply", func() error { return g.apply(o) }); err != nil {
 			return err
 		}
 	}
 
-	if err := g.compact(); err != nil {
+	if err := g.measure("compact", g.compact); err != nil {
 		return err
 	}
 
--- a/control/process/labconsensus/group.go
+++ b/control/process/labconsensus/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/control/process/labreplica"
@@ -40,6 +41,7 @@
 	StateMachine    lab.StateMachine // called by Run's goroutine only
 	// Send sends a message to another instance and may drop it. It is called by Run's goroutine and must not block.
 	Send func(to lab.InstanceID, message labreplica.Message)
+	Log  zerolog.Logger // logs steps that delay heartbeats and elections; optional
 
 	ElectionMin        time.Duration // lower bound of the election timeout
 	ElectionMax        time.Duration // upper bound of the election timeout
@@ -54,6 +56,7 @@
 	requests chan request            // queued requests of this instance
 	stopped  chan struct{}           // closed when Run ends
 	status   atomic.Pointer[groupStatus]
+	step     atomic.Pointer[runningStep] // step that Run's goroutine executes; nil for none
 
 	replica       *labreplica.Replica
 	snapshotIndex uint64            // index of the latest snapshot
@@ -155,17 +158,6 @@
 	return g.BeforeBootstrap(ctx)
 }
 
-func (g *Group) tick(ctx context.Context, ticks chan<- struct{}, done chan<- struct{}) {
-	defer close(done)
-
-	for g.Clock.Sleep(ctx, g.TickInterval) == nil {
-		select {
-		case ticks <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // loop handles ticks, messages and requests in batches. All proposals of a batch share one sync of the journal.
 func (g *Group) loop(ctx context.Context, ticks <-chan struct{}) error {
 	for {
@@ -181,7 +173,7 @@
 			g.handle(c)
 		}
 
-		if err := g.handleQueued(); err != nil {
+		if err := g.measure("handle", g.handleQueued); err != nil {
 			return errors.Newf("process message: %w", err)
 		}
 
--- a/control/process/labconsensus/group_test.go
+++ b/control/process/labconsensus/group_test.go
@@ -35,6 +35,44 @@
 	c.waitCaughtUp(old)
 }
 
+// Guards against a group that stops to commit when the disk of its leader stalls, and against a stall that leaves no trace in
+// the log while it lasts. The other instances must elect a leader, and the stalled one must follow it afterwards.
+func TestStalledSync(t *testing.T) {
+	c := newCluster(t)
+	old := c.waitLeader()
+	propose(t, old, 1)
+
+	j := old.Journal.(*stallingJournal)
+	j.stall.Lock()
+
+	resume := sync.OnceFunc(j.stall.Unlock)
+	defer resume()
+
+	stalled := make(chan error, 1)
+
+	go func() {
+		_, err := old.Propose(context.Background(), incrementCommand())
+		stalled <- err
+	}()
+
+	c.waitFor("stall logged", func() bool { return j.log.contains(`"step":"sync"`) && j.log.contains(`"ended":false`) })
+	c.waitFor("end of the stalled leader's lease", func() bool { return !old.Leadership().IsLeader })
+
+	next := c.waitLeader()
+	assert.Assert(t, next != old)
+	assert.NilError(t, next.Barrier(context.Background()))
+
+	resume()
+
+	// The next leader may have received the entry before the stall and committed it.
+	if err := <-stalled; err != nil {
+		assert.ErrorIs(t, err, lab.ErrOutcomeUnknown)
+	}
+
+	c.waitFor("end of stall logged", func() bool { return j.log.contains(`"ended":true`) })
+	c.waitCaughtUp(old)
+}
+
 // countingJournal counts appends and returns appendErr from them.
 type countingJournal struct {
 	labjournal.Journal
--- a/control/process/labinstance/instance.go
+++ b/control/process/labinstance/instance.go
@@ -180,7 +180,7 @@
 	i.bootstrap.incarnation = self.Incarnation
 	i.group = &labconsensus.Group{
 		ID: self.ID, Journal: i.journal, Clock: clock, Random: random, StateMachine: catalog, Send: i.send,
-		SnapshotEntries: uint64(s.SnapshotEntries), BeforeBootstrap: i.checkBootstrap,
+		SnapshotEntries: uint64(s.SnapshotEntries), BeforeBootstrap: i.checkBootstrap, Log: i.Logger,
 	}
 	i.publishedGroup.Store(i.group)
 
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -201,9 +201,9 @@
 	s := &labsender.Senders{Peers: k.Transport, Timeout: sendTimeout, Go: func(run func(context.Context)) { go run(ctx) }}
 	g := &labconsensus.Group{
 		ID: i.id, InitialVoters: k.initialVoters(i), Journal: journal, Clock: k.Clock, Random: k.Random,
-		StateMachine: p.state,
-		Send:         func(to lab.InstanceID, m labreplica.Message) { s.Send(labvoters.Address(to), m) },
-		ElectionMin:  electionMin, ElectionMax: electionMax, StartupElectionMin: startupElectionMin, Heartbeat: heartbeat,
+		StateMachine: p.state, Log: k.Log,
+		Send:        func(to lab.InstanceID, m labreplica.Message) { s.Send(labvoters.Address(to), m) },
+		ElectionMin: electionMin, ElectionMax: electionMax, StartupElectionMin: startupElectionMin, Heartbeat: heartbeat,
 		TickInterval: groupTick, SnapshotEntries: snapshotEntries, TrailingEntries: trailingEntries,
 	}
 	p.group = g
