--- a/review/tool-2/consumer.go
+++ b/review/tool-2/consumer.go
@@ -73,6 +73,9 @@
 	return out
 }
 
+// consumerID returns the id of the n-th statement of the consumers.
+func consumerID(n int64) string { return fmt.Sprintf("%016x", 0x5c00000000000000+n) }
+
 // operate sends an operation, and again at another node if it has not run, as long as its time limit allows.
 func (c *consumers) operate(database, text string, limit time.Duration) answer {
 	a := answer{text: text, sent: time.Now()}
@@ -81,7 +84,7 @@
 	for try := 0; try < 3 && time.Now().Before(end); try++ {
 		all := c.ready()
 		n := all[rand.IntN(len(all))]
-		a.id = fmt.Sprintf("%016x", 0x5c00000000000000+c.ids.Add(1))
+		a.id = consumerID(c.ids.Add(1))
 		a.served, a.detail = c.attempt(n, database, a.id, text, end)
 
 		if a.served || !promised(a.detail) {
