review/7: a check-in that makes control forget a replica, and a lost commit

A check-in without version, capacity and warmupLeftMs that names one replica at the address of the other removes the other from the places whose log must be read. When the primary crashes while the named replica receives nothing, that one is promoted without an acknowledged write.

--- a/review/tool-2/group.go
+++ b/review/tool-2/group.go
@@ -45,6 +45,7 @@
 	received int    // number of commits of the group's log that it has received
 	paused   uint64 // term of PAUSE, 0 if it receives
 	running  bool
+	deaf     bool // receives nothing from the primary
 	sequence int
 	listener net.Listener
 	conns    map[net.Conn]bool
@@ -113,6 +114,15 @@
 	g.lab.note("member %s of %s crashes", m.id, g.service)
 }
 
+// setDeaf lets a replica receive nothing, or receive again.
+func (m *member) setDeaf(deaf bool) {
+	m.group.mutex.Lock()
+	defer m.group.mutex.Unlock()
+
+	m.deaf = deaf
+	m.group.lab.note("member %s receives nothing: %t", m.id, deaf)
+}
+
 // same reports whether the run of the member that uses the listener goes on. The mutex must be held.
 func (m *member) same(t net.Listener) bool { return m.running && m.listener == t }
 
@@ -146,7 +156,7 @@
 			return
 		}
 
-		if l := g.leader; l != nil && l != m && l.running && m.paused == 0 && m.received != l.received {
+		if l := g.leader; l != nil && l != m && l.running && m.paused == 0 && !m.deaf && m.received != l.received {
 			m.received = l.received
 			g.changed.Broadcast()
 		}
