--- a/review/10/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/laburnumlock ] && [ -x target/review2 ] || exit 2
-exec target/review2 odd "$folder"
+exec target/review2 inject "$folder"
--- a/review/tool-2/group.go
+++ b/review/tool-2/group.go
@@ -30,6 +30,7 @@
 	term    uint64
 	log     []string // ids of the committed statements, in the order of their numbers
 	token   uint64   // highest fencing token seen
+	trouble memberTrouble
 	leader  *member
 	changed *sync.Cond
 }
@@ -260,7 +261,12 @@
 			return
 		}
 
-		if _, err := c.Write([]byte(s.run(p[1], p[2]))); err != nil {
+		a, lost := s.troubled(p[1], p[2])
+		if lost {
+			continue
+		}
+
+		if _, err := c.Write([]byte(a)); err != nil {
 			return
 		}
 	}
