--- a/review/tool-2/crowd.go
+++ b/review/tool-2/crowd.go
@@ -16,7 +16,7 @@
 const (
 	// memoryLimit is the memory of the machines (`memoryMb`), in kilobytes. The users have 136 MB; it is lowered to show within
 	// the time of a script what takes longer on their machines.
-	memoryLimit = 48 << 10
+	memoryLimit = 40 << 10
 	crowdTime   = 85 * time.Second
 	sentAhead   = 16   // statements that a client of the crowd sends ahead
 	crowdID     = "5d" // begins the ids of its statements
