labvoters: replace a control instance that stops at once

Cause: the silence after which a voter was replaced was as long as catchUpS, by which the replacement has to be complete, an instance that stopped told nobody, and each new leader counted from its own election on. Trace: the successor had the whole log 0.5 s after its start, and no promotion was tried in the 3.5 s until the loss.

Change: a control instance that stops tells the others, and a learner takes its place at once; without a notice after half of bounds.catchUpS of silence. Broadcasts carry the time since the leader's last contact with each instance, so a new leader goes on counting. The learner that was heard from last is promoted. The removal of an instance is told to it only when it is committed, since the instance discards its log then.

--- a/control/process/labconsensus/leadership.go
+++ b/control/process/labconsensus/leadership.go
@@ -14,6 +14,7 @@
 	quorumContact time.Duration // time of the last contact with a quorum, negative for none; see labreplica.Replica
 	leaderLease   time.Duration // time after quorumContact for which the leader may assume that it still leads
 	membership    labreplica.Membership
+	committed     labreplica.Membership // latest committed membership
 	appliedIndex  uint64
 }
 
@@ -23,7 +24,7 @@
 	v := &groupStatus{
 		leadership: lab.Leadership{Leader: r.Leader(), Term: r.Term()},
 		leading:    r.Leading(), quorumContact: r.QuorumContact(), leaderLease: r.ElectionMin,
-		membership: r.Membership(), appliedIndex: r.AppliedIndex(),
+		membership: r.Membership(), committed: r.CommittedMembership(), appliedIndex: r.AppliedIndex(),
 	}
 
 	if v.leading {
@@ -55,6 +56,15 @@
 	return labreplica.Membership{}
 }
 
+// CommittedMembership returns the latest membership that this instance knows to be committed. A later leader can't undo it.
+func (g *Group) CommittedMembership() labreplica.Membership {
+	if v := g.status.Load(); v != nil {
+		return v.committed
+	}
+
+	return labreplica.Membership{}
+}
+
 // AppliedIndex returns the applied index: the index up to which the state machine has applied the log.
 func (g *Group) AppliedIndex() uint64 {
 	if v := g.status.Load(); v != nil {
--- a/control/process/labplatformcontrol/announcements.go
+++ b/control/process/labplatformcontrol/announcements.go
@@ -300,7 +300,7 @@
 			continue
 		}
 
-		r.Term = l.Term
+		r.Term, r.Contacts = l.Term, k.contacts()
 		previous, listed = listed, revision
 
 		if round%proxyListRounds == 0 {
@@ -413,6 +413,7 @@
 	}
 
 	k.recordLeaving(r.Leaving)
+	k.recordContacts(r.Contacts)
 
 	if r.MembersComplete && !k.Leading() {
 		k.registry.Retain(present, retainSilence)
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -56,8 +56,11 @@
 	Seeds           func() []string // returns the current seed addresses
 	NewDeployment   bool            // true if the deployment starts for the first time
 	ToleratedLosses int             // number of control instances that may be lost at the same time
-	DataFolder      string
-	QuotaTolerance  lab.QuotaTolerance // what is tolerated beyond the rates and bursts of organisations
+	// CatchUpPeriod is the time after an instance's start after which another one may be lost; labvoters.DefaultCatchUpPeriod
+	// if it is 0.
+	CatchUpPeriod  time.Duration
+	DataFolder     string
+	QuotaTolerance lab.QuotaTolerance // what is tolerated beyond the rates and bursts of organisations
 
 	Transport       *labtransport.Transport
 	Clock           lab.Clock
@@ -109,7 +112,8 @@
 	missingSince map[string]time.Duration // by service, the time when it was first observed without a primary
 
 	mutex             sync.Mutex
-	lastContact       map[lab.InstanceID]time.Duration // by control instance, the time of its last message
+	lastContact       map[lab.InstanceID]time.Duration // by control instance, the time of its last message to this leader or the one before
+	stoppedAt         map[lab.InstanceID]time.Duration // by control instance, the time of its last request with Stopping set
 	zones             map[lab.InstanceID]string        // availability zones of the control instances that have joined this leader
 	joinReports       labvoters.Reports                // join requests received from control instances
 	replacing         map[string]bool                  // services with a primary replacement in progress
@@ -139,9 +143,20 @@
 	return k.currentParticipation.Load()
 }
 
-// Run takes part in the control group until the context ends. If the disk fails, Run starts again from the data on the
-// disk, as a restarted process would.
+// Run takes part in the control group until the context ends, and then tells the other instances that this one stops. If
+// the disk fails, Run starts again from the data on the disk, as a restarted process would.
 func (k *Controller) Run(ctx context.Context) error {
+	stopping := ctx
+
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stopping))
+	defer cancel()
+
+	defer context.AfterFunc(stopping, func() {
+		defer cancel()
+
+		k.announceStop(ctx)
+	})()
+
 	for ctx.Err() == nil {
 		if err := k.runParticipation(ctx); err != nil && ctx.Err() == nil {
 			k.Log.Error().Err(err).Msg("control_part_ended")
@@ -160,6 +175,7 @@
 	k.leaderSeenAt.Store(int64(k.startedAt))
 	k.changed, k.leaderChanged = make(chan struct{}), make(chan struct{})
 	k.lastContact, k.zones = map[lab.InstanceID]time.Duration{}, map[lab.InstanceID]string{}
+	k.stoppedAt = map[lab.InstanceID]time.Duration{}
 	k.joinReports.MaxAge = joinReportMaxAge
 	k.replacing, k.missingSince = map[string]bool{}, map[string]time.Duration{}
 	k.lastReplacements = map[string]replacementResult{}
--- a/control/process/labplatformcontrol/controller_test.go
+++ b/control/process/labplatformcontrol/controller_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,13 +55,13 @@
 	seeds       []string
 	folders     []string
 	controllers []*Controller
-	stops       []func()
+	stops       []func(kill bool)
 }
 
 func newCluster(t *testing.T, n int) *cluster {
 	t.Helper()
 
-	c := &cluster{t: t, controllers: make([]*Controller, n), stops: make([]func(), n)}
+	c := &cluster{t: t, controllers: make([]*Controller, n), stops: make([]func(bool), n)}
 	transports := make([]*labtransport.Transport, n)
 
 	for i := range n {
@@ -95,34 +96,58 @@
 }
 
 func (c *cluster) run(i int, x *labtransport.Transport, newDeployment bool) {
+	seeds := slices.Clone(c.seeds)
 	k := &Controller{
-		Address: c.seeds[i], Seeds: func() []string { return c.seeds }, NewDeployment: newDeployment, ToleratedLosses: 1,
+		Address: c.seeds[i], Seeds: func() []string { return seeds }, NewDeployment: newDeployment, ToleratedLosses: 1,
 		DataFolder: c.folders[i], Transport: x, Clock: labclock.NewBootClock(), Random: labrandom.New(),
 		DocumentReader: jsonReader{}, Dialer: unavailablePlatform{}, PromotionClient: unavailablePlatform{}, Log: zerolog.Nop(),
 	}
 	k.Prepare()
 
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{}, 2)
+	serving, cancelServing := context.WithCancel(context.Background())
+	ended, closed := make(chan struct{}), make(chan struct{})
 
-	go func() { _ = k.Run(ctx); ended <- struct{}{} }()
-	go func() { _ = x.Run(ctx); ended <- struct{}{} }()
+	go func() { _ = k.Run(ctx); close(ended) }()
+	go func() { _ = x.Run(serving); close(closed) }()
 
 	c.controllers[i] = k
-	c.stops[i] = func() {
+	c.stops[i] = func(kill bool) {
+		if kill {
+			cancelServing()
+			<-closed
+		}
+
 		cancel()
 		<-ended
-		<-ended
+		cancelServing()
+		<-closed
 	}
 }
 
-func (c *cluster) stop(i int) {
+func (c *cluster) stop(i int) { c.end(i, false) }
+
+// end stops an instance, or ends it without a notice to the others.
+func (c *cluster) end(i int, kill bool) {
 	if c.stops[i] != nil {
-		c.stops[i]()
+		c.stops[i](kill)
 		c.stops[i] = nil
 	}
 }
 
+// add starts an instance that joins the group.
+func (c *cluster) add() int {
+	c.t.Helper()
+
+	x, i := c.listen("127.0.0.1:0"), len(c.controllers)
+	c.seeds, c.folders = append(c.seeds, x.BoundAddress()), append(c.folders, c.t.TempDir())
+	c.controllers, c.stops = append(c.controllers, nil), append(c.stops, nil)
+	c.run(i, x, false)
+	c.t.Cleanup(func() { c.stop(i) })
+
+	return i
+}
+
 func (c *cluster) restart(i int) {
 	c.t.Helper()
 	c.run(i, c.listen(c.seeds[i]), false)
--- a/control/process/labplatformcontrol/join.go
+++ b/control/process/labplatformcontrol/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"laburnumlock.dev/lab"
@@ -16,6 +17,11 @@
 	// joinReportMaxAge is how long a join request is valid: four times the interval at which requests are sent.
 	joinReportMaxAge = 4 * joinInterval
 	changeTimeout    = time.Second
+	// stopNoticeTimeout bounds the time by which a notice to the other instances delays the end of the process.
+	stopNoticeTimeout = 300 * time.Millisecond
+	// leaderContactTime is the time within which a new leader hears from each voter that runs. Until then only silence in
+	// its own term counts, since it may have been without contact for long before.
+	leaderContactTime = time.Second
 )
 
 // join periodically reports this instance to the leader and learns whether it has been removed from the group.
@@ -78,6 +84,36 @@
 	return a, err
 }
 
+// announceStop tells the other instances of the group that this one stops, so that a learner takes its place at once.
+// Whether the process will start again isn't known.
+func (k *Controller) announceStop(ctx context.Context) {
+	p := k.participation()
+	if p.group == nil {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, stopNoticeTimeout)
+	defer cancel()
+
+	var calls sync.WaitGroup
+
+	for _, id := range p.group.Membership().Instances() {
+		if id == p.identity.id {
+			continue
+		}
+
+		calls.Go(func() {
+			if err := k.Transport.Call(ctx, labvoters.Address(id), methodJoin, joinRequest{
+				ID: p.identity.id, Zone: k.AvailabilityZone, Stopping: true,
+			}, nil); err != nil {
+				k.Log.Info().Err(err).Str("instance", string(id)).Msg("stop_notice_failed")
+			}
+		})
+	}
+
+	calls.Wait()
+}
+
 // isMember reports whether the membership in the local log contains this instance.
 func (k *Controller) isMember() bool {
 	return slices.Contains(k.participation().group.Membership().Instances(), k.participation().identity.id)
@@ -109,16 +145,23 @@
 		return joinResponse{}, nil
 	}
 
-	m := g.Membership()
 	a := joinResponse{Leader: g.Leadership().Leader}
 
+	if r.Stopping {
+		k.recordStop(r.ID)
+
+		return a, nil
+	}
+
 	if !k.Leading() {
 		return a, nil
 	}
 
 	k.recordContact(r.ID)
 
-	if !r.Fresh && !slices.Contains(m.Instances(), r.ID) {
+	// The instance discards its log when it is told of its removal, so the removal must be committed.
+	if !r.Fresh && !slices.Contains(g.Membership().Instances(), r.ID) &&
+		!slices.Contains(g.CommittedMembership().Instances(), r.ID) {
 		a.Removed = true
 
 		return a, nil
@@ -129,6 +172,15 @@
 	return a, nil
 }
 
+func (k *Controller) recordStop(id lab.InstanceID) {
+	k.Log.Info().Str("instance", string(id)).Msg("instance_stopping")
+
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	k.stoppedAt[id] = k.Clock.Now()
+}
+
 func (k *Controller) recordJoinReport(id lab.InstanceID, zone string) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -187,14 +239,52 @@
 	now := k.Clock.Now()
 	s := &labvoters.GroupState{
 		Self: k.participation().identity.id, Membership: m, TargetVoters: copiesPerLoss*k.ToleratedLosses + 1,
-		SilentFor: map[lab.InstanceID]time.Duration{},
+		SilentFor: map[lab.InstanceID]time.Duration{}, Stopped: map[lab.InstanceID]bool{}, CatchUpPeriod: k.CatchUpPeriod,
 	}
 
 	s.LiveInstances = k.joinReports.Live(now)
 
 	for _, id := range m.Instances() {
-		s.SilentFor[id] = now - max(k.lastContact[id], since)
+		heard, ok := k.lastContact[id]
+		if !ok || now-since < leaderContactTime {
+			heard = max(heard, since)
+		}
+
+		s.SilentFor[id] = now - heard
+
+		// An instance takes part until it has sent its notices. Later messages come from a new start.
+		stoppedAt, ok := k.stoppedAt[id]
+		s.Stopped[id] = ok && k.lastContact[id] <= stoppedAt+stopNoticeTimeout
 	}
 
 	return s
 }
+
+// contacts returns how long ago this leader has heard from the other instances of the group.
+func (k *Controller) contacts() []contact {
+	m := k.participation().group.Membership()
+
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	var out []contact
+
+	for _, id := range m.Instances() {
+		if at, ok := k.lastContact[id]; ok {
+			out = append(out, contact{id, k.Clock.Now() - at})
+		}
+	}
+
+	return out
+}
+
+// recordContacts records what the leader has told of its contacts, so that the next leader doesn't count the silence of
+// an instance from its own election on.
+func (k *Controller) recordContacts(contacts []contact) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	for _, c := range contacts {
+		k.lastContact[c.Instance] = max(k.lastContact[c.Instance], k.Clock.Now()-c.Age)
+	}
+}
--- a/control/process/labplatformcontrol/message.go
+++ b/control/process/labplatformcontrol/message.go
@@ -32,6 +32,9 @@
 	ID    lab.InstanceID `msgpack:"i"`
 	Fresh bool           `msgpack:"f"` // the instance has never been a member of the group
 	Zone  string         `msgpack:"z"` // availability zone of the instance
+	// Stopping is true if the process is about to end. Such a request goes to all instances, as the leader may be the one
+	// that stops.
+	Stopping bool `msgpack:"s,omitempty"`
 }
 
 type joinResponse struct {
@@ -50,6 +53,12 @@
 	Age          time.Duration    `msgpack:"t"` // time since a control instance received it from the member
 }
 
+// contact says how long ago the leader has heard from a control instance.
+type contact struct {
+	Instance lab.InstanceID `msgpack:"i"`
+	Age      time.Duration  `msgpack:"t"`
+}
+
 // memberObservations are the observations of all members.
 type memberObservations struct {
 	Observations    []observation `msgpack:"s"`
@@ -63,6 +72,7 @@
 	// MembersComplete is true if there are no other members than those of Observations.
 	MembersComplete bool                `msgpack:"m"`
 	Leaving         []lab.LeavingMember `msgpack:"l,omitempty"` // members of Observations that are leaving
+	Contacts        []contact           `msgpack:"o,omitempty"` // the group's other instances, as the leader has heard from them
 	Proxies         []lab.Instance      `msgpack:"p"`           // the leader's proxy list; empty in most broadcasts, see proxyListRounds
 	// Packed is a compressed memberObservations, sent instead of Observations and MembersComplete if there are many members.
 	Packed []byte `msgpack:"k,omitempty"`
--- a/control/process/labreplica/replica.go
+++ b/control/process/labreplica/replica.go
@@ -251,6 +251,11 @@
 	return r.memberships[len(r.memberships)-1].membership
 }
 
+// CommittedMembership returns the membership of the latest committed change.
+func (r *Replica) CommittedMembership() Membership {
+	return r.membershipAt(r.commitIndex)
+}
+
 func (r *Replica) send(m Message) {
 	m.From, m.Term = r.ID, r.hardState.Term
 	r.messages = append(r.messages, m)
--- a/control/process/labvoters/groupstate.go
+++ b/control/process/labvoters/groupstate.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// VoterLostTimeout is how long a voter may send no message before another instance replaces it. It is longer than a
-	// restart takes, so that an instance that only restarts remains a voter.
-	VoterLostTimeout = 4 * time.Second
+	// DefaultCatchUpPeriod is used while GroupState.CatchUpPeriod is 0.
+	DefaultCatchUpPeriod = 4 * time.Second
+	// voterLostShare is the divisor of the catch-up period that gives the time after which a silent voter is replaced. The
+	// replacement must end within that period: the rest of it is for an election and two membership changes.
+	voterLostShare = 2
 	// LearnerRemovalTimeout is how long a learner may send no message before it is removed.
 	LearnerRemovalTimeout = 10 * time.Second
 )
@@ -26,6 +28,18 @@
 	TargetVoters  int                              // wanted number of voters
 	LiveInstances []lab.InstanceID                 // sorted live instances, including those that request to join
 	SilentFor     map[lab.InstanceID]time.Duration // time since the last message from each voter and learner
+	Stopped       map[lab.InstanceID]bool          // instances that have said that they stop, and were silent since
+	// CatchUpPeriod is the time after the start of an instance after which the group must bear the loss of another one.
+	CatchUpPeriod time.Duration
+}
+
+// VoterLostTimeout returns how long a voter may send no message before a learner replaces it.
+func (s *GroupState) VoterLostTimeout() time.Duration {
+	if s.CatchUpPeriod <= 0 {
+		return DefaultCatchUpPeriod / voterLostShare
+	}
+
+	return s.CatchUpPeriod / voterLostShare
 }
 
 // Address returns the process address in an identity.
@@ -66,8 +80,8 @@
 	return labreplica.Change{}, false
 }
 
-// lostVoter returns a voter that must be replaced. It prefers a voter whose address is used by a new identity, because
-// such a voter can never return.
+// lostVoter returns a voter that must be replaced: one whose address is used by a new identity, which can never return, or
+// one that has stopped or is silent. A voter that only restarts may be replaced too. It then joins again as a learner.
 func (s *GroupState) lostVoter() (lab.InstanceID, bool) {
 	for _, v := range s.Membership.Voters {
 		if v != s.Self && s.addressReused(v) {
@@ -76,7 +90,7 @@
 	}
 
 	for _, v := range s.Membership.Voters {
-		if v != s.Self && s.SilentFor[v] > VoterLostTimeout {
+		if v != s.Self && (s.Stopped[v] || s.SilentFor[v] > s.VoterLostTimeout()) {
 			return v, true
 		}
 	}
@@ -95,13 +109,20 @@
 	return false
 }
 
-// successor returns a live learner that can replace a lost voter.
+// successor returns the live learner that was heard from last. It can replace a lost voter. A promotion waits for the
+// learner, so one that has just failed would delay the replacement.
 func (s *GroupState) successor() (lab.InstanceID, bool) {
+	var best lab.InstanceID
+
 	for _, l := range s.Membership.Learners {
-		if s.SilentFor[l] < VoterLostTimeout && !s.addressReused(l) {
-			return l, true
+		if s.Stopped[l] || s.SilentFor[l] >= s.VoterLostTimeout() || s.addressReused(l) {
+			continue
+		}
+
+		if best == "" || s.SilentFor[l] < s.SilentFor[best] {
+			best = l
 		}
 	}
 
-	return "", false
+	return best, best != ""
 }
--- a/control/process/labvoters/groupstate_test.go
+++ b/control/process/labvoters/groupstate_test.go
@@ -13,6 +13,8 @@
 func ids(names ...lab.InstanceID) []lab.InstanceID { return names }
 
 func TestNext(t *testing.T) {
+	const lostTimeout = DefaultCatchUpPeriod / 2
+
 	change := func(k labreplica.ChangeKind, id lab.InstanceID) *labreplica.Change {
 		return &labreplica.Change{Kind: k, Instance: id}
 	}
@@ -23,6 +25,7 @@
 		learners  []lab.InstanceID
 		reporting []lab.InstanceID
 		silent    map[lab.InstanceID]time.Duration
+		stopped   map[lab.InstanceID]bool
 		want      *labreplica.Change
 	}{
 		{name: "all voters report", voters: ids("a", "b", "c"), reporting: ids("a", "b", "c")},
@@ -40,11 +43,22 @@
 		},
 		{
 			name: "silent for a restart", voters: ids("a", "b", "c"), learners: ids("d/1"), reporting: ids("a", "b", "d/1"),
-			silent: map[lab.InstanceID]time.Duration{"c": VoterLostTimeout},
+			silent: map[lab.InstanceID]time.Duration{"c": lostTimeout},
 		},
 		{
 			name: "silent for long", voters: ids("a", "b", "c"), learners: ids("d/1"), reporting: ids("a", "b", "d/1"),
-			silent: map[lab.InstanceID]time.Duration{"c": VoterLostTimeout + 1}, want: change(labreplica.ChangePromote, "d/1"),
+			silent: map[lab.InstanceID]time.Duration{"c": lostTimeout + 1}, want: change(labreplica.ChangePromote, "d/1"),
+		},
+		{
+			name: "a voter that stops is replaced at once", voters: ids("a", "b", "c"), learners: ids("d/1"),
+			reporting: ids("a", "b", "c", "d/1"), stopped: map[lab.InstanceID]bool{"c": true},
+			want: change(labreplica.ChangePromote, "d/1"),
+		},
+		{
+			name: "the learner that was heard from last succeeds", voters: ids("a", "b", "c"), learners: ids("d/1", "e/1", "f/1"),
+			reporting: ids("a", "b", "d/1", "e/1"), stopped: map[lab.InstanceID]bool{"f/1": true},
+			silent: map[lab.InstanceID]time.Duration{"c": lostTimeout + 1, "d/1": time.Second, "e/1": 0},
+			want:   change(labreplica.ChangePromote, "e/1"),
 		},
 		{
 			name: "silent for long without a successor", voters: ids("a", "b", "c"), reporting: ids("a", "b"),
@@ -70,7 +84,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := &GroupState{
 				Self: "a", Membership: labreplica.Membership{Voters: c.voters, Learners: c.learners}, TargetVoters: 3,
-				LiveInstances: c.reporting, SilentFor: c.silent,
+				LiveInstances: c.reporting, SilentFor: c.silent, Stopped: c.stopped,
 			}
 
 			got, ok := s.NextChange()
