--- a/control/process/labmembers/registry.go
+++ b/control/process/labmembers/registry.go
@@ -60,6 +60,10 @@
 
 func (r *Registry) apply(a lab.Announcement, heard time.Duration) (newer, changed, urgent bool) {
 	old, known := r.entries[a.Member]
+	if known && a.Incarnation == old.Announcement.Incarnation {
+		a.Revived = max(a.Revived, old.Announcement.Revived)
+	}
+
 	if known && !supersedes(a, old.Announcement) && !startedAgain(a, old, heard) {
 		return false, false, false
 	}
@@ -219,6 +223,10 @@
 		return a.Incarnation > b.Incarnation
 	}
 
+	if a.Revived != b.Revived {
+		return a.Revived > b.Revived
+	}
+
 	if b.Terminated {
 		return false
 	}
@@ -237,6 +245,56 @@
 	return false
 }
 
+// endedQuiet is how long after the record of a member's end its announcements can be those that it sent before its end.
+const endedQuiet = time.Second
+
+// Contested reports whether an announcement has no effect because its member is recorded as ended, or because another
+// member has announced the address later. The announcement may be a late one, or that of a member that runs: the one that
+// answers at the address under its name.
+func (r *Registry) Contested(a lab.Announcement) bool {
+	if a.Terminated {
+		return false
+	}
+
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	e, known := r.entries[a.Member]
+
+	switch {
+	case !known || a.Incarnation > e.Announcement.Incarnation:
+		return r.addressTaken(a)
+	case a.Incarnation < e.Announcement.Incarnation || a.Sequence <= e.Announcement.Sequence:
+		return false
+	}
+
+	return (e.Announcement.Terminated && r.Clock.Now()-e.LastHeard > endedQuiet) || r.addressTaken(a)
+}
+
+// Revive records an announcement of a member that has been found to run at its address. Other members there are removed:
+// what they are is known once they announce themselves again.
+func (r *Registry) Revive(a lab.Announcement) {
+	r.mutex.Lock()
+
+	for _, e := range r.byAddress[a.Address] {
+		if e.Announcement.Member != a.Member {
+			r.removeFromIndex(e)
+			r.log.Add(e.Announcement.Member)
+		}
+	}
+
+	if e, known := r.entries[a.Member]; known && e.Announcement.Terminated && e.Announcement.Incarnation == a.Incarnation {
+		a.Revived = e.Announcement.Revived + 1
+	}
+
+	r.apply(a, r.Clock.Now())
+	r.mutex.Unlock()
+
+	if r.Changed != nil {
+		r.Changed(true)
+	}
+}
+
 // retireAddress marks all other members with the announced address as terminated.
 func (r *Registry) retireAddress(a lab.Announcement) {
 	if a.Terminated {
--- a/control/process/labplatformcontrol/announcements.go
+++ b/control/process/labplatformcontrol/announcements.go
@@ -211,6 +211,51 @@
 	}
 }
 
+// errContested is returned for an announcement that has no effect because its member is recorded as ended, or because another
+// member has announced the address. If the member runs, its next announcement has an effect.
+var errContested = errors.New("the member is recorded as ended, or another one has its address")
+
+// verifySpacing is the time between two connections to a member that find out whether it runs.
+const verifySpacing = time.Second
+
+// verifyRunning connects to the member of a contested announcement, and records the announcement if that member answers. An
+// announcement alone is no evidence that another member has ended: it may be late, or from another writer.
+func (k *Controller) verifyRunning(a lab.Announcement) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+
+	if k.verifying[a.Member] {
+		return
+	}
+
+	if k.verifying == nil {
+		k.verifying = map[string]bool{}
+	}
+
+	k.verifying[a.Member] = true
+
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+
+		l, err := k.Dialer.Dial(ctx, a, "")
+		if err == nil {
+			l.Close()
+			k.registry.Revive(a)
+		}
+
+		k.Log.Info().Err(err).Str("service", a.Database).Str("member", a.Member).Str("address", a.Address).
+			Uint64("incarnation", a.Incarnation).Bool("runs", err == nil).Msg("contested_member_verified")
+
+		time.AfterFunc(verifySpacing, func() {
+			k.mutex.Lock()
+			defer k.mutex.Unlock()
+
+			delete(k.verifying, a.Member)
+		})
+	}()
+}
+
 // errOutdated is returned for an announcement of an incarnation before the known one. Since it has no effect, it isn't
 // acknowledged.
 var errOutdated = errors.New("a later start of the member is known")
@@ -227,6 +272,12 @@
 		k.Log.Info().Str("member", a.Member).Uint64("incarnation", a.Incarnation).Uint64("sequence", a.Sequence).
 			Msg("announcement_outdated")
 
+		if k.registry.Contested(a) {
+			k.verifyRunning(a)
+
+			return errContested
+		}
+
 		if k.registry.Outdated(a) {
 			return errOutdated
 		}
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -116,6 +116,7 @@
 	stoppedAt         map[lab.InstanceID]time.Duration // by control instance, the time of its last request with Stopping set
 	zones             map[lab.InstanceID]string        // availability zones of the control instances that have joined this leader
 	joinReports       labvoters.Reports                // join requests received from control instances
+	verifying         map[string]bool                  // members with a contested announcement that was verified just now
 	replacing         map[string]bool                  // services with a primary replacement in progress
 	lastReplacements  map[string]replacementResult     // by service
 	recoveredAt       map[string]time.Duration         // by service, the time of the last attempt to end an unfinished one
--- a/control/process/labplatformcontrol/holders.go
+++ b/control/process/labplatformcontrol/holders.go
@@ -68,7 +68,7 @@
 
 	v := k.viewService(nil, service)
 	former, address := formerPrimary(v)
-	live := map[string]bool{} // by address
+	live, names := map[string]bool{}, map[string]bool{} // by address and by name
 
 	add := func(a lab.Announcement) {
 		if a.Member != former.Member || orderedUnconfirmed(v, a.Member) {
@@ -78,22 +78,33 @@
 
 	for _, e := range v.members {
 		if a := e.Announcement; !a.Terminated {
-			live[a.Address] = true
+			live[a.Address], names[a.Member] = true, true
 			add(a)
 		}
 	}
 
 	for _, h := range v.state.Holders {
-		if !live[h.Address] {
-			add(lab.Announcement{Database: service, Member: h.Member, Address: h.Address, Region: h.Region})
+		if live[h.Address] {
+			continue
+		}
+
+		// The member has another address by now. Whoever responds at this one, under any name, may have the log.
+		if names[h.Member] {
+			h.Member += formerPlaceSuffix
 		}
+
+		add(lab.Announcement{Database: service, Member: h.Member, Address: h.Address, Region: h.Region})
 	}
 
 	return out
 }
 
+// formerPlaceSuffix marks the name of a member at an address that it has left. No member has such a name, so another one that
+// responds there takes the place.
+const formerPlaceSuffix = "@former"
+
 // recordHolders records members that have become known in the replicated log, so that the next leader knows of them. It
-// removes the holders of services that are no longer configured, and of members that have moved to another address.
+// removes the holders of services that are no longer configured.
 func (k *Controller) recordHolders(ctx context.Context) {
 	r, now := k.registry.Revision(), k.Clock.Now()
 	if r == k.recordedRevision && now < k.nextRecording {
@@ -155,7 +166,7 @@
 
 	for s, all := range known {
 		for _, h := range all {
-			if (configured != nil && !configured[s]) || k.moved(h, configured) {
+			if configured != nil && !configured[s] {
 				c.Removed = append(c.Removed, h)
 			}
 		}
@@ -164,15 +175,15 @@
 	return c
 }
 
-// moved reports whether the member of a holder has another address by now.
-func (k *Controller) moved(h labgroupstate.Holder, configured map[string]bool) bool {
+// ended reports whether the member of a holder has ended, or has announced another address, which is no evidence that the
+// log at the address of the holder is gone: the announcement may be from another writer.
+func (k *Controller) ended(h labgroupstate.Holder) bool {
 	e, known := k.registry.Entry(h.Member)
-	a := e.Announcement
 
-	return known && !a.Terminated && a.Address != h.Address && (configured == nil || configured[a.Database])
+	return known && (e.Announcement.Terminated || e.Announcement.Address != h.Address)
 }
 
-// retireHolders removes holders that have ended and whose place no member has taken again for a long time, once other members
+// retireHolders removes holders that have ended or moved and whose place no member has taken again for a long time, once other members
 // are known to have everything that they can have acknowledged. A holder that is only silent may go on acknowledging.
 func (k *Controller) retireHolders(ctx context.Context) {
 	if k.Clock.Now() < k.nextRetirement {
@@ -212,7 +223,7 @@
 
 			since, ok := k.unseenSince[h]
 			if !ok {
-				if e, _ := k.registry.Entry(h.Member); !e.Announcement.Terminated {
+				if !k.ended(h) {
 					continue
 				}
 
--- a/member.go
+++ b/member.go
@@ -25,6 +25,8 @@
 	Sequence uint64 `json:"sequence,omitempty" msgpack:"q,omitempty"`
 	// Terminated is true if the member has stopped and will not start again.
 	Terminated bool `json:"gone,omitempty" msgpack:"g,omitempty"`
+	// Revived is the number of times that control has found this incarnation running after it had been recorded as ended.
+	Revived uint64 `json:"revived,omitempty" msgpack:"v,omitempty"`
 }
 
 // Limits of the fields of an announcement. Sequences and incarnations above them can only come from a faulty sender; an
