labwire: a refusal that may be a second answer is not believed

Cause, by the record: the refusal was matched with the write by its order, and InStep notices an answer that is outstanding, but when the write's answer is lost none is.

Change: a second answer has the position that the log had at the first one, and a write that has run moves the log.

--- a/memberconnection.go
+++ b/memberconnection.go
@@ -16,9 +16,9 @@
 	// status after them. After it succeeds the connection may be used again.
 	Drain(deadline time.Time) (TransactionStatus, error)
 	// InStep must succeed before a fault is believed that Run or Drain has returned, and before the connection is used
-	// again: a member may answer twice, and a fault has no mark that tells the second answer to an earlier operation. A
-	// failed transaction is rolled back by it. Without a fault it returns at once. After an error the same applies as after
-	// an error of Run.
+	// again: a member may answer twice, and a fault has no mark that tells the second answer to an earlier operation. It
+	// also fails if a refusal of a write or commit may be such an answer and the operation may have run. A failed transaction
+	// is rolled back by it. Without a fault it returns at once. After an error the same applies as after an error of Run.
 	InStep(deadline time.Time) error
 	// Alive reports whether the member has kept the connection open. It does not wait.
 	Alive() bool
