--- a/review/tool-3/deployment.go
+++ b/review/tool-3/deployment.go
@@ -80,6 +80,8 @@
 	cloud    string
 	memoryMB int
 	ended    chan struct{}
+	// acknowledged is the configuration that was acknowledged last.
+	acknowledged string
 
 	mutex     sync.Mutex
 	processes []*process
@@ -131,7 +133,7 @@
 	}
 
 	for _, s := range services {
-		if err := s.listen(zones, d.network+".50:0"); err != nil {
+		if err := s.listen(zones[:machineCount], d.network+".50:0"); err != nil {
 			return d, err
 		}
 
@@ -173,7 +175,7 @@
 }
 
 func (d *deployment) portsFree() bool {
-	for i := 1; i <= machineCount; i++ {
+	for i := 1; i <= len(zones); i++ {
 		for _, port := range []int{internalPorts, internalPorts + 1, internalPorts + 2, internalPorts + 3, controlPort, frontendPort, readinessPort} {
 			l, err := net.Listen("tcp", d.address(i, port))
 			if err != nil {
@@ -200,7 +202,8 @@
 	return out
 }
 
-var zones = []string{"rajkot", "jamnagar", "vadodara"}
+// zones are those of the machines; the fourth machine replaces the third.
+var zones = []string{"rajkot", "jamnagar", "vadodara", "vadodara"}
 
 // settings returns the settings file of a machine, with the fields that DEPLOY.md lists.
 func (d *deployment) settings(machine int, role string, first bool) string {
@@ -213,7 +216,7 @@
 		serves = "client_facing"
 	}
 
-	return fmt.Sprintf(`nodeName = "client_facing-%s-1"
+	return fmt.Sprintf(`nodeName = "client_facing-%s-%d"
 role = %q
 machineClass = "client_facing"
 serves = [%q]
@@ -265,7 +268,7 @@
 ratePerS = 50.0
 duties = ["failover"]
 dutyPerS = 50.0
-`, zones[machine-1], role, serves, ip, zones[machine-1], internalPorts, internalPorts+15,
+`, zones[machine-1], 1+machine/4, role, serves, ip, zones[machine-1], internalPorts, internalPorts+15,
 		d.address(1, controlPort), d.address(2, controlPort), d.address(3, controlPort), first,
 		filepath.Join(d.folder, fmt.Sprintf("data-%d", machine), role), bind, d.memoryMB, d.cloud)
 }
@@ -376,6 +379,8 @@
 			d.record.add("config", "version %v sent to %s: %d", configuration["version"], a, response.StatusCode)
 
 			if response.StatusCode == http.StatusOK {
+				d.acknowledged = string(b)
+
 				return nil
 			}
 		}
--- a/review/tool-3/main.go
+++ b/review/tool-3/main.go
@@ -19,9 +19,9 @@
 
 func main() {
 	cases := map[string]play{
+		"replace-killed":   playReplaceKilled,
 		"stop-cuts-answer": playStopCutsAnswer,
 		"stop-cuts-busy":   playStopCutsBusy,
-		"check-in-injects": playCheckInInjects,
 	}
 
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
