--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/laburnumlock ] && [ -x target/review-3/review3 ] || { echo "build first: deploy/system.toml and review/build-3.sh"; exit 2; }
-exec target/review-3/review3 stop-cuts-answer "$here"
+exec target/review-3/review3 stop-cuts-busy "$here"
--- a/review/tool-3/client.go
+++ b/review/tool-3/client.go
@@ -119,6 +119,11 @@
 		return a, 0, fmt.Errorf("send: %w", err)
 	}
 
+	return c.read()
+}
+
+// read reads the answer to a query.
+func (c *client) read() (a answer, received int, err error) {
 	for {
 		line, err := readMessage(c.in)
 		received += len(line)
--- a/review/tool-3/deployment.go
+++ b/review/tool-3/deployment.go
@@ -85,6 +85,8 @@
 
 	mutex     sync.Mutex
 	processes []*process
+	// memoryEnds counts by machine the ends of proxies that used more memory than their machine has.
+	memoryEnds map[int]int
 }
 
 func startDeployment(r *record, memoryMB int) (*deployment, error) {
--- a/review/tool-3/main.go
+++ b/review/tool-3/main.go
@@ -20,6 +20,7 @@
 func main() {
 	cases := map[string]play{
 		"replace-killed":   playReplaceKilled,
+		"relay-memory":     playRelayMemory,
 		"stop-cuts-answer": playStopCutsAnswer,
 		"stop-cuts-busy":   playStopCutsBusy,
 	}
--- a/review/tool-3/member.go
+++ b/review/tool-3/member.go
@@ -34,6 +34,7 @@
 	record  *record
 	slots   int
 	maxConn int
+	quiet   bool             // runs aren't recorded
 	work    [2]time.Duration // shortest and longest time that a read or write takes
 
 	mutex   sync.Mutex
@@ -279,7 +280,9 @@
 
 	time.Sleep(m.service.work[0] + rand.N(m.service.work[1]-m.service.work[0]+1))
 
-	m.service.record.add("run", "member=%s request=%s from=%s text=%s", m.id, id, s.who, short(text))
+	if !m.service.quiet {
+		m.service.record.add("run", "member=%s request=%s from=%s text=%s", m.id, id, s.who, short(text))
+	}
 
 	defer func() { <-m.slots }()
 
