labvoters: a successor takes its place before the former instance ends

Cause: the group waited for the end of the former instance before it made the successor a voter, and an end without a notice is seen only by silence, for which it waited 2 s. The former instance may end just before its successor has had catchUpS, so no limit of silence is short enough.

Change: an instance that has joined later than another one in the same availability zone takes its place as soon as it has the log, and the former one becomes a learner. The membership in the log says who joined later. A voter that stops or is silent becomes a learner too instead of being removed, a promotion is tried only for learners that have caught up, and membership changes don't wait for the replacement of primaries or the reverse.

--- a/consensus.go
+++ b/consensus.go
@@ -56,7 +56,9 @@
 	Voters []InstanceID `msgpack:"p"` // voters as of Index
 	// Learners are the instances that, as of Index, receive the log but don't vote.
 	Learners []InstanceID `msgpack:"l"`
-	Data     []byte       `msgpack:"d"` // encoded state of the state machine
+	// Joined has the index of the entry that added an instance, as of Index; none for the initial voters.
+	Joined map[InstanceID]uint64 `msgpack:"j,omitempty"`
+	Data   []byte                `msgpack:"d"` // encoded state of the state machine
 }
 
 // Journal stores the consensus state on disk. Each method returns only after its writes are synced.
--- a/control/process/labconsensus/leadership.go
+++ b/control/process/labconsensus/leadership.go
@@ -15,6 +15,7 @@
 	leaderLease   time.Duration // time after quorumContact for which the leader may assume that it still leads
 	membership    labreplica.Membership
 	committed     labreplica.Membership // latest committed membership
+	caughtUp      []lab.InstanceID      // learners that the leader may make voters
 	appliedIndex  uint64
 }
 
@@ -24,7 +25,8 @@
 	v := &groupStatus{
 		leadership: lab.Leadership{Leader: r.Leader(), Term: r.Term()},
 		leading:    r.Leading(), quorumContact: r.QuorumContact(), leaderLease: r.ElectionMin,
-		membership: r.Membership(), committed: r.CommittedMembership(), appliedIndex: r.AppliedIndex(),
+		membership: r.Membership(), committed: r.CommittedMembership(), caughtUp: r.CaughtUpLearners(),
+		appliedIndex: r.AppliedIndex(),
 	}
 
 	if v.leading {
@@ -65,6 +67,16 @@
 	return labreplica.Membership{}
 }
 
+// CaughtUpLearners returns the learners that this instance, as the leader, may make voters. One that is not reachable isn't among
+// them.
+func (g *Group) CaughtUpLearners() []lab.InstanceID {
+	if v := g.status.Load(); v != nil {
+		return v.caughtUp
+	}
+
+	return nil
+}
+
 // AppliedIndex returns the applied index: the index up to which the state machine has applied the log.
 func (g *Group) AppliedIndex() uint64 {
 	if v := g.status.Load(); v != nil {
--- a/control/process/labconsensus/membership.go
+++ b/control/process/labconsensus/membership.go
@@ -20,6 +20,12 @@
 	return g.change(ctx, "promote", labreplica.Change{Kind: labreplica.ChangePromote, Instance: id})
 }
 
+// Demote makes a voter a learner, which keeps its log. It fails with labreplica.ErrUnsafeChange when too few of the
+// remaining voters are reachable. A leader that demotes itself steps down once that is committed.
+func (g *Group) Demote(ctx context.Context, id lab.InstanceID) error {
+	return g.change(ctx, "demote", labreplica.Change{Kind: labreplica.ChangeDemote, Instance: id})
+}
+
 // Remove removes a voter or learner from the group. It fails with labreplica.ErrUnsafeChange when too few of the
 // remaining voters are reachable.
 func (g *Group) Remove(ctx context.Context, id lab.InstanceID) error {
--- a/control/process/labplatformcontrol/controller.go
+++ b/control/process/labplatformcontrol/controller.go
@@ -114,7 +114,7 @@
 	mutex             sync.Mutex
 	lastContact       map[lab.InstanceID]time.Duration // by control instance, the time of its last message to this leader or the one before
 	stoppedAt         map[lab.InstanceID]time.Duration // by control instance, the time of its last request with Stopping set
-	zones             map[lab.InstanceID]string        // availability zones of the control instances that have joined this leader
+	zones             map[lab.InstanceID]string        // availability zones of the control instances that have joined this leader or the one before
 	joinReports       labvoters.Reports                // join requests received from control instances
 	verifying         map[string]bool                  // members with a contested announcement that was verified just now
 	replacing         map[string]bool                  // services with a primary replacement in progress
@@ -237,6 +237,7 @@
 	e.Go(func() error { return g.Run(ctx) })
 	e.Go(func() error { return k.reconcile(ctx) })
 	e.Go(func() error { return k.join(ctx) })
+	e.Go(func() error { return k.maintainVoters(ctx) })
 	e.Go(func() error { return k.logLeadership(ctx, g) })
 	e.Go(func() error { return k.broadcast(ctx) })
 	e.Go(func() error { return k.relay.run(ctx) })
--- a/control/process/labplatformcontrol/controller_test.go
+++ b/control/process/labplatformcontrol/controller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -53,6 +54,7 @@
 type cluster struct {
 	t           *testing.T
 	seeds       []string
+	zones       []string
 	folders     []string
 	controllers []*Controller
 	stops       []func(kill bool)
@@ -66,7 +68,7 @@
 
 	for i := range n {
 		transports[i] = c.listen("127.0.0.1:0")
-		c.seeds = append(c.seeds, transports[i].BoundAddress())
+		c.seeds, c.zones = append(c.seeds, transports[i].BoundAddress()), append(c.zones, fmt.Sprint("zone-", i))
 		c.folders = append(c.folders, t.TempDir())
 	}
 
@@ -98,7 +100,7 @@
 func (c *cluster) run(i int, x *labtransport.Transport, newDeployment bool) {
 	seeds := slices.Clone(c.seeds)
 	k := &Controller{
-		Address: c.seeds[i], Seeds: func() []string { return seeds }, NewDeployment: newDeployment, ToleratedLosses: 1,
+		AvailabilityZone: c.zones[i], Address: c.seeds[i], Seeds: func() []string { return seeds }, NewDeployment: newDeployment, ToleratedLosses: 1,
 		DataFolder: c.folders[i], Transport: x, Clock: labclock.NewBootClock(), Random: labrandom.New(),
 		DocumentReader: jsonReader{}, Dialer: unavailablePlatform{}, PromotionClient: unavailablePlatform{}, Log: zerolog.Nop(),
 	}
@@ -135,12 +137,13 @@
 	}
 }
 
-// add starts an instance that joins the group.
-func (c *cluster) add() int {
+// add starts an instance in a zone, which joins the group.
+func (c *cluster) add(zone string) int {
 	c.t.Helper()
 
 	x, i := c.listen("127.0.0.1:0"), len(c.controllers)
 	c.seeds, c.folders = append(c.seeds, x.BoundAddress()), append(c.folders, c.t.TempDir())
+	c.zones = append(c.zones, zone)
 	c.controllers, c.stops = append(c.controllers, nil), append(c.stops, nil)
 	c.run(i, x, false)
 	c.t.Cleanup(func() { c.stop(i) })
--- a/control/process/labplatformcontrol/join.go
+++ b/control/process/labplatformcontrol/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -189,18 +190,33 @@
 	k.zones[id] = zone
 }
 
-// controlInstances returns the process addresses of the group's members and their availability zones.
+// controlInstances returns the process addresses of the group's members and their availability zones, without learners that
+// have ended.
 func (k *Controller) controlInstances() (addresses, zones []string) {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	g := k.participation().group
+	s := k.groupState(g.Membership(), g.Leadership().Since)
 
-	for _, m := range k.participation().group.Membership().Instances() {
-		addresses, zones = append(addresses, labvoters.Address(m)), append(zones, k.zones[m])
+	for _, id := range s.Membership.Instances() {
+		if s.Membership.Voter(id) || !s.Absent(id) {
+			addresses, zones = append(addresses, labvoters.Address(id)), append(zones, s.Zones[id])
+		}
 	}
 
 	return addresses, zones
 }
 
+// maintainVoters maintains the group's membership while this instance is the leader. A change may wait for its learner or a
+// quorum, so it has a goroutine of its own.
+func (k *Controller) maintainVoters(ctx context.Context) error {
+	for k.Clock.Sleep(ctx, reconcileInterval) == nil {
+		if k.Leading() {
+			k.reconcileVoters(ctx)
+		}
+	}
+
+	return nil
+}
+
 // reconcileVoters performs the next change of the group's membership if one is due.
 func (k *Controller) reconcileVoters(ctx context.Context) {
 	g := k.participation().group
@@ -223,10 +239,12 @@
 		err = g.Promote(ctx, c.Instance)
 	case labreplica.ChangeRemove:
 		err = g.Remove(ctx, c.Instance)
+	case labreplica.ChangeDemote:
+		err = g.Demote(ctx, c.Instance)
 	}
 
 	k.Counters.Memberships.Add(1)
-	k.Log.Info().Uint8("change", uint8(c.Kind)).Str("member", string(c.Instance)).
+	k.Log.Info().Uint8("change", uint8(c.Kind)).Str("member", string(c.Instance)).Str("zone", s.Zones[c.Instance]).
 		Int("voters", len(s.Membership.Voters)).Dur("silent", s.SilentFor[c.Instance]).AnErr("error", err).Msg("membership_change")
 }
 
@@ -240,9 +258,10 @@
 	s := &labvoters.GroupState{
 		Self: k.participation().identity.id, Membership: m, TargetVoters: copiesPerLoss*k.ToleratedLosses + 1,
 		SilentFor: map[lab.InstanceID]time.Duration{}, Stopped: map[lab.InstanceID]bool{}, CatchUpPeriod: k.CatchUpPeriod,
+		Zones: maps.Clone(k.zones),
 	}
 
-	s.LiveInstances = k.joinReports.Live(now)
+	s.LiveInstances, s.CaughtUp = k.joinReports.Live(now), k.participation().group.CaughtUpLearners()
 
 	for _, id := range m.Instances() {
 		heard, ok := k.lastContact[id]
@@ -260,18 +279,18 @@
 	return s
 }
 
-// contacts returns how long ago this leader has heard from the other instances of the group.
+// contacts returns how long ago this leader has heard from the instances of the group.
 func (k *Controller) contacts() []contact {
 	m := k.participation().group.Membership()
 
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
-	var out []contact
+	out := []contact{{k.participation().identity.id, 0, k.AvailabilityZone}}
 
 	for _, id := range m.Instances() {
 		if at, ok := k.lastContact[id]; ok {
-			out = append(out, contact{id, k.Clock.Now() - at})
+			out = append(out, contact{id, k.Clock.Now() - at, k.zones[id]})
 		}
 	}
 
@@ -279,12 +298,16 @@
 }
 
 // recordContacts records what the leader has told of its contacts, so that the next leader doesn't count the silence of
-// an instance from its own election on.
+// an instance from its own election on and knows the zones of instances that have ended.
 func (k *Controller) recordContacts(contacts []contact) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 
 	for _, c := range contacts {
 		k.lastContact[c.Instance] = max(k.lastContact[c.Instance], k.Clock.Now()-c.Age)
+
+		if c.Zone != "" {
+			k.zones[c.Instance] = c.Zone
+		}
 	}
 }
--- a/control/process/labplatformcontrol/message.go
+++ b/control/process/labplatformcontrol/message.go
@@ -57,6 +57,7 @@
 type contact struct {
 	Instance lab.InstanceID `msgpack:"i"`
 	Age      time.Duration  `msgpack:"t"`
+	Zone     string         `msgpack:"z,omitempty"` // availability zone, empty if it isn't known
 }
 
 // memberObservations are the observations of all members.
@@ -72,7 +73,7 @@
 	// MembersComplete is true if there are no other members than those of Observations.
 	MembersComplete bool                `msgpack:"m"`
 	Leaving         []lab.LeavingMember `msgpack:"l,omitempty"` // members of Observations that are leaving
-	Contacts        []contact           `msgpack:"o,omitempty"` // the group's other instances, as the leader has heard from them
+	Contacts        []contact           `msgpack:"o,omitempty"` // the group's instances, as the leader has heard from them
 	Proxies         []lab.Instance      `msgpack:"p"`           // the leader's proxy list; empty in most broadcasts, see proxyListRounds
 	// Packed is a compressed memberObservations, sent instead of Observations and MembersComplete if there are many members.
 	Packed []byte `msgpack:"k,omitempty"`
--- a/control/process/labplatformcontrol/reconcile.go
+++ b/control/process/labplatformcontrol/reconcile.go
@@ -34,7 +34,7 @@
 	deposedAfter = 5 * time.Second
 )
 
-// reconcile maintains the group's membership and replaces primaries while this instance is the leader.
+// reconcile maintains the list of members and replaces primaries while this instance is the leader.
 func (k *Controller) reconcile(ctx context.Context) error {
 	for k.Clock.Sleep(ctx, reconcileInterval) == nil {
 		if !k.Leading() {
@@ -51,7 +51,6 @@
 		}
 
 		k.retireHolders(ctx)
-		k.reconcileVoters(ctx)
 	}
 
 	return nil
--- a/control/process/labreplica/change.go
+++ b/control/process/labreplica/change.go
@@ -17,6 +17,8 @@
 	ChangeAddLearner ChangeKind = iota + 1
 	ChangePromote
 	ChangeRemove
+	// ChangeDemote makes a voter a learner, which keeps its log and may be promoted again.
+	ChangeDemote
 )
 
 // Change is a membership change of one instance.
@@ -33,7 +35,7 @@
 }
 
 func snapshotMembership(s lab.LogSnapshot) Membership {
-	return Membership{Voters: sorted(s.Voters), Learners: sorted(s.Learners)}
+	return Membership{Voters: sorted(s.Voters), Learners: sorted(s.Learners), Joined: s.Joined}
 }
 
 func (r *Replica) membershipAt(index uint64) Membership {
@@ -71,7 +73,7 @@
 		return 0, r.hardState.Term, nil
 	}
 
-	next := r.Membership().apply(change)
+	next := r.Membership().apply(change, r.log.lastIndex()+1)
 	if err := r.checkChange(change, next); err != nil {
 		return 0, 0, err
 	}
@@ -105,6 +107,8 @@
 		return m.Voter(c.Instance)
 	case ChangeRemove:
 		return !m.Voter(c.Instance) && !m.Learner(c.Instance)
+	case ChangeDemote:
+		return !m.Voter(c.Instance)
 	}
 
 	return false
@@ -114,8 +118,7 @@
 // have no reachable quorum.
 func (r *Replica) checkChange(c Change, next Membership) error {
 	if c.Kind == ChangePromote {
-		p := r.peer(c.Instance)
-		if !r.Membership().Learner(c.Instance) || !r.reachable(c.Instance) || p.matchIndex+r.MaxPromotionLag < r.commitIndex {
+		if !r.Membership().Learner(c.Instance) || !r.caughtUp(c.Instance) {
 			return ErrLearnerBehind
 		}
 	}
@@ -135,6 +138,27 @@
 	return nil
 }
 
+// CaughtUpLearners returns the learners that this replica, as the leader, may make voters.
+func (r *Replica) CaughtUpLearners() []lab.InstanceID {
+	var out []lab.InstanceID
+
+	for _, id := range r.Membership().Learners {
+		if r.role == leader && r.caughtUp(id) {
+			out = append(out, id)
+		}
+	}
+
+	return out
+}
+
+// caughtUp reports whether a peer is reachable and lacks at most MaxPromotionLag committed entries. A leader that has demoted
+// itself is a learner, but no peer.
+func (r *Replica) caughtUp(id lab.InstanceID) bool {
+	p := r.peer(id)
+
+	return p != nil && r.reachable(id) && p.matchIndex+r.MaxPromotionLag >= r.commitIndex
+}
+
 // reachable reports whether the instance has responded within the minimum election timeout.
 func (r *Replica) reachable(id lab.InstanceID) bool {
 	if id == r.ID {
--- a/control/process/labreplica/membership.go
+++ b/control/process/labreplica/membership.go
@@ -1,6 +1,7 @@
 package labreplica
 
 import (
+	"maps"
 	"slices"
 
 	"laburnumlock.dev/lab"
@@ -10,6 +11,9 @@
 type Membership struct {
 	Voters   []lab.InstanceID `msgpack:"v"`
 	Learners []lab.InstanceID `msgpack:"l"` // instances that receive the log but don't vote
+	// Joined has the index of the entry that added an instance, so that an instance can be told from its successor. It has
+	// none for the initial voters.
+	Joined map[lab.InstanceID]uint64 `msgpack:"j,omitempty"`
 }
 
 // Voter reports whether the instance is a voter.
@@ -31,19 +35,30 @@
 	return len(m.Voters)/2 + 1
 }
 
-func (m Membership) apply(change Change) Membership {
+// apply returns the membership after a change whose entry has the given index.
+func (m Membership) apply(change Change, index uint64) Membership {
 	voters := without(m.Voters, change.Instance)
 	learners := without(m.Learners, change.Instance)
+	joined := maps.Clone(m.Joined)
 
 	switch change.Kind {
 	case ChangeAddLearner:
 		learners = append(learners, change.Instance)
+
+		if joined == nil {
+			joined = map[lab.InstanceID]uint64{}
+		}
+
+		joined[change.Instance] = index
 	case ChangePromote:
 		voters = append(voters, change.Instance)
+	case ChangeDemote:
+		learners = append(learners, change.Instance)
 	case ChangeRemove:
+		delete(joined, change.Instance)
 	}
 
-	return Membership{Voters: sorted(voters), Learners: sorted(learners)}
+	return Membership{Voters: sorted(voters), Learners: sorted(learners), Joined: joined}
 }
 
 func without(ids []lab.InstanceID, id lab.InstanceID) []lab.InstanceID {
--- a/control/process/labreplica/membership_test.go
+++ b/control/process/labreplica/membership_test.go
@@ -34,7 +34,7 @@
 	assert.ErrorIs(t, add("e"), labreplica.ErrChangePending)
 	commit(2)
 	assert.NilError(t, add("e"))
-	assert.Equal(t, fmt.Sprint(r.Membership()), "{[a b c] [d e]}")
+	assert.Equal(t, fmt.Sprint(r.Membership()), "{[a b c] [d e] map[d:2 e:3]}")
 }
 
 // Guards against a membership that remains in effect after its entry was replaced.
@@ -50,9 +50,9 @@
 	}
 
 	add(1, append([]byte{2}, b...))
-	assert.Equal(t, fmt.Sprint(r.Membership()), "{[a b c d] []}")
+	assert.Equal(t, fmt.Sprint(r.Membership()), "{[a b c d] [] map[]}")
 	add(2, nil)
-	assert.Equal(t, fmt.Sprint(r.Membership()), "{[a b c] []}")
+	assert.Equal(t, fmt.Sprint(r.Membership()), "{[a b c] [] map[]}")
 }
 
 // Guards against a learner that is promoted before it has caught up.
--- a/control/process/labreplica/property_test.go
+++ b/control/process/labreplica/property_test.go
@@ -83,10 +83,11 @@
 }
 
 func (c *simulatedCluster) randomChange(n *simulatedNode) {
-	kind := labreplica.ChangeKind(1 + c.random.IntN(3))
+	kind := labreplica.ChangeKind(1 + c.random.IntN(4))
+	removes := kind == labreplica.ChangeRemove || kind == labreplica.ChangeDemote
 
 	for _, l := range c.leading() {
-		if kind == labreplica.ChangeRemove && len(l.replica.Membership().Voters) <= 2 {
+		if removes && len(l.replica.Membership().Voters) <= 2 {
 			continue
 		}
 
--- a/control/process/labreplica/recovery_test.go
+++ b/control/process/labreplica/recovery_test.go
@@ -106,7 +106,7 @@
 	}
 
 	m := c.waitLeader().replica.Membership()
-	assert.Equal(t, fmt.Sprint(m), "{[j0 j1 v2] []}")
+	assert.Equal(t, fmt.Sprint(m.Voters, m.Learners), "[j0 j1 v2] []")
 	c.converge()
 }
 
@@ -134,6 +134,38 @@
 	c.converge()
 }
 
+// Guards against a demoted leader that does not step down or can't be promoted again, and against a snapshot or a restart that
+// loses when an instance joined.
+func TestDemotedLeader(t *testing.T) {
+	c := newSimulatedCluster(t, 37, 3, 1)
+	l := c.waitLeader()
+	c.change(labreplica.ChangeAddLearner, "j0")
+	c.change(labreplica.ChangePromote, "j0")
+
+	_, _, err := l.replica.Change(c.now, labreplica.Change{Kind: labreplica.ChangeDemote, Instance: l.id})
+	assert.NilError(t, err)
+	assert.Equal(t, len(l.replica.CaughtUpLearners()), 0)
+	c.flush(l)
+	c.run(time.Second)
+	assert.Assert(t, c.waitLeader() != l)
+
+	for range 5 {
+		c.propose(c.waitLeader(), 60)
+		c.run(time.Second)
+	}
+
+	c.restartAll()
+	c.converge()
+
+	for _, n := range c.nodes {
+		m := n.replica.Membership()
+		assert.Assert(t, m.Learner(l.id) && m.Voter("j0") && m.Joined["j0"] > 0, "%s: %v", n.id, m)
+	}
+
+	c.change(labreplica.ChangePromote, l.id)
+	c.converge()
+}
+
 // Guards against a snapshot that is combined from chunks of two leaders, which may encode the same state differently.
 func TestChunksOfTwoLeaders(t *testing.T) {
 	r := newReplica(t, lab.HardState{})
--- a/control/process/labreplica/snapshot.go
+++ b/control/process/labreplica/snapshot.go
@@ -17,7 +17,9 @@
 	t, _ := r.log.term(r.appliedIndex)
 	m := r.membershipAt(r.appliedIndex)
 
-	return lab.LogSnapshot{Index: r.appliedIndex, Term: t, Voters: m.Voters, Learners: m.Learners, Data: data}
+	return lab.LogSnapshot{
+		Index: r.appliedIndex, Term: t, Voters: m.Voters, Learners: m.Learners, Joined: m.Joined, Data: data,
+	}
 }
 
 // Compact drops the entries that a stored snapshot covers, except the last TrailingEntries entries.
@@ -97,6 +99,7 @@
 	if r.incoming == nil || r.incoming.term != m.Term || r.incoming.snapshot.Index != m.Index {
 		r.incoming = &incomingSnapshot{term: m.Term, snapshot: lab.LogSnapshot{
 			Index: m.Index, Term: m.LogTerm, Voters: m.Chunk.Membership.Voters, Learners: m.Chunk.Membership.Learners,
+			Joined: m.Chunk.Membership.Joined,
 		}}
 	}
 
--- a/control/process/labvoters/groupstate_test.go
+++ b/control/process/labvoters/groupstate_test.go
@@ -26,6 +26,7 @@
 		reporting []lab.InstanceID
 		silent    map[lab.InstanceID]time.Duration
 		stopped   map[lab.InstanceID]bool
+		behind    bool // no learner has caught up
 		want      *labreplica.Change
 	}{
 		{name: "all voters report", voters: ids("a", "b", "c"), reporting: ids("a", "b", "c")},
@@ -54,6 +55,10 @@
 			reporting: ids("a", "b", "c", "d/1"), stopped: map[lab.InstanceID]bool{"c": true},
 			want: change(labreplica.ChangePromote, "d/1"),
 		},
+		{
+			name: "a promotion doesn't wait for a learner that is behind", voters: ids("a", "b", "c"), learners: ids("d/1"),
+			reporting: ids("a", "b", "d/1"), stopped: map[lab.InstanceID]bool{"c": true}, behind: true,
+		},
 		{
 			name: "the learner that was heard from last succeeds", voters: ids("a", "b", "c"), learners: ids("d/1", "e/1", "f/1"),
 			reporting: ids("a", "b", "d/1", "e/1"), stopped: map[lab.InstanceID]bool{"f/1": true},
@@ -84,7 +89,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := &GroupState{
 				Self: "a", Membership: labreplica.Membership{Voters: c.voters, Learners: c.learners}, TargetVoters: 3,
-				LiveInstances: c.reporting, SilentFor: c.silent, Stopped: c.stopped,
+				LiveInstances: c.reporting, SilentFor: c.silent, Stopped: c.stopped, CaughtUp: c.learners,
+			}
+			if c.behind {
+				s.CaughtUp = nil
 			}
 
 			got, ok := s.NextChange()
--- a/control/process/labvoters/reports_test.go
+++ b/control/process/labvoters/reports_test.go
@@ -31,6 +31,7 @@
 
 	s := &GroupState{
 		Self: "a:1", TargetVoters: 3, LiveInstances: r.Live(time.Second), SilentFor: map[lab.InstanceID]time.Duration{},
+		CaughtUp:   ids("c:1/new"),
 		Membership: labreplica.Membership{Voters: ids("a:1", "b:1", "c:1"), Learners: ids("c:1/new")},
 	}
 
