labtypedlistener: a drain ends each session with an answer

Cause: a drain closed the sessions that rested at the moments at which it looked, every 20 ms. Sessions that send one request of 150 ms after the other are almost never at rest, stayed open until the end of the drain and were cut off then. Trace: the requests that were cut had been sent 5.1 s after SIGTERM, in sessions open since before it; the process ended at 5.3 s.

Change: a session is closed together with the answer to the request that runs, in the second half of the grace time new statements are refused (BUSY, in a transaction ABORTED), so that sessions of clients that send ahead end too, and what still runs at the end of the drain is answered as UNKNOWN.

--- a/proxy/connection/labtypedsession/session.go
+++ b/proxy/connection/labtypedsession/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +20,8 @@
 	// defaultTimeout bounds a statement whose route has no timeout, for example because the route was removed from the
 	// configuration during the transaction.
 	defaultTimeout = 2 * time.Second
+
+	stoppingDetail = "the proxy is stopping"
 )
 
 // Session is the session of one client. Do must not be called concurrently.
@@ -30,6 +33,7 @@
 	Log       zerolog.Logger
 	Counters  *Counters
 	Quota     lab.OperationQuota // quotas of the organisations; nil if operations need no tokens
+	Refusing  *atomic.Bool       // when true, no statement or transaction is begun any more; nil for never
 
 	mutex      sync.Mutex                   // guards the fields below against the idle timer and Close
 	values     map[string]string            // session values by name
@@ -99,6 +103,16 @@
 		return fault(f, "the key is not valid")
 	}
 
+	if s.refuses(o) {
+		if s.tx == nil {
+			return fault(lab.FaultBusy, stoppingDetail)
+		}
+
+		s.failTransaction()
+
+		return fault(lab.FaultAborted, stoppingDetail)
+	}
+
 	switch o.Kind {
 	case lab.OperationSet:
 		s.set(o)
@@ -121,6 +135,21 @@
 	}
 }
 
+// refuses reports whether an operation would begin work at a member that Refusing no longer allows. A commit or rollback ends
+// work.
+func (s *Session) refuses(o lab.Operation) bool {
+	if s.Refusing == nil || !s.Refusing.Load() {
+		return false
+	}
+
+	switch o.Kind {
+	case lab.OperationBegin, lab.OperationRead, lab.OperationWrite, lab.OperationExecute:
+		return true
+	default:
+		return false
+	}
+}
+
 // authorise checks the client's key in the active configuration and returns the fault of the operation, if any. An open
 // transaction fails when the key is removed or moves to another organisation, since its connection belongs to the former
 // one; a commit then also ends it.
--- a/proxy/connection/labtypedsession/session_test.go
+++ b/proxy/connection/labtypedsession/session_test.go
@@ -1,6 +1,7 @@
 package labtypedsession
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,6 +70,29 @@
 	})
 }
 
+// TestRefusing guards against a stopping proxy whose sessions begin work that it can't end in time, and against a commit that it
+// refuses although its transaction is complete.
+func TestRefusing(t *testing.T) {
+	f := newFixture(t, lab.ConsistencyPrimary)
+	f.session.Refusing = &atomic.Bool{}
+	assert.Equal(t, f.do(lab.OperationBegin).Fault, lab.FaultNone)
+	assert.Equal(t, f.do(lab.OperationWrite).Fault, lab.FaultNone)
+	f.session.Refusing.Store(true)
+	assert.Equal(t, f.do(lab.OperationCommit).Fault, lab.FaultNone)
+
+	for _, k := range []lab.OperationKind{lab.OperationRead, lab.OperationWrite, lab.OperationBegin, lab.OperationExecute} {
+		assert.Equal(t, f.do(k).Fault, lab.FaultBusy)
+	}
+
+	f.session.Refusing.Store(false)
+	assert.Equal(t, f.do(lab.OperationBegin).Fault, lab.FaultNone)
+	assert.Equal(t, f.do(lab.OperationWrite).Fault, lab.FaultNone)
+	f.session.Refusing.Store(true)
+	assert.Equal(t, f.do(lab.OperationWrite).Fault, lab.FaultAborted)
+	assert.Equal(t, f.do(lab.OperationCommit).Fault, lab.FaultAborted)
+	assert.Assert(t, f.session.Idle())
+}
+
 // TestReportedFaults checks the faults that clients receive. A fault may report "not run" only when nothing of the
 // operation takes effect.
 func TestReportedFaults(t *testing.T) {
--- a/proxy/process/labtypedlistener/connection.go
+++ b/proxy/process/labtypedlistener/connection.go
@@ -15,6 +15,9 @@
 	"laburnumlock.dev/lab/proxy/connection/labtypedsession"
 )
 
+// stoppingDetail is the text of faults of a proxy that stops.
+const stoppingDetail = "the proxy is stopping"
+
 // connection is one client connection. A goroutine handles the received messages in order. It ends when no complete
 // message is left, and is started again when more bytes arrive.
 type connection struct {
@@ -35,6 +38,7 @@
 	begun        time.Time               // when the first pending message began
 	received     time.Time               // when the latest bytes arrived
 	processing   bool                    // whether a goroutine runs process
+	unanswered   bool                    // whether an operation has begun that has no answer yet
 	closed       bool
 	session      *labtypedsession.Session // session of the client, nil before the startup
 }
@@ -82,6 +86,11 @@
 	for {
 		o, size, ok := n.next()
 		if !ok {
+			// At this moment the client can't have sent its next request yet, unless it sends requests ahead.
+			if n.listener.draining.Load() {
+				n.closeIfIdle()
+			}
+
 			return
 		}
 
@@ -109,7 +118,10 @@
 		return false
 	}
 
-	n.send(n.codec.AppendResult(make([]byte, 0, size), r))
+	if n.takeAnswer() {
+		n.send(n.codec.AppendResult(make([]byte, 0, size), r))
+	}
+
 	n.listener.Memory.Release(size)
 
 	if r.Fault == lab.FaultUnauthorized {
@@ -119,6 +131,17 @@
 	return true
 }
 
+// takeAnswer reports whether the caller is the one to answer the operation that has begun.
+func (n *connection) takeAnswer() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+
+	was := n.unanswered
+	n.unanswered = false
+
+	return was
+}
+
 // responseBytes returns about the size of an encoded response in bytes.
 func responseBytes(r lab.OperationResult) int {
 	const (
@@ -147,10 +170,7 @@
 		return lab.Operation{}, 0, false
 	}
 
-	o, end, size, err := n.codec.Next(n.pending.First())
-	for err == nil && !end && size == 0 && n.pending.Join() {
-		o, end, size, err = n.codec.Next(n.pending.First())
-	}
+	o, end, size, err := n.decodeLocked()
 
 	switch {
 	case err != nil:
@@ -161,6 +181,7 @@
 		n.closeAfterWrites()
 	case size > 0:
 		n.consumeLocked(size)
+		n.unanswered = true
 
 		return o, size, true
 	}
@@ -170,6 +191,16 @@
 	return lab.Operation{}, 0, false
 }
 
+// decodeLocked decodes the first pending message, if it is complete.
+func (n *connection) decodeLocked() (o lab.Operation, end bool, size int, err error) {
+	o, end, size, err = n.codec.Next(n.pending.First())
+	for err == nil && !end && size == 0 && n.pending.Join() {
+		o, end, size, err = n.codec.Next(n.pending.First())
+	}
+
+	return o, end, size, err
+}
+
 func (n *connection) consumeLocked(size int) {
 	n.pending.Discard(size)
 	n.begun = n.received
@@ -201,8 +232,8 @@
 
 	n.consumeLocked(size)
 
-	if n.listener.closeInTransaction.Load() {
-		n.refuse(lab.FaultUnavailable, "the proxy is stopping")
+	if n.listener.refusing.Load() {
+		n.refuse(lab.FaultUnavailable, stoppingDetail)
 
 		return false
 	}
@@ -228,7 +259,7 @@
 
 	n.session = &labtypedsession.Session{
 		Database: database, Key: key, Directory: l.Directory, Clock: l.Clock, Log: l.RequestLog, Counters: l.Counters,
-		Quota: l.Quota,
+		Quota: l.Quota, Refusing: &l.refusing,
 	}
 	l.sessionStarted(n)
 	n.send(n.codec.AppendReady(nil))
@@ -424,7 +455,7 @@
 }
 
 // closeIfIdle closes the connection during a drain if no operation is running or pending, and no transaction is open.
-// If closeInTransaction is set, it also closes a connection whose session is idle in a transaction.
+// If refusing is set, it also closes a connection whose session is idle in a transaction.
 func (n *connection) closeIfIdle() {
 	if !n.mayClose() {
 		return
@@ -453,7 +484,46 @@
 		return false
 	}
 
-	return n.session == nil || n.session.Idle() || n.listener.closeInTransaction.Load()
+	return n.session == nil || n.session.Idle() || n.listener.refusing.Load()
+}
+
+// finish answers the operation that runs with an unknown outcome, refuses the messages behind it, and closes the connection.
+func (n *connection) finish() {
+	if !n.abandoned.Load() {
+		if b := n.finalAnswers(); len(b) > 0 {
+			n.listener.RequestLog.Info().Str("database", n.session.Database).Msg("answered_at_stop")
+			n.send(b)
+		}
+	}
+
+	n.closeAfterWrites()
+}
+
+// finalAnswers ends the handling of messages and returns the answers to those that have none.
+func (n *connection) finalAnswers() []byte {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	defer n.countPendingLocked()
+
+	var out []byte
+
+	if n.unanswered {
+		out = n.codec.AppendResult(out, lab.OperationResult{Fault: lab.FaultUnknown, Detail: stoppingDetail, Status: lab.StatusIdle})
+	}
+
+	for !n.closed && n.session != nil {
+		_, end, size, err := n.decodeLocked()
+		if err != nil || end || size == 0 {
+			break
+		}
+
+		n.consumeLocked(size)
+		out = n.codec.AppendResult(out, lab.OperationResult{Fault: lab.FaultBusy, Detail: stoppingDetail, Status: lab.StatusIdle})
+	}
+
+	n.unanswered, n.closed = false, true
+
+	return out
 }
 
 // requestWaits reports whether the socket has received bytes that have not been read.
--- a/proxy/process/labtypedlistener/drain_test.go
+++ b/proxy/process/labtypedlistener/drain_test.go
@@ -14,6 +14,7 @@
 	"laburnumlock.dev/lab"
 	"laburnumlock.dev/lab/process/labclock"
 	"laburnumlock.dev/lab/process/labmemorybudget"
+	"laburnumlock.dev/lab/process/labmetrics"
 	"laburnumlock.dev/lab/process/labrecovery"
 	"laburnumlock.dev/lab/proxy/connection/labtypedsession"
 	"laburnumlock.dev/lab/proxy/process/labdirectory"
@@ -159,18 +160,73 @@
 	})
 }
 
-// TestPanic checks that a message whose handling panics ends its own connection only.
-func TestPanic(t *testing.T) {
-	before := labrecovery.Recovered.Value()
-	n, socket, _ := newConnection(t, fakeCodec{panics: true})
+// TestDrainOfBusySession guards against a session that a drain finds at rest too rarely: it stayed open until the end, which cut
+// off the request that ran then.
+func TestDrainOfBusySession(t *testing.T) {
+	t.Run("closed with the answer", func(t *testing.T) {
+		n, socket, _ := newConnection(t, fakeCodec{})
+		n.listener.draining.Store(true)
+		assert.Assert(t, n.receive([]byte("x")))
+		awaitIdle(t, n)
+		awaitClosed(t, socket)
+	})
 
-	assert.Assert(t, n.receive([]byte("x")))
+	t.Run("request that was sent ahead", func(t *testing.T) {
+		codec := &startupCodec{}
+		n, socket, _ := newConnection(t, codec)
+		n.listener.draining.Store(true)
+		n.listener.refusing.Store(true)
+		n.session.Refusing, n.session.Counters.Latency = &n.listener.refusing, labmetrics.NewHistogram()
+		n.codec = readCodec{codec}
+		assert.Assert(t, n.receive([]byte("xy")))
+		awaitIdle(t, n)
+		awaitClosed(t, socket)
+
+		faults, _ := codec.answers()
+		assert.DeepEqual(t, faults, []lab.Fault{lab.FaultBusy, lab.FaultBusy})
+	})
+
+	t.Run("end of the drain", func(t *testing.T) {
+		codec := &startupCodec{}
+		n, socket, _ := newConnection(t, codec)
+
+		// An operation runs, and another one has been received.
+		n.processing, n.unanswered = true, true
+		assert.Assert(t, n.receive([]byte("x")))
+		n.finish()
+		awaitClosed(t, socket)
+
+		faults, _ := codec.answers()
+		assert.DeepEqual(t, faults, []lab.Fault{lab.FaultUnknown, lab.FaultBusy})
+		assert.Assert(t, !n.takeAnswer(), "the operation is answered once")
+	})
+}
+
+// readCodec reads each byte as a read.
+type readCodec struct{ *startupCodec }
+
+func (readCodec) Next(b []byte) (o lab.Operation, end bool, size int, err error) {
+	return lab.Operation{Kind: lab.OperationRead}, false, min(len(b), 1), nil
+}
+
+func awaitClosed(t *testing.T, socket *fakeSocket) {
+	t.Helper()
 
 	for end := time.Now().Add(5 * time.Second); !socket.isClosed() && time.Now().Before(end); time.Sleep(time.Millisecond) {
 		socket.runLoop()
 	}
 
 	assert.Assert(t, socket.isClosed())
+}
+
+// TestPanic checks that a message whose handling panics ends its own connection only.
+func TestPanic(t *testing.T) {
+	before := labrecovery.Recovered.Value()
+	n, socket, _ := newConnection(t, fakeCodec{panics: true})
+
+	assert.Assert(t, n.receive([]byte("x")))
+
+	awaitClosed(t, socket)
 	assert.Equal(t, labrecovery.Recovered.Value(), before+1)
 	assert.Assert(t, !n.receive([]byte("y")), "the connection takes no more messages")
 	n.close() // must not wait for locks that the panic left held
--- a/proxy/process/labtypedlistener/listener.go
+++ b/proxy/process/labtypedlistener/listener.go
@@ -46,6 +46,8 @@
 	sweepInterval     = time.Second
 	stopTimeout       = 2 * time.Second // bounds the wait for gnet to stop
 	drainPollInterval = 20 * time.Millisecond
+	// finishTimeout bounds the wait for the last answers of a drain to be sent.
+	finishTimeout = 200 * time.Millisecond
 )
 
 // Listener serves client connections; exported fields are set before Run.
@@ -75,14 +77,14 @@
 
 	gnet.BuiltinEventEngine
 
-	engine             gnet.Engine   // of the first run of gnet, or of a later one; mutex guards it
-	started            chan struct{} // closed when engine is set
-	start              sync.Once
-	draining           atomic.Bool
-	closeInTransaction atomic.Bool // whether a drain also closes sessions that are idle in a transaction
-	mutex              sync.Mutex
-	connections        map[*connection]struct{}
-	waiting            list.List // connections without a session, the oldest first
+	engine      gnet.Engine   // of the first run of gnet, or of a later one; mutex guards it
+	started     chan struct{} // closed when engine is set
+	start       sync.Once
+	draining    atomic.Bool
+	refusing    atomic.Bool // a drain closes sessions that are idle in a transaction, and refuses new statements
+	mutex       sync.Mutex
+	connections map[*connection]struct{}
+	waiting     list.List // connections without a session, the oldest first
 }
 
 // Run serves until the context ends.
@@ -273,18 +275,19 @@
 	return out
 }
 
-// Drain closes each session as soon as the session runs no operation and has no open transaction. Once the time
-// transactionsAfter has passed, Drain also closes sessions that are idle in a transaction. It returns when no
-// connection is left or the context ends.
-func (l *Listener) Drain(ctx context.Context, transactionsAfter time.Duration) {
+// Drain closes each session as soon as the session runs no operation and has no open transaction, together with the answer to
+// its last request. Once the time refuseAfter has passed, Drain also closes sessions that are idle in a transaction, and the
+// sessions refuse further statements, so that those of clients that send requests ahead come to rest as well. It returns when
+// no connection is left or the context ends. Operations that run then are answered with an unknown outcome.
+func (l *Listener) Drain(ctx context.Context, refuseAfter time.Duration) {
 	l.draining.Store(true)
 	l.Log.Info().Int64("open", l.OpenConnections.Value()).Msg("drain_started")
 
 	start := time.Now()
 
 	for l.OpenConnections.Value() > 0 && ctx.Err() == nil {
-		if time.Since(start) >= transactionsAfter {
-			l.closeInTransaction.Store(true)
+		if time.Since(start) >= refuseAfter {
+			l.refusing.Store(true)
 		}
 
 		for _, n := range l.connectionList() {
@@ -295,4 +298,16 @@
 	}
 
 	l.Log.Info().Int64("open", l.OpenConnections.Value()).Dur("after", time.Since(start)).Msg("drain_ended")
+	l.finish()
+}
+
+// finish closes the connections that are left at the end of a drain. Each request that was read gets an answer.
+func (l *Listener) finish() {
+	for _, n := range l.connectionList() {
+		n.finish()
+	}
+
+	for end := time.Now().Add(finishTimeout); l.OpenConnections.Value() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPollInterval)
+	}
 }
