labtypedlistener: close a connection after its answers are sent

Cause: a session counted as at rest once its operation had ended, and a close dropped the part of the answer that the socket had not taken yet. The callback that was to wait for earlier writes runs when they are buffered.

Change: a session is at rest only when nothing of its answers is unsent, and a close after an answer waits for that, for 5 s at most. Closes that free memory or descriptors, or end connections of clients that don't go on, stay immediate.

--- a/proxy/process/labtypedlistener/connection.go
+++ b/proxy/process/labtypedlistener/connection.go
@@ -30,16 +30,17 @@
 
 	account lab.MemoryAccount
 	unsent  atomic.Int64  // bytes of memory that hold unsent responses in gnet, as counted; the event loop changes it
+	closeBy time.Time     // latest time of the close that closeAfterWrites has begun; only the event loop uses it
 	waiting *list.Element // in the listener's list of connections without a session, nil with one; the listener's mutex guards it
 
 	mutex        sync.Mutex
-	pending      labreceivebuffer.Buffer // received bytes of messages that have not been handled
-	pendingBytes int                     // memory of pending, as counted
-	begun        time.Time               // when the first pending message began
-	received     time.Time               // when the latest bytes arrived
-	processing   bool                    // whether a goroutine runs process
-	unanswered   bool                    // whether an operation has begun that has no answer yet
-	closed       bool
+	pending      labreceivebuffer.Buffer  // received bytes of messages that have not been handled
+	pendingBytes int                      // memory of pending, as counted
+	begun        time.Time                // when the first pending message began
+	received     time.Time                // when the latest bytes arrived
+	processing   bool                     // whether a goroutine runs process
+	unanswered   bool                     // whether an operation has begun that has no answer yet
+	closed       bool                     // no further message is handled
 	session      *labtypedsession.Session // session of the client, nil before the startup
 }
 
@@ -53,6 +54,10 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 
+	if n.closed {
+		return true // the connection closes once its responses are sent
+	}
+
 	if n.pending.Len()+len(b) > maxPendingBytes {
 		return false
 	}
@@ -66,7 +71,7 @@
 	n.pending.Append(b)
 	n.countPendingLocked()
 
-	if mayEnd && !n.processing && !n.closed {
+	if mayEnd && !n.processing {
 		n.processing = true
 
 		go n.process()
@@ -125,6 +130,10 @@
 	n.listener.Memory.Release(size)
 
 	if r.Fault == lab.FaultUnauthorized {
+		n.mutex.Lock()
+		n.closed = true
+		n.mutex.Unlock()
+
 		n.closeAfterWrites()
 	}
 
@@ -176,8 +185,10 @@
 	case err != nil:
 		n.listener.RequestLog.Info().Err(err).Str("database", n.session.Database).Msg("message_unreadable")
 		n.send(n.codec.AppendRefusal(nil, lab.FaultMalformed, "message cannot be read"))
+		n.closed = true
 		n.closeAfterWrites()
 	case end:
+		n.closed = true
 		n.closeAfterWrites()
 	case size > 0:
 		n.consumeLocked(size)
@@ -267,12 +278,13 @@
 	return true
 }
 
-// refuse sends a refusal of the startup and closes the connection.
+// refuse sends a refusal of the startup and closes the connection. The mutex must be held.
 func (n *connection) refuse(f lab.Fault, detail string) {
 	n.listener.RefusedStartups.Add(1)
 	n.listener.RequestLog.Info().Stringer("fault", f).Str("detail", detail).Uint64("version", n.listener.Directory.Version()).
 		Msg("startup_refused")
 	n.send(n.codec.AppendRefusal(nil, f, detail))
+	n.closed = true
 	n.closeAfterWrites()
 }
 
@@ -370,7 +382,7 @@
 	n.listener.ClosedForMemory.Add(1)
 	n.listener.RequestLog.Warn().Int("bytes", size).Msg(event)
 	n.discard()
-	n.closeAfterWrites()
+	n.closeNow()
 }
 
 // discard ends the session and frees the pending messages.
@@ -386,8 +398,31 @@
 	}
 }
 
-// closeAfterWrites closes the connection once all earlier writes are sent.
+// closeAfterWrites closes the connection once all earlier writes are sent, after unsentTimeout at the latest. gnet drops
+// what the socket has not taken when it closes a connection.
 func (n *connection) closeAfterWrites() {
+	_ = n.socket.AsyncWrite(nil, func(c gnet.Conn, err error) error {
+		if err != nil {
+			return nil //nolint:nilerr // the connection is already closed
+		}
+
+		now := time.Now()
+		if n.closeBy.IsZero() {
+			n.closeBy = now.Add(unsentTimeout)
+		}
+
+		if c.OutboundBuffered() > 0 && now.Before(n.closeBy) {
+			time.AfterFunc(unsentPollInterval, n.closeAfterWrites)
+
+			return nil
+		}
+
+		return c.Close()
+	})
+}
+
+// closeNow closes the connection, and drops responses that have not been sent.
+func (n *connection) closeNow() {
 	_ = n.socket.AsyncWrite(nil, func(c gnet.Conn, err error) error {
 		if err != nil {
 			return nil //nolint:nilerr // the connection is already closed
@@ -446,7 +481,7 @@
 
 	// The event loop checks again: a request may have arrived since, and it would end without an answer.
 	_ = n.socket.AsyncWrite(nil, func(c gnet.Conn, err error) error {
-		if err != nil || !n.unauthorised() || requestWaits(c) {
+		if err != nil || !n.unauthorised() || !atRest(c) {
 			return nil //nolint:nilerr // the connection is already closed
 		}
 
@@ -463,7 +498,7 @@
 
 	// The event loop checks again: a request may have arrived since, and it would end without an answer.
 	_ = n.socket.AsyncWrite(nil, func(c gnet.Conn, err error) error {
-		if err != nil || !n.mayClose() || requestWaits(c) {
+		if err != nil || !n.mayClose() || !atRest(c) {
 			return nil //nolint:nilerr // the connection is already closed
 		}
 
@@ -526,6 +561,11 @@
 	return out
 }
 
+// atRest reports whether all responses of the connection are sent and no request has arrived.
+func atRest(c gnet.Conn) bool {
+	return c.OutboundBuffered() == 0 && !requestWaits(c)
+}
+
 // requestWaits reports whether the socket has received bytes that have not been read.
 func requestWaits(c gnet.Conn) bool {
 	var one [1]byte
--- a/proxy/process/labtypedlistener/drain_test.go
+++ b/proxy/process/labtypedlistener/drain_test.go
@@ -202,6 +202,36 @@
 	})
 }
 
+// TestCloseAfterWrites guards against a close that drops the part of an answer that the client has not received yet.
+func TestCloseAfterWrites(t *testing.T) {
+	for name, closeWith := range map[string]func(*connection){
+		"idle session in a drain": func(n *connection) { n.closeIfIdle() },
+		"end of the drain":        func(n *connection) { n.finish() },
+		"end of the session":      func(n *connection) { n.closeAfterWrites() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, socket, _ := newConnection(t, fakeCodec{})
+			socket.unread = 1
+			closeWith(n)
+			socket.runLoop()
+			assert.Assert(t, !socket.isClosed())
+
+			socket.mutex.Lock()
+			socket.unread = 0
+			socket.mutex.Unlock()
+			closeWith(n)
+			awaitClosed(t, socket)
+		})
+	}
+
+	t.Run("client that doesn't read", func(t *testing.T) {
+		n, socket, _ := newConnection(t, fakeCodec{})
+		socket.unread, n.closeBy = 1, time.Now()
+		n.closeAfterWrites()
+		awaitClosed(t, socket)
+	})
+}
+
 // readCodec reads each byte as a read.
 type readCodec struct{ *startupCodec }
 
--- a/proxy/process/labtypedlistener/listener.go
+++ b/proxy/process/labtypedlistener/listener.go
@@ -46,6 +46,9 @@
 	sweepInterval     = time.Second
 	stopTimeout       = 2 * time.Second // bounds the wait for gnet to stop
 	drainPollInterval = 20 * time.Millisecond
+	// unsentTimeout bounds the time for the last responses of a connection that closes: 1 MiB takes 4.2 s at 2 Mbit/s.
+	unsentTimeout      = 5 * time.Second
+	unsentPollInterval = 10 * time.Millisecond
 	// finishTimeout bounds the wait for the last answers of a drain to be sent.
 	finishTimeout = 200 * time.Millisecond
 )
@@ -191,7 +194,7 @@
 	}
 
 	if n, ok := first.Value.(*connection); ok {
-		n.closeAfterWrites()
+		n.closeNow()
 	}
 
 	return true
@@ -250,11 +253,11 @@
 
 		switch {
 		case n.startupTimedOut():
-			n.closeAfterWrites()
+			n.closeNow()
 		case n.messageTimedOut():
 			l.UnfinishedMessages.Add(1)
 			l.RequestLog.Info().Msg("message_not_finished")
-			n.closeAfterWrites()
+			n.closeNow()
 		}
 
 		n.closeIfUnauthorised()
