labtypedproxy: a stop waits for relayed statements

Cause: a stopping proxy waited for its own sessions only, and served new streams of other proxies until it closed their connections.

Change: it refuses statements that would begin once its sessions are closed, or in the second half of the grace time, and waits for those that have begun. A sender takes a stream that ends with the peer's graceful stop for a statement that has not run.

--- a/proxy/process/labrelay/connection.go
+++ b/proxy/process/labrelay/connection.go
@@ -195,7 +195,15 @@
 		return errors.Newf("%s %s (out of reach: %t): %w", action, c.gateway.ID, unreachable, os.ErrDeadlineExceeded)
 	}
 
-	return lab.UnknownOutcomeError(lab.ReasonMisrouted, errors.Newf("%s %s: %w", action, c.gateway.ID, err))
+	err = errors.Newf("%s %s: %w", action, c.gateway.ID, err)
+
+	if errors.Is(err, lab.ErrPeerStopped) {
+		c.source.avoidGateway(c.gateway.ID)
+
+		return lab.NotRunError(lab.ReasonMisrouted, err)
+	}
+
+	return lab.UnknownOutcomeError(lab.ReasonMisrouted, err)
 }
 
 // gatewayError returns the error for a failure that a gateway reported.
--- a/proxy/process/labrelay/relay_test.go
+++ b/proxy/process/labrelay/relay_test.go
@@ -34,6 +34,7 @@
 	mutex    sync.Mutex
 	slowdown float64 // slowdown of the member
 	missing  bool    // whether the gateway has no connections to the member
+	stopping bool    // whether the gateway has been stopped
 	failure  error   // error of the next Run
 	state    lab.TransactionStatus
 	values   map[string]string // session values of the last Run
@@ -183,6 +184,10 @@
 	}
 
 	s := &Server{Directory: g, Clock: labclock.NewBootClock(), Log: zerolog.Nop(), Memory: g.memory}
+	if g.stopping {
+		s.Stop()
+	}
+
 	decode := func(v any) error {
 		b, err := msgpack.Marshal(h)
 		if err != nil {
@@ -372,6 +377,22 @@
 		assert.DeepEqual(t, g.endings(), []string{"discarded"})
 	})
 
+	t.Run("gateway that stops", func(t *testing.T) {
+		stopping, other := newFakeGateway(), newFakeGateway()
+		stopping.stopping = true
+
+		_, err := acquire(t, newSource(fakePeers{"g": stopping, "h": other}, "g", "h"), time.Second).Run(testDeadline(), nil, write)
+		assert.NilError(t, err)
+		assert.Equal(t, len(stopping.received), 0)
+	})
+
+	t.Run("gateway that has stopped", func(t *testing.T) {
+		c, ok := acquire(t, newSource(nil, "g"), time.Second).(*connection)
+		assert.Assert(t, ok)
+		assertOutcome(t, c.streamError(t.Context(), 0, "read from gateway", errors.Mark(errDown, lab.ErrPeerStopped)), lab.OutcomeNotRun)
+		assertOutcome(t, c.streamError(t.Context(), 0, "read from gateway", errDown), lab.OutcomeUnknown)
+	})
+
 	t.Run("next gateway", func(t *testing.T) {
 		g := newFakeGateway()
 		s := newSource(fakePeers{"g": g}, "down", "g")
--- a/proxy/process/labrelay/server.go
+++ b/proxy/process/labrelay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,13 @@
 	Clock     lab.Clock
 	Log       zerolog.Logger
 	Memory    lab.MemoryBudget // bounds the requests and responses; nil for no limit
+
+	stopping atomic.Bool
+}
+
+// Stop refuses statements and transactions that would begin from now on, so that their senders try other gateways.
+func (s *Server) Stop() {
+	s.stopping.Store(true)
 }
 
 // Serve handles one stream until the sender closes it.
@@ -130,6 +138,10 @@
 	deadline := time.Now().Add(r.Deadline)
 
 	if s.conn == nil {
+		if s.server.stopping.Load() {
+			return response{Failure: "the gateway is stopping", NotRun: true}
+		}
+
 		if h := &s.header; h.Alternative != nil && s.server.Directory.Refuses(h.Service, h.Member, *h.Alternative) {
 			return response{Failure: "the member is ejected here", NotRun: true, Ejected: true}
 		}
--- a/proxy/process/labtypedproxy/proxy.go
+++ b/proxy/process/labtypedproxy/proxy.go
@@ -34,6 +34,9 @@
 	notReadyPeriod = 2300 * time.Millisecond
 	// exitMargin is the part of the drain grace period that is reserved for closing connections.
 	exitMargin = 700 * time.Millisecond
+	// relayMargin is the part of the drain grace period that is reserved for the end of the process once no statement of
+	// another proxy runs here. It is shorter than exitMargin, so that these can end if sessions take the whole drain.
+	relayMargin = 400 * time.Millisecond
 )
 
 // Proxy is one proxy process; exported fields are set before Run.
@@ -59,6 +62,7 @@
 	directory  *labdirectory.Directory
 	subscriber *labsubscriber.Subscriber
 	listener   *labtypedlistener.Listener
+	relay      *labrelay.Server
 	quota      *labquotaclient.Client
 	counters   labtypedsession.Counters
 	stopping   atomic.Bool
@@ -72,8 +76,8 @@
 		LeavingPeriod: p.LeavingPeriod, FixedCosts: p.FixedCosts, Memory: p.Memory,
 	}
 
-	relay := &labrelay.Server{Directory: p.directory, Clock: p.Clock, Log: lablog.NewRequestLogger(p.Log), Memory: p.Memory}
-	p.Transport.HandleStream(labrelay.Method, relay.Serve)
+	p.relay = &labrelay.Server{Directory: p.directory, Clock: p.Clock, Log: lablog.NewRequestLogger(p.Log), Memory: p.Memory}
+	p.Transport.HandleStream(labrelay.Method, p.relay.Serve)
 
 	p.subscriber = &labsubscriber.Subscriber{
 		Proxy: p.Self, Peers: p.Transport, Seeds: p.Seeds, Directory: p.directory, ConfigurationReader: p.ConfigurationReader, Clock: p.Clock,
@@ -141,12 +145,14 @@
 
 // drain reports the proxy as not ready, waits for notReadyPeriod or two fifths of the drain grace period, whichever is
 // shorter, and then closes the sessions. In the first half of the drain grace period it closes only sessions outside a
-// transaction, afterwards also those that are idle in a transaction.
+// transaction, afterwards also those that are idle in a transaction. Statements of other proxies run on until there are no
+// sessions or that half is over; drain then waits for those that have begun.
 func (p *Proxy) drain(ctx context.Context) {
 	p.stopping.Store(true)
 	p.Log.Info().Msg("stop_started")
 
 	notReady := min(notReadyPeriod, p.DrainGracePeriod*2/5)
+	refuseAfter := p.DrainGracePeriod/2 - notReady
 	start := time.Now()
 
 	select {
@@ -156,9 +162,22 @@
 	}
 
 	p.subscriber.AnnounceDraining()
+	defer time.AfterFunc(refuseAfter, p.relay.Stop).Stop()
 
+	p.drainSessions(ctx, start, refuseAfter)
+	p.relay.Stop()
+
+	ctx, cancel := context.WithTimeout(ctx, p.DrainGracePeriod-relayMargin-time.Since(start))
+	defer cancel()
+
+	if err := p.Transport.Drain(ctx); err != nil {
+		p.Log.Warn().Err(err).Msg("relayed_statements_cut")
+	}
+}
+
+func (p *Proxy) drainSessions(ctx context.Context, start time.Time, refuseAfter time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, p.DrainGracePeriod-exitMargin-time.Since(start))
 	defer cancel()
 
-	p.listener.Drain(ctx, p.DrainGracePeriod/2-notReady)
+	p.listener.Drain(ctx, refuseAfter)
 }
