--- a/member.go
+++ b/member.go
@@ -32,7 +32,6 @@
 // Limits of the fields of an announcement. Sequences and incarnations above them can only come from a faulty sender; an
 // accepted one would bar every later announcement of the member.
 const (
-	maxNameBytes   = 255
 	maxIncarnation = 253_402_300_799_999 // 9999-12-31 in Unix milliseconds; members without a clock count from 1
 	maxSequence    = 1 << 53             // largest whole number that every JSON encoder writes exactly
 	maxSlots       = 1 << 20
@@ -41,21 +40,34 @@
 // Validate returns an error if a field has a value that no member can have. Every reader of announcements calls it,
 // since one faulty entry in a list must not stop those who follow the list.
 func (a Announcement) Validate() error {
+	if err := CheckName(a.Member); err != nil {
+		return errors.Newf("member: %w", err)
+	}
+
 	switch {
-	case a.Member == "" || len(a.Member) > maxNameBytes:
-		return errors.Newf("name of the member has %d bytes", len(a.Member))
 	case a.Incarnation > maxIncarnation:
 		return errors.Newf("member %q: incarnation %d is out of range", a.Member, a.Incarnation)
 	case a.Sequence > maxSequence:
 		return errors.Newf("member %q: sequence %d is out of range", a.Member, a.Sequence)
 	case a.Terminated:
 		return nil // the other fields may be unknown
-	case a.Database == "" || max(len(a.Database), len(a.Region), len(a.AvailabilityZone)) > maxNameBytes:
-		return errors.Newf("member %q: a name is missing or too long", a.Member)
 	case min(a.Slots, a.Connections) < 0 || max(a.Slots, a.Connections) > maxSlots:
 		return errors.Newf("member %q: %d slots and %d connections are out of range", a.Member, a.Slots, a.Connections)
 	}
 
+	names := []string{a.Database, a.Address}
+	for _, place := range []string{a.Region, a.AvailabilityZone} {
+		if place != "" {
+			names = append(names, place)
+		}
+	}
+
+	for _, name := range names {
+		if err := CheckName(name); err != nil {
+			return errors.Newf("member %q: %w", a.Member, err)
+		}
+	}
+
 	host, port, err := net.SplitHostPort(a.Address)
 	if err != nil {
 		return errors.Newf("member %q: address: %w", a.Member, err)
--- a/member_test.go
+++ b/member_test.go
@@ -22,6 +22,12 @@
 	}{
 		{"no name", func(a *lab.Announcement) { a.Member = "" }},
 		{"long name", func(a *lab.Announcement) { a.Member = strings.Repeat("m", 1000) }},
+		{"line end in the name", func(a *lab.Announcement) { a.Member = "m\r\nQUERY 0dd0 STORE x y" }},
+		{"blank in the name", func(a *lab.Announcement) { a.Member = "m x" }},
+		{"line end in the name of a farewell", func(a *lab.Announcement) { a.Member, a.Terminated = "m\nx", true }},
+		{"line end in the service", func(a *lab.Announcement) { a.Database = "s who\r\nQUERY 0dd0 STORE x y" }},
+		{"control character in the zone", func(a *lab.Announcement) { a.AvailabilityZone = "z\x00" }},
+		{"line end in the address", func(a *lab.Announcement) { a.Address = "[::1%\r\n]:80" }},
 		{"no service", func(a *lab.Announcement) { a.Database = "" }},
 		{"long zone", func(a *lab.Announcement) { a.AvailabilityZone = strings.Repeat("z", 1000) }},
 		{"no port", func(a *lab.Announcement) { a.Address = "10.0.0.1" }},
