labtransport: end each stream when its handler returns

Cause: quic-go keeps a stream until both of its directions have ended at this side. That was left to the handlers of streams, and the relay's returned without it when the sender had cancelled the stream, as after each statement.

Change: serveStream ends both directions, whatever the handler has done, and a stream ends its sending direction once. The numbers of open streams by method are metrics.

--- a/process/labtransport/call.go
+++ b/process/labtransport/call.go
@@ -85,20 +85,21 @@
 		return nil, errors.Newf("open stream: %w", err)
 	}
 
+	opened := &stream{Stream: s, ended: t.opened.begin(method)}
+
 	b, err := appendFrame(nil, preamble{Method: method, RequestID: t.requestIDs.Add(1)})
-	if err != nil {
-		return nil, err
+	if err == nil {
+		b, err = appendFrame(b, value)
 	}
 
-	b, err = appendFrame(b, value)
 	if err != nil {
+		opened.Cancel()
+
 		return nil, err
 	}
 
 	t.traffic.sent(method, len(b))
 
-	opened := &stream{Stream: s, done: func() {}}
-
 	// If the peer has lost power, the flow control window is not extended, and a write to a full window blocks until the
 	// connection times out. Cancel ends the write when the context ends.
 	stop := context.AfterFunc(ctx, opened.Cancel)
--- a/process/labtransport/serve.go
+++ b/process/labtransport/serve.go
@@ -32,16 +32,19 @@
 			return
 		}
 
-		go t.serveStream(c.Context(), from, &stream{Stream: s, done: func() {}})
+		go t.serveStream(c.Context(), from, &stream{Stream: s})
 	}
 }
 
+// serveStream serves a stream of another process. It ends both directions, whatever the handler has done with them: a stream whose
+// handler fails is cancelled, and the peer of any other one receives what the handler has sent.
 func (t *Transport) serveStream(ctx context.Context, from lab.InstanceID, s *stream) {
 	if !t.beginServing(ctx) {
 		return
 	}
 
 	defer t.activeStreams.Add(-1)
+	defer func() { _ = s.Close() }()
 	defer labrecovery.Recover(t.Log, "stream of "+string(from), s.Cancel)
 
 	_ = s.SetReadDeadline(time.Now().Add(preambleTimeout))
@@ -58,6 +61,8 @@
 
 	_ = s.SetReadDeadline(time.Time{})
 
+	s.ended = t.served.begin(p.Method)
+
 	if h, ok := t.callHandlers[p.Method]; ok {
 		t.serveCall(ctx, from, p, h, s, m)
 
@@ -80,6 +85,7 @@
 
 	if err := h(ctx, from, decode, s); err != nil {
 		t.Log.Debug().Err(err).Str("from", string(from)).Str("method", string(p.Method)).Msg("stream_failed")
+		s.Cancel()
 	}
 }
 
@@ -87,8 +93,6 @@
 func (t *Transport) serveCall(
 	ctx context.Context, from lab.InstanceID, p preamble, h lab.CallHandler, s *stream, request io.Reader,
 ) {
-	defer func() { _ = s.Close() }()
-
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
--- a/process/labtransport/transport.go
+++ b/process/labtransport/transport.go
@@ -49,6 +49,7 @@
 	listener       *quic.Listener
 	requestIDs     atomic.Uint64
 	traffic        trafficCounters
+	served, opened openStreams  // streams of other processes, and of this one
 	activeStreams  atomic.Int64 // number of streams of other processes being served
 	draining       atomic.Bool  // new streams are not served
 	drained        atomic.Bool  // Drain has succeeded
