lab: zones and regions may have blanks in their names

Found by reading the diff; no deployment has such a zone.

Change: zones, regions and addresses are checked for their length, UTF-8 and control characters only; services and members as before.

--- a/member.go
+++ b/member.go
@@ -55,15 +55,12 @@
 		return errors.Newf("member %q: %d slots and %d connections are out of range", a.Member, a.Slots, a.Connections)
 	}
 
-	names := []string{a.Database, a.Address}
-	for _, place := range []string{a.Region, a.AvailabilityZone} {
-		if place != "" {
-			names = append(names, place)
-		}
+	if err := CheckName(a.Database); err != nil {
+		return errors.Newf("member %q: service: %w", a.Member, err)
 	}
 
-	for _, name := range names {
-		if err := CheckName(name); err != nil {
+	for _, text := range []string{a.Region, a.AvailabilityZone, a.Address} {
+		if err := checkText(text); err != nil {
 			return errors.Newf("member %q: %w", a.Member, err)
 		}
 	}
--- a/member_test.go
+++ b/member_test.go
@@ -14,6 +14,10 @@
 func TestValidate(t *testing.T) {
 	valid := lab.Announcement{Database: "s", Member: "m", Address: "10.0.0.1:80", Incarnation: 1_700_000_000_000, Sequence: 4, Slots: 3}
 	assert.NilError(t, valid.Validate())
+
+	zone := valid
+	zone.AvailabilityZone, zone.Region = "hall 2", "gulf coast"
+	assert.NilError(t, zone.Validate(), "no member is told the names of zones and regions")
 	assert.NilError(t, lab.Announcement{Member: "m", Terminated: true}.Validate(), "a farewell has no other fields")
 
 	for _, c := range []struct {
@@ -23,6 +27,7 @@
 		{"no name", func(a *lab.Announcement) { a.Member = "" }},
 		{"long name", func(a *lab.Announcement) { a.Member = strings.Repeat("m", 1000) }},
 		{"line end in the name", func(a *lab.Announcement) { a.Member = "m\r\nQUERY 0dd0 STORE x y" }},
+		{"blank in the service", func(a *lab.Announcement) { a.Database = "s who" }},
 		{"blank in the name", func(a *lab.Announcement) { a.Member = "m x" }},
 		{"line end in the name of a farewell", func(a *lab.Announcement) { a.Member, a.Terminated = "m\nx", true }},
 		{"line end in the service", func(a *lab.Announcement) { a.Database = "s who\r\nQUERY 0dd0 STORE x y" }},
